--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Set-up, tests, demonstration and measurements. `make test` and `make demo` work
+# on a fresh machine that has python3 (3.11 or later), pip and make.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+export PYTHONHASHSEED = 0
+
+.PHONY: venv test lint format demo up tables
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+lint: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/python -m pytest
+
+tables: venv
+	$(BIN)/python -m citronspan.scripts.tables
+
+demo: venv
+	$(BIN)/python -m citronspan_standins.demo
+
+up: venv
+	$(BIN)/python -m citronspan_standins.demo --stay
--- /dev/null
+++ b/citronspan/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and the data they work on, without sockets or threads."""
--- /dev/null
+++ b/citronspan/core/log_events.py
@@ -0,0 +1,87 @@
+"""Numbered log events.
+
+Each line of a log carries one of these numbers, so that alerts need not match on
+text. The table in docs/LOG_EVENTS.md is written from this module and a test holds
+it to it.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogEvent:
+    """One numbered event.
+
+    Attributes:
+        number: The stable number, unique in the project.
+        name: A short name in kebab case.
+        level: Name of the logbook level.
+        meaning: One sentence for the person who reads the log.
+    """
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+
+
+LOG_EVENT_BY_NUMBER: dict[int, LogEvent] = {}
+
+
+def _define(number, name, level, meaning):
+    event = LogEvent(number=number, name=name, level=level, meaning=meaning)
+    if number in LOG_EVENT_BY_NUMBER:
+        raise ValueError(f"log event {number} is defined twice")
+    LOG_EVENT_BY_NUMBER[number] = event
+    return event
+
+
+# 100-199: every process.
+PROCESS_STARTED = _define(100, "process-started", "INFO", "The process serves.")
+PROCESS_STOPPING = _define(101, "process-stopping", "INFO", "A stop was asked for.")
+PROCESS_STOPPED = _define(102, "process-stopped", "INFO", "The process ends.")
+STARTUP_FAILED = _define(103, "startup-failed", "ERROR", "The process cannot start.")
+MESSAGE_DROPPED = _define(
+    104, "message-dropped", "WARNING", "A peer's message cannot be decoded or handled."
+)
+BACKGROUND_TASK_FAILED = _define(
+    105, "background-task-failed", "ERROR", "A background task raised; it goes on."
+)
+
+# 200-299: the entry.
+REQUEST_REFUSED = _define(200, "request-refused", "INFO", "A request was refused.")
+TARGET_STATE_CHANGED = _define(
+    201, "target-state-changed", "NOTICE", "A target's state changed."
+)
+FLOOR_REACHED = _define(
+    202, "floor-reached", "WARNING", "The floor keeps suspected targets in use."
+)
+DRAIN_BOUND_REACHED = _define(
+    203, "drain-bound-reached", "ERROR", "Requests were still running at the bound."
+)
+BROKER_UNREACHABLE = _define(
+    204, "broker-unreachable", "WARNING", "The entry chooses targets by itself."
+)
+REQUEST_QUARANTINED = _define(
+    205, "request-quarantined", "WARNING", "A request coincided with target crashes."
+)
+
+# 300-399: the agent.
+CONFIGURATION_APPLIED = _define(
+    300, "configuration-applied", "INFO", "A newer configuration is in force."
+)
+LOG_SERVICE_AWAY = _define(
+    301, "log-service-away", "WARNING", "The platform's log does not answer."
+)
+LOG_SERVICE_BACK = _define(
+    302, "log-service-back", "NOTICE", "The platform's log answers again."
+)
+RECORD_VOID = _define(
+    303, "record-void", "NOTICE", "A record lost a race or is not valid; it is void."
+)
+SNAPSHOT_APPENDED = _define(
+    304, "snapshot-appended", "INFO", "A snapshot was appended to the log."
+)
+PEER_STATE_CHANGED = _define(
+    305, "peer-state-changed", "NOTICE", "The view of a peer changed."
+)
--- /dev/null
+++ b/citronspan/core/message_base.py
@@ -0,0 +1,22 @@
+"""Base types of all messages between processes of the fleet."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
+    """Base of all messages; the class name is the tag on the wire."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outgoing:
+    """A message that a decision module asks to be sent.
+
+    Attributes:
+        to: Peer address of the receiver.
+        message: What to send.
+    """
+
+    to: str
+    message: Message
--- /dev/null
+++ b/citronspan/core/messages.py
@@ -0,0 +1,49 @@
+"""Messages between the processes of the fleet, and their codec.
+
+Each matter defines its own messages in its own module (``*_messages.py``); this
+module joins them into one union for the codec. Messages are tagged by type name
+and encoded as msgpack. Unknown fields are ignored, so that two versions of the
+fleet can run side by side during an upgrade.
+"""
+
+import msgspec
+
+from citronspan.core.message_base import Message
+from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What travels between two processes.
+
+    Attributes:
+        fleet: Name of the fleet; envelopes of other fleets are dropped.
+        sender: Peer address of the sender, where answers go.
+        incarnation: Incarnation of the sending process.
+        body: The message.
+    """
+
+    fleet: str
+    sender: str
+    incarnation: int
+    body: ConfigurationPush | ViewPush | EntryReport
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Encode an envelope as msgpack."""
+    return _ENCODER.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Decode an envelope.
+
+    Raises:
+        msgspec.MsgspecError: If the bytes are not a known message.
+    """
+    return _DECODER.decode(data)
+
+
+__all__ = ["Envelope", "Message", "decode_envelope", "encode_envelope"]
--- /dev/null
+++ b/citronspan/core/resources.py
@@ -0,0 +1,257 @@
+"""Resources that operators create: services, targets, routes and accounts.
+
+The same types check what operators send, what the log holds and what nodes hand
+to each other, so a resource that one place takes is taken everywhere. Field names
+are in camel case in JSON.
+"""
+
+import enum
+import ipaddress
+import re
+
+import msgspec
+
+from citronspan.core import result_codes
+from citronspan.core.errors import CitronspanError
+from citronspan.utils.validation import describe_error
+
+NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+
+
+class Spec(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    rename="camel",
+):
+    """Base of all resource specifications."""
+
+
+class Kind(enum.StrEnum):
+    """Kinds of resources."""
+
+    SERVICE = "Service"
+    TARGET = "Target"
+    ROUTE = "Route"
+    ACCOUNT = "Account"
+
+
+class TargetIntent(enum.StrEnum):
+    """What the operator wants of a target."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+class DetectionCosts(Spec, kw_only=True):
+    """What mistakes of detection cost the users of a service.
+
+    Attributes:
+        late_second: Cost of sending work to a gray target for one second.
+        false_ejection: Cost of ejecting one healthy target.
+    """
+
+    late_second: float = 1.0
+    false_ejection: float = 100.0
+
+
+class ServiceSpec(Spec, kw_only=True):
+    """Rules that govern the targets of one service.
+
+    Attributes:
+        floor: Share of the service's slots that stays in use, 0 to 1.
+        costs: Costs that set the thresholds of detection.
+        retry_ratio: Retries allowed per first attempt, 0 to 1.
+        shard_size: Number of targets that one broker serves.
+        link_bytes_per_second: Budget towards targets in the other region.
+    """
+
+    floor: float = 0.5
+    costs: DetectionCosts = DetectionCosts()
+    retry_ratio: float = 0.1
+    shard_size: int = 12
+    link_bytes_per_second: int = 250_000
+
+
+class TargetSpec(Spec, kw_only=True):
+    """One target of a service.
+
+    Attributes:
+        service: Name of the service.
+        address: ``IP:PORT`` where the target answers HTTP.
+        region: Region of the target.
+        data_centre: Data centre of the target.
+        slots: Requests that the target runs at once.
+        intent: Whether new work may be sent.
+    """
+
+    service: str
+    address: str
+    region: str
+    data_centre: str
+    slots: int
+    intent: TargetIntent = TargetIntent.ACTIVE
+
+
+class RouteSpec(Spec, kw_only=True):
+    """One route from callers to a service.
+
+    Attributes:
+        host: Host name of the request, or ``*`` for any.
+        path_prefix: Prefix of the path; the longest match wins.
+        service: Name of the service.
+        request_kind: Name under which requests are counted.
+        worth: Worth of one request; the least is shed first.
+        idempotent: Whether a request may run more than once.
+        require_key: Whether a request without an idempotency key is refused.
+        deadline_seconds: Time from receipt to the end of the answer.
+    """
+
+    host: str = "*"
+    path_prefix: str
+    service: str
+    request_kind: str
+    worth: float = 1.0
+    idempotent: bool = False
+    require_key: bool = False
+    deadline_seconds: float = 10.0
+
+
+class AccountSpec(Spec, kw_only=True):
+    """One client account.
+
+    Attributes:
+        region: Region whose addresses its callers get first, or empty.
+        requests_per_second: Rate over the whole fleet, 0 for no limit.
+    """
+
+    region: str = ""
+    requests_per_second: float = 0.0
+
+
+SPEC_TYPE_BY_KIND = {
+    Kind.SERVICE: ServiceSpec,
+    Kind.TARGET: TargetSpec,
+    Kind.ROUTE: RouteSpec,
+    Kind.ACCOUNT: AccountSpec,
+}
+
+
+class Resource(Spec, kw_only=True):
+    """A resource with its place in the log.
+
+    Attributes:
+        kind: Kind of the resource.
+        name: Name, unique within its kind.
+        spec: Checked specification.
+        version: Offset of the record that set it, -1 before it is accepted.
+    """
+
+    kind: Kind
+    name: str
+    spec: ServiceSpec | TargetSpec | RouteSpec | AccountSpec
+    version: int = -1
+
+
+class _RawResource(Spec, kw_only=True):
+    kind: Kind
+    name: str
+    spec: msgspec.Raw
+    version: int = -1
+    status: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+def parse_address(text: str, *, path: str) -> tuple[str, int]:
+    """Parse ``IP:PORT``.
+
+    Args:
+        text: The address.
+        path: Path of the field, for the error.
+
+    Returns:
+        The IP address and the port.
+
+    Raises:
+        CitronspanError: With code 1003 if the address is not valid.
+    """
+    ip, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(ip.strip("[]"))
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not 0 < number < 65536:
+        raise CitronspanError(
+            code=result_codes.ADDRESS_INVALID,
+            detail=f"{path}: {text!r} is not of the form IP:PORT",
+        )
+    return ip.strip("[]"), number
+
+
+def _invalid(detail: str) -> CitronspanError:
+    return CitronspanError(code=result_codes.RESOURCE_INVALID, detail=detail)
+
+
+def _check_range(value, low, high, path):
+    if not low <= value <= high:
+        raise _invalid(f"$.spec.{path}: {value} is not from {low} to {high}")
+
+
+def check_spec(spec) -> None:
+    """Check what the types alone cannot.
+
+    Args:
+        spec: A specification of any kind.
+
+    Raises:
+        CitronspanError: If a field is out of range; the detail names the field.
+    """
+    if isinstance(spec, ServiceSpec):
+        _check_range(spec.floor, 0, 1, "floor")
+        _check_range(spec.retry_ratio, 0, 1, "retryRatio")
+        _check_range(spec.shard_size, 1, 256, "shardSize")
+        _check_range(spec.costs.late_second, 1e-6, 1e9, "costs.lateSecond")
+        _check_range(spec.costs.false_ejection, 1e-6, 1e9, "costs.falseEjection")
+        _check_range(spec.link_bytes_per_second, 0, 1 << 40, "linkBytesPerSecond")
+    if isinstance(spec, TargetSpec):
+        parse_address(spec.address, path="$.spec.address")
+        _check_range(spec.slots, 1, 100_000, "slots")
+    if isinstance(spec, RouteSpec):
+        if not spec.path_prefix.startswith("/"):
+            raise _invalid("$.spec.pathPrefix: must start with '/'")
+        _check_range(spec.worth, 0, 1e9, "worth")
+        _check_range(spec.deadline_seconds, 0.001, 3600, "deadlineSeconds")
+    if isinstance(spec, AccountSpec):
+        _check_range(spec.requests_per_second, 0, 1e9, "requestsPerSecond")
+
+
+def decode_resource(data: bytes) -> Resource:
+    """Decode and check a resource in JSON.
+
+    Args:
+        data: JSON with the keys ``kind``, ``name`` and ``spec``.
+
+    Returns:
+        The checked resource.
+
+    Raises:
+        CitronspanError: With code 2001; the detail names the field.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_RawResource)
+    except msgspec.MsgspecError as error:
+        raise _invalid(describe_error(error)) from error
+    try:
+        spec = msgspec.json.decode(raw.spec, type=SPEC_TYPE_BY_KIND[raw.kind])
+    except msgspec.MsgspecError as error:
+        raise _invalid(describe_error(error, root="$.spec")) from error
+    if not NAME_PATTERN.fullmatch(raw.name):
+        raise _invalid(f"$.name: {raw.name!r} is not a lower-case host-like name")
+    check_spec(spec)
+    return Resource(kind=raw.kind, name=raw.name, spec=spec, version=raw.version)
+
+
+def encode_resource(resource: Resource) -> bytes:
+    """Encode a resource as JSON that ``decode_resource`` takes."""
+    return msgspec.json.encode(resource)
--- /dev/null
+++ b/citronspan/core/result_codes.py
@@ -0,0 +1,167 @@
+"""Numbered result codes of refusals and errors.
+
+Every refusal that a caller or an operator sees carries one of these numbers, so
+that a page, an alert or a support call can name it exactly. The table in
+docs/RESULT_CODES.md is written from this module and a test holds it to it.
+"""
+
+import enum
+from dataclasses import dataclass
+
+
+class Ran(enum.StrEnum):
+    """Whether the request of a refused caller was run by a target."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    RAN = "ran"
+    NOT_APPLICABLE = "not-applicable"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResultCode:
+    """One numbered result.
+
+    Attributes:
+        number: The stable number, unique in the project.
+        name: A short name in kebab case.
+        http_status: Status of the HTTP answer that carries the code, or the
+            exit status of a program for settings errors.
+        ran: What the code says of whether the request was run.
+        meaning: One sentence for the person who reads the code.
+    """
+
+    number: int
+    name: str
+    http_status: int
+    ran: Ran
+    meaning: str
+
+
+RESULT_CODE_BY_NUMBER: dict[int, ResultCode] = {}
+
+
+def _define(number, name, http_status, ran, meaning):
+    code = ResultCode(
+        number=number, name=name, http_status=http_status, ran=ran, meaning=meaning
+    )
+    if number in RESULT_CODE_BY_NUMBER:
+        raise ValueError(f"result code {number} is defined twice")
+    RESULT_CODE_BY_NUMBER[number] = code
+    return code
+
+
+_NA = Ran.NOT_APPLICABLE
+_NOT = Ran.NOT_RUN
+_MAY = Ran.MAY_HAVE_RUN
+_RAN = Ran.RAN
+
+# 1000-1099: settings files and command lines. The status is an exit status.
+SETTINGS_UNREADABLE = _define(
+    1001, "settings-unreadable", 2, _NA, "The settings file cannot be read."
+)
+SETTINGS_INVALID = _define(
+    1002, "settings-invalid", 2, _NA, "The settings file is not valid."
+)
+ADDRESS_INVALID = _define(
+    1003, "address-invalid", 2, _NA, "An address is not of the form IP:PORT."
+)
+ADDRESS_IN_USE = _define(
+    1004, "address-in-use", 2, _NA, "An address in the settings cannot be bound."
+)
+
+# 2000-2099: the resource API.
+RESOURCE_INVALID = _define(
+    2001, "resource-invalid", 400, _NA, "A field of the resource is not valid."
+)
+RESOURCE_UNKNOWN = _define(
+    2002, "resource-unknown", 404, _NA, "There is no such resource."
+)
+VERSION_CONFLICT = _define(
+    2003, "version-conflict", 409, _NA, "The resource has another version."
+)
+NOT_ACCEPTED = _define(
+    2004,
+    "not-accepted",
+    503,
+    _NA,
+    "The log is away; the change was not accepted and may be sent again.",
+)
+OUTCOME_UNKNOWN = _define(
+    2005,
+    "outcome-unknown",
+    504,
+    _NA,
+    "The log took the change but it was not seen in force in time; get it again.",
+)
+WATCH_TOO_OLD = _define(
+    2006, "watch-too-old", 410, _NA, "The version is too old; list and watch anew."
+)
+API_REQUEST_INVALID = _define(
+    2007, "api-request-invalid", 400, _NA, "The API request is not valid."
+)
+
+# 3000-3099: callers' requests.
+NO_ROUTE = _define(3001, "no-route", 404, _NOT, "No route matches the request.")
+NO_CAPACITY = _define(
+    3002, "no-capacity", 503, _NOT, "No target has a free slot in time."
+)
+OVERLOADED = _define(
+    3003, "overloaded", 503, _NOT, "Requests of more worth use the capacity."
+)
+DEADLINE_TOO_SHORT = _define(
+    3004, "deadline-too-short", 503, _NOT, "The deadline cannot be met."
+)
+TARGET_REFUSED = _define(
+    3005, "target-refused", 503, _NOT, "Every target that was tried refused to run it."
+)
+ANSWER_LOST = _define(
+    3006, "answer-lost", 502, _MAY, "The target's answer was lost or cut short."
+)
+DEADLINE_PASSED = _define(
+    3007, "deadline-passed", 504, _MAY, "The target did not answer in time."
+)
+REQUEST_INVALID = _define(
+    3008, "request-invalid", 400, _NOT, "The request is not well formed."
+)
+REQUEST_QUARANTINED = _define(
+    3009,
+    "request-quarantined",
+    503,
+    _NOT,
+    "The same request coincided with crashes of several targets.",
+)
+ACCOUNT_LIMITED = _define(
+    3010, "account-limited", 429, _NOT, "The account is over its request rate."
+)
+ENTRY_STOPPING = _define(
+    3011, "entry-stopping", 503, _NOT, "The entry is stopping; use another address."
+)
+UPLOAD_CUT_SHORT = _define(
+    3012, "upload-cut-short", 400, _MAY, "The caller's body ended before its length."
+)
+CONFIGURATION_MISSING = _define(
+    3013, "configuration-missing", 503, _NOT, "The entry has no configuration yet."
+)
+
+# 4000-4099: idempotency keys.
+KEY_INVALID = _define(4001, "key-invalid", 400, _NOT, "The key is not well formed.")
+KEY_REQUIRED = _define(4002, "key-required", 400, _NOT, "The route requires a key.")
+KEY_CLOSED = _define(
+    4003, "key-closed", 409, _NOT, "The key is closed; take a new key and send again."
+)
+KEY_EXPIRED = _define(
+    4004, "key-expired", 409, _NOT, "The key has expired and was never run here."
+)
+KEY_MAY_HAVE_RUN = _define(
+    4005, "key-may-have-run", 409, _MAY, "The key was recorded; its outcome is lost."
+)
+KEY_REPLAY_TOO_LARGE = _define(
+    4006, "key-replay-too-large", 409, _RAN, "The key ran; its answer was not kept."
+)
+KEY_NOT_RECORDED = _define(
+    4007, "key-not-recorded", 503, _NOT, "The key could not be recorded; take a new."
+)
+KEY_REUSED = _define(
+    4008, "key-reused", 422, _NOT, "The key was used for a different request."
+)
--- /dev/null
+++ b/citronspan/core/settings.py
@@ -0,0 +1,191 @@
+"""Settings of the processes: one JSON file per process, checked on reading.
+
+A process learns its addresses and its place from its settings and nothing else;
+whatever operators change while the fleet runs is a resource instead.
+"""
+
+import enum
+from pathlib import Path
+
+import msgspec
+
+from citronspan.core import result_codes
+from citronspan.core.errors import CitronspanError
+from citronspan.core.resources import parse_address
+from citronspan.utils.validation import describe_error
+
+
+class Section(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    rename="camel",
+):
+    """Base of all parts of the settings."""
+
+
+class Exporter(enum.StrEnum):
+    """Where finished spans go."""
+
+    NONE = "none"
+    CONSOLE = "console"
+    FILE_DESCRIPTOR = "file-descriptor"
+
+
+class Place(Section, kw_only=True):
+    """Who and where a node is.
+
+    Attributes:
+        name: Name of the host, unique in the fleet.
+        region: Region of the host.
+        data_centre: Data centre of the host.
+        fleet: Name of the fleet; keys and peers of another fleet are refused.
+    """
+
+    name: str
+    region: str
+    data_centre: str
+    fleet: str = "citronspan"
+
+
+class Tracing(Section, kw_only=True):
+    """How spans are exported.
+
+    Attributes:
+        exporter: Where finished spans go.
+        file_descriptor: Number of the open descriptor, for that exporter.
+        sampled_share: Share of the traces that begin here and are recorded, 0 to 1.
+    """
+
+    exporter: Exporter = Exporter.NONE
+    file_descriptor: int = 2
+    sampled_share: float = 1.0
+
+
+class EntrySettings(Section, kw_only=True):
+    """Settings of ``citronspan-entry``.
+
+    Attributes:
+        place: Who and where the node is.
+        callers_address: ``IP:PORT`` where callers connect.
+        peer_address: ``IP:PORT`` for messages from other processes of the fleet.
+        agent_peer_address: Peer address of this host's agent.
+        metrics_address: ``IP:PORT`` of ``/metrics``.
+        worker_threads: Requests that the entry carries at once.
+        drain_seconds: Bound on a graceful stop.
+        leave_seconds: Time between leaving the directory and refusing connections.
+        broker_wait_seconds: Time budget of one question to a broker, queueing apart.
+        tracing: How spans are exported.
+        log_level: Name of a logbook level.
+    """
+
+    place: Place
+    callers_address: str
+    peer_address: str
+    agent_peer_address: str
+    metrics_address: str
+    worker_threads: int = 64
+    drain_seconds: float = 600.0
+    leave_seconds: float = 5.0
+    broker_wait_seconds: float = 0.05
+    tracing: Tracing = Tracing()
+    log_level: str = "INFO"
+
+
+class AgentSettings(Section, kw_only=True):
+    """Settings of ``citronspan-agent``.
+
+    Attributes:
+        place: Who and where the node is.
+        peer_address: ``IP:PORT`` for messages from other processes of the fleet.
+        api_address: ``IP:PORT`` of the resource API and the address directory.
+        entry_peer_address: Peer address of this host's entry.
+        entry_callers_address: Address of this host's entry for callers.
+        metrics_address: ``IP:PORT`` of ``/metrics``.
+        log_url: Base URL of the platform's log service.
+        host_list_url: URL of the platform's list of hosts, or empty.
+        seeds: Peer addresses of agents to ask first.
+        keep_seconds: Time for which callers may keep a directory answer.
+        log_level: Name of a logbook level.
+    """
+
+    place: Place
+    peer_address: str
+    api_address: str
+    entry_peer_address: str
+    entry_callers_address: str
+    metrics_address: str
+    log_url: str
+    host_list_url: str = ""
+    seeds: tuple[str, ...] = ()
+    keep_seconds: float = 5.0
+    log_level: str = "INFO"
+
+
+ProcessSettings = EntrySettings | AgentSettings
+
+
+def _invalid(detail: str) -> CitronspanError:
+    return CitronspanError(code=result_codes.SETTINGS_INVALID, detail=detail)
+
+
+def _check_addresses(settings, path):
+    for name in settings.__struct_fields__:
+        if not name.endswith("_address"):
+            continue
+        camel = msgspec.structs.fields(settings)
+        encoded = next(field.encode_name for field in camel if field.name == name)
+        parse_address(getattr(settings, name), path=f"{path}: $.{encoded}")
+
+
+def _check_log_level(level, path):
+    if level in {"DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL"}:
+        return
+    raise _invalid(f"{path}: $.logLevel: {level!r} is not a level of logbook")
+
+
+def read_settings(path: str, settings_type: type) -> ProcessSettings:
+    """Read and check the settings of one process.
+
+    Args:
+        path: Path of the JSON file.
+        settings_type: ``EntrySettings`` or ``AgentSettings``.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        CitronspanError: With code 1001, 1002 or 1003; the detail names the file
+            and the key.
+    """
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise CitronspanError(
+            code=result_codes.SETTINGS_UNREADABLE, detail=f"{path}: {error.strerror}"
+        ) from error
+    return decode_settings(data, settings_type, path=path)
+
+
+def decode_settings(data: bytes, settings_type: type, *, path: str) -> ProcessSettings:
+    """Decode and check settings that are already in memory.
+
+    Args:
+        data: The JSON text.
+        settings_type: ``EntrySettings`` or ``AgentSettings``.
+        path: Name of the source, for errors.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        CitronspanError: With code 1002 or 1003.
+    """
+    try:
+        settings = msgspec.json.decode(data, type=settings_type)
+    except msgspec.MsgspecError as error:
+        raise _invalid(f"{path}: {describe_error(error)}") from error
+    _check_addresses(settings, path)
+    _check_log_level(settings.log_level, path)
+    return settings
--- /dev/null
+++ b/citronspan/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the command-line programs."""
--- /dev/null
+++ b/citronspan/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that know nothing of proxying."""
--- /dev/null
+++ b/citronspan/utils/statecharts_test.py
@@ -0,0 +1,23 @@
+import pytest
+
+from citronspan.utils.statecharts import (
+    UnknownTransitionError,
+    load_chart,
+    step_chart,
+    takes_event,
+)
+
+
+def test_the_entry_chart_leads_from_joining_to_stopped():
+    chart = load_chart("entry")
+    state = chart.initial
+    for event in ["configured", "stop", "idle"]:
+        state = step_chart(chart, state, event)
+    assert state == "stopped"
+
+
+def test_an_unknown_step_is_an_error():
+    chart = load_chart("entry")
+    assert not takes_event(chart, "stopped", "stop")
+    with pytest.raises(UnknownTransitionError):
+        step_chart(chart, "stopped", "stop")
