State the interfaces to platform, targets and callers; outcomes and health types

Cause: the parts are built side by side and need one contract. Ruled out: a target's bare 503 as proof of not-run, since a gray target may answer 503 after running.

--- /dev/null
+++ b/citronspan/core/health.py
@@ -0,0 +1,58 @@
+"""What choosing asks of detection: how many slots of each target may be used."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from citronspan.core.outcomes import Outcome
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KnownTarget:
+    """A target as the configuration and the host list show it.
+
+    Attributes:
+        name: Name of the target.
+        address: ``IP:PORT`` of the target.
+        region: Region of the target.
+        data_centre: Data centre of the target.
+        slots: Requests that it runs at once.
+        leaving: Whether it must get no new work.
+    """
+
+    name: str
+    address: str
+    region: str
+    data_centre: str
+    slots: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLimit:
+    """How much of a target may be used now.
+
+    Attributes:
+        target: Name of the target.
+        slots: Requests that may be at the target at once, 0 for none.
+        trial: Whether only a trickle of idempotent requests may be sent.
+    """
+
+    target: str
+    slots: int
+    trial: bool = False
+
+
+class Health(Protocol):
+    """Detection for the targets of one service or shard, floor included."""
+
+    def set_targets(self, targets: tuple[KnownTarget, ...]) -> None:
+        """Take the targets that exist now; evidence on the others is dropped."""
+
+    def observe(self, outcome: Outcome) -> None:
+        """Take one outcome as evidence."""
+
+    def find_limits(self) -> dict[str, TargetLimit]:
+        """Return the limit of each target by its name, the floor applied."""
+
+    def note_trial(self, target: str) -> None:
+        """Note that a trial request was sent to a target."""
--- /dev/null
+++ b/citronspan/core/outcomes.py
@@ -0,0 +1,59 @@
+"""Outcomes of attempts: what one dispatch to one target came to."""
+
+import enum
+
+import msgspec
+
+from citronspan.core.result_codes import Ran
+
+
+class OutcomeClass(enum.StrEnum):
+    """What an attempt came to, by what its connection proves."""
+
+    OK = "ok"
+    TARGET_ERROR = "target-error"
+    SHED = "shed"
+    DRAINING = "draining"
+    STARTING = "starting"
+    CONNECT_FAILED = "connect-failed"
+    ANSWER_LOST = "answer-lost"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+    NOT_USED = "not-used"
+
+
+RAN_BY_OUTCOME_CLASS = {
+    OutcomeClass.OK: Ran.RAN,
+    OutcomeClass.TARGET_ERROR: Ran.RAN,
+    OutcomeClass.SHED: Ran.NOT_RUN,
+    OutcomeClass.DRAINING: Ran.NOT_RUN,
+    OutcomeClass.STARTING: Ran.NOT_RUN,
+    OutcomeClass.CONNECT_FAILED: Ran.NOT_RUN,
+    OutcomeClass.ANSWER_LOST: Ran.MAY_HAVE_RUN,
+    OutcomeClass.TIMED_OUT: Ran.MAY_HAVE_RUN,
+    OutcomeClass.CANCELLED: Ran.MAY_HAVE_RUN,
+    OutcomeClass.NOT_USED: Ran.NOT_RUN,
+}
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcome of one attempt.
+
+    Attributes:
+        target: Name of the target.
+        outcome_class: What the attempt came to.
+        latency_seconds: From dispatch to the first byte of the answer, or to the
+            failure.
+        deadline_seconds: Time that the attempt had.
+        request_kind: Request kind of the route.
+        fingerprint: Hash of what the request asks, equal when it is sent again.
+        load: Slots in use that the target reported, -1 if it did not.
+    """
+
+    target: str
+    outcome_class: OutcomeClass
+    latency_seconds: float
+    deadline_seconds: float
+    request_kind: str = ""
+    fingerprint: int = 0
+    load: int = -1
