--- /dev/null
+++ b/citronspan/core/key_protocol_attempts.py
@@ -0,0 +1,350 @@
+"""The part of the key protocol at the entry that carries a request.
+
+An attempt asks the owner, and the witness where the owner stays silent. It ends in
+one result for its worker. Once it has ended without a permission it never runs: a
+permission that arrives later is answered with "not run".
+"""
+
+import enum
+import time
+from collections import OrderedDict
+
+from citronspan.core import result_codes
+from citronspan.core.key_messages import (
+    KeptAnswer,
+    KeyClaim,
+    KeyClose,
+    KeyForgotten,
+    KeyPermitted,
+    KeyReport,
+    KeyReportTaken,
+    KeyResolved,
+    KeyRunning,
+    ReportKind,
+)
+from citronspan.core.key_protocol_results import (
+    ClaimResult,
+    ClaimSettled,
+    FindAddress,
+    KeyEvent,
+    Permission,
+    Refusal,
+    Replay,
+)
+from citronspan.core.key_token import KeyToken
+from citronspan.core.message_base import Message, Outgoing
+from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER, Ran, ResultCode
+
+OWNER_SILENT_SECONDS = 0.6
+JOINED_SILENT_SECONDS = 1.5
+WITNESS_SILENT_SECONDS = 0.4
+FIRST_RESEND_SECONDS = 0.01
+MAXIMUM_RESEND_SECONDS = 0.5
+REPORT_SECONDS = 30.0
+REPORT_TO_WITNESS_AFTER_SECONDS = 0.6
+MAY_HAVE_RUN_RETRY_SECONDS = 1.0
+MAXIMUM_NEVER_RUN = 8192
+
+
+class Phase(enum.Enum):
+    """Where an attempt stands."""
+
+    CLAIMING = enum.auto()
+    JOINED = enum.auto()
+    CLOSING = enum.auto()
+    PERMITTED = enum.auto()
+    REPORTING = enum.auto()
+
+
+_ASKING = (Phase.CLAIMING, Phase.JOINED, Phase.CLOSING)
+
+
+class _Attempt:
+    __slots__ = (
+        "attempt",
+        "token",
+        "fingerprint",
+        "deadline",
+        "phase",
+        "silent_at",
+        "resend_at",
+        "resend_seconds",
+        "report",
+        "reported_at",
+    )
+
+    def __init__(self, *, attempt, token, fingerprint, deadline):
+        self.attempt: bytes = attempt
+        self.token: KeyToken = token
+        self.fingerprint: int = fingerprint
+        self.deadline: float = deadline
+        self.phase = Phase.CLAIMING
+        self.silent_at = 0.0
+        self.resend_at = 0.0
+        self.resend_seconds = FIRST_RESEND_SECONDS
+        self.report: KeyReport | None = None
+        self.reported_at = 0.0
+
+    def plan_resend(self, now: float) -> None:
+        """Set the time of the next repetition, further off each time."""
+        self.resend_at = now + self.resend_seconds
+        self.resend_seconds = min(self.resend_seconds * 2, MAXIMUM_RESEND_SECONDS)
+
+
+class KeyAttempts:
+    """The attempts of one process."""
+
+    def __init__(self, *, find_address: FindAddress):
+        self._find_address = find_address
+        self._attempt_by_id: dict[bytes, _Attempt] = {}
+        self._never_run: OrderedDict[bytes, KeyToken] = OrderedDict()
+
+    def claim(
+        self, attempt: bytes, token: KeyToken, fingerprint: int, deadline: float
+    ) -> list[KeyEvent]:
+        """Begin an attempt.
+
+        Args:
+            attempt: Id that no other attempt of the fleet has.
+            token: The key.
+            fingerprint: Hash of the request.
+            deadline: Monotonic time by which the worker needs the result.
+
+        Returns:
+            Messages to send and results.
+        """
+        item = _Attempt(
+            attempt=attempt, token=token, fingerprint=fingerprint, deadline=deadline
+        )
+        self._attempt_by_id[attempt] = item
+        now = time.monotonic()
+        item.silent_at = now + min(OWNER_SILENT_SECONDS, (deadline - now) / 2)
+        return self._ask(item, now)
+
+    def give_up(self, attempt: bytes) -> list[KeyEvent]:
+        """End an attempt that its worker no longer waits for.
+
+        Returns:
+            The report to the owner that the attempt did not and will not run.
+        """
+        item = self._attempt_by_id.get(attempt)
+        if item is None:
+            return []
+        if item.phase is Phase.PERMITTED:
+            code = result_codes.DEADLINE_TOO_SHORT
+            return self.report(attempt, ReportKind.NOT_RUN, code, None)
+        if item.phase is Phase.REPORTING:
+            return []
+        return self._end_unresolved(item)
+
+    def report(
+        self,
+        attempt: bytes,
+        kind: ReportKind,
+        code: ResultCode | None,
+        answer: KeptAnswer | None,
+    ) -> list[KeyEvent]:
+        """Report what a permitted attempt came to; repeated until it is taken.
+
+        Args:
+            attempt: Id of the attempt.
+            kind: What it came to.
+            code: Result code that the caller is given, for ``NOT_RUN``.
+            answer: Answer of the target, for ``ANSWERED``.
+
+        Returns:
+            Messages to send.
+        """
+        item = self._attempt_by_id.get(attempt)
+        if item is None or item.phase is not Phase.PERMITTED:
+            return []
+        if kind is ReportKind.NOT_RUN:
+            self._note_never_run(item)
+        item.phase = Phase.REPORTING
+        item.report = KeyReport(
+            attempt=attempt,
+            token=item.token,
+            kind=kind,
+            code=0 if code is None else code.number,
+            answer=answer,
+        )
+        now = time.monotonic()
+        item.reported_at = now
+        item.resend_seconds = FIRST_RESEND_SECONDS
+        return self._send_report(item, now)
+
+    def handle_permitted(self, sender: str, message: KeyPermitted) -> list[KeyEvent]:
+        """Take a permission; one that comes too late is given back."""
+        item = self._attempt_by_id.get(message.attempt)
+        if item is None:
+            return self._give_back(sender, message.attempt)
+        if item.phase not in _ASKING:
+            return []
+        item.phase = Phase.PERMITTED
+        permission = Permission(
+            attempt=item.attempt, token=item.token, run_before=item.deadline
+        )
+        return [ClaimSettled(attempt=item.attempt, result=permission)]
+
+    def handle_running(self, message: KeyRunning) -> list[KeyEvent]:
+        """Take the owner's word that the key is under way."""
+        item = self._attempt_by_id.get(message.attempt)
+        if item is None or item.phase not in (Phase.CLAIMING, Phase.JOINED):
+            return []
+        item.phase = Phase.JOINED
+        item.silent_at = time.monotonic() + JOINED_SILENT_SECONDS
+        return []
+
+    def handle_resolved(self, message: KeyResolved) -> list[KeyEvent]:
+        """Take the word of the owner or the witness."""
+        item = self._attempt_by_id.get(message.attempt)
+        if item is None or item.phase not in _ASKING:
+            return []
+        return self._end(item, _read_result(message))
+
+    def handle_forgotten(self, message: KeyForgotten) -> list[KeyEvent]:
+        """Take the word that the named process is gone."""
+        item = self._attempt_by_id.get(message.attempt)
+        if item is None:
+            return []
+        if message.by_owner and item.phase in (Phase.CLAIMING, Phase.JOINED):
+            return self._ask_witness(item, time.monotonic())
+        if not message.by_owner and item.phase is Phase.CLOSING:
+            return self._end_unresolved(item)
+        return []
+
+    def handle_report_taken(self, message: KeyReportTaken) -> list[KeyEvent]:
+        """Take the owner's word that it has the report."""
+        item = self._attempt_by_id.get(message.attempt)
+        if item is not None and item.phase is Phase.REPORTING:
+            del self._attempt_by_id[message.attempt]
+        return []
+
+    def advance(self) -> list[KeyEvent]:
+        """Repeat what was not answered, and end what nobody answers."""
+        now = time.monotonic()
+        events: list[KeyEvent] = []
+        for item in list(self._attempt_by_id.values()):
+            if item.phase is Phase.PERMITTED:
+                continue
+            if item.phase is Phase.REPORTING:
+                events += self._advance_report(item, now)
+                continue
+            events += self._advance_asking(item, now)
+        return events
+
+    def _advance_asking(self, item, now):
+        if now >= item.deadline:
+            return self._end_unresolved(item)
+        if now >= item.silent_at:
+            if item.phase is Phase.CLOSING:
+                return self._end_unresolved(item)
+            return self._ask_witness(item, now)
+        if now >= item.resend_at:
+            return self._ask(item, now)
+        return []
+
+    def _advance_report(self, item, now):
+        if now >= item.reported_at + REPORT_SECONDS:
+            del self._attempt_by_id[item.attempt]
+            return []
+        if now >= item.resend_at:
+            return self._send_report(item, now)
+        return []
+
+    def _ask(self, item, now) -> list[KeyEvent]:
+        """Send the question of the attempt's phase."""
+        if item.phase is Phase.CLOSING:
+            address = self._find_address(item.token.witness)
+            question_type = KeyClose
+        else:
+            address = self._find_address(item.token.owner)
+            question_type = KeyClaim
+        if address is None and item.phase is Phase.CLOSING:
+            return self._end_unresolved(item)
+        if address is None:
+            return self._ask_witness(item, now)
+        item.plan_resend(now)
+        question: Message = question_type(
+            attempt=item.attempt, token=item.token, fingerprint=item.fingerprint
+        )
+        return [Outgoing(to=address, message=question)]
+
+    def _ask_witness(self, item, now):
+        item.phase = Phase.CLOSING
+        item.silent_at = now + WITNESS_SILENT_SECONDS
+        item.resend_seconds = FIRST_RESEND_SECONDS
+        return self._ask(item, now)
+
+    def _send_report(self, item, now):
+        item.plan_resend(now)
+        owner = self._find_address(item.token.owner)
+        addresses = [] if owner is None else [owner]
+        is_late = now >= item.reported_at + REPORT_TO_WITNESS_AFTER_SECONDS
+        if owner is None or is_late:
+            witness = self._find_address(item.token.witness)
+            addresses += [] if witness is None else [witness]
+        return [Outgoing(to=address, message=item.report) for address in addresses]
+
+    def _end_unresolved(self, item):
+        refusal = Refusal(
+            code=result_codes.KEY_MAY_HAVE_RUN,
+            detail="neither the owner nor the witness of the key gave its outcome",
+            retry_after_seconds=MAY_HAVE_RUN_RETRY_SECONDS,
+        )
+        events = self._end(item, refusal)
+        owner = self._find_address(item.token.owner)
+        if owner is None:
+            return events
+        # This attempt may be the one that the owner has recorded.
+        return [*events, Outgoing(to=owner, message=_give_back(item))]
+
+    def _end(self, item, result: ClaimResult) -> list[KeyEvent]:
+        del self._attempt_by_id[item.attempt]
+        self._note_never_run(item)
+        return [ClaimSettled(attempt=item.attempt, result=result)]
+
+    def _note_never_run(self, item):
+        self._never_run[item.attempt] = item.token
+        while len(self._never_run) > MAXIMUM_NEVER_RUN:
+            self._never_run.popitem(last=False)
+
+    def _give_back(self, sender, attempt):
+        token = self._never_run.get(attempt)
+        if token is None:
+            return []
+        message = _describe_not_run(attempt, token)
+        return [Outgoing(to=sender, message=message)]
+
+
+def _give_back(item) -> KeyReport:
+    return _describe_not_run(item.attempt, item.token)
+
+
+def _describe_not_run(attempt: bytes, token: KeyToken) -> KeyReport:
+    return KeyReport(
+        attempt=attempt,
+        token=token,
+        kind=ReportKind.NOT_RUN,
+        code=result_codes.TARGET_REFUSED.number,
+    )
+
+
+def _read_result(message: KeyResolved) -> ClaimResult:
+    if message.code == 0 and message.answer is not None:
+        return Replay(answer=message.answer)
+    code = RESULT_CODE_BY_NUMBER.get(message.code, result_codes.KEY_MAY_HAVE_RUN)
+    detail = code.meaning
+    if message.answer is not None:
+        detail = (
+            f"status {message.answer.status}, {message.answer.length} bytes, "
+            f"digest {message.answer.digest.hex()}"
+        )
+    if code.ran is Ran.NOT_APPLICABLE:
+        code = result_codes.KEY_MAY_HAVE_RUN
+    return Refusal(
+        code=code,
+        detail=detail,
+        retry_after_seconds=message.retry_after_seconds,
+        answer=message.answer,
+    )
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -165,3 +165,12 @@
 KEY_REUSED = _define(
     4008, "key-reused", 422, _NOT, "The key was used for a different request."
 )
+
+# 4010-4029: results of the key protocol beside those that every caller's page names.
+KEY_TOO_FAR_AHEAD = _define(
+    4010,
+    "key-too-far-ahead",
+    409,
+    _NOT,
+    "The key expires later than keys can; it is closed, take a new key.",
+)
