--- a/citronspan/core/key_protocol.py
+++ b/citronspan/core/key_protocol.py
@@ -5,6 +5,7 @@
 sends to itself take the same path as all others, without the network.
 """
 
+import time
 from collections import deque
 
 from citronspan.core.key_messages import (
@@ -92,8 +93,10 @@
 
     def advance(self) -> list[KeyEvent]:
         """Let time pass: repeat, give up and forget what is due."""
+        now = time.monotonic()
         self.table.forget_old()
-        return self._deliver_own(self.owner.advance() + self.attempts.advance())
+        events = self.owner.advance(now) + self.attempts.advance(now)
+        return self._deliver_own(events)
 
     def _deliver_own(self, events: list[KeyEvent]) -> list[KeyEvent]:
         """Hand messages to this process to itself until none is left."""
--- a/citronspan/core/key_protocol_attempts.py
+++ b/citronspan/core/key_protocol_attempts.py
@@ -220,9 +220,8 @@
             del self._attempt_by_id[message.attempt]
         return []
 
-    def advance(self) -> list[KeyEvent]:
+    def advance(self, now: float) -> list[KeyEvent]:
         """Repeat what was not answered, and end what nobody answers."""
-        now = time.monotonic()
         events: list[KeyEvent] = []
         for item in list(self._attempt_by_id.values()):
             if item.phase is Phase.PERMITTED:
--- a/citronspan/core/key_protocol_owner.py
+++ b/citronspan/core/key_protocol_owner.py
@@ -126,9 +126,8 @@
             return outgoing
         return outgoing + self._apply_report(open_key, report)
 
-    def advance(self) -> list[Outgoing]:
+    def advance(self, now: float) -> list[Outgoing]:
         """Send again what was not answered, and close what cannot be recorded."""
-        now = time.monotonic()
         outgoing = []
         for open_key in list(self._open_by_id.values()):
             if self._table.find(open_key.token) is not open_key.record:
--- a/citronspan/core/key_table.py
+++ b/citronspan/core/key_table.py
@@ -163,6 +163,8 @@
 
     def forget_old(self) -> None:
         """Drop the buckets whose time has passed."""
+        if not self._records_by_bucket:
+            return
         keep = self.keep_after_expiry_seconds
         bound = int((time.time() - keep) * 1000) // BUCKET_MILLISECONDS
         for bucket in sorted(self._records_by_bucket):
