Carry a request through the entry: routing, attempts, whole answers, refusals

Cause: no data path yet. Change: route table, account limits, caller body and target connections with the class that each failure proves, request handler, cheroot server that shows the caller's connection, entry process with report to its agent. Own choice of target (two choices) stands in until brokers do.

--- /dev/null
+++ b/citronspan/core/route_table_test.py
@@ -0,0 +1,34 @@
+from hypothesis import given, strategies as st
+
+from citronspan.core.resources import RouteSpec
+from citronspan.core.route_table import Route, build_route_table, find_route
+
+SEGMENT = st.sampled_from(["a", "b", "ab"])
+PATH = st.lists(SEGMENT, max_size=4).map(lambda parts: "/" + "/".join(parts))
+HOST = st.sampled_from(["*", "x.example", "y.example"])
+
+
+def make_route(number, host, prefix):
+    spec = RouteSpec(host=host, path_prefix=prefix, service="s", request_kind="k")
+    return Route(name=f"r{number:02}", spec=spec)
+
+
+def find_naively(routes, host, path):
+    best = None
+    for route in routes:
+        prefix = route.spec.path_prefix.rstrip("/")
+        if route.spec.host not in (host, "*"):
+            continue
+        if path != prefix and not path.startswith(prefix + "/"):
+            continue
+        rank = (route.spec.host != "*", len(prefix))
+        if best is None or rank > best[0]:
+            best = (rank, route)
+    return best and best[1]
+
+
+@given(st.lists(st.tuples(HOST, PATH), max_size=8), HOST, PATH)
+def test_the_table_agrees_with_a_scan_of_all_routes(pairs, host, path):
+    routes = [make_route(number, *pair) for number, pair in enumerate(pairs)]
+    table = build_route_table(routes)
+    assert find_route(table, host + ":80", path) == find_naively(routes, host, path)
--- /dev/null
+++ b/citronspan/ops/entry.py
@@ -0,0 +1,196 @@
+"""The entry process: threads and sockets around the request path."""
+
+import random
+import threading
+import time
+
+import logbook
+
+from citronspan.core import log_events
+from citronspan.core.entry_configuration import EntryConfiguration, apply_push
+from citronspan.core.messages import Envelope
+from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.settings import EntrySettings
+from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.http_server import make_metrics_server, make_server
+from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.request_handler import RequestHandler
+from citronspan.ops.slot_source import OwnChoice
+from citronspan.ops.target_connection import TargetConnections
+from citronspan.utils.logs import write_event
+from citronspan.utils.statecharts import load_chart, step_chart, takes_event
+from citronspan.utils.traces import start_tracing
+
+REPORT_SECONDS = 0.25
+TICK_SECONDS = 0.02
+IDLE_POLL_SECONDS = 0.05
+INCARNATION_RANDOM_BITS = 8
+
+_logger = logbook.Logger("entry")
+
+
+def make_incarnation() -> int:
+    """Return a number that grows with each start of a process on a host."""
+    milliseconds = time.time_ns() // 1_000_000
+    return (milliseconds << INCARNATION_RANDOM_BITS) + random.getrandbits(
+        INCARNATION_RANDOM_BITS
+    )
+
+
+class Entry:
+    """One entry: it carries callers' requests and reports to its agent."""
+
+    def __init__(self, *, settings: EntrySettings):
+        self.settings = settings
+        self._chart = load_chart("entry")
+        self.state = self._chart.initial
+        self.configuration = EntryConfiguration()
+        self.view = ViewPush(sequence=0, nodes=())
+        self.metrics = EntryMetrics()
+        self.link = PeerLink(
+            fleet=settings.place.fleet,
+            address=settings.peer_address,
+            incarnation=make_incarnation(),
+        )
+        self._connections = TargetConnections()
+        self._slots = OwnChoice(find_targets=self._find_targets)
+        self._stop = threading.Event()
+        self._reported_at = 0.0
+        self._server = make_server(
+            settings.callers_address,
+            self._make_handler(),
+            threads=settings.worker_threads,
+        )
+        self._metrics_server = make_metrics_server(
+            settings.metrics_address, self.metrics.registry
+        )
+
+    def run(self) -> None:
+        """Serve until a stop is asked for, then drain and return."""
+        threads = [
+            threading.Thread(target=self._receive, name="inbox", daemon=True),
+            threading.Thread(target=self._tick_forever, name="ticks", daemon=True),
+            threading.Thread(target=self._server.serve, name="callers", daemon=True),
+            threading.Thread(
+                target=self._metrics_server.serve, name="metrics", daemon=True
+            ),
+        ]
+        for thread in threads:
+            thread.start()
+        write_event(
+            _logger, log_events.PROCESS_STARTED, address=self.settings.callers_address
+        )
+        self._stop.wait()
+        self._drain()
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop; safe in a signal handler."""
+        self._stop.set()
+
+    def _make_handler(self):
+        tracing = self.settings.tracing
+        return RequestHandler(
+            name=self.settings.place.name,
+            find_configuration=lambda: self.configuration,
+            count_entries=lambda: max(len(self.view.nodes), 1),
+            slots=self._slots,
+            connections=self._connections,
+            metrics=self.metrics,
+            tracer=start_tracing(
+                service="citronspan-entry",
+                exporter=tracing.exporter,
+                file_descriptor=tracing.file_descriptor,
+                sampled_share=tracing.sampled_share,
+            ),
+            is_stopping=self._stop.is_set,
+        )
+
+    def _find_targets(self, service):
+        return self.configuration.targets_by_service.get(service, ())
+
+    def _receive(self):
+        self.link.receive_forever(self._handle)
+
+    def _handle(self, envelope: Envelope):
+        message = envelope.body
+        if isinstance(message, ConfigurationPush):
+            self._take_configuration(message)
+            return
+        if isinstance(message, ViewPush):
+            self._take_view(message)
+
+    def _take_configuration(self, push):
+        before = self.configuration
+        self.configuration = apply_push(before, push)
+        if self.configuration is not before:
+            write_event(_logger, log_events.CONFIGURATION_APPLIED, offset=push.offset)
+        if takes_event(self._chart, self.state, "configured"):
+            self._step("configured")
+        self._report()
+
+    def _take_view(self, view):
+        # A restarted agent counts from the start again, so order is not checked
+        # against the old sequence; views come over one ordered connection.
+        self.view = view
+
+    def _tick_forever(self):
+        while True:
+            time.sleep(TICK_SECONDS)
+            try:
+                self._tick()
+            except Exception:
+                _logger.exception("tick raised")
+                write_event(_logger, log_events.BACKGROUND_TASK_FAILED, task="tick")
+
+    def _tick(self):
+        now = time.monotonic()
+        if now - self._reported_at < REPORT_SECONDS:
+            return
+        self._report()
+        self.link.close_idle()
+
+    def _report(self):
+        self._reported_at = time.monotonic()
+        report = EntryReport(
+            name=self.settings.place.name,
+            state=self.state,
+            offset=self.configuration.offset,
+            view_sequence=self.view.sequence,
+            in_flight=self.metrics.read_in_flight(),
+        )
+        self.link.send(self.settings.agent_peer_address, report)
+
+    def _step(self, event):
+        self.state = step_chart(self._chart, self.state, event)
+
+    def _drain(self):
+        """Leave the directory, end what is in flight, then stop."""
+        write_event(_logger, log_events.PROCESS_STOPPING)
+        bound = time.monotonic() + self.settings.drain_seconds
+        if self.state == "serving":
+            self._step("stop")
+            self._report()
+            self._wait_while_known(bound)
+        self._wait_until_idle(bound)
+        self._server.shutdown_timeout = max(bound - time.monotonic(), 1.0)
+        self._server.stop()
+        left = self.metrics.read_in_flight()
+        if left:
+            write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=left)
+        self.state = "stopped"
+        self._report()
+        self._connections.close()
+        self.link.close()
+        write_event(_logger, log_events.PROCESS_STOPPED)
+
+    def _wait_while_known(self, bound):
+        """Callers may hold this address for a while; refuse none of them."""
+        end = min(time.monotonic() + self.settings.leave_seconds, bound)
+        while time.monotonic() < end:
+            time.sleep(IDLE_POLL_SECONDS)
+
+    def _wait_until_idle(self, bound):
+        while time.monotonic() < bound:
+            if self.metrics.read_in_flight() == 0:
+                return
+            time.sleep(IDLE_POLL_SECONDS)
--- /dev/null
+++ b/citronspan/ops/entry_metrics.py
@@ -0,0 +1,87 @@
+"""Metrics of an entry, with labels whose number does not grow with the targets."""
+
+import contextlib
+import time
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from citronspan.core.resources import RouteSpec
+from citronspan.core.result_codes import ResultCode
+
+LATENCY_BUCKETS_SECONDS = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
+)  # fmt: skip
+
+
+class EntryMetrics:
+    """Counters, gauges and histograms of one entry."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self._in_flight = Gauge(
+            "citronspan_requests_in_flight",
+            "Requests being carried.",
+            registry=self.registry,
+        )
+        self._answers = Counter(
+            "citronspan_answers",
+            "Answers passed on from targets.",
+            ["request_kind", "status_class"],
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "citronspan_request_seconds",
+            "Seconds from receipt to the end of the answer.",
+            ["request_kind"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self._refusals = Counter(
+            "citronspan_refusals",
+            "Answers given by the entry itself.",
+            ["code"],
+            registry=self.registry,
+        )
+        self._attempts = Counter(
+            "citronspan_attempts",
+            "Attempts at targets by outcome.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self._retries = Counter(
+            "citronspan_retries",
+            "Attempts after the first.",
+            ["service"],
+            registry=self.registry,
+        )
+
+    @contextlib.contextmanager
+    def track_request(self):
+        """Count a request as carried while the context lasts."""
+        self._in_flight.inc()
+        try:
+            yield
+        finally:
+            self._in_flight.dec()
+
+    def observe_answer(self, spec: RouteSpec, status: int, received: float) -> None:
+        """Count an answer that was passed on whole or in part."""
+        self._answers.labels(spec.request_kind, f"{status // 100}xx").inc()
+        seconds = time.monotonic() - received
+        self._seconds.labels(spec.request_kind).observe(seconds)
+
+    def count_refusal(self, code: ResultCode) -> None:
+        """Count a refusal."""
+        self._refusals.labels(str(code.number)).inc()
+
+    def count_attempt(self, service: str, outcome: str) -> None:
+        """Count an attempt by its outcome."""
+        self._attempts.labels(service, outcome).inc()
+
+    def count_retry(self, service: str) -> None:
+        """Count an attempt after the first."""
+        self._retries.labels(service).inc()
+
+    def read_in_flight(self) -> int:
+        """Return the number of requests being carried."""
+        return int(self._in_flight.collect()[0].samples[0].value)
--- /dev/null
+++ b/citronspan/ops/refusals.py
@@ -0,0 +1,53 @@
+"""Answers that the entry gives by itself, with the numbered result."""
+
+import http.client
+import math
+from collections.abc import Callable
+
+from citronspan.core.result_codes import Ran, ResultCode
+
+RESULT_HEADER = "Citronspan-Result"
+RAN_HEADER = "Citronspan-Ran"
+TARGET_HEADER = "Citronspan-Target"
+ENTRY_HEADER = "Citronspan-Entry"
+
+
+def format_status(status: int) -> str:
+    """Return a WSGI status line for a status code."""
+    return f"{status} {http.client.responses.get(status, 'Unknown')}"
+
+
+def answer_refusal(
+    start_response: Callable,
+    *,
+    code: ResultCode,
+    detail: str,
+    ran: Ran | None = None,
+    retry_after_seconds: float | None = None,
+    entry: str = "",
+) -> list[bytes]:
+    """Answer a caller with a numbered result.
+
+    Args:
+        start_response: The WSGI callable.
+        code: The result.
+        detail: What exactly is wrong.
+        ran: Whether the request was run, where that is less than the code says.
+        retry_after_seconds: When coming back helps, None if it does not.
+        entry: Name of this entry.
+
+    Returns:
+        The body of the answer.
+    """
+    body = f"{code.number} {code.name}: {detail}\n".encode()
+    headers = [
+        ("Content-Type", "text/plain; charset=utf-8"),
+        ("Content-Length", str(len(body))),
+        (RESULT_HEADER, f"{code.number} {code.name}"),
+        (RAN_HEADER, str(ran or code.ran)),
+        (ENTRY_HEADER, entry),
+    ]
+    if retry_after_seconds is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(retry_after_seconds)))))
+    start_response(format_status(code.http_status), headers)
+    return [body]
--- /dev/null
+++ b/citronspan/ops/target_connection.py
@@ -0,0 +1,336 @@
+"""Connections to targets, and what each failure on them proves.
+
+A failed connect proves that the request was not run; from the first byte of the
+request on, only the target's own word does. Requests that may not run twice go
+over a fresh connection, because a kept one can fail after the bytes have left.
+"""
+
+import contextlib
+import http.client
+import select
+import threading
+import time
+from dataclasses import dataclass
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from citronspan.core.errors import CitronspanError
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.ops.caller_connection import CallerConnection
+from citronspan.ops.caller_request import CallerBody
+from citronspan.utils.addresses import split_address
+
+CONNECT_SECONDS = 0.25
+KEPT_CONNECTIONS_PER_TARGET = 4
+KEPT_SECONDS = 4.0
+POLL_CALLER_SECONDS = 0.25
+NOT_RUN_HEADER = "Target-Not-Run"
+LOAD_HEADER = "Target-Load"
+
+_NOT_RUN_CLASS_BY_WORD = {
+    "shed": OutcomeClass.SHED,
+    "draining": OutcomeClass.DRAINING,
+    "starting": OutcomeClass.STARTING,
+}
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class AttemptFailedError(Exception):
+    """An attempt that brought no answer.
+
+    Attributes:
+        outcome_class: What the failure proves.
+    """
+
+    def __init__(self, *, outcome_class: OutcomeClass, detail: str):
+        super().__init__(f"{outcome_class}: {detail}")
+        self.outcome_class = outcome_class
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetRequest:
+    """What is sent to a target.
+
+    Attributes:
+        method: HTTP method.
+        uri: Path and query.
+        headers: All headers but those that frame the body.
+        body: The body.
+        fresh: Whether a new connection is required.
+        deadline: Time of ``time.monotonic()`` when the attempt is given up.
+    """
+
+    method: str
+    uri: str
+    headers: dict[str, str]
+    body: CallerBody
+    fresh: bool
+    deadline: float
+
+
+class TargetAnswer:
+    """An answer whose headers are here and whose body is still to be read."""
+
+    def __init__(self, *, response, connection, release, method, deadline):
+        self._response = response
+        self._connection = connection
+        self._release = release
+        self._method = method
+        self._deadline = deadline
+
+    @property
+    def status(self) -> int:
+        """Status code."""
+        return self._response.status
+
+    @property
+    def reason(self) -> str:
+        """Reason phrase."""
+        return self._response.reason or ""
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        """Headers in the order of the target."""
+        return list(self._response.headers.iteritems())
+
+    def find_header(self, name: str) -> str | None:
+        """Return the value of a header, or None."""
+        return self._response.headers.get(name)
+
+    @property
+    def is_bodyless(self) -> bool:
+        """Whether HTTP gives this answer no body."""
+        return self._method == "HEAD" or self.status in _BODYLESS_STATUSES
+
+    @property
+    def is_checkable(self) -> bool:
+        """Whether its end can be told from a cut connection."""
+        return (
+            self.is_bodyless
+            or self._response.length_remaining is not None
+            or self._response.chunked
+        )
+
+    @property
+    def length(self) -> int | None:
+        """Bytes of the body that are still to come, None if unknown."""
+        return self._response.length_remaining
+
+    @property
+    def load(self) -> int:
+        """Slots in use that the target reported, -1 if it did not."""
+        used, _, _ = (self.find_header(LOAD_HEADER) or "").partition("/")
+        return int(used) if used.isascii() and used.isdigit() else -1
+
+    def read(self, size: int) -> bytes:
+        """Read some of the body.
+
+        Args:
+            size: Bytes at most.
+
+        Returns:
+            The bytes, empty at the checked end.
+
+        Raises:
+            AttemptFailedError: If the body is cut or late.
+        """
+        left = self._deadline - time.monotonic()
+        if left <= 0:
+            raise self._fail(OutcomeClass.TIMED_OUT, "deadline in the answer")
+        try:
+            if self._connection.sock is not None:
+                self._connection.sock.settimeout(left)
+            return self._response.read(size, decode_content=False)
+        except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
+            raise self._fail(OutcomeClass.TIMED_OUT, str(error)) from error
+        except (
+            OSError,
+            ValueError,
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+        ) as error:
+            raise self._fail(OutcomeClass.ANSWER_LOST, str(error)) from error
+
+    def finish(self) -> None:
+        """Keep the connection if it can serve again, after the whole body."""
+        self._release(self._connection)
+
+    def abandon(self) -> None:
+        """Close the connection; a target takes this as a cancellation."""
+        self._connection.close()
+
+    def _fail(self, outcome_class, detail):
+        self.abandon()
+        return AttemptFailedError(outcome_class=outcome_class, detail=detail)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KeptConnection:
+    connection: HTTPConnection
+    since: float
+
+
+class TargetConnections:
+    """Connections to all targets of one entry."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._kept_by_address: dict[str, list[_KeptConnection]] = {}
+
+    def send(
+        self, address: str, request: TargetRequest, caller: CallerConnection | None
+    ) -> TargetAnswer:
+        """Send a request and wait for the head of the answer.
+
+        Args:
+            address: ``IP:PORT`` of the target.
+            request: What to send.
+            caller: The caller, watched while waiting; None to watch nobody.
+
+        Returns:
+            The answer.
+
+        Raises:
+            AttemptFailedError: With the class that the failure proves.
+            CitronspanError: With code 3012 if the caller cuts its body short.
+        """
+        connection = None if request.fresh else self._take_kept(address)
+        if connection is None:
+            connection = self._connect(address, request.deadline)
+        try:
+            response = self._exchange(connection, request, caller)
+        except BaseException:
+            connection.close()
+            raise
+        return TargetAnswer(
+            response=response,
+            connection=connection,
+            release=lambda used: self._keep(address, used),
+            method=request.method,
+            deadline=request.deadline,
+        )
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        with self._lock:
+            kept = [item for items in self._kept_by_address.values() for item in items]
+            self._kept_by_address.clear()
+        for item in kept:
+            item.connection.close()
+
+    def _connect(self, address, deadline):
+        host, port = split_address(address)
+        left = min(CONNECT_SECONDS, deadline - time.monotonic())
+        if left <= 0:
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.NOT_USED, detail="no time left"
+            )
+        connection = HTTPConnection(host, port, timeout=left)
+        try:
+            connection.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            connection.close()
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.CONNECT_FAILED, detail=str(error)
+            ) from error
+        return connection
+
+    def _exchange(self, connection, request, caller):
+        connection.timeout = max(request.deadline - time.monotonic(), 0.001)
+        send_error = self._send_request(connection, request)
+        self._await_answer(connection, request.deadline, caller)
+        try:
+            return connection.getresponse()
+        except TimeoutError as error:
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.TIMED_OUT, detail=str(error)
+            ) from error
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.ANSWER_LOST, detail=str(send_error or error)
+            ) from error
+
+    def _send_request(self, connection, request):
+        """Send all; a target that stops reading may still have answered."""
+        chunked = request.body.length is None
+        headers = dict(request.headers)
+        if not chunked and (request.body.length or request.method in ("POST", "PUT")):
+            headers["content-length"] = str(request.body.length)
+        body = None
+        if chunked or request.body.length:
+            body = request.body.iterate()
+        headers.setdefault("accept-encoding", "identity")
+        headers.setdefault("user-agent", "citronspan")
+        try:
+            connection.request(
+                request.method,
+                request.uri,
+                body=body,
+                headers=headers,
+                chunked=chunked,
+                preload_content=False,
+                decode_content=False,
+            )
+        except TimeoutError as error:
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.TIMED_OUT, detail=str(error)
+            ) from error
+        except CitronspanError:
+            raise
+        except OSError as error:
+            return error
+        return None
+
+    def _await_answer(self, connection, deadline, caller):
+        """Wait until bytes are here; end early when the caller is gone."""
+        while True:
+            left = deadline - time.monotonic()
+            if left <= 0:
+                raise AttemptFailedError(
+                    outcome_class=OutcomeClass.TIMED_OUT, detail="no answer in time"
+                )
+            readable, _, _ = select.select(
+                [connection.sock], [], [], min(left, POLL_CALLER_SECONDS)
+            )
+            if readable:
+                return
+            if caller is not None and caller.is_gone():
+                raise AttemptFailedError(
+                    outcome_class=OutcomeClass.CANCELLED, detail="the caller is gone"
+                )
+
+    def _take_kept(self, address):
+        bound = time.monotonic() - KEPT_SECONDS
+        while True:
+            with self._lock:
+                kept = self._kept_by_address.get(address)
+                item = kept.pop() if kept else None
+            if item is None:
+                return None
+            if item.since > bound and item.connection.is_connected:
+                return item.connection
+            item.connection.close()
+
+    def _keep(self, address, connection):
+        if connection.sock is None:
+            return
+        item = _KeptConnection(connection=connection, since=time.monotonic())
+        with self._lock:
+            kept = self._kept_by_address.setdefault(address, [])
+            if len(kept) < KEPT_CONNECTIONS_PER_TARGET:
+                kept.append(item)
+                return
+        with contextlib.suppress(OSError):
+            connection.close()
+
+
+def classify_answer(answer: TargetAnswer) -> OutcomeClass:
+    """Return what the head of an answer says of the attempt."""
+    if answer.status == http.client.SERVICE_UNAVAILABLE:
+        word = (answer.find_header(NOT_RUN_HEADER) or "").strip().lower()
+        if word in _NOT_RUN_CLASS_BY_WORD:
+            return _NOT_RUN_CLASS_BY_WORD[word]
+    if answer.status >= http.client.INTERNAL_SERVER_ERROR:
+        return OutcomeClass.TARGET_ERROR
+    return OutcomeClass.OK
--- /dev/null
+++ b/citronspan/scripts/process.py
@@ -0,0 +1,44 @@
+"""What the long-running programs share: settings, signals and exit status."""
+
+import signal
+import sys
+from collections.abc import Callable
+from typing import Protocol
+
+from citronspan.core.errors import CitronspanError
+from citronspan.core.settings import read_settings
+from citronspan.utils.logs import start_logging
+
+
+class Process(Protocol):
+    """A process that runs until it is asked to stop."""
+
+    def run(self) -> None:
+        """Serve until a stop is asked for."""
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop."""
+
+
+def run_process(path: str, settings_type: type, make: Callable) -> int:
+    """Read settings, make a process and run it.
+
+    Args:
+        path: Path of the settings file.
+        settings_type: Type of the settings.
+        make: Makes the process from the settings.
+
+    Returns:
+        The exit status: 0 after a graceful stop, 2 for faulty settings.
+    """
+    try:
+        settings = read_settings(path, settings_type)
+        start_logging(settings.log_level)
+        process: Process = make(settings)
+    except CitronspanError as error:
+        print(error, file=sys.stderr)
+        return error.code.http_status
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: process.request_stop())
+    process.run()
+    return 0
