--- a/citronspan/core/key_protocol_attempts.py
+++ b/citronspan/core/key_protocol_attempts.py
@@ -99,6 +99,10 @@
         self._attempt_by_id: dict[bytes, _Attempt] = {}
         self._never_run: OrderedDict[bytes, KeyToken] = OrderedDict()
 
+    def count(self) -> int:
+        """Return how many attempts have not ended or not been reported."""
+        return len(self._attempt_by_id)
+
     def claim(
         self, attempt: bytes, token: KeyToken, fingerprint: int, deadline: float
     ) -> list[KeyEvent]:
--- a/citronspan/ops/key_service.py
+++ b/citronspan/ops/key_service.py
@@ -30,7 +30,8 @@
 
 ATTEMPT_BYTES = 12
 ANSWER_DIGEST_BYTES = 16
-STEP_SECONDS = 0.01
+FIRST_STEP_SECONDS = 0.01
+MAXIMUM_STEP_SECONDS = 0.25
 
 
 class KeyService:
@@ -96,9 +97,11 @@
         with self._lock:
             events = self._protocol.claim(attempt, token, fingerprint, deadline)
         self._emit(events)
-        while not waiter.wait(STEP_SECONDS):
+        step_seconds = FIRST_STEP_SECONDS
+        while not waiter.wait(step_seconds):
             # The worker keeps its own time, however slow the process's tick is.
             self.advance()
+            step_seconds = min(step_seconds * 2, MAXIMUM_STEP_SECONDS)
         return waiter.answer
 
     def report_not_run(self, permission: Permission, code: ResultCode) -> None:
@@ -183,6 +186,15 @@
         """Return how many answers came too late for their worker."""
         return self._pending.dropped
 
+    def is_idle(self) -> bool:
+        """Return whether no attempt waits and no report is on its way.
+
+        A stopping entry waits for this, bounded, so that the owners know what
+        its last requests came to.
+        """
+        with self._lock:
+            return self._protocol.attempts.count() == 0
+
     def count_keys(self) -> int:
         """Return the number of keys in memory."""
         return self._protocol.table.count
--- /dev/null
+++ b/citronspan/ops/key_service_test.py
@@ -0,0 +1,166 @@
+import collections
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from citronspan.core import result_codes
+from citronspan.core.key_protocol_results import Permission, Replay
+from citronspan.core.key_token import mint_prefix
+from citronspan.ops.key_service import KeyService
+from citronspan.ops.pending_answers import PendingAnswers
+
+WAIT_SECONDS = 10.0
+HEADERS = (("Content-Type", "text/plain"),)
+
+
+class Link:
+    """Stands for a peer link: hands messages over in the sender's thread."""
+
+    def __init__(self, fleet, address, incarnation):
+        self.fleet = fleet
+        self.address = address
+        self.incarnation = incarnation
+
+    def send(self, to, message):
+        if to in self.fleet.away or self.address in self.fleet.away:
+            return False
+        self.fleet.services[to].handle(self.address, message)
+        return True
+
+
+class Fleet:
+    def __init__(self):
+        self.away = set()
+        self.services = {}
+        for name in "owt":
+            self.start(name, 1)
+        self.prefix = mint_prefix(
+            fleet="f",
+            owner="o",
+            owner_incarnation=1,
+            witness="w",
+            witness_incarnation=1,
+        )
+
+    def start(self, name, incarnation):
+        self.services[name] = KeyService(
+            name=name,
+            fleet="f",
+            link=Link(self, name, incarnation),
+            find_address=lambda name: name,
+        )
+
+    def claim(self, name, suffix="a", fingerprint=1):
+        deadline = time.monotonic() + WAIT_SECONDS
+        key = f"{self.prefix}.{suffix}"
+        return self.services[name].claim(key, fingerprint, deadline)
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+@pytest.mark.parametrize("first", "owt")
+def test_a_key_runs_once_and_its_answer_is_replayed_everywhere(fleet, first):
+    permission = fleet.claim(first)
+    assert isinstance(permission, Permission)
+    fleet.services[first].report_answer(permission, 201, HEADERS, b"order 7")
+    for name in "owt":
+        replay = fleet.claim(name)
+        assert isinstance(replay, Replay)
+        assert (replay.answer.status, replay.answer.body) == (201, b"order 7")
+        assert replay.answer.headers == HEADERS
+    assert fleet.claim("t", fingerprint=2).code is result_codes.KEY_REUSED
+    assert fleet.services[first].is_idle()
+
+
+def test_one_that_joins_waits_for_the_same_answer(fleet):
+    permission = fleet.claim("t")
+    with ThreadPoolExecutor() as pool:
+        waiting = pool.submit(fleet.claim, "w")
+        fleet.services["t"].report_not_run(permission, result_codes.NO_CAPACITY)
+        refusal = waiting.result(WAIT_SECONDS)
+    # The second one may have come after the release and then runs itself.
+    if isinstance(refusal, Permission):
+        fleet.services["w"].report_lost(refusal)
+        assert fleet.claim("o").code is result_codes.KEY_MAY_HAVE_RUN
+        return
+    assert refusal.code is result_codes.NO_CAPACITY
+    assert isinstance(fleet.claim("o"), Permission)
+
+
+def test_a_long_answer_is_known_by_its_digest(fleet):
+    permission = fleet.claim("t")
+    fleet.services["t"].report_answer(permission, 201, HEADERS, b"x" * 100_000)
+    refusal = fleet.claim("o")
+    assert refusal.code is result_codes.KEY_REPLAY_TOO_LARGE
+    assert (refusal.answer.status, refusal.answer.length) == (201, 100_000)
+
+
+def test_an_owner_that_is_away_leaves_the_word_to_the_witness(fleet):
+    permission = fleet.claim("t", "done")
+    fleet.services["t"].report_answer(permission, 201, HEADERS, b"order 7")
+    fleet.claim("t", "running")
+    fleet.away.add("o")
+    assert fleet.claim("t", "done").answer.body == b"order 7"
+    assert fleet.claim("t", "running").code is result_codes.KEY_MAY_HAVE_RUN
+    assert fleet.claim("t", "fresh").code is result_codes.KEY_CLOSED
+    fleet.away.clear()
+    assert fleet.claim("o", "fresh").code.ran is result_codes.Ran.NOT_RUN
+    fleet.start("o", 2)
+    assert fleet.claim("o", "done").answer.body == b"order 7"
+    fleet.start("w", 2)
+    assert fleet.claim("o", "done").code is result_codes.KEY_MAY_HAVE_RUN
+
+
+def test_a_malformed_key_is_refused(fleet):
+    refusal = fleet.services["o"].claim("mine", 1, time.monotonic() + 1)
+    assert refusal.code is result_codes.KEY_INVALID
+    assert refusal.detail
+
+
+def test_a_code_that_does_not_say_not_run_frees_no_key(fleet):
+    permission = fleet.claim("t")
+    with pytest.raises(ValueError):
+        fleet.services["t"].report_not_run(permission, result_codes.ANSWER_LOST)
+
+
+def test_many_threads_run_each_key_once(fleet):
+    runs_by_key = collections.Counter()
+    lock = threading.Lock()
+
+    def order(number):
+        name, suffix = "owt"[number % 3], f"k{number % 20}"
+        result = fleet.claim(name, suffix)
+        if isinstance(result, Replay):
+            return result.answer.body
+        with lock:
+            runs_by_key[suffix] += 1
+        body = suffix.encode()
+        fleet.services[name].report_answer(result, 201, HEADERS, body)
+        return body
+
+    with ThreadPoolExecutor(12) as pool:
+        answers = list(pool.map(order, range(300)))
+    assert answers == [f"k{number % 20}".encode() for number in range(300)]
+    assert set(runs_by_key.values()) == {1}
+
+
+def test_late_and_crossed_answers_are_dropped_and_counted():
+    pending = PendingAnswers()
+    waiter = pending.open(b"1")
+    with pytest.raises(ValueError):
+        pending.open(b"1")
+    assert not pending.resolve(b"2", "crossed")
+    assert not waiter.wait(0.0)
+    assert pending.resolve(b"1", "first")
+    assert not pending.resolve(b"1", "second")
+    assert waiter.wait(0.0)
+    assert waiter.answer == "first"
+    pending.open(b"3")
+    pending.close(b"3")
+    assert not pending.resolve(b"3", "late")
+    assert (pending.dropped, pending.count()) == (3, 0)
