Count streamed answers as in flight, read chunk trailers, end all threads on a stop

Cause: a trial over processes showed a 500 on chunked uploads (text hashed as bytes), an entry that did not exit after its stop (the metrics server's worker kept it), and in-flight counts that ended before a streamed body did. Ruled out: pynng as the cause of the hang (the link was closed and logged).

--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/caller_request.py
@@ -194,8 +194,17 @@
         while True:
             data = self._read(READ_BYTES)
             if not data:
-                return
+                break
             yield data
+        self._read_trailers()
+
+    def _read_trailers(self):
+        """Read up to the end of the body, else it would pass as a next request."""
+        try:
+            for _ in self._request.body.read_trailer_lines():
+                continue
+        except (OSError, ValueError) as error:
+            raise self._cut_short() from error
 
     def _read_exactly(self, length):
         parts = []
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -177,6 +177,7 @@
         left = self.metrics.read_in_flight()
         if left:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=left)
+        self._metrics_server.stop()
         self.state = "stopped"
         self._report()
         self._connections.close()
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -1,6 +1,5 @@
 """Metrics of an entry, with labels whose number does not grow with the targets."""
 
-import contextlib
 import time
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -55,14 +54,13 @@
             registry=self.registry,
         )
 
-    @contextlib.contextmanager
-    def track_request(self):
-        """Count a request as carried while the context lasts."""
+    def begin_request(self) -> None:
+        """Count a request as carried."""
         self._in_flight.inc()
-        try:
-            yield
-        finally:
-            self._in_flight.dec()
+
+    def end_request(self) -> None:
+        """Count a request as ended."""
+        self._in_flight.dec()
 
     def observe_answer(self, spec: RouteSpec, status: int, received: float) -> None:
         """Count an answer that was passed on whole or in part."""
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -140,14 +140,19 @@
         connection = environ["citronspan.connection"]
         if self._is_stopping():
             connection.close_after_answer()
-        with self._metrics.track_request():
-            try:
-                return self._handle(environ, start_response, received)
-            except Refusal as refusal:
-                return self._refuse(start_response, connection, refusal)
-            except CitronspanError as error:
-                refusal = Refusal(code=error.code, detail=error.detail)
-                return self._refuse(start_response, connection, refusal)
+        self._metrics.begin_request()
+        body: Iterable[bytes] = []
+        try:
+            body = self._handle(environ, start_response, received)
+        except Refusal as refusal:
+            body = self._refuse(start_response, connection, refusal)
+        except CitronspanError as error:
+            refusal = Refusal(code=error.code, detail=error.detail)
+            body = self._refuse(start_response, connection, refusal)
+        finally:
+            if isinstance(body, list):
+                self._metrics.end_request()
+        return body
 
     def _handle(self, environ, start_response, received):
         request = read_caller_request(environ)
@@ -365,6 +370,7 @@
                 answered.answer.abandon()
             self._release(work, answered, outcome_class)
             self._metrics.observe_answer(work.spec, answered.answer.status, received)
+            self._metrics.end_request()
 
     def _release(self, work, answered: _Answered, outcome_class=None):
         outcome = Outcome(
@@ -414,7 +420,7 @@
 def _compute_fingerprint(request, body) -> int:
     digest = xxhash.xxh3_64()
     digest.update(f"{request.method}\0{request.host}\0{request.uri}\0".encode())
-    digest.update(body.buffer if body.buffer is not None else str(body.length))
+    digest.update(body.buffer or str(body.length).encode())
     return digest.intdigest() >> 1
 
 
--- a/citronspan/scripts/entry.py
+++ b/citronspan/scripts/entry.py
@@ -2,13 +2,12 @@
 
 import sys
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument
 
 from citronspan.core.settings import EntrySettings
 from citronspan.ops.entry import Entry
-from citronspan.scripts.process import run_process
+from citronspan.scripts.process import run_process, run_single_command
 
 
 class EntryCommand(Command):
@@ -29,12 +28,7 @@
 
 def main() -> None:
     """Run ``citronspan-entry``."""
-    application = Application("citronspan-entry")
-    command = EntryCommand()
-    application.add(command)
-    application._default_command = command.name
-    application._single_command = True
-    sys.exit(application.run())
+    sys.exit(run_single_command(EntryCommand()))
 
 
 if __name__ == "__main__":
--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.io.inputs.argv_input import ArgvInput
+
 from citronspan.core.errors import CitronspanError
 from citronspan.core.settings import read_settings
 from citronspan.utils.logs import start_logging
@@ -42,3 +46,18 @@
         signal.signal(number, lambda *_: process.request_stop())
     process.run()
     return 0
+
+
+def run_single_command(command: Command) -> int:
+    """Run a program that has one command, whose name is not typed.
+
+    Args:
+        command: The command.
+
+    Returns:
+        The exit status.
+    """
+    application = Application(f"citronspan-{command.name}")
+    application.add(command)
+    application.auto_exits(False)
+    return application.run(ArgvInput([sys.argv[0], command.name, *sys.argv[1:]]))
