--- a/citronspan_standins/http_service.py
+++ b/citronspan_standins/http_service.py
@@ -27,6 +27,7 @@
 LISTEN_BACKLOG = 512
 STOP_SECONDS = 2
 POLL_SECONDS = 0.02
+HOUSEKEEPING_SECONDS = 0.1
 
 Handler = Callable[["Exchange"], None]
 
@@ -176,6 +177,7 @@
         server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         server.request_queue_size = LISTEN_BACKLOG
         server.shutdown_timeout = STOP_SECONDS
+        server.expiration_interval = HOUSEKEEPING_SECONDS
         self._server = server
         self._thread: threading.Thread | None = None
 
--- a/citronspan_standins/log_service.py
+++ b/citronspan_standins/log_service.py
@@ -72,12 +72,23 @@
     """The records and the threads that wait for more of them."""
 
     def __init__(self, *, switches: LogSwitches):
-        self.switches = switches
+        self._switches = switches
         self._records: deque[Record] = deque()
         self._appended_at: deque[float] = deque()
         self._next = 0
         self._news = threading.Condition()
 
+    @property
+    def switches(self) -> LogSwitches:
+        """The switches in force."""
+        return self._switches
+
+    def replace_switches(self, switches: LogSwitches) -> None:
+        """Put other switches in force, retention at once."""
+        with self._news:
+            self._switches = switches
+            self._forget_old()
+
     def append(self, data: bytes) -> int:
         """Append a record and return its offset."""
         with self._news:
@@ -131,7 +142,8 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         if exchange.path == "/control":
-            answer_control(exchange, self.store.switches, self._replace)
+            replace = self.store.replace_switches
+            answer_control(exchange, self.store.switches, replace)
             return
         if exchange.path != "/records":
             exchange.answer(404)
@@ -142,9 +154,6 @@
             return
         self._read(exchange)
 
-    def _replace(self, switches):
-        self.store.switches = switches
-
     def _fail_or_delay(self, exchange):
         if self.store.switches.down:
             exchange.cut()
