Serve the configuration by an agent: replay, log tail, resource API, directory

Change: citronspan-agent tails the log, replays it (a record whose expected version does not match, that repeats a change id, or that is older than the window of change ids is void), serves resources, watch, status, directory and metrics, and feeds its entry with configuration and view. citronspan check, apply, get, delete, watch and status go through the API only.

Seen: two agents on loopback with the log stand-in: apply, conflict (409, 2003), bad floor (400, 2001, $.spec.floor), delete, watch; log not running: 503, 2004 at once. SIGTERM: exit 0.

--- /dev/null
+++ b/citronspan/core/config_state.py
@@ -0,0 +1,303 @@
+"""Replay of the configuration log: a pure function of its records.
+
+Every reader applies the same records in the same order and so holds the same
+state, whatever the records are: one that lost a race, repeats a change id or does
+not decode is void at every reader alike. Resources are held as canonical JSON,
+which is what peers, entries and operators are given, and takes a third of the
+memory of decoded ones.
+"""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import NamedTuple
+
+import msgspec
+
+from citronspan.core.config_record import (
+    NO_VERSION,
+    ChangeRecord,
+    LogBatch,
+    LogRecord,
+    SnapshotRecord,
+    decode_record,
+    read_resource,
+)
+from citronspan.core.errors import CitronspanError
+from citronspan.core.resources import Kind, encode_resource
+
+# Offsets for which change ids are remembered. A record that its author composed
+# more offsets ago is void, so no copy of a forgotten change can take effect.
+CHANGE_WINDOW_OFFSETS = 2048
+
+
+class ResourceKey(NamedTuple):
+    """Kind and name of a resource."""
+
+    kind: str
+    name: str
+
+
+class StoredResource(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A resource in force.
+
+    Attributes:
+        version: Offset of the record that set it.
+        data: Canonical JSON, with the version.
+    """
+
+    version: int
+    data: bytes
+
+
+class Verdict(enum.StrEnum):
+    """What a change record came to."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    DUPLICATE = "duplicate"
+    TOO_OLD = "too-old"
+
+
+class ChangeOutcome(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What the first record of a change id came to.
+
+    Attributes:
+        offset: Offset of the record.
+        verdict: What it came to.
+        detail: Why it is void, else empty.
+    """
+
+    offset: int
+    verdict: Verdict
+    detail: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigState:
+    """The configuration after a prefix of the log.
+
+    Attributes:
+        offset: First offset that was not applied.
+        resource_by_key: Resources in force.
+        outcome_by_change_id: What recent changes came to, oldest first.
+    """
+
+    offset: int = 0
+    resource_by_key: Mapping[ResourceKey, StoredResource] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    outcome_by_change_id: Mapping[str, ChangeOutcome] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+
+    def find_version(self, kind: str, name: str) -> int:
+        """Return the version of a resource, -1 if there is none."""
+        stored = self.resource_by_key.get(ResourceKey(kind, name))
+        return NO_VERSION if stored is None else stored.version
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AppliedChange:
+    """A change of one resource that is in force.
+
+    Attributes:
+        version: Offset of the record.
+        key: Kind and name of the resource.
+        data: Canonical JSON, or None where the resource was deleted.
+    """
+
+    version: int
+    key: ResourceKey
+    data: bytes | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VoidRecord:
+    """A record without effect.
+
+    Attributes:
+        offset: Offset of the record.
+        verdict: Why it has no effect.
+        detail: Why, for people.
+    """
+
+    offset: int
+    verdict: Verdict
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Applied:
+    """What a batch of records came to.
+
+    Attributes:
+        state: State after the batch.
+        changes: Changes in force, in order.
+        voids: Records without effect, in order.
+    """
+
+    state: ConfigState
+    changes: tuple[AppliedChange, ...] = ()
+    voids: tuple[VoidRecord, ...] = ()
+
+
+class _Replay:
+    """Mutable copies for the length of one batch."""
+
+    def __init__(self, state: ConfigState):
+        self.resource_by_key = dict(state.resource_by_key)
+        self.outcome_by_change_id = dict(state.outcome_by_change_id)
+        self.changes: list[AppliedChange] = []
+        self.voids: list[VoidRecord] = []
+
+    def apply(self, log_record: LogRecord) -> None:
+        offset = log_record.offset
+        try:
+            record = decode_record(log_record.data)
+        except CitronspanError as error:
+            self._add_void(offset, Verdict.INVALID, error.detail)
+            return
+        if isinstance(record, SnapshotRecord):
+            return
+        self._forget_outcomes(offset)
+        if not offset - CHANGE_WINDOW_OFFSETS <= record.seen_offset <= offset:
+            detail = f"composed at offset {record.seen_offset}"
+            self._add_void(offset, Verdict.TOO_OLD, detail)
+            return
+        if record.change_id in self.outcome_by_change_id:
+            self._add_void(offset, Verdict.DUPLICATE, record.change_id)
+            return
+        outcome = self._evaluate(record, offset)
+        self.outcome_by_change_id[record.change_id] = outcome
+        if outcome.verdict is not Verdict.ACCEPTED:
+            self._add_void(offset, outcome.verdict, outcome.detail)
+
+    def _evaluate(self, record: ChangeRecord, offset: int) -> ChangeOutcome:
+        key = ResourceKey(record.kind.value, record.name)
+        stored = self.resource_by_key.get(key)
+        version = NO_VERSION if stored is None else stored.version
+        if record.expected_version != version:
+            detail = f"{key.kind}/{key.name} has version {version}"
+            return ChangeOutcome(offset, Verdict.CONFLICT, detail)
+        if record.deleted and stored is None:
+            return ChangeOutcome(offset, Verdict.CONFLICT, "there is none to delete")
+        data = None
+        if not record.deleted:
+            try:
+                data = encode_resource(read_resource(record, version=offset))
+            except CitronspanError as error:
+                return ChangeOutcome(offset, Verdict.INVALID, error.detail)
+        if data is None:
+            del self.resource_by_key[key]
+        else:
+            self.resource_by_key[key] = StoredResource(offset, data)
+        self.changes.append(AppliedChange(version=offset, key=key, data=data))
+        return ChangeOutcome(offset, Verdict.ACCEPTED)
+
+    def _forget_outcomes(self, offset: int) -> None:
+        oldest = offset - CHANGE_WINDOW_OFFSETS
+        while self.outcome_by_change_id:
+            change_id = next(iter(self.outcome_by_change_id))
+            if self.outcome_by_change_id[change_id].offset >= oldest:
+                return
+            del self.outcome_by_change_id[change_id]
+
+    def _add_void(self, offset: int, verdict: Verdict, detail: str) -> None:
+        self.voids.append(VoidRecord(offset=offset, verdict=verdict, detail=detail))
+
+
+def apply_batch(state: ConfigState, batch: LogBatch) -> Applied:
+    """Apply the records of a range of offsets.
+
+    Args:
+        state: State before the batch; it stays as it is.
+        batch: The records. What the state already contains is skipped.
+
+    Returns:
+        The state after the batch and what the records came to. The state is
+        unchanged if the batch begins after the state's offset or ends before it.
+    """
+    if not batch.from_offset <= state.offset < batch.next_offset:
+        return Applied(state=state)
+    records = [record for record in batch.records if record.offset >= state.offset]
+    if not records:
+        return Applied(
+            state=ConfigState(
+                offset=batch.next_offset,
+                resource_by_key=state.resource_by_key,
+                outcome_by_change_id=state.outcome_by_change_id,
+            )
+        )
+    replay = _Replay(state)
+    for record in records:
+        replay.apply(record)
+    new_state = ConfigState(
+        offset=batch.next_offset,
+        resource_by_key=MappingProxyType(replay.resource_by_key),
+        outcome_by_change_id=MappingProxyType(replay.outcome_by_change_id),
+    )
+    return Applied(
+        state=new_state, changes=tuple(replay.changes), voids=tuple(replay.voids)
+    )
+
+
+def compare_states(old: ConfigState, new: ConfigState) -> tuple[AppliedChange, ...]:
+    """Return the net changes from one state to a later one.
+
+    Args:
+        old: The state that a reader had.
+        new: A state with a higher offset that it was given as a whole.
+
+    Returns:
+        Changes in order of their versions. Deletions, whose offsets a state does
+        not hold, have the last offset of the new state.
+    """
+    changes = []
+    for key, stored in new.resource_by_key.items():
+        before = old.resource_by_key.get(key)
+        if before is not None and before.version == stored.version:
+            continue
+        changes.append(AppliedChange(version=stored.version, key=key, data=stored.data))
+    for key in old.resource_by_key:
+        if key in new.resource_by_key:
+            continue
+        changes.append(AppliedChange(version=new.offset - 1, key=key, data=None))
+    return tuple(sorted(changes, key=lambda change: change.version))
+
+
+class _ServiceReference(msgspec.Struct, frozen=True):
+    service: str = ""
+
+
+class _Reference(msgspec.Struct, frozen=True):
+    spec: _ServiceReference
+
+
+_REFERENCE_DECODER = msgspec.json.Decoder(_Reference)
+
+
+def find_warnings(state: ConfigState, key: ResourceKey) -> tuple[str, ...]:
+    """Return what is odd about a resource in the light of the others.
+
+    Warnings refuse nothing, since resources arrive in any order; they follow from
+    the state alone and so are the same at every node.
+
+    Args:
+        state: The configuration.
+        key: The resource.
+
+    Returns:
+        Sentences for people, empty if all is well.
+    """
+    if key.kind not in (Kind.ROUTE.value, Kind.TARGET.value):
+        return ()
+    stored = state.resource_by_key.get(key)
+    if stored is None:
+        return ()
+    service = _REFERENCE_DECODER.decode(stored.data).spec.service
+    if ResourceKey(Kind.SERVICE.value, service) in state.resource_by_key:
+        return ()
+    return (f"There is no Service {service!r}.",)
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -85,3 +85,17 @@
 PEER_STATE_CHANGED = _define(
     305, "peer-state-changed", "NOTICE", "The view of a peer changed."
 )
+
+# 310-349: the agent's configuration.
+ENTRY_CONFIGURED = _define(
+    310, "entry-configured", "INFO", "The entry was sent a whole configuration."
+)
+LOG_BEHIND = _define(
+    311, "log-behind", "ERROR", "The log ends before what is in force; nothing reverts."
+)
+SNAPSHOT_MISSING = _define(
+    312, "snapshot-missing", "ERROR", "The log was truncated and holds no snapshot."
+)
+SNAPSHOT_DIFFERS = _define(
+    313, "snapshot-differs", "ERROR", "A snapshot in the log is not what replay gives."
+)
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from citronspan.core.config_messages import Greeting
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 
@@ -25,7 +26,7 @@
     fleet: str
     sender: str
     incarnation: int
-    body: ConfigurationPush | ViewPush | EntryReport
+    body: ConfigurationPush | ViewPush | EntryReport | Greeting
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -100,6 +100,16 @@
 API_REQUEST_INVALID = _define(
     2007, "api-request-invalid", 400, _NA, "The API request is not valid."
 )
+TOO_MANY_WATCHES = _define(
+    2010,
+    "too-many-watches",
+    503,
+    _NA,
+    "The agent serves no further watch; ask another.",
+)
+API_UNREACHABLE = _define(
+    2011, "api-unreachable", 503, _NA, "The agent's API does not answer."
+)
 
 # 3000-3099: callers' requests.
 NO_ROUTE = _define(3001, "no-route", 404, _NOT, "No route matches the request.")
--- /dev/null
+++ b/citronspan/ops/agent_entry.py
@@ -0,0 +1,100 @@
+"""Feeds the entry of this host with configuration and view."""
+
+import threading
+import time
+
+import logbook
+
+from citronspan.core import log_events
+from citronspan.core.config_state import ConfigState, compare_states
+from citronspan.core.node_messages import (
+    ConfigurationPush,
+    EntryReport,
+    NodeInfo,
+    ViewPush,
+)
+from citronspan.ops.peer_link import PeerLink
+from citronspan.utils.logs import write_event
+
+# A push whose effect shows in no report for this long is taken as lost.
+LOST_SECONDS = 1.0
+VIEW_SECONDS = 1.0
+
+_logger = logbook.Logger("entry-feed")
+
+
+class EntryFeed:
+    """What the entry was sent and what it reports.
+
+    The entry's reports are the acknowledgement: whatever was lost on the way shows
+    as an old offset there and is sent again, whole if the entry has another base.
+    """
+
+    def __init__(self, *, to: str, link: PeerLink):
+        self._to = to
+        self._link = link
+        self._lock = threading.Lock()
+        self._sent: ConfigState | None = None
+        self._sent_at = float("-inf")
+        self._view: tuple[NodeInfo, ...] = ()
+        self._view_sequence = time.time_ns() // 1_000_000
+        self._view_sent_at = float("-inf")
+
+    @property
+    def sent_offset(self) -> int:
+        """Offset of the last push that a connection took, 0 for none."""
+        sent = self._sent
+        return 0 if sent is None else sent.offset
+
+    def is_due(self, state: ConfigState) -> bool:
+        """Return whether the entry has not been sent a state."""
+        return state.offset != self.sent_offset
+
+    def push_state(self, state: ConfigState) -> None:
+        """Send what changed since the last push, or the whole state.
+
+        Args:
+            state: The configuration in force.
+        """
+        with self._lock:
+            if state.offset == 0 or state.offset == self.sent_offset:
+                return
+            message = _make_push(self._sent, state)
+            if not self._link.send(self._to, message):
+                return
+            if message.base_offset == 0:
+                write_event(_logger, log_events.ENTRY_CONFIGURED, offset=state.offset)
+            self._sent = state
+            self._sent_at = time.monotonic()
+
+    def take_report(self, report: EntryReport) -> None:
+        """Take the entry's word on what it has; forget a push that was lost."""
+        with self._lock:
+            if self._sent is None or report.offset == self._sent.offset:
+                return
+            if time.monotonic() < self._sent_at + LOST_SECONDS:
+                return
+            self._sent = None
+
+    def push_view(self, nodes: tuple[NodeInfo, ...]) -> None:
+        """Send the view if it changed, and now and then all the same."""
+        now = time.monotonic()
+        if nodes == self._view and now < self._view_sent_at + VIEW_SECONDS:
+            return
+        self._view_sequence += 1
+        message = ViewPush(sequence=self._view_sequence, nodes=nodes)
+        if not self._link.send(self._to, message):
+            return
+        self._view = nodes
+        self._view_sent_at = now
+
+
+def _make_push(sent: ConfigState | None, state: ConfigState) -> ConfigurationPush:
+    base = ConfigState() if sent is None else sent
+    changes = compare_states(base, state)
+    return ConfigurationPush(
+        base_offset=base.offset,
+        offset=state.offset,
+        changed=tuple(change.data for change in changes if change.data is not None),
+        removed=tuple(tuple(change.key) for change in changes if change.data is None),
+    )
--- /dev/null
+++ b/citronspan/ops/api_client.py
@@ -0,0 +1,150 @@
+"""Client of the resource API, for operators' programs."""
+
+import getpass
+import secrets
+from collections.abc import Iterator
+from urllib.parse import quote
+
+import msgspec
+import urllib3
+
+from citronspan.core import result_codes
+from citronspan.core.config_record import NO_VERSION
+from citronspan.core.errors import CitronspanError
+from citronspan.core.resources import Resource
+from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
+from citronspan.ops.agent_status import FleetStatus
+from citronspan.ops.resource_api import (
+    ChangeAnswer,
+    ErrorAnswer,
+    ListAnswer,
+    ResourceAnswer,
+    WatchLine,
+)
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+# Longer than an agent takes to find out what became of a lost append.
+ANSWER_TIMEOUT_SECONDS = 20.0
+# An agent writes a line to an idle watch more often than this.
+WATCH_SILENCE_SECONDS = 30.0
+
+
+class ApiClient:
+    """Talks to the resource API of one agent."""
+
+    def __init__(self, *, address: str):
+        self._address = address
+        self._pool = urllib3.PoolManager(retries=False)
+        self._timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_SECONDS, read=ANSWER_TIMEOUT_SECONDS
+        )
+
+    def find_resource(self, kind: str, name: str) -> ResourceAnswer | None:
+        """Return a resource, or None if there is none."""
+        try:
+            data = self._request("GET", _make_path("resources", kind, name))
+        except CitronspanError as error:
+            if error.code is result_codes.RESOURCE_UNKNOWN:
+                return None
+            raise
+        return msgspec.json.decode(data, type=ResourceAnswer)
+
+    def list_resources(self, kind: str) -> ListAnswer:
+        """Return all resources of a kind."""
+        data = self._request("GET", _make_path("resources", kind))
+        return msgspec.json.decode(data, type=ListAnswer)
+
+    def put_resource(self, resource: Resource, *, version: int) -> ChangeAnswer:
+        """Replace a version of a resource, or create it with version -1.
+
+        Args:
+            resource: What is wanted; its own version is not looked at.
+            version: The version that is replaced.
+
+        Returns:
+            The new version.
+
+        Raises:
+            CitronspanError: With the code that the agent gave.
+        """
+        body = b'{"spec":' + msgspec.json.encode(resource.spec) + b"}"
+        path = _make_path("resources", resource.kind.value, resource.name)
+        return self._change("PUT", path, version, body)
+
+    def delete_resource(self, kind: str, name: str, *, version: int) -> ChangeAnswer:
+        """Delete a version of a resource."""
+        return self._change("DELETE", _make_path("resources", kind, name), version)
+
+    def find_status(self) -> FleetStatus:
+        """Return what the fleet is doing."""
+        return msgspec.json.decode(self._request("GET", "/status"), type=FleetStatus)
+
+    def watch(self, version: int) -> Iterator[WatchLine]:
+        """Yield changes after a version, for as long as the agent streams them."""
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_SECONDS, read=WATCH_SILENCE_SECONDS
+        )
+        answer = self._send(
+            "GET", f"/watch?from={version}", preload_content=False, timeout=timeout
+        )
+        if answer.status != 200:
+            _raise_refusal(answer.read())
+        pending = b""
+        for piece in answer.stream(4096):
+            *lines, pending = (pending + piece).split(b"\n")
+            for line in lines:
+                yield msgspec.json.decode(line, type=WatchLine)
+
+    def _change(self, method, path, version, body=b""):
+        headers = {
+            "Change-Id": secrets.token_urlsafe(12),
+            "Citronspan-Author": _find_author(),
+        }
+        data = self._request(
+            method, f"{path}?version={version}", body=body, headers=headers
+        )
+        return msgspec.json.decode(data, type=ChangeAnswer)
+
+    def _request(self, method, path, **arguments) -> bytes:
+        answer = self._send(method, path, timeout=self._timeout, **arguments)
+        if answer.status != 200:
+            _raise_refusal(answer.data)
+        return answer.data
+
+    def _send(self, method, path, **arguments):
+        try:
+            return self._pool.request(
+                method, f"http://{self._address}{path}", **arguments
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise CitronspanError(
+                code=result_codes.API_UNREACHABLE, detail=f"{self._address}: {error}"
+            ) from error
+
+
+def find_version(client: ApiClient, kind: str, name: str) -> int:
+    """Return the current version of a resource, -1 if there is none."""
+    found = client.find_resource(kind, name)
+    return NO_VERSION if found is None else found.version
+
+
+def _make_path(*parts: str) -> str:
+    return "/" + "/".join(quote(part, safe="") for part in parts)
+
+
+def _find_author() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
+def _raise_refusal(data: bytes) -> None:
+    try:
+        refusal = msgspec.json.decode(data, type=ErrorAnswer)
+        code = RESULT_CODE_BY_NUMBER[refusal.code]
+    except (msgspec.MsgspecError, KeyError):
+        raise CitronspanError(
+            code=result_codes.API_UNREACHABLE, detail=f"answer: {data[:200]!r}"
+        ) from None
+    raise CitronspanError(code=code, detail=refusal.detail)
--- /dev/null
+++ b/citronspan/ops/log_client.py
@@ -0,0 +1,177 @@
+"""The platform's append-only log, behind a Protocol, and its HTTP client.
+
+The service is the one of docs/INTERFACES.md. A site that runs another log puts a
+small HTTP service with this interface before it, or writes another ``LogStore``.
+"""
+
+import base64
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+import urllib3
+
+from citronspan.core.config_record import LogRecord
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+ANSWER_TIMEOUT_SECONDS = 3.0
+READ_LIMIT_RECORDS = 500
+
+
+class LogAwayError(Exception):
+    """The log does not answer as it should.
+
+    Attributes:
+        may_have_taken: Whether an append may have taken effect all the same.
+    """
+
+    def __init__(self, message: str, *, may_have_taken: bool):
+        super().__init__(message)
+        self.may_have_taken = may_have_taken
+
+
+class LogTruncatedError(Exception):
+    """The offset asked for is older than what the log keeps.
+
+    Attributes:
+        first_offset: The oldest offset kept.
+        next_offset: The offset of the next append.
+    """
+
+    def __init__(self, *, first_offset: int, next_offset: int):
+        super().__init__(f"the log begins at offset {first_offset}")
+        self.first_offset = first_offset
+        self.next_offset = next_offset
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogPage:
+    """What one read of the log gives.
+
+    Attributes:
+        first_offset: The oldest offset kept.
+        next_offset: The offset of the next append.
+        records: Records from the offset asked for on, in order.
+    """
+
+    first_offset: int
+    next_offset: int
+    records: tuple[LogRecord, ...]
+
+
+class LogStore(Protocol):
+    """An append-only log with offsets, limited retention and outages."""
+
+    def append(self, data: bytes) -> int:
+        """Append a record.
+
+        Args:
+            data: Bytes of the record.
+
+        Returns:
+            The offset of the record.
+
+        Raises:
+            LogAwayError: If no answer came; the record may have been taken.
+        """
+
+    def read(self, from_offset: int, *, wait_seconds: float = 0.0) -> LogPage:
+        """Read records.
+
+        Args:
+            from_offset: The first offset wanted.
+            wait_seconds: How long the answer may wait for a first record.
+
+        Returns:
+            Some of the records from the offset on; none only if there are none.
+
+        Raises:
+            LogAwayError: If no answer came.
+            LogTruncatedError: If the offset is older than what is kept.
+        """
+
+
+class _AppendAnswer(msgspec.Struct, frozen=True):
+    offset: int
+
+
+class _RecordAnswer(msgspec.Struct, frozen=True):
+    offset: int
+    data: str
+
+
+class _ReadAnswer(msgspec.Struct, frozen=True):
+    first: int
+    next: int
+    records: tuple[_RecordAnswer, ...] = ()
+
+
+class HttpLogStore:
+    """The log service of docs/INTERFACES.md, by urllib3."""
+
+    def __init__(self, *, url: str):
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+
+    def append(self, data: bytes) -> int:
+        """Append a record; see ``LogStore``."""
+        answer = self._request("POST", f"{self._url}/records", body=data)
+        if answer.status != 201:
+            raise LogAwayError(f"status {answer.status}", may_have_taken=True)
+        return _decode(answer.data, _AppendAnswer).offset
+
+    def read(self, from_offset: int, *, wait_seconds: float = 0.0) -> LogPage:
+        """Read records; see ``LogStore``."""
+        fields = {
+            "from": str(from_offset),
+            "limit": str(READ_LIMIT_RECORDS),
+            "waitSeconds": str(wait_seconds),
+        }
+        answer = self._request(
+            "GET", f"{self._url}/records", fields=fields, wait_seconds=wait_seconds
+        )
+        if answer.status not in (200, 410):
+            raise LogAwayError(f"status {answer.status}", may_have_taken=False)
+        page = _decode(answer.data, _ReadAnswer)
+        if answer.status == 410:
+            raise LogTruncatedError(first_offset=page.first, next_offset=page.next)
+        return LogPage(
+            first_offset=page.first,
+            next_offset=page.next,
+            records=tuple(_read_record(record) for record in page.records),
+        )
+
+    def _request(self, method, url, *, wait_seconds=0.0, **arguments):
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_SECONDS,
+            read=ANSWER_TIMEOUT_SECONDS + wait_seconds,
+        )
+        began_at = time.monotonic()
+        try:
+            return self._pool.request(method, url, timeout=timeout, **arguments)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise LogAwayError(str(error), may_have_taken=False) from error
+        except urllib3.exceptions.HTTPError as error:
+            seconds = time.monotonic() - began_at
+            raise LogAwayError(
+                f"{error} after {seconds:.3f} s", may_have_taken=True
+            ) from error
+
+
+def _decode(data, answer_type):
+    try:
+        return msgspec.json.decode(data, type=answer_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise LogAwayError(f"answer: {error}", may_have_taken=True) from error
+
+
+def _read_record(answer: _RecordAnswer) -> LogRecord:
+    try:
+        data = base64.b64decode(answer.data, validate=True)
+    except ValueError as error:
+        raise LogAwayError(f"answer: {error}", may_have_taken=False) from error
+    return LogRecord(offset=answer.offset, data=data)
--- /dev/null
+++ b/citronspan/ops/resource_api.py
@@ -0,0 +1,476 @@
+"""The HTTP API of an agent: resources, watch, status and the address directory."""
+
+import secrets
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Protocol
+from urllib.parse import parse_qs
+
+import msgspec
+
+from citronspan.core import result_codes
+from citronspan.core.config_record import (
+    NO_VERSION,
+    ChangeRecord,
+    check_change_id,
+    read_resource,
+)
+from citronspan.core.config_state import (
+    AppliedChange,
+    ConfigState,
+    ResourceKey,
+    find_warnings,
+)
+from citronspan.core.errors import CitronspanError
+from citronspan.core.resources import Kind
+from citronspan.ops.config_tail_held import HeldConfig
+from citronspan.ops.config_tail_writer import (
+    Accepted,
+    read_unix_seconds,
+    submit_change,
+)
+from citronspan.ops.log_client import LogStore
+from citronspan.utils.validation import describe_error
+
+MAXIMUM_BODY_BYTES = 1 << 20
+WATCH_IDLE_SECONDS = 5.0
+MAXIMUM_WATCHES = 16
+JSON_TYPE = "application/json"
+
+
+class SpecBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Body of a PUT.
+
+    Attributes:
+        spec: Specification in JSON.
+    """
+
+    spec: msgspec.Raw
+
+
+class ResourceStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What the fleet says of a resource.
+
+    Attributes:
+        warnings: What is odd about it.
+    """
+
+    warnings: tuple[str, ...] = ()
+
+
+class ResourceAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A resource as the API gives it."""
+
+    kind: str
+    name: str
+    version: int
+    spec: msgspec.Raw
+    status: ResourceStatus = ResourceStatus()
+
+
+class ListAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Resources of one kind, with the version to watch from."""
+
+    version: int
+    items: tuple[ResourceAnswer, ...]
+
+
+class ChangeAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """Answer to an accepted change."""
+
+    version: int
+    change_id: str
+
+
+class OutcomeAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What became of a change id."""
+
+    change_id: str
+    verdict: str
+    offset: int
+    detail: str
+
+
+class WatchLine(
+    msgspec.Struct, frozen=True, kw_only=True, rename="camel", omit_defaults=True
+):
+    """One line of a watch.
+
+    Attributes:
+        type: ``put``, ``delete``, ``at`` (nothing new up to the version) or
+            ``gone`` (list and watch anew).
+        version: Version of the change.
+        kind: Kind of the resource.
+        name: Name of the resource.
+        spec: Specification, for ``put``.
+    """
+
+    type: str
+    version: int
+    kind: str = ""
+    name: str = ""
+    spec: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A refusal."""
+
+    code: int
+    name: str
+    detail: str
+
+
+class _Stored(msgspec.Struct, frozen=True):
+    spec: msgspec.Raw
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ApiRequest:
+    """One request, read from the WSGI environment.
+
+    Attributes:
+        method: HTTP method.
+        parts: Parts of the path.
+        query: Query parameters, the last of each name.
+        body: The whole body.
+        change_id: Change id that the client chose, or empty.
+        author: Who the client says it is.
+    """
+
+    method: str
+    parts: tuple[str, ...]
+    query: dict[str, str]
+    body: bytes = b""
+    change_id: str = ""
+    author: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ApiAnswer:
+    """One answer.
+
+    Attributes:
+        status: HTTP status.
+        body: The body, or an iterator of its pieces.
+        headers: Further headers.
+        content_type: Type of the body.
+    """
+
+    status: int
+    body: bytes | Iterator[bytes]
+    headers: tuple[tuple[str, str], ...] = field(default=())
+    content_type: str = JSON_TYPE
+
+
+class FleetAnswers(Protocol):
+    """Answers about the fleet that the agent gives through this API."""
+
+    def find_status(self) -> msgspec.Struct:
+        """Return what the fleet is doing."""
+
+    def find_directory(self, *, region: str, account: str) -> msgspec.Struct:
+        """Return the addresses that a caller should use."""
+
+
+class ResourceApi:
+    """Maps requests to the configuration and the fleet's answers."""
+
+    def __init__(self, *, held: HeldConfig, store: LogStore, fleet: FleetAnswers):
+        self._held = held
+        self._store = store
+        self._fleet = fleet
+        self._watches = 0
+
+    def answer(self, request: ApiRequest) -> ApiAnswer:
+        """Answer a request; errors become numbered refusals."""
+        try:
+            return self._route(request)
+        except CitronspanError as error:
+            return make_refusal(error)
+
+    def _route(self, request):
+        match request.method, request.parts:
+            case "GET", ("resources", kind):
+                return self._list(kind)
+            case "GET", ("resources", kind, name):
+                return self._get(kind, name)
+            case "PUT", ("resources", kind, name):
+                return self._put(request, kind, name)
+            case "DELETE", ("resources", kind, name):
+                return self._delete(request, kind, name)
+            case "GET", ("changes", change_id):
+                return self._find_change(change_id)
+            case "GET", ("watch",):
+                return self._watch(request)
+            case "GET", ("status",):
+                return _make_json(self._fleet.find_status())
+            case "GET", ("directory",):
+                return self._directory(request)
+        raise _make_invalid(f"there is no {request.method} /{'/'.join(request.parts)}")
+
+    def _list(self, kind):
+        _check_kind(kind)
+        state = self._held.state
+        items = [
+            _read_stored(state, key)
+            for key in sorted(state.resource_by_key)
+            if key.kind == kind
+        ]
+        return _make_json(ListAnswer(version=state.offset - 1, items=tuple(items)))
+
+    def _get(self, kind, name):
+        _check_kind(kind)
+        state = self._held.state
+        key = ResourceKey(kind, name)
+        if key not in state.resource_by_key:
+            raise CitronspanError(
+                code=result_codes.RESOURCE_UNKNOWN, detail=f"{kind}/{name}"
+            )
+        return _make_json(_read_stored(state, key))
+
+    def _put(self, request, kind, name):
+        try:
+            body = msgspec.json.decode(request.body, type=SpecBody)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise CitronspanError(
+                code=result_codes.RESOURCE_INVALID, detail=describe_error(error)
+            ) from error
+        record = self._compose(request, kind, name, spec=body.spec)
+        read_resource(record, version=NO_VERSION)
+        return self._submit(record)
+
+    def _delete(self, request, kind, name):
+        self._get(kind, name)
+        return self._submit(self._compose(request, kind, name, deleted=True))
+
+    def _compose(self, request, kind, name, **what) -> ChangeRecord:
+        _check_kind(kind)
+        change_id = request.change_id or secrets.token_urlsafe(12)
+        check_change_id(change_id)
+        return ChangeRecord(
+            change_id=change_id,
+            kind=Kind(kind),
+            name=name,
+            expected_version=_read_version(request, "version"),
+            seen_offset=self._held.state.offset,
+            author=request.author,
+            at_seconds=read_unix_seconds(),
+            **what,
+        )
+
+    def _submit(self, record):
+        state = self._held.state
+        if record.change_id not in state.outcome_by_change_id:
+            _check_version(record, state)
+        accepted: Accepted = submit_change(record, held=self._held, store=self._store)
+        return _make_json(
+            ChangeAnswer(version=accepted.version, change_id=accepted.change_id)
+        )
+
+    def _find_change(self, change_id):
+        outcome = self._held.state.outcome_by_change_id.get(change_id)
+        if outcome is None:
+            raise CitronspanError(
+                code=result_codes.RESOURCE_UNKNOWN,
+                detail=f"change {change_id} is not among the recent ones",
+            )
+        return _make_json(
+            OutcomeAnswer(
+                change_id=change_id,
+                verdict=outcome.verdict.value,
+                offset=outcome.offset,
+                detail=outcome.detail,
+            )
+        )
+
+    def _directory(self, request):
+        answer = self._fleet.find_directory(
+            region=request.query.get("region", ""),
+            account=request.query.get("account", ""),
+        )
+        return _make_json(answer)
+
+    def _watch(self, request):
+        version = _read_version(request, "from")
+        if self._held.find_changes(version) is None:
+            raise CitronspanError(
+                code=result_codes.WATCH_TOO_OLD, detail=f"version {version}"
+            )
+        if self._watches >= MAXIMUM_WATCHES:
+            raise CitronspanError(
+                code=result_codes.TOO_MANY_WATCHES,
+                detail=f"{MAXIMUM_WATCHES} watches are open here",
+            )
+        return ApiAnswer(
+            status=200,
+            body=self._stream_changes(version),
+            content_type="application/jsonl",
+        )
+
+    def _stream_changes(self, version):
+        self._watches += 1
+        try:
+            while not self._held.closed:
+                changes = self._held.find_changes(version)
+                if changes is None:
+                    yield _encode_line(WatchLine(type="gone", version=version))
+                    return
+                for change in changes:
+                    yield _encode_line(_make_watch_line(change))
+                if not changes:
+                    yield _encode_line(WatchLine(type="at", version=version))
+                version = max(
+                    [version, *(change.version for change in changes)],
+                )
+                self._wait_past(version)
+        finally:
+            self._watches -= 1
+
+    def _wait_past(self, version):
+        self._held.wait(
+            lambda state: self._held.find_changes(version) != (), WATCH_IDLE_SECONDS
+        )
+
+
+def make_refusal(error: CitronspanError) -> ApiAnswer:
+    """Return the answer that carries a numbered error."""
+    code = error.code
+    status = code.http_status
+    if status < 400:
+        status = 400
+    headers = [("Citronspan-Result", f"{code.number} {code.name}")]
+    if status == 503:
+        headers.append(("Retry-After", "1"))
+    body = ErrorAnswer(code=code.number, name=code.name, detail=error.detail)
+    return ApiAnswer(
+        status=status, body=msgspec.json.encode(body), headers=tuple(headers)
+    )
+
+
+def make_application(api: ResourceApi) -> Callable:
+    """Return the WSGI application that serves the API.
+
+    Args:
+        api: Where requests go.
+
+    Returns:
+        A callable by PEP 3333.
+    """
+
+    def application(environ, start_response):
+        try:
+            answer = api.answer(_read_request(environ))
+        except CitronspanError as error:
+            answer = make_refusal(error)
+        headers = [("Content-Type", answer.content_type), *answer.headers]
+        body = answer.body
+        if isinstance(body, bytes):
+            headers.append(("Content-Length", str(len(body))))
+            body = [body]
+        start_response(f"{answer.status} {_PHRASES.get(answer.status, '-')}", headers)
+        return body
+
+    return application
+
+
+_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def _read_request(environ) -> ApiRequest:
+    parts = tuple(part for part in environ.get("PATH_INFO", "").split("/") if part)
+    query = parse_qs(environ.get("QUERY_STRING", ""), keep_blank_values=True)
+    return ApiRequest(
+        method=environ["REQUEST_METHOD"],
+        parts=parts,
+        query={name: values[-1] for name, values in query.items()},
+        body=_read_body(environ),
+        change_id=environ.get("HTTP_CHANGE_ID", ""),
+        author=environ.get("HTTP_CITRONSPAN_AUTHOR", "")[:64],
+    )
+
+
+def _read_body(environ) -> bytes:
+    text = environ.get("CONTENT_LENGTH") or "0"
+    if not text.isdecimal() or int(text) > MAXIMUM_BODY_BYTES:
+        raise _make_invalid(f"the body may have {MAXIMUM_BODY_BYTES} bytes, not {text}")
+    length = int(text)
+    body = environ["wsgi.input"].read(length) if length else b""
+    if len(body) != length:
+        raise _make_invalid("the body is shorter than Content-Length")
+    return body
+
+
+def _make_json(answer: msgspec.Struct) -> ApiAnswer:
+    return ApiAnswer(status=200, body=msgspec.json.encode(answer))
+
+
+def _make_invalid(detail: str) -> CitronspanError:
+    return CitronspanError(code=result_codes.API_REQUEST_INVALID, detail=detail)
+
+
+def _check_kind(kind: str) -> None:
+    kinds = [known.value for known in Kind]
+    if kind not in kinds:
+        raise _make_invalid(f"{kind!r} is not a kind; kinds are {', '.join(kinds)}")
+
+
+def _read_version(request: ApiRequest, name: str) -> int:
+    text = request.query.get(name, "")
+    try:
+        return int(text)
+    except ValueError:
+        raise _make_invalid(f"?{name}={text}: not a version") from None
+
+
+def _check_version(record: ChangeRecord, state: ConfigState) -> None:
+    """Refuse a change that can no longer win; only what was replayed is used."""
+    version = state.find_version(record.kind.value, record.name)
+    if record.expected_version == version:
+        return
+    if record.expected_version >= state.offset:
+        return
+    raise CitronspanError(
+        code=result_codes.VERSION_CONFLICT,
+        detail=f"{record.kind.value}/{record.name} has version {version}",
+    )
+
+
+def _read_stored(state: ConfigState, key: ResourceKey) -> ResourceAnswer:
+    stored = state.resource_by_key[key]
+    return ResourceAnswer(
+        kind=key.kind,
+        name=key.name,
+        version=stored.version,
+        spec=msgspec.json.decode(stored.data, type=_Stored).spec,
+        status=ResourceStatus(warnings=find_warnings(state, key)),
+    )
+
+
+def _make_watch_line(change: AppliedChange) -> WatchLine:
+    if change.data is None:
+        return WatchLine(
+            type="delete",
+            version=change.version,
+            kind=change.key.kind,
+            name=change.key.name,
+        )
+    return WatchLine(
+        type="put",
+        version=change.version,
+        kind=change.key.kind,
+        name=change.key.name,
+        spec=msgspec.json.decode(change.data, type=_Stored).spec,
+    )
+
+
+def _encode_line(line: WatchLine) -> bytes:
+    return msgspec.json.encode(line) + b"\n"
--- /dev/null
+++ b/citronspan/scripts/cli.py
@@ -0,0 +1,211 @@
+"""The program ``citronspan``: what operators do, through the resource API only."""
+
+import os
+import sys
+
+import msgspec
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from citronspan.core import result_codes
+from citronspan.core.errors import CitronspanError, InvalidInputGroup
+from citronspan.core.resources import Kind
+from citronspan.ops.api_client import ApiClient, find_version
+from citronspan.ops.api_client_files import check_file, read_resources
+from citronspan.ops.api_client_tables import format_resources, format_status
+
+API_VARIABLE = "CITRONSPAN_API"
+FAILED = 1
+_API_OPTION = option(
+    "api", None, f"IP:PORT of any agent's API, else ${API_VARIABLE}.", flag=False
+)
+_KIND = argument("kind", f"One of {', '.join(kind.value for kind in Kind)}.")
+
+
+class ApiCommand(Command):
+    """Base of the commands: numbered errors on standard error, exit status 1."""
+
+    options = [_API_OPTION]
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            self.act()
+        except CitronspanError as error:
+            print(f"citronspan: {error}", file=sys.stderr)
+            return FAILED
+        except InvalidInputGroup as group:
+            for error in group.exceptions:
+                print(f"citronspan: {error}", file=sys.stderr)
+            return FAILED
+        except (BrokenPipeError, KeyboardInterrupt):
+            return FAILED
+        return 0
+
+    def act(self) -> None:
+        """Do the command's work."""
+        raise NotImplementedError
+
+    def connect(self) -> ApiClient:
+        """Return a client of the agent that was named."""
+        address = self.option("api") or os.environ.get(API_VARIABLE, "")
+        if address:
+            return ApiClient(address=address)
+        raise CitronspanError(
+            code=result_codes.API_UNREACHABLE,
+            detail=f"name an agent by --api or ${API_VARIABLE}",
+        )
+
+
+class CheckCommand(ApiCommand):
+    """Checks files without a fleet."""
+
+    name = "check"
+    description = "Check files of resources or settings without a fleet."
+    arguments = [argument("files", "Paths of JSON files.", multiple=True)]
+    options = []
+
+    def act(self) -> None:
+        """Check each file and report all that is wrong."""
+        errors = []
+        for path in self.argument("files"):
+            try:
+                print(f"{path}: {check_file(path)}, valid")
+            except InvalidInputGroup as group:
+                errors.extend(group.exceptions)
+            except CitronspanError as error:
+                errors.append(error)
+        if errors:
+            raise InvalidInputGroup("files are not valid", errors)
+
+
+class ApplyCommand(ApiCommand):
+    """Makes resources as files say."""
+
+    name = "apply"
+    description = "Create or replace the resources of files."
+    arguments = [argument("files", "Paths of JSON files.", multiple=True)]
+
+    def act(self) -> None:
+        """Check all files first, then put their resources one by one."""
+        resources = [
+            resource
+            for path in self.argument("files")
+            for resource in read_resources(path)
+        ]
+        client = self.connect()
+        for resource in resources:
+            kind = resource.kind.value
+            version = find_version(client, kind, resource.name)
+            answer = client.put_resource(resource, version=version)
+            print(f"{kind}/{resource.name} accepted, version {answer.version}")
+
+
+class GetCommand(ApiCommand):
+    """Shows resources."""
+
+    name = "get"
+    description = "Show the resources of a kind, or one of them."
+    arguments = [_KIND, argument("name", "Name of the resource.", optional=True)]
+    options = [
+        _API_OPTION,
+        option("output", "o", "wide or json.", flag=False, default=""),
+    ]
+
+    def act(self) -> None:
+        """Print a table, or JSON."""
+        client = self.connect()
+        kind, name = self.argument("kind"), self.argument("name")
+        if name:
+            found = client.find_resource(kind, name)
+            if found is None:
+                raise CitronspanError(
+                    code=result_codes.RESOURCE_UNKNOWN, detail=f"{kind}/{name}"
+                )
+            items = (found,)
+        else:
+            items = client.list_resources(kind).items
+        if self.option("output") == "json":
+            text = msgspec.json.format(msgspec.json.encode(items)).decode()
+        else:
+            text = format_resources(items, wide=self.option("output") == "wide")
+        print(text)
+
+
+class DeleteCommand(ApiCommand):
+    """Deletes a resource."""
+
+    name = "delete"
+    description = "Delete a resource."
+    arguments = [_KIND, argument("name", "Name of the resource.")]
+
+    def act(self) -> None:
+        """Delete the current version."""
+        client = self.connect()
+        kind, name = self.argument("kind"), self.argument("name")
+        version = find_version(client, kind, name)
+        answer = client.delete_resource(kind, name, version=version)
+        print(f"{kind}/{name} deleted, version {answer.version}")
+
+
+class WatchCommand(ApiCommand):
+    """Streams changes."""
+
+    name = "watch"
+    description = "Stream changes as lines of JSON."
+    options = [
+        _API_OPTION,
+        option("from", None, "Version to begin after, else now.", flag=False),
+    ]
+
+    def act(self) -> None:
+        """Print a line for each change until interrupted."""
+        client = self.connect()
+        version = self.option("from")
+        if version is None:
+            version = client.find_status().offset - 1
+        for line in client.watch(int(version)):
+            print(msgspec.json.encode(line).decode(), flush=True)
+
+
+class StatusCommand(ApiCommand):
+    """Shows what the fleet is doing."""
+
+    name = "status"
+    description = "Show what the fleet is doing."
+    options = [
+        _API_OPTION,
+        option("output", "o", "json.", flag=False, default=""),
+    ]
+
+    def act(self) -> None:
+        """Print the status, what is wrong first."""
+        status = self.connect().find_status()
+        if self.option("output") == "json":
+            text = msgspec.json.format(msgspec.json.encode(status)).decode()
+        else:
+            text = format_status(status)
+        print(text)
+
+
+COMMANDS = (
+    CheckCommand,
+    ApplyCommand,
+    GetCommand,
+    DeleteCommand,
+    WatchCommand,
+    StatusCommand,
+)
+
+
+def main() -> None:
+    """Run the program."""
+    application = Application("citronspan")
+    for command in COMMANDS:
+        application.add(command())
+    application.run()
+
+
+if __name__ == "__main__":
+    main()
