Hash bytes, not text, in rendezvous ranking

Cause: xxhash 4 takes no str; every ranking raised "Strings must be encoded before hashing". Seen in the agent's log as event 105 twice a second.

--- a/citronspan/utils/rendezvous.py
+++ b/citronspan/utils/rendezvous.py
@@ -11,7 +11,7 @@
 
 def compute_score(member: str, key: str) -> int:
     """Return the 64-bit score of a member for a key."""
-    return xxhash.xxh3_64_intdigest(f"{member}\0{key}")
+    return xxhash.xxh3_64_intdigest(f"{member}\0{key}".encode())
 
 
 def rank_members(members: Iterable[str], key: str) -> list[str]:
