--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
-from citronspan.core.config_messages import Greeting
+from citronspan.core.config_messages import (
+    ConfigOffset,
+    ConfigPull,
+    ConfigRecords,
+    ConfigStatePart,
+    Greeting,
+)
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 
@@ -26,7 +32,16 @@
     fleet: str
     sender: str
     incarnation: int
-    body: ConfigurationPush | ViewPush | EntryReport | Greeting
+    body: (
+        ConfigurationPush
+        | ViewPush
+        | EntryReport
+        | Greeting
+        | ConfigOffset
+        | ConfigPull
+        | ConfigRecords
+        | ConfigStatePart
+    )
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -110,6 +110,9 @@
 API_UNREACHABLE = _define(
     2011, "api-unreachable", 503, _NA, "The agent's API does not answer."
 )
+AGENT_STARTING = _define(
+    2012, "agent-starting", 503, _NA, "The agent has not caught up yet; come back."
+)
 
 # 3000-3099: callers' requests.
 NO_ROUTE = _define(3001, "no-route", 404, _NOT, "No route matches the request.")
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -107,6 +107,8 @@
         host_list_url: URL of the platform's list of hosts, or empty.
         seeds: Peer addresses of agents to ask first.
         keep_seconds: Time for which callers may keep a directory answer.
+        snapshot_seconds: Time between snapshots in the log; the log must keep
+            records for at least three times as long.
         log_level: Name of a logbook level.
     """
 
@@ -120,6 +122,7 @@
     host_list_url: str = ""
     seeds: tuple[str, ...] = ()
     keep_seconds: float = 5.0
+    snapshot_seconds: float = 21600.0
     log_level: str = "INFO"
 
 
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -1,39 +1,49 @@
 """The agent of one host: configuration, view of the fleet, API and directory."""
 
+import random
 import threading
 import time
 from collections.abc import Callable
 
 import logbook
-from cheroot.wsgi import Server as WsgiServer
-from prometheus_client import CollectorRegistry, Gauge, start_http_server
 
-from citronspan.core import log_events, result_codes
-from citronspan.core.config_messages import Greeting
-from citronspan.core.config_record import LogBatch
+from citronspan.core import log_events
+from citronspan.core.config_messages import (
+    ConfigOffset,
+    ConfigPull,
+    ConfigRecords,
+    ConfigStatePart,
+    Greeting,
+)
+from citronspan.core.config_spread_tree import find_readers, rank_in_fleet
+from citronspan.core.config_start import PEERS_ASKED, StartFacts
 from citronspan.core.config_state import ResourceKey
 from citronspan.core.directory import DirectoryAnswer, choose_addresses
-from citronspan.core.errors import CitronspanError
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import EntryReport, NodeInfo
-from citronspan.core.resources import AccountSpec, Kind, decode_resource
+from citronspan.core.resources import Kind, decode_resource
 from citronspan.core.settings import AgentSettings
 from citronspan.ops.agent_entry import EntryFeed
-from citronspan.ops.agent_status import FleetStatus, NodeStatus
+from citronspan.ops.agent_metrics import make_registry
+from citronspan.ops.agent_status import FleetStatus, TargetStatus, make_status
 from citronspan.ops.agent_view import SeedView
 from citronspan.ops.config_tail import ConfigTail
 from citronspan.ops.config_tail_held import HeldConfig
+from citronspan.ops.config_tail_retention import RetentionKeeper
+from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.log_client import HttpLogStore, LogStore
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.resource_api import ResourceApi, make_application
-from citronspan.utils.addresses import split_address
 from citronspan.utils.logs import write_event
 
-TICK_SECONDS = 0.25
-API_THREADS = 8
-MAXIMUM_API_THREADS = 32
+TICK_SECONDS = 0.5
+START_TICK_SECONDS = 0.1
+API_THREADS = 24
 STOP_SECONDS = 1.0
+# Between tries to reach the entry.
+FEED_PAUSE_SECONDS = 0.1
 ENTRY_SILENT_SECONDS = 3.0
+CONFIG_MESSAGES = (ConfigOffset, ConfigPull, ConfigRecords, ConfigStatePart)
 
 _logger = logbook.Logger("agent")
 
@@ -43,40 +53,46 @@
 
     def __init__(self, *, settings: AgentSettings, store: LogStore | None = None):
         self._settings = settings
-        self._stopped = threading.Event()
+        self._stop = threading.Event()
         self._report: EntryReport | None = None
         self._reported_at = float("-inf")
         self.incarnation = time.time_ns() // 1_000_000
-        self.held = HeldConfig()
+        own = make_own_node(settings, incarnation=self.incarnation)
         self.store = store or HttpLogStore(url=settings.log_url)
         self.link = PeerLink(
             fleet=settings.place.fleet,
             address=settings.peer_address,
             incarnation=self.incarnation,
         )
-        self.view = SeedView(own=self._make_own(), seeds=settings.seeds)
-        self.tail = ConfigTail(
-            held=self.held, store=self.store, handle_batch=self._spread_batch
+        self.view = SeedView(own=own, seeds=settings.seeds)
+        self.held = HeldConfig(own=own, send_all=self.link.send_all)
+        self.keeper = RetentionKeeper(
+            held=self.held,
+            store=self.store,
+            interval_seconds=settings.snapshot_seconds,
         )
+        self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
         self.feed = EntryFeed(to=settings.entry_peer_address, link=self.link)
-        self.api = ResourceApi(held=self.held, store=self.store, fleet=self)
-        self._server = self._make_server()
-        self._registry = CollectorRegistry()
-        self._define_metrics()
+        api = ResourceApi(held=self.held, store=self.store, fleet=self)
+        self._server = make_server(
+            settings.api_address, make_application(api), threads=API_THREADS
+        )
+        self._server.shutdown_timeout = STOP_SECONDS
+        self._metrics_server = make_metrics_server(
+            settings.metrics_address, make_registry(self)
+        )
+        self._metrics_server.shutdown_timeout = STOP_SECONDS
 
     def run(self) -> None:
-        """Serve until ``stop`` is called, then end cleanly.
-
-        Raises:
-            CitronspanError: With code 1004 if an address cannot be bound.
-        """
-        metrics, metrics_thread = self._start_metrics()
+        """Serve until a stop is asked for, then end cleanly."""
         threads = [
-            self._start(self._handle_messages, "peers"),
+            self._start(lambda: self.link.receive_forever(self._handle), "peers"),
             self._start(self._keep_running(self.tail.run), "tail"),
+            self._start(self._keep_running(self.keeper.run), "retention"),
             self._start(self._keep_running(self._tick_forever), "tick"),
             self._start(self._keep_running(self._feed_forever), "feed"),
             self._start(self._server.serve, "api"),
+            self._start(self._metrics_server.serve, "metrics"),
         ]
         write_event(
             _logger,
@@ -84,127 +100,52 @@
             name=self._settings.place.name,
             api=self._settings.api_address,
         )
-        self._stopped.wait()
+        self._stop.wait()
         write_event(_logger, log_events.PROCESS_STOPPING)
         self.tail.stop()
+        self.keeper.stop()
         self.held.close()
         self._server.stop()
+        self._metrics_server.stop()
         self.link.close()
-        metrics.shutdown()
         end = time.monotonic() + STOP_SECONDS
-        for thread in [*threads, metrics_thread]:
+        for thread in threads:
             thread.join(max(0.0, end - time.monotonic()))
         write_event(_logger, log_events.PROCESS_STOPPED)
 
-    def stop(self) -> None:
-        """Ask ``run`` to return; may be called by a signal handler."""
-        self._stopped.set()
+    def request_stop(self) -> None:
+        """Ask ``run`` to return; safe in a signal handler."""
+        self._stop.set()
 
     def find_status(self) -> FleetStatus:
         """Return what the fleet is doing; see ``FleetAnswers``."""
-        state = self.held.state
-        nodes = self.view.live_nodes()
-        highest = max([state.offset, *(node.offset for node in nodes)])
-        return FleetStatus(
-            node=self._settings.place.name,
-            offset=state.offset,
-            log="away" if self.tail.away else "reachable",
-            resources=len(state.resource_by_key),
-            void_records=self.held.void_records,
-            nodes=tuple(
-                NodeStatus(
-                    name=node.name,
-                    region=node.region,
-                    data_centre=node.data_centre,
-                    entry=node.entry_state,
-                    offset=node.offset,
-                    behind=highest - node.offset,
-                )
-                for node in nodes
-            ),
+        return make_status(
+            name=self._settings.place.name,
+            held=self.held,
+            sight=self.tail.sight,
+            nodes=self.view.live_nodes(),
+            entry=self._report,
+            targets=self.find_targets(),
         )
 
+    def find_targets(self) -> tuple[TargetStatus, ...]:
+        """Return the targets' states as far as this agent was told of them."""
+        return ()
+
     def find_directory(self, *, region: str, account: str) -> DirectoryAnswer:
         """Return addresses for a caller; see ``FleetAnswers``."""
         place = self._find_account_region(account) or region
-        place = place or self._settings.place.region
         return DirectoryAnswer(
-            addresses=choose_addresses(self.view.live_nodes(), region=place),
+            addresses=choose_addresses(
+                self.view.live_nodes(), region=place or self._settings.place.region
+            ),
             keep_seconds=self._settings.keep_seconds,
         )
 
     def _find_account_region(self, account):
         key = ResourceKey(Kind.ACCOUNT.value, account)
         stored = self.held.state.resource_by_key.get(key)
-        if stored is None:
-            return ""
-        spec = decode_resource(stored.data).spec
-        assert isinstance(spec, AccountSpec)
-        return spec.region
-
-    def _make_own(self) -> NodeInfo:
-        settings = self._settings
-        return NodeInfo(
-            name=settings.place.name,
-            incarnation=self.incarnation,
-            region=settings.place.region,
-            data_centre=settings.place.data_centre,
-            agent_peer_address=settings.peer_address,
-            entry_peer_address=settings.entry_peer_address,
-            entry_callers_address=settings.entry_callers_address,
-            api_address=settings.api_address,
-        )
-
-    def _make_server(self):
-        server = WsgiServer(
-            split_address(self._settings.api_address),
-            make_application(self.api),
-            numthreads=API_THREADS,
-            max=MAXIMUM_API_THREADS,
-            shutdown_timeout=STOP_SECONDS,
-        )
-        server.error_log = _log_server_error
-        try:
-            server.prepare()
-        except OSError as error:
-            self.link.close()
-            raise CitronspanError(
-                code=result_codes.ADDRESS_IN_USE,
-                detail=f"{self._settings.api_address}: {error}",
-            ) from error
-        return server
-
-    def _start_metrics(self):
-        ip, port = split_address(self._settings.metrics_address)
-        try:
-            return start_http_server(port, addr=ip, registry=self._registry)
-        except OSError as error:
-            self.link.close()
-            self._server.stop()
-            raise CitronspanError(
-                code=result_codes.ADDRESS_IN_USE,
-                detail=f"{self._settings.metrics_address}: {error}",
-            ) from error
-
-    def _define_metrics(self):
-        value_by_name = {
-            "configuration_offset": lambda: self.held.state.offset,
-            "configuration_resources": lambda: len(self.held.state.resource_by_key),
-            "void_records": lambda: self.held.void_records,
-            "log_away": lambda: int(self.tail.away),
-            "live_nodes": lambda: len(self.view.live_nodes()),
-            "peer_sent_bytes": lambda: self.link.sent_bytes,
-            "peer_sent_messages": lambda: self.link.sent_messages,
-            "peer_received_bytes": lambda: self.link.received_bytes,
-            "peer_received_messages": lambda: self.link.received_messages,
-        }
-        for name, read in value_by_name.items():
-            gauge = Gauge(
-                f"citronspan_agent_{name}",
-                name.replace("_", " ").capitalize() + ".",
-                registry=self._registry,
-            )
-            gauge.set_function(read)
+        return "" if stored is None else decode_resource(stored.data).spec.region
 
     def _start(self, target, name):
         thread = threading.Thread(target=target, name=name, daemon=True)
@@ -213,22 +154,21 @@
 
     def _keep_running(self, task: Callable[[], None]) -> Callable[[], None]:
         def run():
-            while not self._stopped.is_set():
+            while not self._stop.is_set():
                 try:
                     task()
                 except Exception:
                     _logger.exception("background task raised")
                     write_event(_logger, log_events.BACKGROUND_TASK_FAILED)
-                    self._stopped.wait(TICK_SECONDS)
+                    self._stop.wait(TICK_SECONDS)
 
         return run
 
-    def _handle_messages(self):
-        self.link.receive_forever(self._handle)
-
     def _handle(self, envelope: Envelope):
         body = envelope.body
-        if isinstance(body, EntryReport):
+        if isinstance(body, CONFIG_MESSAGES):
+            self.held.take_message(body, envelope.sender)
+        elif isinstance(body, EntryReport):
             self._take_report(body)
         elif isinstance(body, Greeting):
             self.view.take(body)
@@ -241,30 +181,72 @@
         self.view.update_own(entry_state=report.state)
         self.feed.take_report(report)
 
-    def _spread_batch(self, batch: LogBatch):
-        self.view.update_own(offset=self.held.state.offset)
-
     def _tick_forever(self):
-        while not self._stopped.wait(TICK_SECONDS):
+        while not self._stop.wait(self._find_tick_seconds()):
             self._note_silent_entry()
             self.view.update_own(offset=self.held.state.offset)
             self.link.send_all(self.view.tick())
             self.link.close_idle()
-            self._push_view()
+            nodes = self.view.live_nodes()
+            self.held.tick(nodes)
+            self.keeper.rank = self._find_snapshot_rank(nodes)
+            self.feed.push_view(nodes)
+            if not self.held.ready:
+                self._look_at_gate(nodes)
+
+    def _find_tick_seconds(self):
+        return TICK_SECONDS if self.held.ready else START_TICK_SECONDS
+
+    def _find_snapshot_rank(self, nodes):
+        if not self.held.plan.is_reader:
+            return None
+        return rank_in_fleet(self.view.own, tuple(find_readers(nodes)))
+
+    def _look_at_gate(self, nodes):
+        own = self._settings.peer_address
+        peers = {node.agent_peer_address for node in nodes} | set(self._settings.seeds)
+        peers.discard(own)
+        sight = self.tail.sight
+        offset_by_address = self.held.offset_by_address
+        opened = self.held.update_gate(
+            StartFacts(
+                offset=self.held.state.offset,
+                log_offset=None if sight.away else sight.next_offset,
+                log_away=sight.away,
+                peers=len(peers),
+                peer_offsets=tuple(offset_by_address.values()),
+            )
+        )
+        if opened:
+            return
+        silent = sorted(peers - set(offset_by_address))
+        random.shuffle(silent)
+        self.held.ask(silent[:PEERS_ASKED])
 
     def _note_silent_entry(self):
         if time.monotonic() < self._reported_at + ENTRY_SILENT_SECONDS:
             return
         self.view.update_own(entry_state="stopped" if self._report else "joining")
 
-    def _push_view(self):
-        self.feed.push_view(self.view.live_nodes())
-
     def _feed_forever(self):
-        while not self._stopped.is_set():
+        while not self._stop.is_set():
+            if not self.held.wait_ready(TICK_SECONDS):
+                continue
             self.held.wait(self.feed.is_due, TICK_SECONDS)
             self.feed.push_state(self.held.state)
-
-
-def _log_server_error(msg="", level=20, traceback=False):
-    _logger.info("api server: {}", msg)
+            if self.feed.is_due(self.held.state):
+                self._stop.wait(FEED_PAUSE_SECONDS)
+
+
+def make_own_node(settings: AgentSettings, *, incarnation: int) -> NodeInfo:
+    """Return what the other nodes are told of this one."""
+    return NodeInfo(
+        name=settings.place.name,
+        incarnation=incarnation,
+        region=settings.place.region,
+        data_centre=settings.place.data_centre,
+        agent_peer_address=settings.peer_address,
+        entry_peer_address=settings.entry_peer_address,
+        entry_callers_address=settings.entry_callers_address,
+        api_address=settings.api_address,
+    )
--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -36,6 +36,7 @@
         self._lock = threading.Lock()
         self._sent: ConfigState | None = None
         self._sent_at = float("-inf")
+        self._reported_offset = 0
         self._view: tuple[NodeInfo, ...] = ()
         self._view_sequence = time.time_ns() // 1_000_000
         self._view_sent_at = float("-inf")
@@ -57,7 +58,9 @@
             state: The configuration in force.
         """
         with self._lock:
-            if state.offset == 0 or state.offset == self.sent_offset:
+            if state.offset in (0, self.sent_offset):
+                return
+            if state.offset < self._reported_offset:
                 return
             message = _make_push(self._sent, state)
             if not self._link.send(self._to, message):
@@ -70,6 +73,7 @@
     def take_report(self, report: EntryReport) -> None:
         """Take the entry's word on what it has; forget a push that was lost."""
         with self._lock:
+            self._reported_offset = report.offset
             if self._sent is None or report.offset == self._sent.offset:
                 return
             if time.monotonic() < self._sent_at + LOST_SECONDS:
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/agent_status.py
@@ -2,6 +2,13 @@
 
 import msgspec
 
+from citronspan.core.config_state import find_warnings
+from citronspan.core.node_messages import EntryReport, NodeInfo
+from citronspan.ops.config_tail import LogSight
+from citronspan.ops.config_tail_held import HeldConfig
+
+MAXIMUM_WARNINGS = 20
+
 
 class NodeStatus(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """One node as the asked agent sees it.
@@ -23,21 +30,124 @@
     behind: int
 
 
+class TargetStatus(
+    msgspec.Struct, frozen=True, kw_only=True, rename="camel", omit_defaults=True
+):
+    """One target as the fleet's choosers see it.
+
+    Attributes:
+        name: Name of the target.
+        service: Name of its service.
+        state: State by the chart ``target``.
+        since_seconds: How long it has been in that state.
+        evidence: Why, in a few words.
+        by: Node that says so.
+        slots_in_use: Slots that are taken, -1 if not known.
+        slots: Slots of the target.
+    """
+
+    name: str
+    service: str
+    state: str
+    since_seconds: float = 0.0
+    evidence: str = ""
+    by: str = ""
+    slots_in_use: int = -1
+    slots: int = 0
+
+
 class FleetStatus(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
     """What the fleet is doing, as one agent sees it.
 
     Attributes:
         node: Name of the agent's host.
+        ready: Whether the agent serves what it holds.
         offset: Next offset that the agent has not applied.
-        log: ``reachable`` or ``away``.
+        entry_offset: Offset in force at its entry, -1 before a report.
+        log: ``reachable``, ``away`` or ``not-read`` (other nodes read it).
+        log_offset: Offset of the log's next append when it was last read, or -1.
         resources: Resources in force.
         void_records: Records without effect since the agent's start.
+        warnings: What is odd about resources, the first few.
+        warnings_left_out: How many more there are.
         nodes: Nodes taken as live.
+        targets: Targets of which something is known.
     """
 
     node: str
+    ready: bool
     offset: int
+    entry_offset: int
     log: str
+    log_offset: int
     resources: int
     void_records: int
+    warnings: tuple[str, ...]
+    warnings_left_out: int
     nodes: tuple[NodeStatus, ...]
+    targets: tuple[TargetStatus, ...] = ()
+
+
+def make_status(
+    *,
+    name: str,
+    held: HeldConfig,
+    sight: LogSight,
+    nodes: tuple[NodeInfo, ...],
+    entry: EntryReport | None,
+    targets: tuple[TargetStatus, ...],
+) -> FleetStatus:
+    """Put the status together.
+
+    Args:
+        name: Name of the asked agent's host.
+        held: The configuration that it holds.
+        sight: What it last saw of the log.
+        nodes: Nodes taken as live.
+        entry: The last report of its entry.
+        targets: What is known of targets.
+
+    Returns:
+        The status.
+    """
+    state = held.state
+    warnings = [
+        f"{key.kind}/{key.name}: {warning}"
+        for key in sorted(state.resource_by_key)
+        for warning in find_warnings(state, key)
+    ]
+    return FleetStatus(
+        node=name,
+        ready=held.ready,
+        offset=state.offset,
+        entry_offset=-1 if entry is None else entry.offset,
+        log=_describe_log(held, sight),
+        log_offset=-1 if sight.next_offset is None else sight.next_offset,
+        resources=len(state.resource_by_key),
+        void_records=held.void_records,
+        warnings=tuple(warnings[:MAXIMUM_WARNINGS]),
+        warnings_left_out=max(0, len(warnings) - MAXIMUM_WARNINGS),
+        nodes=_make_node_statuses(nodes, state.offset),
+        targets=targets,
+    )
+
+
+def _describe_log(held: HeldConfig, sight: LogSight) -> str:
+    if sight.away:
+        return "away"
+    return "reachable" if held.plan.is_reader else "not-read"
+
+
+def _make_node_statuses(nodes, offset):
+    highest = max([offset, *(node.offset for node in nodes)])
+    return tuple(
+        NodeStatus(
+            name=node.name,
+            region=node.region,
+            data_centre=node.data_centre,
+            entry=node.entry_state,
+            offset=node.offset,
+            behind=highest - node.offset,
+        )
+        for node in nodes
+    )
--- a/citronspan/ops/config_tail.py
+++ b/citronspan/ops/config_tail.py
@@ -1,82 +1,137 @@
 """Tails the platform's log into the configuration that this agent holds."""
 
 import threading
-from collections.abc import Callable
+from dataclasses import dataclass
 
 import logbook
 
 from citronspan.core import log_events
 from citronspan.core.config_record import LogBatch
+from citronspan.core.config_snapshots import KeptLogReader
 from citronspan.ops.config_tail_held import HeldConfig
-from citronspan.ops.log_client import LogAwayError, LogPage, LogStore, LogTruncatedError
+from citronspan.ops.config_tail_retention import RetentionKeeper
+from citronspan.ops.log_client import (
+    LogAwayError,
+    LogPage,
+    LogStore,
+    LogTruncatedError,
+)
 from citronspan.utils.logs import write_event
 
 POLL_SECONDS = 5.0
-AWAY_PAUSE_SECONDS = 0.5
+PAUSE_SECONDS = 0.5
+# A starting node leaves this time to its peers before it reads all the log keeps.
+PEERS_FIRST_SECONDS = 1.0
 
 _logger = logbook.Logger("log-tail")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogSight:
+    """What the last read of the log showed.
+
+    Attributes:
+        away: Whether the log did not answer.
+        next_offset: Offset of its next append when it last answered, or None.
+    """
+
+    away: bool = False
+    next_offset: int | None = None
+
+
 class ConfigTail:
-    """One thread that reads the log by long polls."""
-
-    def __init__(
-        self,
-        *,
-        held: HeldConfig,
-        store: LogStore,
-        handle_batch: Callable[[LogBatch], None],
-    ):
+    """One thread that reads the log by long polls, where this node is to read."""
+
+    def __init__(self, *, held: HeldConfig, store: LogStore, keeper: RetentionKeeper):
         self._held = held
         self._store = store
-        self._handle_batch = handle_batch
+        self._keeper = keeper
         self._stopped = threading.Event()
-        self._away = False
-
-    @property
-    def away(self) -> bool:
-        """Whether the last read found the log away."""
-        return self._away
+        self._gave_peers_time = False
+        self._reported_behind = False
+        self.sight = LogSight()
 
     def run(self) -> None:
         """Read until ``stop``."""
         while not self._stopped.is_set():
+            if not self._is_wanted():
+                self._held.wait(lambda state: self._is_wanted(), PAUSE_SECONDS)
+                continue
             try:
                 self._read_once()
             except LogAwayError as error:
                 self._note_away(str(error))
-                self._stopped.wait(AWAY_PAUSE_SECONDS)
+                self._stopped.wait(PAUSE_SECONDS)
 
     def stop(self) -> None:
         """Ask ``run`` to return; it does after the read in progress."""
         self._stopped.set()
 
+    def _is_wanted(self) -> bool:
+        held = self._held
+        return held.plan.is_reader or held.writers > 0 or not held.ready
+
     def _read_once(self):
         offset = self._held.state.offset
+        caught_up = self.sight.next_offset is not None and not self.sight.away
+        wait_seconds = POLL_SECONDS if caught_up else 0.0
         try:
-            page = self._store.read(offset, wait_seconds=POLL_SECONDS)
-        except LogTruncatedError:
-            self._stopped.wait(AWAY_PAUSE_SECONDS)
+            page = self._store.read(offset, wait_seconds=wait_seconds)
+        except LogTruncatedError as error:
+            self._begin_anew(error)
             return
         self._note_back(page)
-        if not page.records:
+        self._keeper.note_page(page)
+        if page.next_offset < offset:
+            self._note_behind(page, offset)
             return
-        batch = LogBatch(
-            from_offset=offset,
-            next_offset=page.records[-1].offset + 1,
-            records=page.records,
-        )
-        self._held.apply(batch)
-        self._handle_batch(batch)
+        if page.records:
+            self._held.take_log_batch(_make_batch(offset, page))
 
-    def _note_away(self, reason):
-        if self._away:
+    def _begin_anew(self, error: LogTruncatedError):
+        """Replay what the log keeps, from a snapshot in it."""
+        if not self._gave_peers_time:
+            self._gave_peers_time = True
+            self._held.wait(
+                lambda state: state.offset >= error.first_offset, PEERS_FIRST_SECONDS
+            )
             return
-        self._away = True
-        write_event(_logger, log_events.LOG_SERVICE_AWAY, reason=reason)
+        reader = KeptLogReader(first_offset=error.first_offset)
+        while True:
+            page = self._store.read(reader.next_offset)
+            self._keeper.note_page(page)
+            if not page.records:
+                break
+            reader.add(_make_batch(reader.next_offset, page))
+        if reader.state is None:
+            write_event(_logger, log_events.SNAPSHOT_MISSING, first=error.first_offset)
+            self._stopped.wait(PAUSE_SECONDS)
+            return
+        self._held.take_state(reader.state)
+        self._note_back(page)
+
+    def _note_away(self, reason):
+        if not self.sight.away:
+            write_event(_logger, log_events.LOG_SERVICE_AWAY, reason=reason)
+        self.sight = LogSight(away=True, next_offset=self.sight.next_offset)
 
     def _note_back(self, page: LogPage):
-        if not self._away:
-            return
-        self._away = False
-        write_event(_logger, log_events.LOG_SERVICE_BACK, next=page.next_offset)
+        if self.sight.away:
+            write_event(_logger, log_events.LOG_SERVICE_BACK, next=page.next_offset)
+        self.sight = LogSight(next_offset=page.next_offset)
+
+    def _note_behind(self, page: LogPage, offset: int):
+        if not self._reported_behind:
+            write_event(
+                _logger, log_events.LOG_BEHIND, next=page.next_offset, offset=offset
+            )
+        self._reported_behind = True
+        self._stopped.wait(PAUSE_SECONDS)
+
+
+def _make_batch(offset: int, page: LogPage) -> LogBatch:
+    return LogBatch(
+        from_offset=offset,
+        next_offset=page.records[-1].offset + 1,
+        records=page.records,
+    )
--- a/citronspan/ops/config_tail_held.py
+++ b/citronspan/ops/config_tail_held.py
@@ -1,7 +1,8 @@
 """The configuration that this agent holds, shared by its threads.
 
-It only ever moves to a higher offset. Threads wait on it for news: the tail's
-callers for their own record, watches for the next change.
+The decisions are those of ``core.config_spread``; this module adds the lock, the
+recent changes for watches, and waiting: writers wait for their own record, watches
+for the next change. The offset only ever grows.
 """
 
 import threading
@@ -12,14 +13,19 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.config_messages import ConfigOffset
 from citronspan.core.config_record import LogBatch
+from citronspan.core.config_spread import ConfigSpread, SpreadResult
+from citronspan.core.config_spread_tree import SpreadPlan
+from citronspan.core.config_start import StartFacts, StartGate
 from citronspan.core.config_state import (
     Applied,
     AppliedChange,
     ConfigState,
-    apply_batch,
     compare_states,
 )
+from citronspan.core.message_base import Message, Outgoing
+from citronspan.core.node_messages import NodeInfo
 from citronspan.utils.logs import write_event
 
 HISTORY_CHANGES = 4096
@@ -28,66 +34,88 @@
 
 
 class HeldConfig:
-    """The state in force at this agent and its recent changes."""
+    """The state in force at this agent, its recent changes and its spreading."""
 
-    def __init__(self):
+    def __init__(
+        self, *, own: NodeInfo, send_all: Callable[[list[Outgoing]], None] | None = None
+    ):
         self._condition = threading.Condition()
-        self._state = ConfigState()
+        self._spread = ConfigSpread(own=own)
+        self._gate = StartGate()
+        self._send_all = send_all or (lambda outgoing: None)
         self._history: deque[AppliedChange] = deque()
         self._history_from = 0
+        self._change_offset = 0
         self._closed = False
-        self.applied_at = time.monotonic()
+        self._writers = 0
         self.void_records = 0
+        self.applied_at = time.monotonic()
 
     @property
     def state(self) -> ConfigState:
         """The state in force; immutable."""
-        return self._state
+        return self._spread.state
 
-    def apply(self, batch: LogBatch) -> Applied:
-        """Apply a batch if it continues the state.
+    @property
+    def plan(self) -> SpreadPlan:
+        """What this node does in spreading."""
+        return self._spread.plan
 
-        Args:
-            batch: Records from the log or a peer.
+    @property
+    def ready(self) -> bool:
+        """Whether the node knows enough to serve what it holds."""
+        return self._gate.is_open
 
-        Returns:
-            What the records came to; with the state unchanged if the batch does
-            not continue it.
-        """
+    @property
+    def closed(self) -> bool:
+        """Whether the agent is stopping."""
+        return self._closed
+
+    @property
+    def writers(self) -> int:
+        """Number of changes that wait to be read back."""
+        return self._writers
+
+    @property
+    def change_offset(self) -> int:
+        """Offset after the last record that changed the state."""
+        return self._change_offset
+
+    @property
+    def offset_by_address(self) -> dict[str, int]:
+        """Offset that each peer last said it has."""
         with self._condition:
-            before = self._state
-            applied = apply_batch(before, batch)
-            if applied.state.offset <= before.offset:
-                return applied
-            self._take(applied.state, applied.changes)
-        self._report(applied)
-        return applied
+            return self._spread.offset_by_address
 
-    def adopt(self, state: ConfigState) -> bool:
-        """Take a whole state if it is ahead.
+    def take_log_batch(self, batch: LogBatch) -> None:
+        """Take records that were read from the log."""
+        self._run(lambda: self._spread.take_log_batch(batch))
 
-        Args:
-            state: A state from a snapshot or a peer.
+    def take_state(self, state: ConfigState) -> None:
+        """Take a whole state that was replayed from the log, if it is ahead."""
+        self._run(lambda: self._spread.take_state(state))
 
-        Returns:
-            Whether it was ahead and is now in force.
-        """
+    def take_message(self, body: Message, sender: str) -> None:
+        """Take a configuration message of another agent."""
+        self._run(lambda: self._spread.take_message(body, sender))
+
+    def tick(self, nodes: tuple[NodeInfo, ...]) -> None:
+        """Take the live nodes and do what is due."""
         with self._condition:
-            if state.offset <= self._state.offset:
-                return False
-            changes = compare_states(self._state, state)
-            fresh = self._state.offset == 0
-            self._take(state, () if fresh else changes)
-            if fresh:
-                self._history_from = state.offset
-        write_event(
-            _logger,
-            log_events.CONFIGURATION_APPLIED,
-            offset=state.offset,
-            changes=len(changes),
-            whole=True,
-        )
-        return True
+            self._spread.set_nodes(nodes)
+        self._run(self._spread.tick)
+
+    def ask(self, addresses: list[str]) -> None:
+        """Ask peers for their offsets; what is ahead is then pulled."""
+        message = ConfigOffset(offset=self.state.offset)
+        self._send_all([Outgoing(to=address, message=message) for address in addresses])
+
+    def update_gate(self, facts: StartFacts) -> bool:
+        """Let the start gate look at the facts; return whether it is open."""
+        with self._condition:
+            if not self._gate.is_open and self._gate.update(facts):
+                self._condition.notify_all()
+            return self._gate.is_open
 
     def wait(
         self, condition: Callable[[ConfigState], bool], timeout_seconds: float
@@ -103,18 +131,31 @@
         """
         with self._condition:
             self._condition.wait_for(
-                lambda: self._closed or condition(self._state), timeout_seconds
+                lambda: self._closed or condition(self.state), timeout_seconds
             )
-            return condition(self._state)
+            return condition(self.state)
+
+    def wait_ready(self, timeout_seconds: float) -> bool:
+        """Wait until the node may serve; return whether it may."""
+        return self.ready or self.wait(lambda state: self.ready, timeout_seconds)
+
+    def add_writer(self, count: int) -> None:
+        """Count writers in or out; while there are any, the log must be read."""
+        with self._condition:
+            self._writers += count
+            self._condition.notify_all()
 
     def find_changes(self, after_version: int) -> tuple[AppliedChange, ...] | None:
         """Return the changes after a version, None if they are not kept."""
         with self._condition:
             if after_version + 1 < self._history_from:
                 return None
-            return tuple(
-                change for change in self._history if change.version > after_version
-            )
+            found = []
+            for change in reversed(self._history):
+                if change.version <= after_version:
+                    break
+                found.append(change)
+            return tuple(reversed(found))
 
     def close(self) -> None:
         """Wake every waiting thread for good."""
@@ -122,20 +163,50 @@
             self._closed = True
             self._condition.notify_all()
 
-    @property
-    def closed(self) -> bool:
-        """Whether the agent is stopping."""
-        return self._closed
-
-    def _take(self, state, changes):
-        self._state = state
-        self.applied_at = time.monotonic()
+    def _run(self, step: Callable[[], SpreadResult]) -> None:
+        with self._condition:
+            before = self._spread.state
+            result = step()
+            if result.applied is not None:
+                self._note_applied(result.applied)
+            if result.adopted is not None:
+                self._note_adopted(before, result.adopted)
+        if result.applied is not None:
+            self._report_applied(result.applied)
+        if result.adopted is not None:
+            write_event(
+                _logger,
+                log_events.CONFIGURATION_APPLIED,
+                offset=result.adopted.offset,
+                resources=len(result.adopted.resource_by_key),
+            )
+        if result.outgoing:
+            self._send_all(list(result.outgoing))
+
+    def _note_applied(self, applied: Applied):
+        self._add_history(applied.changes)
+        if applied.changes or applied.voids:
+            self._change_offset = applied.state.offset
+        self._wake()
+
+    def _note_adopted(self, before: ConfigState, state: ConfigState):
+        self._change_offset = state.offset
+        if before.offset == 0:
+            self._history_from = state.offset
+        else:
+            self._add_history(compare_states(before, state))
+        self._wake()
+
+    def _add_history(self, changes):
         self._history.extend(changes)
         while len(self._history) > HISTORY_CHANGES:
             self._history_from = self._history.popleft().version + 1
+
+    def _wake(self):
+        self.applied_at = time.monotonic()
         self._condition.notify_all()
 
-    def _report(self, applied):
+    def _report_applied(self, applied):
         self.void_records += len(applied.voids)
         for void in applied.voids:
             write_event(
--- a/citronspan/ops/config_tail_writer.py
+++ b/citronspan/ops/config_tail_writer.py
@@ -52,6 +52,14 @@
         CitronspanError: With code 2003 if the change lost a race, 2004 if it was
             surely not taken, 2005 if that is not known, 2001 if it is void.
     """
+    held.add_writer(1)
+    try:
+        return _append_and_look(record, held, store)
+    finally:
+        held.add_writer(-1)
+
+
+def _append_and_look(record, held, store):
     may_have_taken = False
     for _ in range(APPEND_ATTEMPTS):
         outcome = None
--- a/citronspan/ops/resource_api.py
+++ b/citronspan/ops/resource_api.py
@@ -34,7 +34,8 @@
 
 MAXIMUM_BODY_BYTES = 1 << 20
 WATCH_IDLE_SECONDS = 5.0
-MAXIMUM_WATCHES = 16
+MAXIMUM_WATCHES = 12
+READY_SECONDS = 3.0
 JSON_TYPE = "application/json"
 
 
@@ -189,6 +190,11 @@
             return make_refusal(error)
 
     def _route(self, request):
+        if request.parts != ("status",) and not self._held.wait_ready(READY_SECONDS):
+            raise CitronspanError(
+                code=result_codes.AGENT_STARTING,
+                detail="the agent does not know yet what is in force",
+            )
         match request.method, request.parts:
             case "GET", ("resources", kind):
                 return self._list(kind)
--- a/citronspan/scripts/agent.py
+++ b/citronspan/scripts/agent.py
@@ -1,6 +1,5 @@
-"""The program ``citronspan-agent``."""
+"""``citronspan-agent``: the control process of one host."""
 
-import signal
 import sys
 
 from cleo.application import Application
@@ -8,39 +7,33 @@
 from cleo.helpers import argument
 from cleo.io.inputs.argv_input import ArgvInput
 
-from citronspan.core.errors import CitronspanError
-from citronspan.core.settings import AgentSettings, read_settings
+from citronspan.core.settings import AgentSettings
 from citronspan.ops.agent import Agent
-from citronspan.utils.logs import start_logging
+from citronspan.scripts.process import run_process
 
 
 class AgentCommand(Command):
-    """Runs the agent of one host until SIGTERM or SIGINT."""
+    """Runs one agent."""
 
     name = "run"
-    description = "Run the agent of one host."
-    arguments = [argument("settings", "Path of the settings file in JSON.")]  # noqa: RUF012
+    description = "Tails the configuration and serves the resource API."
+    arguments = [argument("settings", "Path of the settings file, JSON.")]
 
     def handle(self) -> int:
-        """Run; the exit status is 0 after a stop that was asked for."""
-        try:
-            settings = read_settings(self.argument("settings"), AgentSettings)
-            start_logging(settings.log_level)
-            agent = Agent(settings=settings)
-            signal.signal(signal.SIGTERM, lambda number, frame: agent.stop())
-            signal.signal(signal.SIGINT, lambda number, frame: agent.stop())
-            agent.run()
-        except CitronspanError as error:
-            print(f"citronspan-agent: {error}", file=sys.stderr)
-            return error.code.http_status
-        return 0
+        """Run the agent until SIGTERM."""
+        return run_process(
+            self.argument("settings"),
+            AgentSettings,
+            lambda settings: Agent(settings=settings),
+        )
 
 
 def main() -> None:
-    """Run the program."""
+    """Run ``citronspan-agent``."""
     application = Application("citronspan-agent")
-    application.add(AgentCommand())
-    application.run(ArgvInput([sys.argv[0], AgentCommand.name, *sys.argv[1:]]))
+    command = AgentCommand()
+    application.add(command)
+    application.run(ArgvInput([sys.argv[0], command.name, *sys.argv[1:]]))
 
 
 if __name__ == "__main__":
