--- a/citronspan/core/config_messages.py
+++ b/citronspan/core/config_messages.py
@@ -67,3 +67,6 @@
     part: int
     parts: int
     data: bytes
+
+
+ConfigMessage = Greeting | ConfigOffset | ConfigPull | ConfigRecords | ConfigStatePart
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,15 +8,10 @@
 
 import msgspec
 
-from citronspan.core.config_messages import (
-    ConfigOffset,
-    ConfigPull,
-    ConfigRecords,
-    ConfigStatePart,
-    Greeting,
-)
+from citronspan.core.config_messages import ConfigMessage
+from citronspan.core.key_messages import KeyMessage
 from citronspan.core.message_base import Message
-from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.node_messages import NodeMessage
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -32,16 +27,7 @@
     fleet: str
     sender: str
     incarnation: int
-    body: (
-        ConfigurationPush
-        | ViewPush
-        | EntryReport
-        | Greeting
-        | ConfigOffset
-        | ConfigPull
-        | ConfigRecords
-        | ConfigStatePart
-    )
+    body: NodeMessage | ConfigMessage | KeyMessage
 
 
 _ENCODER = msgspec.msgpack.Encoder()
