Hand out slots of targets by brokers: shards, queue, refusals, budgets, handover

Cause: targets have 2 to 6 slots and there are 32 to 470 entries, so that an entry that chooses alone chooses blind. Change: the targets of a service in a region form shards, each with one broker by rendezvous hashing over the serving entries. The broker counts its grants exactly, lets requests wait by worth and deadline, refuses at once what cannot be served in time, infers use by others from load reports and sheds, takes back slots whose release is lost, and hands a shard over with its grants.

--- /dev/null
+++ b/citronspan/core/broker.py
@@ -0,0 +1,437 @@
+"""The broker of one shard: it hands out the slots of the shard's targets.
+
+It takes messages and gives messages. A request gets a slot at once where one is
+free, waits where a slot is expected in time, and is refused at once otherwise. The
+broker never grants more slots of a target than detection allows, counted with what
+it granted before.
+"""
+
+import time
+
+from citronspan.core import result_codes
+from citronspan.core.broker_answers import KEEP_SECONDS, AttemptMemory
+from citronspan.core.broker_grants import Grant, GrantBook
+from citronspan.core.broker_messages import (
+    BrokerHandover,
+    SlotCancel,
+    SlotGrant,
+    SlotRedirect,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+)
+from citronspan.core.broker_pool import TargetPool
+from citronspan.core.broker_status import BrokerStatus
+from citronspan.core.broker_times import HoldTimes
+from citronspan.core.health import Health, KnownTarget
+from citronspan.core.link_budget import LinkBudget
+from citronspan.core.message_base import Message, Outgoing
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.result_codes import ResultCode
+from citronspan.core.shards import ShardKey
+from citronspan.core.slot_queue import SlotQueue, WaitingRequest
+
+RECLAIM_SECONDS = 0.5
+"""Time after a request's deadline when its slot is taken back."""
+
+WAITING_PER_SLOT = 4
+"""Requests that may wait per usable slot."""
+
+MINIMUM_WAITING = 8
+"""Requests that may wait however few slots there are."""
+
+MINIMUM_RETRY_AFTER_SECONDS = 1.0
+"""Least time that a refused caller is asked to stay away."""
+
+_UNSAMPLED_CLASSES = {
+    OutcomeClass.SHED,
+    OutcomeClass.DRAINING,
+    OutcomeClass.STARTING,
+    OutcomeClass.CONNECT_FAILED,
+    OutcomeClass.NOT_USED,
+}
+
+
+class Broker:
+    """The broker of one shard.
+
+    Attributes:
+        key: The shard.
+        health: Detection for the shard.
+        successor: Peer address of the broker that this one handed over to, or empty.
+    """
+
+    def __init__(
+        self,
+        *,
+        key: ShardKey,
+        health: Health,
+        targets: tuple[KnownTarget, ...] = (),
+        link_bytes_per_second: float = 0.0,
+    ):
+        self.key = key
+        self.health = health
+        self.successor = ""
+        self._pool = TargetPool(health=health, targets=targets, now=time.monotonic())
+        self._queue = SlotQueue()
+        self._book = GrantBook()
+        self._memory = AttemptMemory()
+        self._hold_times = HoldTimes()
+        self._link = LinkBudget(bytes_per_second=link_bytes_per_second)
+        self._arrivals = 0
+        self._grants = 0
+        self._reclaimed = 0
+        self._refusals_by_code: dict[int, int] = {}
+        self._outgoing: list[Outgoing] = []
+
+    def is_idle(self) -> bool:
+        """Return whether nothing waits, is granted or is remembered."""
+        if len(self._queue) or len(self._book):
+            return False
+        return self._memory.is_empty()
+
+    def describe(self) -> BrokerStatus:
+        """Return what the broker is doing."""
+        return BrokerStatus(
+            key=self.key,
+            granted_by_target={
+                use.known.name: use.granted for use in self._pool.list_uses()
+            },
+            capacity=self._pool.capacity,
+            waiting=len(self._queue),
+            grants=self._grants,
+            refusals_by_code=dict(self._refusals_by_code),
+            reclaimed=self._reclaimed,
+            mean_hold_seconds=self._hold_times.mean_seconds,
+            link_bytes_by_kind=dict(self._link.spent_bytes_by_kind),
+            successor=self.successor,
+        )
+
+    def set_targets(self, targets: tuple[KnownTarget, ...]) -> list[Outgoing]:
+        """Take the shard's targets as they are now.
+
+        Args:
+            targets: All targets of the shard; a leaving one gets no grant from now.
+
+        Returns:
+            Messages to send.
+        """
+        now = time.monotonic()
+        self._pool.set_targets(targets, now)
+        self._serve_waiting(now)
+        self._refuse_hopeless(0, now)
+        return self._take_outgoing()
+
+    def handle(self, sender: str, message: Message) -> list[Outgoing]:
+        """Handle one message.
+
+        Args:
+            sender: Peer address of the sender.
+            message: A message of ``BrokerMessage``.
+
+        Returns:
+            Messages to send.
+        """
+        now = time.monotonic()
+        match message:
+            case SlotRequest():
+                self._handle_request(sender, message, now)
+            case SlotRelease():
+                self._handle_release(message, now)
+            case SlotCancel():
+                self._handle_cancel(message, now)
+            case BrokerHandover():
+                self._handle_handover(message, now)
+        return self._take_outgoing()
+
+    def advance(self) -> list[Outgoing]:
+        """Do what is due by time; to be called several times a second.
+
+        Returns:
+            Messages to send.
+        """
+        now = time.monotonic()
+        self._reclaimed += self._book.reclaim_due(now)
+        self._memory.forget_due(now)
+        self._serve_waiting(now)
+        self._refuse_hopeless(0, now)
+        return self._take_outgoing()
+
+    def hand_over(self, successor: str, evidence: bytes = b"") -> list[Outgoing]:
+        """Stop serving the shard in favour of another broker.
+
+        Args:
+            successor: Peer address of the new broker.
+            evidence: What detection knows, in detection's own encoding.
+
+        Returns:
+            The handover, and redirects for the requests that wait.
+        """
+        now = time.monotonic()
+        self.successor = successor
+        handover = BrokerHandover(
+            service=self.key.service,
+            region=self.key.region,
+            shard=self.key.number,
+            grants=self._book.export(now),
+            mean_seconds_by_kind=dict(self._hold_times.mean_seconds_by_kind),
+            evidence=evidence,
+        )
+        self._send(successor, handover)
+        for waiting in self._queue.list_from(0):
+            self._queue.remove(waiting.request.attempt_id)
+            self._redirect(waiting.sender, waiting.request)
+        return self._take_outgoing()
+
+    def resume(self) -> None:
+        """Serve the shard again after a handover; use by others is unknown."""
+        if not self.successor:
+            return
+        self.successor = ""
+        now = time.monotonic()
+        for use in self._pool.list_uses():
+            use.forget_use(now)
+
+    def _handle_request(self, sender, request, now):
+        attempt_id = request.attempt_id
+        answer = self._memory.find_answer(attempt_id)
+        if answer is not None:
+            self._send(sender, answer)
+            return
+        if self._book.find(attempt_id) is not None:
+            self._repeat_grant(sender, attempt_id, now)
+            return
+        if attempt_id in self._queue:
+            return
+        if self._memory.has_ended(attempt_id):
+            self._refuse(sender, request, result_codes.ATTEMPT_CANCELLED, now)
+            return
+        if self.successor and not request.insist:
+            self._redirect(sender, request)
+            return
+        self._serve_waiting(now)
+        self._refuse_hopeless(0, now)
+        if request.deadline_seconds <= 0:
+            self._refuse(sender, request, result_codes.DEADLINE_TOO_SHORT, now)
+            return
+        if request.from_region and not self._spend_link(request):
+            self._refuse(sender, request, result_codes.LINK_BUDGET_SPENT, now)
+            return
+        if self._grant_if_free(sender, request, now):
+            return
+        self._queue_or_refuse(sender, request, now)
+
+    def _spend_link(self, request):
+        return self._link.spend(request.request_kind, request.worth, request.body_bytes)
+
+    def _grant_if_free(self, sender, request, now):
+        self._pool.read_limits(now)
+        use = self._pool.choose(request, now)
+        if use is None:
+            return False
+        deadline_at = now + request.deadline_seconds
+        self._grant(sender, request, use, now, deadline_at)
+        return True
+
+    def _grant(self, sender, request, use, now, deadline_at):
+        is_trial = self._pool.is_trial(use.known.name)
+        hold_seconds = deadline_at - now + RECLAIM_SECONDS
+        grant = Grant(
+            use=use,
+            request_kind=request.request_kind,
+            granted_at=now,
+            hold_seconds=hold_seconds,
+            crosses_link=bool(request.from_region),
+        )
+        self._book.add(request.attempt_id, grant, now)
+        if is_trial:
+            self.health.note_trial(use.known.name)
+        self._grants += 1
+        answer = SlotGrant(
+            attempt_id=request.attempt_id,
+            target=use.known.name,
+            address=use.known.address,
+            hold_seconds=hold_seconds,
+            trial=is_trial,
+            free_slots=max(0, self._pool.capacity - len(self._book)),
+        )
+        self._answer(sender, answer, hold_seconds, now)
+
+    def _repeat_grant(self, sender, attempt_id, now):
+        grant = self._book.find(attempt_id)
+        remaining = grant.granted_at + grant.hold_seconds - now
+        answer = SlotGrant(
+            attempt_id=attempt_id,
+            target=grant.use.known.name,
+            address=grant.use.known.address,
+            hold_seconds=remaining,
+        )
+        self._answer(sender, answer, remaining, now)
+
+    def _queue_or_refuse(self, sender, request, now):
+        if request.from_region or not self._pool.has_usable(request, now):
+            self._refuse(sender, request, result_codes.NO_CAPACITY, now)
+            return
+        self._arrivals += 1
+        waiting = WaitingRequest(
+            request=request,
+            sender=sender,
+            number=self._arrivals,
+            deadline_at=now + request.deadline_seconds,
+        )
+        place = self._queue.find_place(waiting)
+        if self._is_hopeless(waiting, place, now):
+            self._refuse(sender, request, self._find_reason(request, place), now)
+            return
+        if len(self._queue) >= self._find_queue_bound():
+            last = self._queue.find_last()
+            if last.request.worth >= request.worth:
+                self._refuse(sender, request, result_codes.OVERLOADED, now)
+                return
+            self._give_up(last, result_codes.OVERLOADED, now)
+        self._queue.add(waiting)
+        self._refuse_hopeless(place + 1, now)
+
+    def _find_queue_bound(self):
+        return max(MINIMUM_WAITING, WAITING_PER_SLOT * self._pool.capacity)
+
+    def _is_hopeless(self, waiting, place, now):
+        """Return whether a request at a place of the queue cannot be served."""
+        wait = (place + 1) * self._hold_times.mean_seconds / max(1, self._pool.capacity)
+        needed = wait + self._hold_times.estimate(waiting.request.request_kind)
+        return now + needed >= waiting.deadline_at
+
+    def _find_reason(self, request, place) -> ResultCode:
+        first = self._queue.find_first()
+        if place == 0 or first is None:
+            return result_codes.DEADLINE_TOO_SHORT
+        if first.request.worth > request.worth:
+            return result_codes.OVERLOADED
+        return result_codes.NO_CAPACITY
+
+    def _refuse_hopeless(self, place, now):
+        if len(self._queue) <= place:
+            return
+        self._pool.read_limits(now)
+        for waiting in self._queue.list_from(place):
+            if not self._pool.has_usable(waiting.request, now):
+                self._give_up(waiting, result_codes.NO_CAPACITY, now)
+                place -= 1
+            elif self._is_hopeless(waiting, place, now):
+                reason = self._find_reason(waiting.request, place)
+                self._give_up(waiting, reason, now)
+                place -= 1
+            place += 1
+
+    def _serve_waiting(self, now):
+        if not self._queue:
+            return
+        self._pool.read_limits(now)
+        free = self._pool.count_free(now)
+        if free <= 0:
+            return
+        for waiting in self._queue.list_from(0):
+            if now >= waiting.deadline_at:
+                self._give_up(waiting, result_codes.NO_CAPACITY, now)
+                continue
+            use = self._pool.choose(waiting.request, now)
+            if use is None:
+                continue
+            self._queue.remove(waiting.request.attempt_id)
+            self._grant(waiting.sender, waiting.request, use, now, waiting.deadline_at)
+            free -= 1
+            if free <= 0:
+                return
+
+    def _handle_release(self, release, now):
+        attempt_id = release.attempt_id
+        if self._memory.has_ended(attempt_id):
+            return
+        grant = self._book.end(attempt_id, now)
+        self._memory.keep_end(attempt_id, now)
+        self._learn(release, grant, now)
+        if self.successor:
+            self._send(self.successor, release)
+        self._serve_waiting(now)
+        self._refuse_hopeless(0, now)
+
+    def _learn(self, release, grant, now):
+        outcome = release.outcome
+        if outcome.outcome_class is OutcomeClass.NOT_USED:
+            return
+        self.health.observe(outcome)
+        use = self._pool.find_use(outcome.target)
+        load_age_seconds = 0.0
+        if grant is not None:
+            held_seconds = now - grant.granted_at
+            load_age_seconds = held_seconds - outcome.latency_seconds
+            if outcome.outcome_class not in _UNSAMPLED_CLASSES:
+                self._hold_times.add(grant.request_kind, held_seconds)
+            if grant.crosses_link:
+                self._link.settle(grant.request_kind, release.answer_bytes)
+        if use is not None:
+            use.learn(outcome, load_age_seconds, now)
+
+    def _handle_cancel(self, cancel, now):
+        attempt_id = cancel.attempt_id
+        if self._memory.has_ended(attempt_id):
+            return
+        self._memory.keep_end(attempt_id, now)
+        self._queue.remove(attempt_id)
+        self._book.end(attempt_id, now)
+        if self.successor:
+            self._send(self.successor, cancel)
+        self._serve_waiting(now)
+        self._refuse_hopeless(0, now)
+
+    def _handle_handover(self, handover, now):
+        self._hold_times.take_over(handover.mean_seconds_by_kind)
+        for use in self._pool.list_uses():
+            use.trust_use()
+        for held in handover.grants:
+            use = self._pool.find_use(held.target)
+            if use is None or self._memory.has_ended(held.attempt_id):
+                continue
+            if self._book.find(held.attempt_id) is not None:
+                continue
+            grant = Grant(
+                use=use,
+                request_kind=held.request_kind,
+                granted_at=now - held.held_seconds,
+                hold_seconds=held.hold_seconds,
+            )
+            self._book.add(held.attempt_id, grant, now)
+        self._serve_waiting(now)
+        self._refuse_hopeless(0, now)
+
+    def _give_up(self, waiting, code, now):
+        self._queue.remove(waiting.request.attempt_id)
+        self._refuse(waiting.sender, waiting.request, code, now)
+
+    def _refuse(self, sender, request, code, now):
+        queue_seconds = len(self._queue) * self._hold_times.mean_seconds
+        queue_seconds /= max(1, self._pool.capacity)
+        refusal = SlotRefusal(
+            attempt_id=request.attempt_id,
+            code=code.number,
+            retry_after_seconds=max(MINIMUM_RETRY_AFTER_SECONDS, queue_seconds),
+        )
+        before = self._refusals_by_code.get(code.number, 0)
+        self._refusals_by_code[code.number] = before + 1
+        self._answer(sender, refusal, KEEP_SECONDS, now)
+
+    def _redirect(self, sender, request):
+        redirect = SlotRedirect(attempt_id=request.attempt_id, broker=self.successor)
+        self._send(sender, redirect)
+
+    def _answer(self, sender, answer, seconds, now):
+        self._memory.keep_answer(answer, seconds, now)
+        self._send(sender, answer)
+
+    def _send(self, to, message):
+        self._outgoing.append(Outgoing(to=to, message=message))
+
+    def _take_outgoing(self):
+        outgoing = self._outgoing
+        self._outgoing = []
+        return outgoing
--- /dev/null
+++ b/citronspan/core/broker_grants.py
@@ -0,0 +1,86 @@
+"""The grants of a broker that are not released yet."""
+
+from dataclasses import dataclass
+
+from citronspan.core.broker_expiry import ExpiryWheel
+from citronspan.core.broker_messages import HeldGrant
+from citronspan.core.broker_targets import TargetUse
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """A slot that is granted and not yet free.
+
+    Attributes:
+        use: The target's use, where the slot is counted.
+        request_kind: Request kind of the route.
+        granted_at: When it was granted.
+        hold_seconds: Time after which it is taken back.
+        crosses_link: Whether the link budget was spent on it.
+    """
+
+    use: TargetUse
+    request_kind: str
+    granted_at: float
+    hold_seconds: float
+    crosses_link: bool = False
+
+
+class GrantBook:
+    """Grants by attempt, counted at their targets."""
+
+    def __init__(self):
+        self._grant_by_id: dict[int, Grant] = {}
+        self._reclaims = ExpiryWheel()
+
+    def __len__(self):
+        """Return the number of grants."""
+        return len(self._grant_by_id)
+
+    def find(self, attempt_id: int) -> Grant | None:
+        """Return the grant of an attempt, if it holds a slot."""
+        return self._grant_by_id.get(attempt_id)
+
+    def add(self, attempt_id: int, grant: Grant, now: float) -> None:
+        """Count a grant at its target until it ends."""
+        grant.use.count_grant(now)
+        self._grant_by_id[attempt_id] = grant
+        self._reclaims.add(attempt_id, grant.granted_at + grant.hold_seconds)
+
+    def end(self, attempt_id: int, now: float) -> Grant | None:
+        """Free the slot of an attempt.
+
+        Returns:
+            The grant that ended, or None if the attempt held none.
+        """
+        grant = self._grant_by_id.pop(attempt_id, None)
+        if grant is None:
+            return None
+        self._reclaims.discard(attempt_id)
+        grant.use.count_end(now)
+        return grant
+
+    def reclaim_due(self, now: float) -> int:
+        """Free the slots whose release did not come in time.
+
+        Returns:
+            How many there were.
+        """
+        due = self._reclaims.pop_due(now)
+        for attempt_id in due:
+            grant = self._grant_by_id.pop(attempt_id)
+            grant.use.count_end(now)
+        return len(due)
+
+    def export(self, now: float) -> tuple[HeldGrant, ...]:
+        """Return all grants as they go into a handover."""
+        return tuple(
+            HeldGrant(
+                attempt_id=attempt_id,
+                target=grant.use.known.name,
+                request_kind=grant.request_kind,
+                held_seconds=now - grant.granted_at,
+                hold_seconds=grant.hold_seconds,
+            )
+            for attempt_id, grant in self._grant_by_id.items()
+        )
--- /dev/null
+++ b/citronspan/core/broker_messages.py
@@ -0,0 +1,179 @@
+"""Messages between entries and the brokers that hand out slots of targets.
+
+An entry asks with ``SlotRequest`` and gets ``SlotGrant``, ``SlotRefusal`` or
+``SlotRedirect``. It ends a granted attempt with ``SlotRelease``, and one that it has
+given up with ``SlotCancel``. Every message names the attempt, so that late, crossed
+and duplicated ones are told apart.
+"""
+
+import msgspec
+
+from citronspan.core.message_base import Message
+from citronspan.core.outcomes import Outcome
+
+
+class SlotRequest(Message, kw_only=True):
+    """A question for a slot of any target of a shard.
+
+    Attributes:
+        attempt_id: Random 64-bit number; the same when the question is sent again.
+        service: Name of the service.
+        region: Region of the shard.
+        shard: Number of the shard within the service and region.
+        deadline_seconds: Time left until the caller must have its answer.
+        worth: Worth of the request; more is served first.
+        idempotent: Whether the request may run more than once.
+        request_kind: Request kind of the route.
+        excluded: Names of targets that this request must not use.
+        fingerprint: Hash of what the request asks.
+        is_retry: Whether an earlier attempt of the request was dispatched.
+        from_region: Region of the entry where it differs, else empty.
+        body_bytes: Length of the request's body, as far as it is known.
+        insist: Whether to serve it although another broker is thought to serve the
+            shard, because the entry cannot reach that one.
+    """
+
+    attempt_id: int
+    service: str
+    region: str
+    shard: int
+    deadline_seconds: float
+    worth: float = 1.0
+    idempotent: bool = False
+    request_kind: str = ""
+    excluded: tuple[str, ...] = ()
+    fingerprint: int = 0
+    is_retry: bool = False
+    from_region: str = ""
+    body_bytes: int = 0
+    insist: bool = False
+
+
+class SlotGrant(Message, kw_only=True):
+    """A slot that the attempt may use until it is released.
+
+    Attributes:
+        attempt_id: The attempt.
+        target: Name of the target.
+        address: ``IP:PORT`` of the target.
+        hold_seconds: Time after which the broker takes the slot back unasked.
+        trial: Whether the target is being tried and may fail.
+        free_slots: Slots of the shard that are free after this grant.
+    """
+
+    attempt_id: int
+    target: str
+    address: str
+    hold_seconds: float
+    trial: bool = False
+    free_slots: int = 0
+
+
+class SlotRefusal(Message, kw_only=True):
+    """Word that the attempt gets no slot; nothing was run.
+
+    Attributes:
+        attempt_id: The attempt.
+        code: Number of the result code.
+        retry_after_seconds: When coming back may help, 0 where it does not.
+    """
+
+    attempt_id: int
+    code: int
+    retry_after_seconds: float = 0.0
+
+
+class SlotRedirect(Message, kw_only=True):
+    """Word that another entry is the broker; the attempt is still unanswered.
+
+    Attributes:
+        attempt_id: The attempt.
+        broker: Peer address of the broker in the sender's view, or empty.
+    """
+
+    attempt_id: int
+    broker: str = ""
+
+
+class SlotRelease(Message, kw_only=True):
+    """The end of an attempt, with what it came to.
+
+    Attempts that an entry dispatched without a grant are told of likewise, as
+    evidence.
+
+    Attributes:
+        attempt_id: The attempt.
+        service: Name of the service.
+        region: Region of the shard.
+        shard: Number of the shard.
+        outcome: What the attempt came to.
+        answer_bytes: Length of the answer's body.
+    """
+
+    attempt_id: int
+    service: str
+    region: str
+    shard: int
+    outcome: Outcome
+    answer_bytes: int = 0
+
+
+class SlotCancel(Message, kw_only=True):
+    """Word that the entry no longer wants the slot and has not used it.
+
+    Attributes:
+        attempt_id: The attempt.
+        service: Name of the service.
+        region: Region of the shard.
+        shard: Number of the shard.
+    """
+
+    attempt_id: int
+    service: str
+    region: str
+    shard: int
+
+
+class HeldGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A grant in a handover.
+
+    Attributes:
+        attempt_id: The attempt.
+        target: Name of the target.
+        request_kind: Request kind of the route.
+        held_seconds: Time since it was granted.
+        hold_seconds: Time after which it is taken back.
+    """
+
+    attempt_id: int
+    target: str
+    request_kind: str
+    held_seconds: float
+    hold_seconds: float
+
+
+class BrokerHandover(Message, kw_only=True):
+    """What a broker that stops serving a shard knows of it.
+
+    Attributes:
+        service: Name of the service.
+        region: Region of the shard.
+        shard: Number of the shard.
+        grants: Grants that are not released yet.
+        mean_seconds_by_kind: Mean time that a slot is held, by request kind.
+        evidence: What detection knows, in detection's own encoding.
+    """
+
+    service: str
+    region: str
+    shard: int
+    grants: tuple[HeldGrant, ...] = ()
+    mean_seconds_by_kind: dict[str, float] = {}
+    evidence: bytes = b""
+
+
+BrokerMessage = SlotRequest | SlotRelease | SlotCancel | BrokerHandover
+"""Messages that a broker takes."""
+
+EntryMessage = SlotGrant | SlotRefusal | SlotRedirect
+"""Messages that an entry takes from a broker."""
--- /dev/null
+++ b/citronspan/core/broker_pool.py
@@ -0,0 +1,124 @@
+"""The targets of one shard with their free slots, and the choice among them."""
+
+from citronspan.core.broker_messages import SlotRequest
+from citronspan.core.broker_targets import TargetUse
+from citronspan.core.health import Health, KnownTarget, TargetLimit
+
+
+class TargetPool:
+    """Targets, what detection allows of them, and their use.
+
+    Attributes:
+        health: Detection for the shard.
+        capacity: Slots that requests other than trials may use, as last read.
+    """
+
+    def __init__(self, *, health: Health, targets: tuple[KnownTarget, ...], now: float):
+        self.health = health
+        self.capacity = 0
+        self._use_by_target: dict[str, TargetUse] = {}
+        self._gone_by_target: dict[str, TargetUse] = {}
+        self._limits: dict[str, TargetLimit] = {}
+        self.set_targets(targets, now)
+
+    def set_targets(self, targets: tuple[KnownTarget, ...], now: float) -> None:
+        """Take the targets as they are now; those that stay keep their use.
+
+        The use of a new one is unknown, since it may come from another shard. The
+        use of one that went is kept while grants are at it, for it may come back.
+        """
+        self.health.set_targets(targets)
+        for use in self._use_by_target.values():
+            self._gone_by_target[use.known.name] = use
+        self._use_by_target = {}
+        for known in targets:
+            use = self._gone_by_target.pop(known.name, None)
+            if use is None:
+                use = TargetUse(known=known, now=now)
+            use.known = known
+            self._use_by_target[known.name] = use
+        for name, use in list(self._gone_by_target.items()):
+            if use.granted == 0:
+                del self._gone_by_target[name]
+        self.read_limits(now)
+
+    def list_uses(self) -> list[TargetUse]:
+        """Return the use of each target."""
+        return list(self._use_by_target.values())
+
+    def find_use(self, target: str) -> TargetUse | None:
+        """Return the use of a target, or None if it is not of this shard."""
+        return self._use_by_target.get(target)
+
+    def is_trial(self, target: str) -> bool:
+        """Return whether a target is being tried, as last read."""
+        return self._limits[target].trial
+
+    def read_limits(self, now: float) -> None:
+        """Ask detection for the limits of this moment."""
+        self._limits = self.health.find_limits()
+        capacity = 0
+        for use, limit in self._list_limited():
+            if not limit.trial:
+                capacity += use.find_usable(limit, now)
+        self.capacity = capacity
+
+    def count_free(self, now: float) -> int:
+        """Return the free slots of all targets, trials included."""
+        return sum(
+            max(0, use.find_free(limit, now)) for use, limit in self._list_limited()
+        )
+
+    def has_usable(self, request: SlotRequest, now: float) -> bool:
+        """Return whether a slot for the request could ever come free."""
+        if not request.excluded:
+            return self.capacity > 0
+        for use, limit in self._list_limited():
+            if limit.trial or use.known.name in request.excluded:
+                continue
+            if use.find_usable(limit, now) > 0:
+                return True
+        return False
+
+    def choose(self, request: SlotRequest, now: float) -> TargetUse | None:
+        """Choose a target with a free slot for a request.
+
+        A trial goes first, or it would not come about at low load; only requests
+        that may run twice are used for it. Requests that must not run twice avoid
+        targets that are not fully trusted. Then the target goes first of which the
+        largest share is free, and equal ones take turns.
+
+        Args:
+            request: The request.
+            now: Present time.
+
+        Returns:
+            The target's use, or None if there is no free slot for the request.
+        """
+        best = None
+        best_rank = None
+        count = len(self._use_by_target)
+        for index, (use, limit) in enumerate(self._list_limited()):
+            if use.known.name in request.excluded:
+                continue
+            if limit.trial and (request.is_retry or not request.idempotent):
+                continue
+            free = use.find_free(limit, now)
+            if free <= 0:
+                continue
+            is_doubtful = not request.idempotent and limit.slots < use.known.slots
+            turn = (index + request.attempt_id) % count
+            rank = (not limit.trial, is_doubtful, -free / limit.slots, turn)
+            if best is not None and rank >= best_rank:
+                continue
+            best = use
+            best_rank = rank
+        return best
+
+    def _list_limited(self):
+        limited = []
+        for name, use in self._use_by_target.items():
+            limit = self._limits.get(name)
+            if limit is not None:
+                limited.append((use, limit))
+        return limited
--- /dev/null
+++ b/citronspan/core/broker_set.py
@@ -0,0 +1,218 @@
+"""All brokers of one entry, and the entry's knowledge of who is broker of what.
+
+It routes messages to the broker of their shard, makes a broker when the first
+message for a shard arrives, and hands a shard over when the view of the fleet makes
+another entry its broker.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol, runtime_checkable
+
+from citronspan.core.broker import Broker, BrokerStatus
+from citronspan.core.broker_messages import (
+    BrokerHandover,
+    BrokerMessage,
+    SlotCancel,
+    SlotRedirect,
+    SlotRefusal,
+    SlotRequest,
+)
+from citronspan.core.health import Health, KnownTarget
+from citronspan.core.message_base import Outgoing
+from citronspan.core.node_messages import NodeInfo
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.result_codes import NO_CAPACITY
+from citronspan.core.shards import BrokerTable, Shard, ShardKey, form_shards
+
+
+@runtime_checkable
+class PortableHealth(Protocol):
+    """Detection whose evidence goes with a shard to its next broker."""
+
+    def export_evidence(self) -> bytes:
+        """Return the evidence in detection's own encoding."""
+
+    def import_evidence(self, evidence: bytes) -> None:
+        """Merge the evidence of an earlier broker."""
+
+
+class BrokerSet:
+    """The brokers that one entry runs.
+
+    Attributes:
+        shards_by_group: Shards by service name and region.
+        table: The broker of each shard in the present view.
+    """
+
+    def __init__(
+        self, *, address: str, make_health: Callable[[ShardKey, ServiceSpec], Health]
+    ):
+        """Make an empty set.
+
+        Args:
+            address: Peer address of this entry.
+            make_health: Makes detection for a shard.
+        """
+        self.address = address
+        self.shards_by_group: dict[tuple[str, str], tuple[Shard, ...]] = {}
+        self.table = BrokerTable()
+        self._make_health = make_health
+        self._spec_by_service: dict[str, ServiceSpec] = {}
+        self._shard_by_key: dict[ShardKey, Shard] = {}
+        self._broker_by_key: dict[ShardKey, Broker] = {}
+
+    def describe(self) -> list[BrokerStatus]:
+        """Return what each broker is doing."""
+        return [broker.describe() for broker in self._broker_by_key.values()]
+
+    def find_health(self, key: ShardKey) -> Health | None:
+        """Return the detection of a shard that this entry is the broker of."""
+        broker = self._broker_by_key.get(key)
+        return None if broker is None else broker.health
+
+    def set_service(
+        self, service: str, spec: ServiceSpec, targets: Iterable[KnownTarget]
+    ) -> list[Outgoing]:
+        """Take a service as it is now; to be called for changed services only.
+
+        Args:
+            service: Name of the service.
+            spec: Its rules.
+            targets: All its targets in all regions, leaving ones marked.
+
+        Returns:
+            Messages to send.
+        """
+        self._drop_service(service)
+        self._spec_by_service[service] = spec
+        for region, shards in form_shards(service, targets, spec.shard_size).items():
+            self.shards_by_group[service, region] = shards
+            for shard in shards:
+                self._shard_by_key[shard.key] = shard
+        return self._update_brokers(service)
+
+    def remove_service(self, service: str) -> list[Outgoing]:
+        """Forget a service.
+
+        Returns:
+            Refusals for the requests that wait.
+        """
+        self._drop_service(service)
+        self._spec_by_service.pop(service, None)
+        return self._update_brokers(service)
+
+    def set_nodes(self, nodes: Iterable[NodeInfo]) -> list[Outgoing]:
+        """Take a new view of the fleet.
+
+        Args:
+            nodes: All live nodes, this one included.
+
+        Returns:
+            Handovers of shards that now have another broker.
+        """
+        self.table.set_nodes(nodes)
+        outgoing = []
+        for key, broker in self._broker_by_key.items():
+            address = self.table.find_address(key)
+            if address == self.address:
+                broker.resume()
+                continue
+            if not address or broker.successor == address:
+                continue
+            outgoing += broker.hand_over(address, _export_evidence(broker.health))
+        return outgoing
+
+    def handle(self, sender: str, message: BrokerMessage) -> list[Outgoing]:
+        """Handle one message for a broker.
+
+        Args:
+            sender: Peer address of the sender.
+            message: The message.
+
+        Returns:
+            Messages to send.
+        """
+        key = ShardKey(
+            service=message.service, region=message.region, number=message.shard
+        )
+        broker = self._broker_by_key.get(key)
+        if broker is None:
+            if not self._is_served(key, message):
+                return self._answer_without_broker(sender, key, message)
+            broker = self._make_broker(key)
+        if isinstance(message, BrokerHandover):
+            _import_evidence(broker.health, message.evidence)
+        return broker.handle(sender, message)
+
+    def advance(self) -> list[Outgoing]:
+        """Do what is due by time; to be called several times a second.
+
+        Returns:
+            Messages to send.
+        """
+        outgoing = []
+        for key, broker in list(self._broker_by_key.items()):
+            outgoing += broker.advance()
+            is_mine = self.table.find_address(key) == self.address
+            if is_mine and key in self._shard_by_key:
+                continue
+            if broker.is_idle():
+                del self._broker_by_key[key]
+        return outgoing
+
+    def _is_served(self, key, message):
+        """Return whether a message begins a broker that is not there yet."""
+        if key not in self._shard_by_key or isinstance(message, SlotCancel):
+            return False
+        if isinstance(message, BrokerHandover):
+            return True
+        if isinstance(message, SlotRequest) and message.insist:
+            return True
+        return self.table.find_address(key) == self.address
+
+    def _answer_without_broker(self, sender, key, message):
+        if not isinstance(message, SlotRequest):
+            return []
+        attempt_id = message.attempt_id
+        if key in self._shard_by_key:
+            broker = self.table.find_address(key)
+            answer = SlotRedirect(attempt_id=attempt_id, broker=broker)
+        else:
+            answer = SlotRefusal(attempt_id=attempt_id, code=NO_CAPACITY.number)
+        return [Outgoing(to=sender, message=answer)]
+
+    def _make_broker(self, key):
+        shard = self._shard_by_key[key]
+        spec = self._spec_by_service[key.service]
+        group = self.shards_by_group[key.service, key.region]
+        broker = Broker(
+            key=key,
+            health=self._make_health(key, spec),
+            targets=shard.targets,
+            link_bytes_per_second=spec.link_bytes_per_second / len(group),
+        )
+        self._broker_by_key[key] = broker
+        return broker
+
+    def _drop_service(self, service):
+        for group in [group for group in self.shards_by_group if group[0] == service]:
+            for shard in self.shards_by_group.pop(group):
+                del self._shard_by_key[shard.key]
+
+    def _update_brokers(self, service):
+        outgoing = []
+        for key, broker in self._broker_by_key.items():
+            if key.service != service:
+                continue
+            shard = self._shard_by_key.get(key)
+            outgoing += broker.set_targets(shard.targets if shard else ())
+        return outgoing
+
+
+def _export_evidence(health: Health) -> bytes:
+    return health.export_evidence() if isinstance(health, PortableHealth) else b""
+
+
+def _import_evidence(health: Health, evidence: bytes) -> None:
+    if evidence and isinstance(health, PortableHealth):
+        health.import_evidence(evidence)
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -65,6 +65,15 @@
 REQUEST_QUARANTINED = _define(
     205, "request-quarantined", "WARNING", "A request coincided with target crashes."
 )
+BROKER_HANDED_OVER = _define(
+    260, "broker-handed-over", "NOTICE", "Another entry is the broker of a shard now."
+)
+BROKER_STARTED = _define(
+    261, "broker-started", "NOTICE", "The entry is the broker of a shard now."
+)
+SLOT_RECLAIMED = _define(
+    262, "slot-reclaimed", "WARNING", "A slot's release did not come; it is free again."
+)
 
 # 300-399: the agent.
 CONFIGURATION_APPLIED = _define(
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from citronspan.core.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 
@@ -25,7 +26,7 @@
     fleet: str
     sender: str
     incarnation: int
-    body: ConfigurationPush | ViewPush | EntryReport
+    body: ConfigurationPush | ViewPush | EntryReport | BrokerMessage | EntryMessage
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -143,6 +143,16 @@
 CONFIGURATION_MISSING = _define(
     3013, "configuration-missing", 503, _NOT, "The entry has no configuration yet."
 )
+LINK_BUDGET_SPENT = _define(
+    3060,
+    "link-budget-spent",
+    503,
+    _NOT,
+    "The request may not use the link between the regions now.",
+)
+ATTEMPT_CANCELLED = _define(
+    3061, "attempt-cancelled", 503, _NOT, "The entry gave the attempt up itself."
+)
 
 # 4000-4099: idempotency keys.
 KEY_INVALID = _define(4001, "key-invalid", 400, _NOT, "The key is not well formed.")
--- /dev/null
+++ b/citronspan/core/slot_queue.py
@@ -0,0 +1,94 @@
+"""Requests that wait for a slot, the most worthy first, then by deadline."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from sortedcontainers import SortedKeyList
+
+from citronspan.core.broker_messages import SlotRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitingRequest:
+    """A request that waits.
+
+    Attributes:
+        request: What was asked.
+        sender: Peer address of the entry.
+        number: Number that grows with each arrival; the earlier goes first where
+            all else is equal.
+        deadline_at: Deadline of the caller on the broker's clock.
+    """
+
+    request: SlotRequest
+    sender: str
+    number: int
+    deadline_at: float
+
+
+def _find_place(waiting: WaitingRequest):
+    return (-waiting.request.worth, waiting.deadline_at, waiting.number)
+
+
+def _find_deadline(waiting: WaitingRequest):
+    return (waiting.deadline_at, waiting.number)
+
+
+class SlotQueue:
+    """The waiting requests of one shard."""
+
+    def __init__(self):
+        self._in_order = SortedKeyList(key=_find_place)
+        self._by_deadline = SortedKeyList(key=_find_deadline)
+        self._waiting_by_id: dict[int, WaitingRequest] = {}
+
+    def __len__(self):
+        """Return the number of requests."""
+        return len(self._waiting_by_id)
+
+    def __contains__(self, attempt_id: int):
+        """Return whether an attempt waits."""
+        return attempt_id in self._waiting_by_id
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Iterate in the order in which the requests are served."""
+        return iter(self._in_order)
+
+    def find_place(self, waiting: WaitingRequest) -> int:
+        """Return how many requests are before this one, queued or not."""
+        return self._in_order.bisect_key_left(_find_place(waiting))
+
+    def find_first(self) -> WaitingRequest | None:
+        """Return the request that is served next."""
+        return self._in_order[0] if self._in_order else None
+
+    def find_last(self) -> WaitingRequest | None:
+        """Return the request that is given up first."""
+        return self._in_order[-1] if self._in_order else None
+
+    def find_earliest_deadline(self) -> float:
+        """Return the earliest deadline of all, infinity without requests."""
+        return self._by_deadline[0].deadline_at if self._by_deadline else float("inf")
+
+    def list_from(self, place: int) -> list[WaitingRequest]:
+        """Return the requests from a place on, in order."""
+        return list(self._in_order.islice(place))
+
+    def add(self, waiting: WaitingRequest) -> None:
+        """Add a request."""
+        self._in_order.add(waiting)
+        self._by_deadline.add(waiting)
+        self._waiting_by_id[waiting.request.attempt_id] = waiting
+
+    def remove(self, attempt_id: int) -> WaitingRequest | None:
+        """Remove a request.
+
+        Returns:
+            The request, or None if it does not wait.
+        """
+        waiting = self._waiting_by_id.pop(attempt_id, None)
+        if waiting is None:
+            return None
+        self._in_order.remove(waiting)
+        self._by_deadline.remove(waiting)
+        return waiting
