Detect gray targets by a sequential test against their peers

Cause: brokers need to know which targets may get how much work; one entry alone sees too little, and health endpoints mislead.

Ruled out: a fixed failure ratio (blind to slowness, and a fault common to all targets ejects all of them); comparing latencies by their values (one extreme answer outweighs many).

Change: CUSUM charts per target for failed, slow and very slow answers whose evidence is the likelihood ratio against the peers in the same time; floor, verdict table, trial with back-off, slow start, and ServiceHealth that ties them together. The modules are named cusum*, because pytest takes any *_test.py for tests.

Conclusion: complete in a simple form; not measured yet.

--- /dev/null
+++ b/citronspan/core/cusum_counts.py
@@ -0,0 +1,94 @@
+"""What the sequential test counts: marks by target, and latency levels by kind."""
+
+import enum
+
+# Quantile of the latency that divides slow from not slow, and the factor from there
+# to very slow.
+SLOW_QUANTILE = 0.75
+VERY_SLOW_FACTOR = 2.5
+QUANTILE_STEP = 0.02
+
+MAX_REQUEST_KINDS = 256
+
+
+class Mark(enum.IntEnum):
+    """What an outcome may show against a target."""
+
+    FAILED = 0
+    SLOW = 1
+    VERY_SLOW = 2
+
+
+MARKS = tuple(Mark)
+INITIAL_SHARE_BY_MARK = (0.01, 1 - SLOW_QUANTILE, 0.01)
+
+
+class LatencyLevels:
+    """Running quantile of the latency of each request kind.
+
+    The update is multiplicative: Yazidi and Hammer, "Multiplicative update methods
+    for incremental quantile estimation", IEEE Transactions on Cybernetics 49(3),
+    2019.
+    """
+
+    __slots__ = ("seconds_by_kind",)
+
+    def __init__(self):
+        self.seconds_by_kind: dict[str, float] = {}
+
+    def get_level(self, kind: str) -> float:
+        """Return the slow latency of a request kind, 0 while it is unknown."""
+        return self.seconds_by_kind.get(kind, 0.0)
+
+    def add(self, kind: str, latency_seconds: float) -> float:
+        """Add a latency.
+
+        Args:
+            kind: Request kind.
+            latency_seconds: Latency of a good answer.
+
+        Returns:
+            The level before this latency, in seconds.
+        """
+        level = self.seconds_by_kind.get(kind)
+        if level is None:
+            level = max(latency_seconds, 1e-6)
+            if len(self.seconds_by_kind) < MAX_REQUEST_KINDS:
+                self.seconds_by_kind[kind] = level
+            return level
+        if latency_seconds > level:
+            factor = 1 + QUANTILE_STEP * SLOW_QUANTILE
+        else:
+            factor = 1 - QUANTILE_STEP * (1 - SLOW_QUANTILE)
+        self.seconds_by_kind[kind] = max(level * factor, 1e-6)
+        return level
+
+
+class Counts:
+    """Counts of outcomes and marks, since ever and with exponential decay.
+
+    The decay uses weights that grow instead of sums that shrink, so that adding
+    touches one target only: Cormode et al., "Forward decay: a practical time decay
+    model for streaming systems", ICDE 2009.
+    """
+
+    __slots__ = ("outcomes", "marked", "decayed_outcomes", "decayed_marked")
+
+    def __init__(self):
+        self.outcomes = [0, 0, 0]
+        self.marked = [0, 0, 0]
+        self.decayed_outcomes = [0.0, 0.0, 0.0]
+        self.decayed_marked = [0.0, 0.0, 0.0]
+
+    def add(self, mark: int, marked: bool, weight: float) -> None:
+        """Add an outcome for a mark with the present weight."""
+        self.outcomes[mark] += 1
+        self.decayed_outcomes[mark] += weight
+        if marked:
+            self.marked[mark] += 1
+            self.decayed_marked[mark] += weight
+
+    def scale(self, factor: float) -> None:
+        """Scale the decayed sums."""
+        self.decayed_outcomes = [value * factor for value in self.decayed_outcomes]
+        self.decayed_marked = [value * factor for value in self.decayed_marked]
--- /dev/null
+++ b/citronspan/core/service_health.py
@@ -0,0 +1,497 @@
+"""Detection for the targets of one service or shard: states, limits, verdicts.
+
+The class ties together the sequential test, the floor, trials and slow start, and
+steps the chart ``target``. It has no sockets and no threads; the broker that owns it
+calls it from one thread.
+"""
+
+import math
+import time
+from collections import deque
+
+from citronspan.core import trial
+from citronspan.core.cusum import SUSPECT_SHARE, ServiceTest
+from citronspan.core.cusum_counts import VERY_SLOW_FACTOR, Mark
+from citronspan.core.floor import FloorResult, apply_floor
+from citronspan.core.health import KnownTarget, TargetLimit
+from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.service_health_record import (
+    CHART,
+    REMEMBERED_FAILURES,
+    TargetRecord,
+)
+from citronspan.core.service_health_types import (
+    HealthStatus,
+    StateChange,
+    TargetStatus,
+)
+from citronspan.core.verdicts import CombinedVerdicts, Verdict, VerdictTable
+from citronspan.utils.statecharts import step_chart, takes_event
+
+FAILURE_CLASSES = frozenset(
+    {
+        OutcomeClass.TARGET_ERROR,
+        OutcomeClass.ANSWER_LOST,
+        OutcomeClass.TIMED_OUT,
+        OutcomeClass.CONNECT_FAILED,
+    }
+)
+IGNORED_CLASSES = frozenset({OutcomeClass.NOT_USED, OutcomeClass.SHED})
+
+# While slow start is under way the limits are computed anew this often.
+RAMP_STEP_SECONDS = 0.25
+
+
+class ServiceHealth:
+    """Detection for the targets of one service or shard, floor included."""
+
+    def __init__(self, *, name: str, spec: ServiceSpec):
+        now = time.monotonic()
+        self._name = name
+        self._spec = spec
+        self._test = ServiceTest(costs=spec.costs, now=now)
+        self._record_by_target: dict[str, TargetRecord] = {}
+        self._limit_by_target: dict[str, TargetLimit] = {}
+        self._due_at = -math.inf
+        self._sequence = 0
+        self._changes: deque[StateChange] = deque(maxlen=256)
+        self._floor = apply_floor(
+            slots_by_target={}, evidence_by_target={}, leaving=set(), floor=0.0
+        )
+
+    def set_targets(self, targets: tuple[KnownTarget, ...]) -> None:
+        """Take the targets that exist now; evidence on the others is dropped.
+
+        A target under a new address is a new target. Those of the first call are
+        taken as warm, later ones go through slow start.
+
+        Args:
+            targets: The targets of the service or shard.
+        """
+        now = time.monotonic()
+        first = not self._record_by_target
+        known_by_name = {known.name: known for known in targets}
+        for name, record in list(self._record_by_target.items()):
+            known = known_by_name.get(name)
+            if known is None or known.address != record.known.address:
+                self._step(record, "removed", now, "it is no longer listed")
+                del self._record_by_target[name]
+        self._test.set_targets(frozenset(self._record_by_target))
+        for known in targets:
+            record = self._record_by_target.get(known.name)
+            if record is None:
+                record = TargetRecord(known=known, now=now)
+                record.ramp_started_at = -math.inf if first else now
+                self._record_by_target[known.name] = record
+            self._take_leaving(record, known, now)
+        self._test.set_targets(frozenset(self._record_by_target))
+        self._due_at = -math.inf
+
+    def _take_leaving(
+        self, record: TargetRecord, known: KnownTarget, now: float
+    ) -> None:
+        was_leaving = record.known.leaving
+        record.known = known
+        if known.leaving and takes_event(CHART, record.state, "drain"):
+            self._step(record, "drain", now, "its list or resource shows it leaving")
+        if was_leaving and not known.leaving and record.state == "draining":
+            self._begin_trial(record, "returned", now, 0.0, "it is no longer leaving")
+
+    def observe(self, outcome: Outcome) -> None:
+        """Take one outcome as evidence.
+
+        Args:
+            outcome: The outcome of one attempt; unknown targets are passed over.
+        """
+        record = self._record_by_target.get(outcome.target)
+        outcome_class = outcome.outcome_class
+        if record is None or outcome_class in IGNORED_CLASSES:
+            return
+        now = time.monotonic()
+        if outcome_class is OutcomeClass.DRAINING:
+            self._take_draining_sign(record, now)
+            return
+        if outcome_class is OutcomeClass.STARTING:
+            self._take_starting_sign(record, now)
+            return
+        if record.state == "draining":
+            return
+        failed = outcome_class in FAILURE_CLASSES
+        if not failed and outcome_class is not OutcomeClass.OK:
+            self._take_given_up(record, outcome, now)
+            return
+        if failed and self._is_too_short(outcome):
+            return
+        if record.state in ("ejected", "trial"):
+            self._add_to_trial(record, outcome, failed, now)
+            return
+        self._add_to_test(record, outcome, failed, now)
+
+    def _is_too_short(self, outcome: Outcome) -> bool:
+        """Return whether the caller gave less time than a good answer may take."""
+        if outcome.outcome_class is not OutcomeClass.TIMED_OUT:
+            return False
+        level = self._test.levels.get_level(outcome.request_kind)
+        return outcome.deadline_seconds < level * VERY_SLOW_FACTOR
+
+    def _take_given_up(
+        self, record: TargetRecord, outcome: Outcome, now: float
+    ) -> None:
+        """Count a cancelled attempt only if even a slow answer was overdue."""
+        level = self._test.levels.get_level(outcome.request_kind)
+        if not 0 < level * VERY_SLOW_FACTOR < outcome.latency_seconds:
+            return
+        if record.state not in ("healthy", "suspect"):
+            return
+        evidence = self._test.add_unanswered(outcome.target, level, now)
+        self._judge(record, evidence, now)
+
+    def _add_to_test(
+        self, record: TargetRecord, outcome: Outcome, failed: bool, now: float
+    ) -> None:
+        if now - outcome.latency_seconds < record.returned_at:
+            return
+        if failed:
+            evidence = self._test.add_failure(outcome.target, now)
+            record.failures.append(outcome.fingerprint)
+        else:
+            evidence = self._test.add_answer(
+                outcome.target, outcome.request_kind, outcome.latency_seconds, now
+            )
+        self._judge(record, evidence, now)
+
+    def _judge(self, record: TargetRecord, evidence: float, now: float) -> None:
+        record.evidence = evidence
+        threshold = self._test.threshold
+        if evidence >= threshold:
+            self._eject(record, now)
+            return
+        if record.state == "healthy" and evidence >= threshold * SUSPECT_SHARE:
+            why = self._test.find_strongest(record.known.name).describe()
+            self._step(record, "suspected", now, why)
+            return
+        if record.state == "suspect" and evidence < threshold * SUSPECT_SHARE / 2:
+            self._step(record, "cleared", now, "the evidence against it has gone")
+
+    def _eject(self, record: TargetRecord, now: float) -> None:
+        name = record.known.name
+        strongest = self._test.find_strongest(name)
+        record.mark = strongest.mark
+        record.gray_share = strongest.share
+        record.back_off_seconds = trial.compute_relapse_back_off(
+            record.back_off_seconds, now - record.returned_at
+        )
+        self._step(record, "convicted", now, strongest.describe())
+        self._wait_for_trial(record, now)
+
+    def _wait_for_trial(self, record: TargetRecord, now: float) -> None:
+        record.trial_at = now + record.back_off_seconds
+        record.trial = self._make_trial(record)
+
+    def _make_trial(self, record: TargetRecord) -> trial.TrialTest:
+        usual = self._test.get_long_run(record.known.name, record.mark)
+        return trial.TrialTest(usual=usual, gray=record.gray_share)
+
+    def _add_to_trial(
+        self, record: TargetRecord, outcome: Outcome, failed: bool, now: float
+    ) -> None:
+        """Add an answer to a request that was sent since the trial began."""
+        if now - outcome.latency_seconds < record.since:
+            return
+        kept = record.known.name in self._floor.ignored
+        if record.state == "ejected" and not kept:
+            return
+        record.starting_seconds = 0.0
+        record.trial.add(failed or self._is_gray_answer(record, outcome))
+        if record.trial.passed:
+            self._return(record, now)
+            return
+        if not record.trial.failed:
+            return
+        if record.state == "trial":
+            record.back_off_seconds = trial.compute_failed_trial_back_off(
+                record.back_off_seconds
+            )
+            self._step(record, "failed", now, "its trial requests were not answered")
+        self._wait_for_trial(record, now)
+
+    def _is_gray_answer(self, record: TargetRecord, outcome: Outcome) -> bool:
+        slow, very_slow = self._test.judge_answer(
+            outcome.request_kind, outcome.latency_seconds
+        )
+        return very_slow if record.mark != Mark.SLOW else slow
+
+    def _return(self, record: TargetRecord, now: float) -> None:
+        self._step(record, "passed", now, "it answered its trial requests well")
+        record.evidence = 0.0
+        record.returned_at = now
+        record.ramp_started_at = now
+        record.starting_seconds = 0.0
+        record.trial = None
+        record.failures.clear()
+        self._test.test_by_target[record.known.name].reset()
+
+    def _take_draining_sign(self, record: TargetRecord, now: float) -> None:
+        if not takes_event(CHART, record.state, "drain"):
+            return
+        if record.told_draining:
+            record.draining_seconds = min(2 * record.draining_seconds, 3600.0)
+        record.told_draining = True
+        record.trial_at = now + record.draining_seconds
+        self._step(record, "drain", now, "it answers that it is draining")
+
+    def _take_starting_sign(self, record: TargetRecord, now: float) -> None:
+        if not takes_event(CHART, record.state, "starting"):
+            return
+        wait = max(2 * record.starting_seconds, trial.STARTING_SECONDS)
+        record.starting_seconds = min(wait, trial.MAX_STARTING_SECONDS)
+        self._begin_trial(
+            record,
+            "starting",
+            now,
+            record.starting_seconds,
+            "it answers that it starts",
+        )
+
+    def _begin_trial(
+        self,
+        record: TargetRecord,
+        event: str,
+        now: float,
+        wait_seconds: float,
+        why: str,
+    ) -> None:
+        self._step(record, event, now, why)
+        record.trial_at = now + wait_seconds
+        if record.trial is None:
+            record.trial = self._make_trial(record)
+
+    def note_trial(self, target: str) -> None:
+        """Note that a trial request was sent to a target."""
+        record = self._record_by_target.get(target)
+        if record is None or record.state != "trial":
+            return
+        record.trial_at = time.monotonic() + trial.TRIAL_SPACING_SECONDS
+        self._due_at = -math.inf
+
+    def withdraw(self, fingerprint: int) -> None:
+        """Take back the evidence that came from a request that crashes targets.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        if fingerprint == 0:
+            return
+        now = time.monotonic()
+        for name, record in self._record_by_target.items():
+            count = record.failures.count(fingerprint)
+            if count == 0 or record.state not in ("healthy", "suspect", "ejected"):
+                continue
+            remaining = [other for other in record.failures if other != fingerprint]
+            record.failures = deque(remaining, maxlen=REMEMBERED_FAILURES)
+            evidence = self._test.withdraw_failures(name, count)
+            if record.state != "ejected":
+                self._judge(record, evidence, now)
+                continue
+            if evidence < self._test.threshold:
+                self._return(record, now)
+                record.why = (
+                    "what it was ejected for was a request that crashes targets"
+                )
+
+    def find_limits(self) -> dict[str, TargetLimit]:
+        """Return the limit of each target by its name, the floor applied.
+
+        Returns:
+            The limits; the same object until something changes, so callers must not
+            change it.
+        """
+        now = time.monotonic()
+        if now >= self._due_at:
+            self._recompute(now)
+        return self._limit_by_target
+
+    def _recompute(self, now: float) -> None:
+        for record in self._record_by_target.values():
+            self._take_timers(record, now)
+        self._due_at = math.inf
+        self._floor = self._apply_floor(now)
+        limit_by_target = self._compute_limits(now, ramped=True)
+        full = sum(limit.slots for limit in limit_by_target.values() if not limit.trial)
+        if full < self._floor.floor_slots:
+            limit_by_target = self._compute_limits(now, ramped=False)
+        self._limit_by_target = limit_by_target
+
+    def _compute_limits(self, now: float, *, ramped: bool) -> dict[str, TargetLimit]:
+        limit_by_target = {}
+        for name, record in self._record_by_target.items():
+            limit_by_target[name] = self._compute_limit(record, now, ramped)
+        return limit_by_target
+
+    def _take_timers(self, record: TargetRecord, now: float) -> None:
+        if record.state == "ejected" and now >= record.trial_at:
+            self._begin_trial(record, "trial-due", now, 0.0, record.why)
+        told_only = record.told_draining and not record.known.leaving
+        if record.state == "draining" and told_only and now >= record.trial_at:
+            why = "it has not been seen leaving since it said so"
+            self._begin_trial(record, "returned", now, 0.0, why)
+
+    def _apply_floor(self, now: float) -> FloorResult:
+        evidence_by_target = {}
+        leaving = set()
+        for name, record in self._record_by_target.items():
+            if record.state == "draining":
+                leaving.add(name)
+            if record.state == "trial" and record.starting_seconds > 0:
+                leaving.add(name)
+            if record.state in ("ejected", "trial"):
+                evidence_by_target[name] = record.evidence
+        return apply_floor(
+            slots_by_target={
+                name: record.known.slots
+                for name, record in self._record_by_target.items()
+            },
+            evidence_by_target=evidence_by_target,
+            leaving=leaving,
+            floor=self._spec.floor,
+        )
+
+    def _compute_limit(
+        self, record: TargetRecord, now: float, ramped: bool
+    ) -> TargetLimit:
+        name = record.known.name
+        if name in self._floor.ignored:
+            return TargetLimit(target=name, slots=record.known.slots)
+        if record.state == "draining":
+            self._expect(record.trial_at, now)
+            return TargetLimit(target=name, slots=0)
+        if record.state == "ejected":
+            self._expect(record.trial_at, now)
+            return TargetLimit(target=name, slots=0)
+        if record.state == "trial":
+            if now < record.trial_at:
+                self._expect(record.trial_at, now)
+                return TargetLimit(target=name, slots=0, trial=True)
+            return TargetLimit(target=name, slots=1, trial=True)
+        age = now - record.ramp_started_at
+        if ramped and age < trial.RAMP_SECONDS:
+            self._due_at = min(self._due_at, now + RAMP_STEP_SECONDS)
+            slots = trial.compute_ramped_slots(record.known.slots, age)
+            return TargetLimit(target=name, slots=slots)
+        return TargetLimit(target=name, slots=record.known.slots)
+
+    def _expect(self, due_at: float, now: float) -> None:
+        if due_at > now:
+            self._due_at = min(self._due_at, due_at)
+
+    def _step(self, record: TargetRecord, event: str, now: float, why: str) -> None:
+        before = record.state
+        record.state = step_chart(CHART, before, event)
+        record.why = why
+        record.since = now
+        self._due_at = -math.inf
+        self._changes.append(
+            StateChange(
+                target=record.known.name, before=before, after=record.state, why=why
+            )
+        )
+
+    def take_changes(self) -> tuple[StateChange, ...]:
+        """Return the changes of state since the last call, for the log."""
+        changes = tuple(self._changes)
+        self._changes.clear()
+        return changes
+
+    def export_verdicts(self, *, issuer: str, incarnation: int) -> tuple[Verdict, ...]:
+        """Return what is held of each target, for a successor and for entries.
+
+        Args:
+            issuer: Name of the node.
+            incarnation: Incarnation of the process.
+
+        Returns:
+            One verdict for each target.
+        """
+        now = time.monotonic()
+        self.find_limits()
+        self._sequence += 1
+        verdicts = []
+        for name, record in self._record_by_target.items():
+            verdicts.append(
+                Verdict(
+                    target=name,
+                    address=record.known.address,
+                    issuer=issuer,
+                    issuer_incarnation=incarnation,
+                    sequence=self._sequence,
+                    state=record.state,
+                    evidence=record.evidence,
+                    age_seconds=now - record.since,
+                    back_off_seconds=record.back_off_seconds,
+                )
+            )
+        return tuple(verdicts)
+
+    def import_verdicts(self, table: VerdictTable) -> None:
+        """Begin with what other brokers held; own evidence goes first.
+
+        Args:
+            table: Verdicts that are in force.
+        """
+        now = time.monotonic()
+        address_by_target = {
+            name: record.known.address
+            for name, record in self._record_by_target.items()
+        }
+        combined = table.combine(address_by_target)
+        for record in self._record_by_target.values():
+            if record.state not in ("healthy", "suspect"):
+                continue
+            self._import(record, combined, now)
+
+    def _import(
+        self, record: TargetRecord, combined: CombinedVerdicts, now: float
+    ) -> None:
+        name = record.known.name
+        if name in combined.leaving:
+            record.told_draining = True
+            record.trial_at = now + record.draining_seconds
+            self._step(record, "drain", now, "the broker before saw it draining")
+            return
+        held = combined.held_by_target.get(name)
+        if held is None or held.entered_at < record.returned_at:
+            return
+        record.evidence = held.verdict.evidence
+        record.back_off_seconds = max(
+            held.verdict.back_off_seconds, trial.FIRST_BACK_OFF_SECONDS
+        )
+        self._step(record, "convicted", now, "the broker before had ejected it")
+        self._wait_for_trial(record, now)
+
+    def describe(self) -> HealthStatus:
+        """Return what operators see."""
+        now = time.monotonic()
+        limit_by_target = self.find_limits()
+        statuses = []
+        for name, record in self._record_by_target.items():
+            statuses.append(
+                TargetStatus(
+                    target=name,
+                    state=record.state,
+                    since_seconds=now - record.since,
+                    evidence=record.evidence,
+                    threshold=self._test.threshold,
+                    slots=limit_by_target[name].slots,
+                    kept_by_floor=name in self._floor.ignored,
+                    why=record.why,
+                )
+            )
+        return HealthStatus(
+            service=self._name,
+            targets=tuple(statuses),
+            slots=self._floor.slots,
+            slots_in_use=self._floor.slots_in_use,
+            floor_slots=self._floor.floor_slots,
+            floor_broken_by_leaving=self._floor.broken_by_leaving,
+        )
--- /dev/null
+++ b/citronspan/core/service_health_record.py
@@ -0,0 +1,75 @@
+"""What a broker keeps of one target."""
+
+import math
+from collections import deque
+
+from citronspan.core import trial
+from citronspan.core.cusum_counts import Mark
+from citronspan.core.health import KnownTarget
+from citronspan.utils.statecharts import load_chart
+
+CHART = load_chart("target")
+
+# Failures of each target that can be taken back when their request turns out to
+# crash targets.
+REMEMBERED_FAILURES = 16
+
+
+class TargetRecord:
+    """State of one target at one broker.
+
+    Attributes:
+        known: The target as configuration and host list show it.
+        state: State by the chart ``target``.
+        since: When the state was entered.
+        why: Reason for the state in a short sentence.
+        evidence: Evidence against the target in nats.
+        mark: Mark that the strongest evidence rests on.
+        gray_share: Share of marked outcomes when it was ejected.
+        back_off_seconds: Wait before the next trial.
+        starting_seconds: Last wait after it said that it is starting, 0 if it did not.
+        draining_seconds: Wait after it said that it is draining.
+        trial_at: When the next trial request may be sent.
+        trial: Test under way, or None.
+        ramp_started_at: When slow start began.
+        returned_at: When it last returned from a trial.
+        told_draining: Whether it said itself that it is draining.
+        failures: Fingerprints of its last failures.
+    """
+
+    __slots__ = (
+        "known",
+        "state",
+        "since",
+        "why",
+        "evidence",
+        "mark",
+        "gray_share",
+        "back_off_seconds",
+        "starting_seconds",
+        "draining_seconds",
+        "trial_at",
+        "trial",
+        "ramp_started_at",
+        "returned_at",
+        "told_draining",
+        "failures",
+    )
+
+    def __init__(self, *, known: KnownTarget, now: float):
+        self.known = known
+        self.state = CHART.initial
+        self.since = now
+        self.why = "nothing is held against it"
+        self.evidence = 0.0
+        self.mark = Mark.FAILED
+        self.gray_share = 0.9
+        self.back_off_seconds = 0.0
+        self.starting_seconds = 0.0
+        self.draining_seconds = trial.DRAINING_SECONDS
+        self.trial_at = math.inf
+        self.trial = None
+        self.ramp_started_at = -math.inf
+        self.returned_at = -math.inf
+        self.told_draining = False
+        self.failures = deque(maxlen=REMEMBERED_FAILURES)
--- /dev/null
+++ b/citronspan/core/service_health_test.py
@@ -0,0 +1,244 @@
+import random
+from itertools import pairwise
+
+import pytest
+from freezegun import freeze_time
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core.health import KnownTarget
+from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.service_health import ServiceHealth
+from citronspan.core.verdicts import VerdictTable
+
+
+def make_targets(count, *, slots=2, leaving=()):
+    return tuple(
+        KnownTarget(
+            name=f"t{index}",
+            address=f"127.0.2.{index}:9000",
+            region="north",
+            data_centre="north-1",
+            slots=slots,
+            leaving=index in leaving,
+        )
+        for index in range(count)
+    )
+
+
+def make_health(count, **spec):
+    health = ServiceHealth(name="a", spec=ServiceSpec(**spec))
+    health.set_targets(make_targets(count))
+    return health
+
+
+def make_outcome(target, outcome_class=OutcomeClass.OK, latency=0.04, fingerprint=0):
+    return Outcome(
+        target=f"t{target}",
+        outcome_class=outcome_class,
+        latency_seconds=latency,
+        deadline_seconds=5.0,
+        fingerprint=fingerprint,
+    )
+
+
+def get_states(health):
+    return {status.target: status.state for status in health.describe().targets}
+
+
+def run_bad(health, frozen, target, count=20):
+    for _ in range(count):
+        frozen.tick(0.05)
+        health.observe(make_outcome(target, OutcomeClass.TARGET_ERROR, 0.002))
+
+
+def run_good(health, frozen, targets, count=30):
+    for _ in range(count):
+        for target in targets:
+            frozen.tick(0.01)
+            health.observe(make_outcome(target))
+
+
+def answer_trials(health, frozen, target, outcome_class, seconds):
+    """Answer each trial request of a target at once, and return how many."""
+    sent = 0
+    for _ in range(int(seconds / 0.05)):
+        frozen.tick(0.05)
+        limit = health.find_limits()[f"t{target}"]
+        if not limit.trial or not limit.slots:
+            continue
+        sent += 1
+        health.note_trial(f"t{target}")
+        health.observe(make_outcome(target, outcome_class, 0.0))
+    return sent
+
+
+SEGMENTS = st.lists(
+    st.tuples(
+        st.floats(0, 1), st.sampled_from([0.5, 1, 2, 5, 20]), st.integers(20, 300)
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@settings(max_examples=60)
+@given(SEGMENTS, st.integers(2, 9), st.integers(0, 2**32))
+def test_no_fault_common_to_all_targets_ejects(segments, count, seed):
+    rng = random.Random(seed)
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(count, floor=0.0)
+        for share, factor, length in segments:
+            for _ in range(length):
+                frozen.tick(0.01)
+                failed = rng.random() < share
+                outcome_class = OutcomeClass.TIMED_OUT if failed else OutcomeClass.OK
+                latency = 0.04 * factor * rng.lognormvariate(0, 0.5)
+                target = rng.randrange(count)
+                health.observe(make_outcome(target, outcome_class, latency))
+        assert set(get_states(health).values()) <= {"healthy", "suspect"}
+
+
+@settings(max_examples=60)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([OutcomeClass.OK, OutcomeClass.ANSWER_LOST]),
+            st.floats(0.001, 10),
+        ),
+        max_size=100,
+    ),
+    st.integers(2, 9),
+    st.randoms(),
+)
+def test_equal_outcomes_in_any_order_never_eject(outcomes, count, random):
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(count, floor=0.0)
+        for outcome_class, latency in outcomes:
+            order = random.sample(range(count), count)
+            for target in order:
+                frozen.tick(0.01)
+                health.observe(make_outcome(target, outcome_class, latency))
+            assert set(get_states(health).values()) <= {"healthy", "suspect"}
+
+
+@pytest.mark.parametrize("failing", [1, 3, 5])
+def test_failing_targets_are_ejected_down_to_the_floor(failing):
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(6, floor=0.5)
+        run_good(health, frozen, range(6))
+        for _ in range(200):
+            frozen.tick(0.05)
+            for target in range(6):
+                if not health.find_limits()[f"t{target}"].slots:
+                    continue
+                bad = target < failing
+                outcome_class = OutcomeClass.CONNECT_FAILED if bad else OutcomeClass.OK
+                health.observe(make_outcome(target, outcome_class, 0.0))
+        limits = health.find_limits()
+        in_use = sum(limit.slots for limit in limits.values() if not limit.trial)
+        assert in_use == 12 - 2 * min(failing, 3)
+        assert health.describe().slots_in_use == in_use
+
+
+@settings(max_examples=40)
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(0, 9)), max_size=300))
+def test_limits_never_fall_below_the_floor(steps):
+    classes = list(OutcomeClass)
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(5, floor=0.6)
+        for target, number in steps:
+            frozen.tick(0.3)
+            for _ in range(5):
+                health.observe(make_outcome(target, classes[number], 0.0))
+            status = health.describe()
+            limits = health.find_limits()
+            in_use = sum(limit.slots for limit in limits.values() if not limit.trial)
+            unable = sum(
+                2 for other in status.targets if "it answers that" in other.why
+            )
+            assert in_use >= min(6, 10 - unable)
+
+
+def test_a_target_that_says_it_drains_or_starts_gets_no_new_work():
+    with freeze_time("2026-01-01"):
+        health = make_health(4)
+        health.observe(make_outcome(0, OutcomeClass.DRAINING))
+        health.observe(make_outcome(1, OutcomeClass.STARTING))
+        health.set_targets(make_targets(4, leaving={2}))
+        limits = health.find_limits()
+        assert [limits[f"t{index}"].slots for index in range(4)] == [0, 0, 0, 2]
+
+
+def test_trials_back_off_and_slow_start_ends_them():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(6)
+        run_good(health, frozen, range(6))
+        run_bad(health, frozen, 0)
+        assert get_states(health)["t0"] == "ejected"
+        sick = [
+            answer_trials(health, frozen, 0, OutcomeClass.TARGET_ERROR, 32)
+            for _ in range(3)
+        ]
+        assert sick[0] >= sick[1] >= sick[2] >= 1
+        assert sum(sick) < 32
+        assert answer_trials(health, frozen, 0, OutcomeClass.OK, 40) < 10
+        assert get_states(health)["t0"] == "healthy"
+        frozen.tick(10)
+        assert health.find_limits()["t0"].slots == 2
+
+
+def test_a_flapping_target_waits_longer_each_time():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(6)
+        run_good(health, frozen, range(6))
+        waits = []
+        for _ in range(4):
+            run_bad(health, frozen, 0)
+            waited = 0
+            while not health.find_limits()["t0"].trial:
+                frozen.tick(0.5)
+                waited += 0.5
+            waits.append(waited)
+            answer_trials(health, frozen, 0, OutcomeClass.OK, 3)
+            assert get_states(health)["t0"] == "healthy"
+        assert all(late > 1.8 * early for early, late in pairwise(waits))
+
+
+def test_a_successor_begins_with_the_evidence_of_its_predecessor():
+    with freeze_time("2026-01-01") as frozen:
+        before = make_health(6)
+        run_good(before, frozen, range(6))
+        run_bad(before, frozen, 0)
+        before.observe(make_outcome(1, OutcomeClass.DRAINING))
+        table = VerdictTable()
+        table.merge(before.export_verdicts(issuer="n1", incarnation=1))
+        after = make_health(6)
+        after.import_verdicts(table)
+        assert get_states(after) == get_states(before)
+        assert after.find_limits() == before.find_limits()
+
+
+def test_withdrawn_evidence_acquits_but_own_evidence_stays():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(6)
+        run_good(health, frozen, range(6))
+        for _ in range(15):
+            health.observe(make_outcome(0, OutcomeClass.ANSWER_LOST, 0.0, 7))
+            health.observe(make_outcome(1, OutcomeClass.ANSWER_LOST, 0.0, 8))
+            run_good(health, frozen, range(2, 6), 1)
+        assert get_states(health)["t0"] == "ejected"
+        health.withdraw(7)
+        states = get_states(health)
+        assert (states["t0"], states["t1"]) == ("healthy", "ejected")
+
+
+def test_slow_start_gives_way_to_the_floor():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(4, floor=0.75)
+        health.observe(make_outcome(0, OutcomeClass.STARTING))
+        frozen.tick(1)
+        answer_trials(health, frozen, 0, OutcomeClass.OK, 2)
+        assert health.find_limits()["t0"].slots == 1
+        health.observe(make_outcome(1, OutcomeClass.DRAINING))
+        assert health.find_limits()["t0"].slots == 2
