--- a/citronspan/core/cusum.py
+++ b/citronspan/core/cusum.py
@@ -21,9 +21,9 @@
     INITIAL_SHARE_BY_MARK,
     MARKS,
     VERY_SLOW_FACTOR,
-    Counts,
     LatencyLevels,
     Mark,
+    MarkCounts,
 )
 from citronspan.core.resources import DetectionCosts
 
@@ -54,19 +54,8 @@
 FAILED_MARGIN = 0.25
 FAILED_MARGIN_SHARE = 0.001
 
-# Charts: the mark, and how much of the remaining share the fault adds.
-CHARTS = (
-    (Mark.FAILED, 0.05),
-    (Mark.FAILED, 0.2),
-    (Mark.FAILED, 0.7),
-    (Mark.SLOW, 0.3),
-    (Mark.VERY_SLOW, 0.1),
-    (Mark.VERY_SLOW, 0.5),
-)
-_CHART_INDEXES_BY_MARK = tuple(
-    tuple(index for index, chart in enumerate(CHARTS) if chart[0] == mark)
-    for mark in MARKS
-)
+# Charts of each mark: how much of the remaining share the fault adds.
+EXCESSES_BY_MARK = ((0.05, 0.2, 0.7), (0.3,), (0.1, 0.5))
 
 
 def compute_threshold(costs: DetectionCosts) -> float:
@@ -160,51 +149,92 @@
 class _Chart:
     """Height of one chart, and the counts at the time since which it rises."""
 
-    __slots__ = ("height", "outcomes", "marked", "pooled_outcomes", "pooled_marked")
+    __slots__ = (
+        "excess",
+        "rise",
+        "fall",
+        "height",
+        "evidence",
+        "outcomes",
+        "tested",
+        "pooled_outcomes",
+        "pooled_marked",
+    )
 
-    def __init__(self):
+    def __init__(self, excess):
+        self.excess = excess
+        self.reset()
+
+    def reset(self):
         self.height = 0.0
+        self.evidence = 0.0
+
+    def set_weights(self, usual):
+        gray = usual + self.excess * (1 - usual)
+        self.rise = math.log(gray / usual)
+        self.fall = math.log((1 - gray) / (1 - usual))
+
+
+class _MarkTest:
+    """Counts and charts of one target for one mark.
+
+    A suspect target adds to its own counts, but not to the level of its peers.
+    """
+
+    __slots__ = ("mark", "outcomes", "tested", "pooled", "charts", "long_run")
+
+    def __init__(self, mark):
+        self.mark = mark
+        self.outcomes = 0
+        self.tested = 0
+        self.pooled = MarkCounts()
+        self.charts = tuple(_Chart(excess) for excess in EXCESSES_BY_MARK[mark])
+        self.long_run = INITIAL_SHARE_BY_MARK[mark]
 
 
 class TargetTest:
     """Charts and counts of one target.
 
     Attributes:
-        outcomes: Outcomes by mark.
-        tested: Marked outcomes by mark, the margin applied.
-        counts: What the target adds to the level of its peers, without a margin. A
-            suspect target adds nothing.
-        charts: One chart for each of ``CHARTS``.
-        evidence: Evidence by chart in nats.
-        weights: Rise for a marked and for an unmarked outcome, by chart.
-        long_run: Long-run share at the peers, by mark.
-        refreshed_at: When the weights were last computed.
+        marks: Test of each mark.
+        evidence: The strongest evidence of all charts in nats.
+        refreshed_at: When the weights of the charts were last computed.
     """
 
-    __slots__ = (
-        "outcomes",
-        "tested",
-        "counts",
-        "charts",
-        "evidence",
-        "weights",
-        "long_run",
-        "refreshed_at",
-    )
+    __slots__ = ("marks", "evidence", "refreshed_at")
 
     def __init__(self):
-        self.outcomes = [0, 0, 0]
-        self.tested = [0, 0, 0]
-        self.counts = Counts()
+        self.marks = tuple(_MarkTest(mark) for mark in MARKS)
+        self.evidence = 0.0
         self.refreshed_at = -math.inf
-        self.weights = []
-        self.long_run = list(INITIAL_SHARE_BY_MARK)
-        self.reset()
 
     def reset(self) -> None:
         """Forget the evidence, and keep the counts."""
-        self.charts = [_Chart() for _ in CHARTS]
-        self.evidence = [0.0] * len(CHARTS)
+        self.evidence = 0.0
+        for mark_test in self.marks:
+            for chart in mark_test.charts:
+                chart.reset()
+
+    def find_strongest(self) -> StrongestEvidence:
+        """Return what the strongest evidence rests on."""
+        charts = [(chart, test) for test in self.marks for chart in test.charts]
+        chart, mark_test = max(charts, key=lambda pair: pair[0].evidence)
+        if chart.height <= 0:
+            return StrongestEvidence(
+                mark=mark_test.mark, outcomes=0, marked=0, peer_share=0.0
+            )
+        return StrongestEvidence(
+            mark=mark_test.mark,
+            outcomes=mark_test.outcomes - chart.outcomes,
+            marked=mark_test.tested - chart.tested,
+            peer_share=mark_test.long_run,
+        )
+
+    def sum_up(self) -> None:
+        """Set the evidence to that of the strongest chart."""
+        self.evidence = max(
+            chart.evidence for test in self.marks for chart in test.charts
+        )
 
 
 class ServiceTest:
@@ -218,10 +248,10 @@
 
     def __init__(self, *, costs: DetectionCosts, now: float):
         self.threshold = compute_threshold(costs)
-        self._suspect_threshold = self.threshold * SUSPECT_SHARE
         self.levels = LatencyLevels()
         self.test_by_target: dict[str, TargetTest] = {}
-        self._all = Counts()
+        self._suspect_threshold = self.threshold * SUSPECT_SHARE
+        self._pools = tuple(MarkCounts() for _ in MARKS)
         self._started_at = now
 
     def set_targets(self, names: frozenset[str]) -> None:
@@ -237,7 +267,7 @@
         test = self.test_by_target[target]
         weight = self._weigh(test, now)
         self._add(test, Mark.FAILED, True, True, weight)
-        return max(test.evidence)
+        return test.evidence
 
     def add_answer(
         self, target: str, kind: str, latency_seconds: float, now: float
@@ -257,15 +287,14 @@
         test = self.test_by_target[target]
         weight = self._weigh(test, now)
         self._add(test, Mark.FAILED, False, False, weight)
-        self._add_latency(test, level, latency_seconds, weight)
-        return max(test.evidence)
+        self._add_latency(test, latency_seconds / level, weight)
+        return test.evidence
 
-    def add_unanswered(self, target: str, level: float, now: float) -> float:
+    def add_unanswered(self, target: str, now: float) -> float:
         """Add an attempt that was given up after more than the very slow latency.
 
         Args:
             target: Name of the target.
-            level: Slow latency of the request kind in seconds.
             now: Present time.
 
         Returns:
@@ -273,8 +302,8 @@
         """
         test = self.test_by_target[target]
         weight = self._weigh(test, now)
-        self._add_latency(test, level, math.inf, weight)
-        return max(test.evidence)
+        self._add_latency(test, math.inf, weight)
+        return test.evidence
 
     def judge_answer(self, kind: str, latency_seconds: float) -> tuple[bool, bool]:
         """Return whether a latency is slow and very slow, the margin applied."""
@@ -285,22 +314,7 @@
 
     def get_long_run(self, target: str, mark: int) -> float:
         """Return the long-run share of a mark at the peers of a target."""
-        return self.test_by_target[target].long_run[mark]
-
-    def find_strongest(self, target: str) -> StrongestEvidence:
-        """Return what the strongest evidence against a target rests on."""
-        test = self.test_by_target[target]
-        index = max(range(len(CHARTS)), key=test.evidence.__getitem__)
-        mark = CHARTS[index][0]
-        chart = test.charts[index]
-        if chart.height <= 0:
-            return StrongestEvidence(mark=mark, outcomes=0, marked=0, peer_share=0.0)
-        return StrongestEvidence(
-            mark=mark,
-            outcomes=test.outcomes[mark] - chart.outcomes,
-            marked=test.tested[mark] - chart.marked,
-            peer_share=test.long_run[mark],
-        )
+        return self.test_by_target[target].marks[mark].long_run
 
     def withdraw_failures(self, target: str, count: int) -> float:
         """Take back failed attempts that were not the target's fault.
@@ -313,21 +327,21 @@
             The target's evidence in nats without them.
         """
         test = self.test_by_target[target]
-        for index in _CHART_INDEXES_BY_MARK[Mark.FAILED]:
-            chart = test.charts[index]
+        mark_test = test.marks[Mark.FAILED]
+        for chart in mark_test.charts:
             if chart.height == 0:
                 continue
-            since = test.tested[Mark.FAILED] - chart.marked
+            since = mark_test.tested - chart.tested
             taken = min(count, since)
-            chart.marked += taken
+            chart.tested += taken
             chart.outcomes += taken
-            chart.height -= taken * test.weights[index][0]
+            chart.height -= taken * chart.rise
             if chart.height <= 0 or taken == since:
-                chart.height = 0.0
-                test.evidence[index] = 0.0
+                chart.reset()
                 continue
-            self._measure(test, index, Mark.FAILED)
-        return max(test.evidence)
+            self._measure(mark_test, chart)
+        test.sum_up()
+        return test.evidence
 
     def _weigh(self, test: TargetTest, now: float) -> float:
         exponent = (now - self._started_at) / LONG_RUN_SECONDS
@@ -340,99 +354,94 @@
 
     def _rescale(self, exponent: float, now: float) -> None:
         factor = math.exp(-exponent)
-        self._all.scale(factor)
+        for pool in self._pools:
+            pool.scale(factor)
         for test in self.test_by_target.values():
-            test.counts.scale(factor)
+            for mark_test in test.marks:
+                mark_test.pooled.scale(factor)
         self._started_at = now
 
     def _refresh(self, test: TargetTest, now: float) -> None:
         test.refreshed_at = now
-        for mark in MARKS:
-            test.long_run[mark] = self._compute_long_run(test, mark, now)
-        test.weights = []
-        for mark, excess in CHARTS:
-            usual = test.long_run[mark]
-            gray = usual + excess * (1 - usual)
-            rise = math.log(gray / usual)
-            fall = math.log((1 - gray) / (1 - usual))
-            test.weights.append((rise, fall))
-
-    def _compute_long_run(self, test: TargetTest, mark: int, now: float) -> float:
         scale = math.exp((self._started_at - now) / LONG_RUN_SECONDS)
-        own = test.counts
-        outcomes = self._all.decayed_outcomes[mark] - own.decayed_outcomes[mark]
-        marked = self._all.decayed_marked[mark] - own.decayed_marked[mark]
-        prior = INITIAL_SHARE_BY_MARK[mark] * INITIAL_OUTCOMES
-        share = (max(marked, 0.0) * scale + prior) / (
-            max(outcomes, 0.0) * scale + INITIAL_OUTCOMES
-        )
+        for mark_test in test.marks:
+            mark_test.long_run = self._compute_long_run(mark_test, scale)
+            for chart in mark_test.charts:
+                chart.set_weights(mark_test.long_run)
+
+    def _compute_long_run(self, mark_test: _MarkTest, scale: float) -> float:
+        pool = self._pools[mark_test.mark]
+        own = mark_test.pooled
+        outcomes = max(pool.decayed_outcomes - own.decayed_outcomes, 0.0) * scale
+        marked = max(pool.decayed_marked - own.decayed_marked, 0.0) * scale
+        prior = INITIAL_SHARE_BY_MARK[mark_test.mark] * INITIAL_OUTCOMES
+        share = (marked + prior) / (outcomes + INITIAL_OUTCOMES)
         return min(max(share, MIN_SHARE), 1 - MIN_SHARE)
 
-    def _add_latency(
-        self, test: TargetTest, level: float, latency_seconds: float, weight: float
-    ) -> None:
-        with_margin = level * LATENCY_MARGIN
-        self._add(
-            test,
-            Mark.SLOW,
-            latency_seconds > level,
-            latency_seconds > with_margin,
-            weight,
-        )
-        self._add(
-            test,
-            Mark.VERY_SLOW,
-            latency_seconds > level * VERY_SLOW_FACTOR,
-            latency_seconds > with_margin * VERY_SLOW_FACTOR,
-            weight,
-        )
+    def _add_latency(self, test: TargetTest, relative: float, weight: float) -> None:
+        """Add a latency relative to the slow latency of its request kind."""
+        self._add(test, 1, relative > 1, relative > LATENCY_MARGIN, weight)
+        relative /= VERY_SLOW_FACTOR
+        self._add(test, 2, relative > 1, relative > LATENCY_MARGIN, weight)
 
     def _add(
         self, test: TargetTest, mark: int, marked: bool, tested: bool, weight: float
     ) -> None:
-        for index in _CHART_INDEXES_BY_MARK[mark]:
-            chart = test.charts[index]
-            if chart.height > 0:
-                continue
-            if tested:
-                self._start(chart, test, mark)
-        test.outcomes[mark] += 1
+        """Add an outcome to the counts and charts of one mark.
+
+        Args:
+            test: Test of the target.
+            mark: Number of the mark.
+            marked: Whether the outcome has the mark, for the level of the peers.
+            tested: Whether it has the mark with the margin applied.
+            weight: Present weight of the decayed sums.
+        """
+        mark_test = test.marks[mark]
         if tested:
-            test.tested[mark] += 1
-        if max(test.evidence) < self._suspect_threshold:
-            test.counts.add(mark, marked, weight)
-            self._all.add(mark, marked, weight)
-        for index in _CHART_INDEXES_BY_MARK[mark]:
-            chart = test.charts[index]
-            if chart.height == 0 and not tested:
+            self._start_charts(mark_test)
+            mark_test.tested += 1
+        mark_test.outcomes += 1
+        if test.evidence < self._suspect_threshold:
+            mark_test.pooled.add(marked, weight)
+            self._pools[mark].add(marked, weight)
+        if tested:
+            self._raise_charts(test, mark_test)
+            return
+        for chart in mark_test.charts:
+            if chart.height == 0:
+                continue
+            chart.height += chart.fall
+            if chart.height > 0:
                 continue
-            rise, fall = test.weights[index]
-            chart.height += rise if tested else fall
-            if chart.height <= 0:
-                chart.height = 0.0
-                test.evidence[index] = 0.0
+            chart.reset()
+            test.sum_up()
+
+    def _start_charts(self, mark_test: _MarkTest) -> None:
+        pool = self._pools[mark_test.mark]
+        own = mark_test.pooled
+        for chart in mark_test.charts:
+            if chart.height > 0:
                 continue
-            if tested:
-                self._measure(test, index, mark)
-
-    def _start(self, chart: _Chart, test: TargetTest, mark: int) -> None:
-        own = test.counts
-        chart.outcomes = test.outcomes[mark]
-        chart.marked = test.tested[mark]
-        chart.pooled_outcomes = self._all.outcomes[mark] - own.outcomes[mark]
-        chart.pooled_marked = self._all.marked[mark] - own.marked[mark]
-
-    def _measure(self, test: TargetTest, index: int, mark: int) -> None:
-        chart = test.charts[index]
-        own = test.counts
-        pooled_outcomes = self._all.outcomes[mark] - own.outcomes[mark]
-        pooled_marked = self._all.marked[mark] - own.marked[mark]
-        test.evidence[index] = compute_evidence(
-            mark=mark,
-            outcomes=test.outcomes[mark] - chart.outcomes,
-            marked=test.tested[mark] - chart.marked,
-            peer_outcomes=pooled_outcomes - chart.pooled_outcomes,
-            peer_marked=pooled_marked - chart.pooled_marked,
-            long_run=test.long_run[mark],
+            chart.outcomes = mark_test.outcomes
+            chart.tested = mark_test.tested
+            chart.pooled_outcomes = pool.outcomes - own.outcomes
+            chart.pooled_marked = pool.marked - own.marked
+
+    def _raise_charts(self, test: TargetTest, mark_test: _MarkTest) -> None:
+        for chart in mark_test.charts:
+            chart.height += chart.rise
+            self._measure(mark_test, chart)
+        test.sum_up()
+
+    def _measure(self, mark_test: _MarkTest, chart: _Chart) -> None:
+        pool = self._pools[mark_test.mark]
+        own = mark_test.pooled
+        chart.evidence = compute_evidence(
+            mark=mark_test.mark,
+            outcomes=mark_test.outcomes - chart.outcomes,
+            marked=mark_test.tested - chart.tested,
+            peer_outcomes=pool.outcomes - own.outcomes - chart.pooled_outcomes,
+            peer_marked=pool.marked - own.marked - chart.pooled_marked,
+            long_run=mark_test.long_run,
             peers=len(self.test_by_target) - 1,
         )
--- a/citronspan/core/cusum_counts.py
+++ b/citronspan/core/cusum_counts.py
@@ -64,8 +64,8 @@
         return level
 
 
-class Counts:
-    """Counts of outcomes and marks, since ever and with exponential decay.
+class MarkCounts:
+    """Counts of outcomes and of those with one mark, since ever and with decay.
 
     The decay uses weights that grow instead of sums that shrink, so that adding
     touches one target only: Cormode et al., "Forward decay: a practical time decay
@@ -75,20 +75,20 @@
     __slots__ = ("outcomes", "marked", "decayed_outcomes", "decayed_marked")
 
     def __init__(self):
-        self.outcomes = [0, 0, 0]
-        self.marked = [0, 0, 0]
-        self.decayed_outcomes = [0.0, 0.0, 0.0]
-        self.decayed_marked = [0.0, 0.0, 0.0]
-
-    def add(self, mark: int, marked: bool, weight: float) -> None:
-        """Add an outcome for a mark with the present weight."""
-        self.outcomes[mark] += 1
-        self.decayed_outcomes[mark] += weight
+        self.outcomes = 0
+        self.marked = 0
+        self.decayed_outcomes = 0.0
+        self.decayed_marked = 0.0
+
+    def add(self, marked: bool, weight: float) -> None:
+        """Add an outcome with the present weight."""
+        self.outcomes += 1
+        self.decayed_outcomes += weight
         if marked:
-            self.marked[mark] += 1
-            self.decayed_marked[mark] += weight
+            self.marked += 1
+            self.decayed_marked += weight
 
     def scale(self, factor: float) -> None:
         """Scale the decayed sums."""
-        self.decayed_outcomes = [value * factor for value in self.decayed_outcomes]
-        self.decayed_marked = [value * factor for value in self.decayed_marked]
+        self.decayed_outcomes *= factor
+        self.decayed_marked *= factor
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -10,7 +10,7 @@
 from collections import deque
 
 from citronspan.core import trial
-from citronspan.core.cusum import SUSPECT_SHARE, ServiceTest
+from citronspan.core.cusum import SUSPECT_SHARE, ServiceTest, StrongestEvidence
 from citronspan.core.cusum_counts import VERY_SLOW_FACTOR, Mark
 from citronspan.core.floor import FloorResult, apply_floor
 from citronspan.core.health import KnownTarget, TargetLimit
@@ -29,14 +29,6 @@
 from citronspan.core.verdicts import CombinedVerdicts, Verdict, VerdictTable
 from citronspan.utils.statecharts import step_chart, takes_event
 
-FAILURE_CLASSES = frozenset(
-    {
-        OutcomeClass.TARGET_ERROR,
-        OutcomeClass.ANSWER_LOST,
-        OutcomeClass.TIMED_OUT,
-        OutcomeClass.CONNECT_FAILED,
-    }
-)
 IGNORED_CLASSES = frozenset({OutcomeClass.NOT_USED, OutcomeClass.SHED})
 
 # While slow start is under way the limits are computed anew this often.
@@ -105,8 +97,13 @@
             outcome: The outcome of one attempt; unknown targets are passed over.
         """
         record = self._record_by_target.get(outcome.target)
+        if record is None or record.state == "draining":
+            return
         outcome_class = outcome.outcome_class
-        if record is None or outcome_class in IGNORED_CLASSES:
+        if outcome_class is OutcomeClass.OK:
+            self._take_answer(record, outcome, False, time.monotonic())
+            return
+        if outcome_class in IGNORED_CLASSES:
             return
         now = time.monotonic()
         if outcome_class is OutcomeClass.DRAINING:
@@ -115,14 +112,15 @@
         if outcome_class is OutcomeClass.STARTING:
             self._take_starting_sign(record, now)
             return
-        if record.state == "draining":
-            return
-        failed = outcome_class in FAILURE_CLASSES
-        if not failed and outcome_class is not OutcomeClass.OK:
+        if outcome_class is OutcomeClass.CANCELLED:
             self._take_given_up(record, outcome, now)
             return
-        if failed and self._is_too_short(outcome):
-            return
+        if not self._is_too_short(outcome):
+            self._take_answer(record, outcome, True, now)
+
+    def _take_answer(
+        self, record: TargetRecord, outcome: Outcome, failed: bool, now: float
+    ) -> None:
         if record.state in ("ejected", "trial"):
             self._add_to_trial(record, outcome, failed, now)
             return
@@ -144,7 +142,7 @@
             return
         if record.state not in ("healthy", "suspect"):
             return
-        evidence = self._test.add_unanswered(outcome.target, level, now)
+        evidence = self._test.add_unanswered(outcome.target, now)
         self._judge(record, evidence, now)
 
     def _add_to_test(
@@ -168,15 +166,14 @@
             self._eject(record, now)
             return
         if record.state == "healthy" and evidence >= threshold * SUSPECT_SHARE:
-            why = self._test.find_strongest(record.known.name).describe()
+            why = self._find_strongest(record).describe()
             self._step(record, "suspected", now, why)
             return
         if record.state == "suspect" and evidence < threshold * SUSPECT_SHARE / 2:
             self._step(record, "cleared", now, "the evidence against it has gone")
 
     def _eject(self, record: TargetRecord, now: float) -> None:
-        name = record.known.name
-        strongest = self._test.find_strongest(name)
+        strongest = self._find_strongest(record)
         record.mark = strongest.mark
         record.gray_share = strongest.share
         record.back_off_seconds = trial.compute_relapse_back_off(
@@ -185,6 +182,9 @@
         self._step(record, "convicted", now, strongest.describe())
         self._wait_for_trial(record, now)
 
+    def _find_strongest(self, record: TargetRecord) -> StrongestEvidence:
+        return self._test.test_by_target[record.known.name].find_strongest()
+
     def _wait_for_trial(self, record: TargetRecord, now: float) -> None:
         record.trial_at = now + record.back_off_seconds
         record.trial = self._make_trial(record)
