--- /dev/null
+++ b/citronspan/core/cusum.py
@@ -0,0 +1,447 @@
+"""Sequential test of each target against the present level of its peers.
+
+Each answered attempt gives up to three yes-or-no marks: it failed, it was slow, it
+was very slow. A target is gray when its share of a mark exceeds that of its peers by
+more than chance and a margin explain. Shares, not values, are compared, so one extreme
+latency weighs no more than any other slow answer and no distribution is assumed.
+
+The test is a bank of CUSUM charts (Page, "Continuous inspection schemes",
+Biometrika 41, 1954), one for each size of fault, after Lorden, "Procedures for
+reacting to a change in distribution", Annals of Mathematical Statistics 42, 1971.
+A chart's rise only marks the time since which the target may be gray. The evidence is
+then the log-likelihood ratio over exactly that time between the target's own share
+and the share of its peers in the same time, so that a fault that is common to all
+targets is no evidence against any of them, however sudden it is.
+"""
+
+import math
+from dataclasses import dataclass
+
+from citronspan.core.cusum_counts import (
+    INITIAL_SHARE_BY_MARK,
+    MARKS,
+    VERY_SLOW_FACTOR,
+    LatencyLevels,
+    Mark,
+    MarkCounts,
+)
+from citronspan.core.resources import DetectionCosts
+
+FAULTS_PER_TARGET_SECOND = 1 / (7 * 24 * 3600)
+OUTCOMES_PER_TARGET_SECOND = 10.0
+
+# Half of the convicting evidence makes a target suspect.
+SUSPECT_SHARE = 0.5
+
+# Time constant of the long-run share of each mark.
+LONG_RUN_SECONDS = 60.0
+# Bounds of the long-run share, so that one marked outcome never convicts.
+MIN_SHARE = 0.005
+# The exponent of the growing weights at which the sums are scaled down again.
+RESCALE_EXPONENT = 40.0
+# Weights of the charts follow the long-run share this often.
+REFRESH_SECONDS = 0.5
+
+# Outcomes that the long-run share is worth per peer beside what was seen since the
+# chart began to rise.
+PRIOR_OUTCOMES_PER_PEER = 3.0
+# Outcomes that the initial share is worth at the start of a process.
+INITIAL_OUTCOMES = 100.0
+
+# A target may be this much slower than its peers without being gray.
+LATENCY_MARGIN = 1.25
+# And its odds of failing may be about this much above theirs, plus this share.
+FAILED_MARGIN = 0.25
+FAILED_MARGIN_SHARE = 0.001
+
+# Charts of each mark: how much of the remaining share the fault adds.
+EXCESSES_BY_MARK = ((0.05, 0.2, 0.7), (0.3,), (0.1, 0.5))
+
+
+def compute_threshold(costs: DetectionCosts) -> float:
+    """Return the evidence at which ejecting a target costs least.
+
+    A threshold ``h`` lets a chart raise a false alarm about every ``exp(h)`` outcomes
+    and delays detection by about ``h`` outcomes that tell one nat each. With ``r``
+    outcomes a second and ``f`` faults a second, the expected cost per second,
+    ``falseEjection * r * exp(-h) + lateSecond * f * h / r``, is least at
+    ``h = ln(falseEjection * r ** 2 / (lateSecond * f))``.
+
+    Args:
+        costs: Costs from the resource of the service.
+
+    Returns:
+        The threshold, in nats.
+    """
+    ratio = costs.false_ejection / costs.late_second
+    constant = OUTCOMES_PER_TARGET_SECOND**2 / FAULTS_PER_TARGET_SECOND
+    return max(math.log(ratio * constant), 6.0)
+
+
+def compute_evidence(
+    *,
+    mark: int,
+    outcomes: float,
+    marked: float,
+    peer_outcomes: float,
+    peer_marked: float,
+    long_run: float,
+    peers: int,
+) -> float:
+    """Return the evidence that a target's share of a mark is not that of its peers.
+
+    Args:
+        mark: The mark.
+        outcomes: Outcomes of the target since its chart began to rise.
+        marked: Those of them with the mark, the margin applied.
+        peer_outcomes: Outcomes of the peers in the same time.
+        peer_marked: Those of them with the mark, without a margin.
+        long_run: Long-run share of the mark at the peers.
+        peers: Number of peers.
+
+    Returns:
+        The log-likelihood ratio in nats, 0 where the share is not above the peers'.
+    """
+    if marked <= 0 or peers <= 0:
+        return 0.0
+    prior = PRIOR_OUTCOMES_PER_PEER * peers
+    known = peer_outcomes + prior
+    level = max(long_run, (peer_marked + prior * long_run) / known)
+    if mark == Mark.FAILED:
+        level += FAILED_MARGIN * level * (1 - level) + FAILED_MARGIN_SHARE
+    share = marked / outcomes
+    if level >= share:
+        return 0.0
+    evidence = marked * math.log(share / level)
+    if marked < outcomes:
+        evidence += (outcomes - marked) * math.log((1 - share) / (1 - level))
+    return max(evidence, 0.0) * known / (known + outcomes)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StrongestEvidence:
+    """What the strongest evidence against a target rests on.
+
+    Attributes:
+        mark: The mark.
+        outcomes: Outcomes since the target may be gray.
+        marked: Those of them with the mark.
+        peer_share: Long-run share of the mark at the peers.
+    """
+
+    mark: Mark
+    outcomes: int
+    marked: int
+    peer_share: float
+
+    @property
+    def share(self) -> float:
+        """Share of the outcomes with the mark."""
+        return self.marked / max(self.outcomes, 1)
+
+    def describe(self) -> str:
+        """Return the evidence as a short sentence."""
+        verb = ("failed", "were slow", "were very slow")[self.mark]
+        usual = f"{100 * self.peer_share:.1f} %"
+        return f"{self.marked} of {self.outcomes} {verb}, usual at its peers: {usual}"
+
+
+class _Chart:
+    """Height of one chart, and the counts at the time since which it rises."""
+
+    __slots__ = (
+        "excess",
+        "rise",
+        "fall",
+        "height",
+        "evidence",
+        "outcomes",
+        "tested",
+        "pooled_outcomes",
+        "pooled_marked",
+    )
+
+    def __init__(self, excess):
+        self.excess = excess
+        self.reset()
+
+    def reset(self):
+        self.height = 0.0
+        self.evidence = 0.0
+
+    def set_weights(self, usual):
+        gray = usual + self.excess * (1 - usual)
+        self.rise = math.log(gray / usual)
+        self.fall = math.log((1 - gray) / (1 - usual))
+
+
+class _MarkTest:
+    """Counts and charts of one target for one mark.
+
+    A suspect target adds to its own counts, but not to the level of its peers.
+    """
+
+    __slots__ = ("mark", "outcomes", "tested", "pooled", "charts", "long_run")
+
+    def __init__(self, mark):
+        self.mark = mark
+        self.outcomes = 0
+        self.tested = 0
+        self.pooled = MarkCounts()
+        self.charts = tuple(_Chart(excess) for excess in EXCESSES_BY_MARK[mark])
+        self.long_run = INITIAL_SHARE_BY_MARK[mark]
+
+
+class TargetTest:
+    """Charts and counts of one target.
+
+    Attributes:
+        marks: Test of each mark.
+        evidence: The strongest evidence of all charts in nats.
+        refreshed_at: When the weights of the charts were last computed.
+    """
+
+    __slots__ = ("marks", "evidence", "refreshed_at")
+
+    def __init__(self):
+        self.marks = tuple(_MarkTest(mark) for mark in MARKS)
+        self.evidence = 0.0
+        self.refreshed_at = -math.inf
+
+    def reset(self) -> None:
+        """Forget the evidence, and keep the counts."""
+        self.evidence = 0.0
+        for mark_test in self.marks:
+            for chart in mark_test.charts:
+                chart.reset()
+
+    def find_strongest(self) -> StrongestEvidence:
+        """Return what the strongest evidence rests on."""
+        charts = [(chart, test) for test in self.marks for chart in test.charts]
+        chart, mark_test = max(charts, key=lambda pair: pair[0].evidence)
+        if chart.height <= 0:
+            return StrongestEvidence(
+                mark=mark_test.mark, outcomes=0, marked=0, peer_share=0.0
+            )
+        return StrongestEvidence(
+            mark=mark_test.mark,
+            outcomes=mark_test.outcomes - chart.outcomes,
+            marked=mark_test.tested - chart.tested,
+            peer_share=mark_test.long_run,
+        )
+
+    def sum_up(self) -> None:
+        """Set the evidence to that of the strongest chart."""
+        self.evidence = max(
+            chart.evidence for test in self.marks for chart in test.charts
+        )
+
+
+class ServiceTest:
+    """The tests of all targets of a service or shard.
+
+    Attributes:
+        threshold: Evidence that convicts, in nats.
+        levels: Latency levels by request kind.
+        test_by_target: Test of each target by its name.
+    """
+
+    def __init__(self, *, costs: DetectionCosts, now: float):
+        self.threshold = compute_threshold(costs)
+        self.levels = LatencyLevels()
+        self.test_by_target: dict[str, TargetTest] = {}
+        self._suspect_threshold = self.threshold * SUSPECT_SHARE
+        self._pools = tuple(MarkCounts() for _ in MARKS)
+        self._started_at = now
+
+    def set_targets(self, names: frozenset[str]) -> None:
+        """Take the names of the targets that exist."""
+        for name in [name for name in self.test_by_target if name not in names]:
+            del self.test_by_target[name]
+        for name in names:
+            if name not in self.test_by_target:
+                self.test_by_target[name] = TargetTest()
+
+    def add_failure(self, target: str, now: float) -> float:
+        """Add a failed attempt and return the target's evidence in nats."""
+        test = self.test_by_target[target]
+        weight = self._weigh(test, now)
+        self._add(test, Mark.FAILED, True, True, weight)
+        return test.evidence
+
+    def add_answer(
+        self, target: str, kind: str, latency_seconds: float, now: float
+    ) -> float:
+        """Add a good answer.
+
+        Args:
+            target: Name of the target.
+            kind: Request kind.
+            latency_seconds: From dispatch to the first byte of the answer.
+            now: Present time.
+
+        Returns:
+            The target's evidence in nats.
+        """
+        level = self.levels.add(kind, latency_seconds)
+        test = self.test_by_target[target]
+        weight = self._weigh(test, now)
+        self._add(test, Mark.FAILED, False, False, weight)
+        self._add_latency(test, latency_seconds / level, weight)
+        return test.evidence
+
+    def add_unanswered(self, target: str, now: float) -> float:
+        """Add an attempt that was given up after more than the very slow latency.
+
+        Args:
+            target: Name of the target.
+            now: Present time.
+
+        Returns:
+            The target's evidence in nats.
+        """
+        test = self.test_by_target[target]
+        weight = self._weigh(test, now)
+        self._add_latency(test, math.inf, weight)
+        return test.evidence
+
+    def judge_answer(self, kind: str, latency_seconds: float) -> tuple[bool, bool]:
+        """Return whether a latency is slow and very slow, the margin applied."""
+        level = self.levels.get_level(kind) or math.inf
+        slow = latency_seconds > level * LATENCY_MARGIN
+        very_slow = latency_seconds > level * LATENCY_MARGIN * VERY_SLOW_FACTOR
+        return slow, very_slow
+
+    def get_long_run(self, target: str, mark: int) -> float:
+        """Return the long-run share of a mark at the peers of a target."""
+        return self.test_by_target[target].marks[mark].long_run
+
+    def withdraw_failures(self, target: str, count: int) -> float:
+        """Take back failed attempts that were not the target's fault.
+
+        Args:
+            target: Name of the target.
+            count: Number of failures since the charts began to rise.
+
+        Returns:
+            The target's evidence in nats without them.
+        """
+        test = self.test_by_target[target]
+        mark_test = test.marks[Mark.FAILED]
+        for chart in mark_test.charts:
+            if chart.height == 0:
+                continue
+            since = mark_test.tested - chart.tested
+            taken = min(count, since)
+            chart.tested += taken
+            chart.outcomes += taken
+            chart.height -= taken * chart.rise
+            if chart.height <= 0 or taken == since:
+                chart.reset()
+                continue
+            self._measure(mark_test, chart)
+        test.sum_up()
+        return test.evidence
+
+    def _weigh(self, test: TargetTest, now: float) -> float:
+        exponent = (now - self._started_at) / LONG_RUN_SECONDS
+        if exponent > RESCALE_EXPONENT:
+            self._rescale(exponent, now)
+            exponent = 0.0
+        if now - test.refreshed_at > REFRESH_SECONDS:
+            self._refresh(test, now)
+        return math.exp(exponent)
+
+    def _rescale(self, exponent: float, now: float) -> None:
+        factor = math.exp(-exponent)
+        for pool in self._pools:
+            pool.scale(factor)
+        for test in self.test_by_target.values():
+            for mark_test in test.marks:
+                mark_test.pooled.scale(factor)
+        self._started_at = now
+
+    def _refresh(self, test: TargetTest, now: float) -> None:
+        test.refreshed_at = now
+        scale = math.exp((self._started_at - now) / LONG_RUN_SECONDS)
+        for mark_test in test.marks:
+            mark_test.long_run = self._compute_long_run(mark_test, scale)
+            for chart in mark_test.charts:
+                chart.set_weights(mark_test.long_run)
+
+    def _compute_long_run(self, mark_test: _MarkTest, scale: float) -> float:
+        pool = self._pools[mark_test.mark]
+        own = mark_test.pooled
+        outcomes = max(pool.decayed_outcomes - own.decayed_outcomes, 0.0) * scale
+        marked = max(pool.decayed_marked - own.decayed_marked, 0.0) * scale
+        prior = INITIAL_SHARE_BY_MARK[mark_test.mark] * INITIAL_OUTCOMES
+        share = (marked + prior) / (outcomes + INITIAL_OUTCOMES)
+        return min(max(share, MIN_SHARE), 1 - MIN_SHARE)
+
+    def _add_latency(self, test: TargetTest, relative: float, weight: float) -> None:
+        """Add a latency relative to the slow latency of its request kind."""
+        self._add(test, 1, relative > 1, relative > LATENCY_MARGIN, weight)
+        relative /= VERY_SLOW_FACTOR
+        self._add(test, 2, relative > 1, relative > LATENCY_MARGIN, weight)
+
+    def _add(
+        self, test: TargetTest, mark: int, marked: bool, tested: bool, weight: float
+    ) -> None:
+        """Add an outcome to the counts and charts of one mark.
+
+        Args:
+            test: Test of the target.
+            mark: Number of the mark.
+            marked: Whether the outcome has the mark, for the level of the peers.
+            tested: Whether it has the mark with the margin applied.
+            weight: Present weight of the decayed sums.
+        """
+        mark_test = test.marks[mark]
+        if tested:
+            self._start_charts(mark_test)
+            mark_test.tested += 1
+        mark_test.outcomes += 1
+        if test.evidence < self._suspect_threshold:
+            mark_test.pooled.add(marked, weight)
+            self._pools[mark].add(marked, weight)
+        if tested:
+            self._raise_charts(test, mark_test)
+            return
+        for chart in mark_test.charts:
+            if chart.height == 0:
+                continue
+            chart.height += chart.fall
+            if chart.height > 0:
+                continue
+            chart.reset()
+            test.sum_up()
+
+    def _start_charts(self, mark_test: _MarkTest) -> None:
+        pool = self._pools[mark_test.mark]
+        own = mark_test.pooled
+        for chart in mark_test.charts:
+            if chart.height > 0:
+                continue
+            chart.outcomes = mark_test.outcomes
+            chart.tested = mark_test.tested
+            chart.pooled_outcomes = pool.outcomes - own.outcomes
+            chart.pooled_marked = pool.marked - own.marked
+
+    def _raise_charts(self, test: TargetTest, mark_test: _MarkTest) -> None:
+        for chart in mark_test.charts:
+            chart.height += chart.rise
+            self._measure(mark_test, chart)
+        test.sum_up()
+
+    def _measure(self, mark_test: _MarkTest, chart: _Chart) -> None:
+        pool = self._pools[mark_test.mark]
+        own = mark_test.pooled
+        chart.evidence = compute_evidence(
+            mark=mark_test.mark,
+            outcomes=mark_test.outcomes - chart.outcomes,
+            marked=mark_test.tested - chart.tested,
+            peer_outcomes=pool.outcomes - own.outcomes - chart.pooled_outcomes,
+            peer_marked=pool.marked - own.marked - chart.pooled_marked,
+            long_run=mark_test.long_run,
+            peers=len(self.test_by_target) - 1,
+        )
