--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -65,6 +65,15 @@
 REQUEST_QUARANTINED = _define(
     205, "request-quarantined", "WARNING", "A request coincided with target crashes."
 )
+BROKER_HANDED_OVER = _define(
+    260, "broker-handed-over", "NOTICE", "Another entry is the broker of a shard now."
+)
+BROKER_STARTED = _define(
+    261, "broker-started", "NOTICE", "The entry is the broker of a shard now."
+)
+SLOT_RECLAIMED = _define(
+    262, "slot-reclaimed", "WARNING", "A slot's release did not come; it is free again."
+)
 
 # 300-399: the agent.
 CONFIGURATION_APPLIED = _define(
@@ -85,3 +94,17 @@
 PEER_STATE_CHANGED = _define(
     305, "peer-state-changed", "NOTICE", "The view of a peer changed."
 )
+
+# 310-349: the agent's configuration.
+ENTRY_CONFIGURED = _define(
+    310, "entry-configured", "INFO", "The entry was sent a whole configuration."
+)
+LOG_BEHIND = _define(
+    311, "log-behind", "ERROR", "The log ends before what is in force; nothing reverts."
+)
+SNAPSHOT_MISSING = _define(
+    312, "snapshot-missing", "ERROR", "The log was truncated and holds no snapshot."
+)
+SNAPSHOT_DIFFERS = _define(
+    313, "snapshot-differs", "ERROR", "A snapshot in the log is not what replay gives."
+)
