Wait less for silent peers, give a prefix with a refusal, measure the protocol

Cause: a worker waited 0.6 s for a dead owner on each of its keys, and a caller that was told to take a new key got one with the same dead peer from the directory until the view changed. Ruled out: minting by the directory more often, which does not shorten the view's delay. Change: waits shrink to a quarter while a peer is silent; KeyService.mint_prefix makes a prefix owned by the refusing entry with a witness that is heard; keys live 300 s and are remembered 1,200 s longer; events 270-273; bench/keys.py.

--- /dev/null
+++ b/bench/keys.py
@@ -0,0 +1,490 @@
+"""Measures the key protocol on loopback: latency, messages, memory, restarts.
+
+Owner and witness run in processes of their own, started by this one, which is a
+third entry and plays the callers. Run ``python -m bench.keys``; with ``--json``
+the figures come as JSON only. It takes about 75 s.
+"""
+
+import collections
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+import tracemalloc
+from concurrent.futures import ThreadPoolExecutor
+
+import numpy as np
+
+from citronspan.core import result_codes
+from citronspan.core.key_messages import KeptAnswer
+from citronspan.core.key_protocol_results import Permission, Refusal, Replay
+from citronspan.core.key_table import KeyTable
+from citronspan.core.key_token import mint_prefix, parse_key
+from citronspan.core.key_token_nodes import choose_owner_and_witness
+from citronspan.core.node_messages import EntryReport, NodeInfo
+from citronspan.ops.key_service import KeyService
+from citronspan.ops.peer_link import PeerLink
+
+FLEET = "bench"
+ADDRESS_BY_NAME = {
+    "owner": "127.0.61.1:7961",
+    "witness": "127.0.61.2:7961",
+    "third": "127.0.61.3:7961",
+}
+DATA_CENTRE_BY_NAME = {"owner": "a", "witness": "b", "third": "a"}
+TICK_SECONDS = 0.02
+REQUESTS_PER_SECOND = 83  # 39,000 requests a second over 470 nodes.
+PACED_REQUESTS = 600
+BACK_TO_BACK_REQUESTS = 1000
+ANSWER_BODY = b"x" * 300
+ANSWER_HEADERS = (("Content-Type", "application/json"),)
+RUN_SECONDS = 0.05
+LOAD_SECONDS = 5.0
+RESTART_AFTER_SECONDS = 1.0
+AWAY_SECONDS = 1.0
+DIRECTORY_KEEP_SECONDS = 5.0
+PING_MESSAGES = 2
+NOTICE_SECONDS = 2.0  # Time until the view of the fleet shows a restart.
+REQUEST_DEADLINE_SECONDS = 3.0
+RESENDS = 3
+MEMORY_KEYS = (5_000, 25_000)
+START_SECONDS = 10.0
+
+
+class Node:
+    """One entry's share of the protocol, over a real link."""
+
+    def __init__(self, name, incarnation):
+        self.name = name
+        self.link = PeerLink(
+            fleet=FLEET, address=ADDRESS_BY_NAME[name], incarnation=incarnation
+        )
+        self.service = KeyService(
+            name=name,
+            fleet=FLEET,
+            link=self.link,
+            find_address=ADDRESS_BY_NAME.get,
+        )
+        self._echoed = threading.Event()
+        for target in (self._receive, self._tick_forever):
+            threading.Thread(target=target, daemon=True).start()
+
+    def _receive(self):
+        self.link.receive_forever(self._handle)
+
+    def _handle(self, envelope):
+        if not isinstance(envelope.body, EntryReport):
+            self.service.handle(envelope.sender, envelope.body)
+        elif envelope.body.name == self.name:
+            self._echoed.set()
+        else:
+            self.link.send(envelope.sender, envelope.body)
+
+    def ping(self, peer):
+        """Wait for one bare round trip to a peer."""
+        self._echoed.clear()
+        message = EntryReport(name=self.name, state="serving", offset=0)
+        self.link.send(ADDRESS_BY_NAME[peer], message)
+        self._echoed.wait(REQUEST_DEADLINE_SECONDS)
+
+    def _tick_forever(self):
+        while True:
+            time.sleep(TICK_SECONDS)
+            self.service.advance()
+
+    def claim(self, key):
+        """Claim a key with the usual deadline."""
+        deadline = time.monotonic() + REQUEST_DEADLINE_SECONDS
+        return self.service.claim(key, 1, deadline)
+
+    def answer(self, permission):
+        """Report the usual answer."""
+        self.service.report_answer(permission, 201, ANSWER_HEADERS, ANSWER_BODY)
+
+    def read_traffic(self):
+        """Return messages, bytes and processor seconds so far."""
+        return [
+            self.link.sent_messages,
+            self.link.sent_bytes,
+            time.process_time(),
+        ]
+
+
+def measure_paired(node, prefix, count, rate):
+    """Claim keys, each paired with no key and with a bare round trip."""
+    keyed, unkeyed, pings, reports = [], [], [], []
+    peer = "witness" if node.name == "owner" else "owner"
+    begin = time.monotonic()
+    for number in range(count):
+        if rate:
+            time.sleep(max(begin + number / rate - time.monotonic(), 0))
+        start = time.perf_counter()
+        unkeyed_end = time.perf_counter()
+        node.ping(peer)
+        ping_end = time.perf_counter()
+        permission = node.claim(f"{prefix}.{node.name}-{rate}-{number}")
+        claim_end = time.perf_counter()
+        node.answer(permission)
+        report_end = time.perf_counter()
+        unkeyed.append(unkeyed_end - start)
+        pings.append(ping_end - unkeyed_end)
+        keyed.append(claim_end - ping_end)
+        reports.append(report_end - claim_end)
+    return {
+        "requests": count,
+        "rate": rate or "back to back",
+        "unkeyed": summarise(unkeyed),
+        "roundTrip": summarise(pings),
+        "claim": summarise(keyed),
+        "report": summarise(reports),
+    }
+
+
+def summarise(seconds):
+    p50, p99 = np.percentile(seconds, [50, 99]) * 1000
+    return {"p50Milliseconds": round(p50, 4), "p99Milliseconds": round(p99, 4)}
+
+
+def serve_node(name, incarnation):
+    """Run a node that takes commands as JSON lines."""
+    node = Node(name, incarnation)
+    print(json.dumps({"ready": True}), flush=True)
+    for line in sys.stdin:
+        command = json.loads(line)
+        if command["do"] == "measure":
+            arguments = [command[key] for key in ("prefix", "count", "rate")]
+            answer = measure_paired(node, *arguments)
+        else:
+            answer = node.read_traffic()
+        print(json.dumps(answer), flush=True)
+
+
+class Child:
+    """A node in a process of its own."""
+
+    def __init__(self, name, incarnation):
+        self.name = name
+        self.incarnation = incarnation
+        command = [sys.executable, "-m", "bench.keys", "node", name, str(incarnation)]
+        self._process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        self._process.stdout.readline()
+
+    def ask(self, **command):
+        """Send a command and return its answer."""
+        self._process.stdin.write(json.dumps(command) + "\n")
+        self._process.stdin.flush()
+        return json.loads(self._process.stdout.readline())
+
+    def kill(self):
+        """End the process at once, as kill -9 does."""
+        self._process.kill()
+        self._process.wait()
+
+
+class Bench:
+    """The third entry, the callers, and the two children."""
+
+    def __init__(self):
+        self.children = {name: Child(name, 1) for name in ("owner", "witness")}
+        self.incarnation_in_view = {"owner": 1, "witness": 1, "third": 1}
+        self.third = Node("third", 1)
+        self.warm_up()
+
+    def mint(self):
+        """Return a prefix as the directory would give it now."""
+        owner, witness = choose_owner_and_witness(
+            self.list_nodes(), region="r", key="k", preferred_owner="owner"
+        )
+        return mint_prefix(
+            fleet=FLEET,
+            owner=owner.name,
+            owner_incarnation=owner.entry_incarnation,
+            witness=witness.name,
+            witness_incarnation=witness.entry_incarnation,
+        )
+
+    def list_nodes(self):
+        """Return the nodes as the view of the fleet shows them."""
+        return [
+            NodeInfo(
+                name=name,
+                incarnation=1,
+                region="r",
+                data_centre=DATA_CENTRE_BY_NAME[name],
+                agent_peer_address="",
+                entry_peer_address=ADDRESS_BY_NAME[name],
+                entry_callers_address="",
+                api_address="",
+                entry_state="serving",
+                entry_incarnation=incarnation,
+            )
+            for name, incarnation in list(self.incarnation_in_view.items())
+        ]
+
+    def warm_up(self):
+        """Wait until a key runs, so that connections stand."""
+        end = time.monotonic() + START_SECONDS
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            result = self.third.claim(f"{self.mint()}.warm-{number}")
+            if isinstance(result, Permission):
+                self.third.answer(result)
+                time.sleep(0.2)
+                return
+        raise RuntimeError("owner and witness did not start")
+
+    def restart(self, names):
+        """Kill nodes and start them again later."""
+        for name in names:
+            self.children[name].kill()
+        time.sleep(AWAY_SECONDS)
+        for name in names:
+            self.children[name] = Child(name, self.children[name].incarnation + 1)
+
+    def show_restart(self, names):
+        """Let the view show nodes as gone, and as restarted a while later."""
+        for name in names:
+            del self.incarnation_in_view[name]
+        time.sleep(NOTICE_SECONDS)
+        for name in names:
+            self.incarnation_in_view[name] = self.children[name].incarnation
+
+    def read_traffic(self):
+        """Return the sums over all nodes."""
+        nodes = [child.ask(do="traffic") for child in self.children.values()]
+        return np.sum([*nodes, self.third.read_traffic()], axis=0)
+
+    def measure_latency(self):
+        """Measure claims at the owner and at a third entry."""
+        before = self.read_traffic()
+        self.third.ping("owner")
+        self.ping_bytes = (self.read_traffic() - before)[1]
+        rows = {}
+        for rate in (REQUESTS_PER_SECOND, 0):
+            count = PACED_REQUESTS if rate else BACK_TO_BACK_REQUESTS
+            for place in ("owner", "third"):
+                before = self.read_traffic()
+                row = self._measure_at(place, count, rate)
+                time.sleep(0.5)
+                messages, sent, processor = (self.read_traffic() - before) / count
+                row["messagesPerRequest"] = round(float(messages) - PING_MESSAGES, 2)
+                row["bytesPerRequest"] = round(float(sent) - self.ping_bytes)
+                if not rate:
+                    row["processorMilliseconds"] = round(processor * 1000, 3)
+                rows[f"{place}, {row['rate']}"] = row
+        return rows
+
+    def _measure_at(self, place, count, rate):
+        if place == "third":
+            return measure_paired(self.third, self.mint(), count, rate)
+        return self.children["owner"].ask(
+            do="measure", prefix=self.mint(), count=count, rate=rate
+        )
+
+    def measure_restart(self, names, with_prefix):
+        """Place orders while nodes are killed and come back."""
+        orders = Orders(self, with_prefix)
+        count = int(LOAD_SECONDS * REQUESTS_PER_SECOND)
+        shown_after = RESTART_AFTER_SECONDS + NOTICE_SECONDS
+        timers = [
+            threading.Timer(RESTART_AFTER_SECONDS, self.restart, [names]),
+            threading.Timer(shown_after, self.show_restart, [names]),
+        ]
+        for timer in timers:
+            timer.start()
+        begin = time.monotonic()
+        with ThreadPoolExecutor(64) as pool:
+            for number in range(count):
+                at = begin + number / REQUESTS_PER_SECOND
+                time.sleep(max(at - time.monotonic(), 0))
+                pool.submit(orders.place, number)
+        for timer in timers:
+            timer.join()
+        resent = [self.third.claim(key) for key in orders.keys_that_ran]
+        return {
+            "orders": count,
+            "firstAnswers": dict(orders.first_answers),
+            "finalAnswers": dict(orders.final_answers),
+            "slowestFirstAnswerSeconds": round(max(orders.first_seconds), 3),
+            "resentAfterwards": dict(collections.Counter(map(describe, resent))),
+            "ranTwice": orders.ran_twice,
+        }
+
+
+class Orders:
+    """Callers that follow the rules of their page."""
+
+    def __init__(self, bench, with_prefix):
+        self._bench = bench
+        self._with_prefix = with_prefix
+        self._lock = threading.Lock()
+        self._prefix = bench.mint()
+        self._minted_at = time.monotonic()
+        self._runs_by_key = collections.Counter()
+        self.first_answers = collections.Counter()
+        self.final_answers = collections.Counter()
+        self.first_seconds = []
+        self.keys_that_ran = []
+        self.ran_twice = 0
+
+    def place(self, number):
+        """Place one order, sending it again where that helps."""
+        key = f"{self._find_prefix()}.order-{number}"
+        start = time.monotonic()
+        result = self._send(key)
+        first = describe(result)
+        seconds = time.monotonic() - start
+        for resend in range(RESENDS):
+            if not isinstance(result, Refusal):
+                break
+            if result.code in (result_codes.KEY_CLOSED, result_codes.KEY_NOT_RECORDED):
+                key = f"{self._take_new_prefix()}.order-{number}-{resend}"
+            time.sleep(result.retry_after_seconds)
+            result = self._send(key)
+        with self._lock:
+            self.first_answers[first] += 1
+            self.final_answers[describe(result)] += 1
+            self.first_seconds.append(seconds)
+            if not isinstance(result, Refusal):
+                self.keys_that_ran.append(key)
+
+    def _send(self, key):
+        result = self._bench.third.claim(key)
+        if isinstance(result, Permission):
+            with self._lock:
+                self._runs_by_key[key] += 1
+                self.ran_twice += self._runs_by_key[key] > 1
+            time.sleep(RUN_SECONDS)
+            self._bench.third.answer(result)
+        return result
+
+    def _take_new_prefix(self):
+        if not self._with_prefix:
+            self._renew()
+            return self._prefix
+        return self._bench.third.service.mint_prefix(self._bench.list_nodes())
+
+    def _find_prefix(self):
+        if time.monotonic() - self._minted_at > DIRECTORY_KEEP_SECONDS:
+            self._renew()
+        return self._prefix
+
+    def _renew(self):
+        self._prefix = self._bench.mint()
+        self._minted_at = time.monotonic()
+
+
+def describe(result):
+    if isinstance(result, Refusal):
+        return f"{result.code.number} {result.code.ran}"
+    return "replayed" if isinstance(result, Replay) else "ran"
+
+
+def measure_memory():
+    """Return bytes per key from the slope between two numbers of keys."""
+    answer = KeptAnswer(
+        status=201,
+        headers=ANSWER_HEADERS,
+        length=len(ANSWER_BODY),
+        digest=b"d" * 16,
+        body=None,
+    )
+    rows = {}
+    for label, body in (
+        ("recorded, no answer", None),
+        ("done, digest only", b""),
+        (f"done, {len(ANSWER_BODY)} bytes of body", ANSWER_BODY),
+    ):
+        sizes = [fill_table(count, label, answer, body) for count in MEMORY_KEYS]
+        slope = (sizes[1] - sizes[0]) / (MEMORY_KEYS[1] - MEMORY_KEYS[0])
+        rows[label] = {"bytesPerKey": round(slope)}
+    return rows
+
+
+def fill_table(count, label, answer, body):
+    prefix = mint_prefix(
+        fleet=FLEET,
+        owner="owner",
+        owner_incarnation=1,
+        witness="witness",
+        witness_incarnation=1,
+    )
+    tracemalloc.start()
+    table = KeyTable(maximum_keys=count, maximum_answers_bytes=1 << 30)
+    for number in range(count):
+        token = parse_key(f"{prefix}.{number}", fleet=FLEET)
+        attempt = number.to_bytes(12, "big")
+        record = table.record(token, fingerprint=number, attempt=attempt, generation=1)
+        if body is None:
+            continue
+        copied = bytes(bytearray(body)) if body else None
+        kept = KeptAnswer(
+            status=answer.status,
+            headers=tuple((str(n), str(v)) for n, v in answer.headers),
+            length=answer.length,
+            digest=bytes(bytearray(answer.digest)),
+            body=copied,
+        )
+        table.finish(record, kept)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size
+
+
+def format_table(report):
+    head = f"{'milliseconds, p50 and p99':26}"
+    columns = ("unkeyed", "roundTrip", "claim", "report")
+    lines = [head + "".join(f"{name:>18}" for name in columns)]
+    for label, row in report["latency"].items():
+        line = f"{label:26}"
+        for name in columns:
+            p50, p99 = row[name].values()
+            line += f"{p50:10.3f}{p99:8.3f}"
+        lines.append(line)
+    for label, row in report["latency"].items():
+        messages, sent = row["messagesPerRequest"], row["bytesPerRequest"]
+        lines.append(f"{label:26}  {messages} messages, {sent} bytes a request")
+    lines.append("memory")
+    for label, row in report["memory"].items():
+        lines.append(f"{label:26}  {row['bytesPerKey']:9} bytes a key")
+    lines.append("restarts")
+    for label, row in report["restarts"].items():
+        lines += [f"{label}: {json.dumps(row)}"]
+    return "\n".join(lines)
+
+
+def main():
+    if sys.argv[1:2] == ["node"]:
+        serve_node(sys.argv[2], int(sys.argv[3]))
+        return
+    report = {"loadAverage": os.getloadavg(), "memory": measure_memory()}
+    bench = Bench()
+    try:
+        report["latency"] = bench.measure_latency()
+        report["restarts"] = {
+            f"{label}, prefix from {source}": bench.measure_restart(
+                names, source == "the refusal"
+            )
+            for label, names in (
+                ("owner", ["owner"]),
+                ("witness", ["witness"]),
+                ("both", ["owner", "witness"]),
+            )
+            for source in ("the directory", "the refusal")
+        }
+    finally:
+        for child in bench.children.values():
+            child.kill()
+    if "--json" in sys.argv:
+        print(json.dumps(report, indent=2))
+        return
+    print(format_table(report))
+
+
+if __name__ == "__main__":
+    main()
--- a/citronspan/core/key_protocol.py
+++ b/citronspan/core/key_protocol.py
@@ -26,6 +26,7 @@
 )
 from citronspan.core.key_protocol_attempts import KeyAttempts
 from citronspan.core.key_protocol_owner import KeyOwner
+from citronspan.core.key_protocol_patience import PeerPatience
 from citronspan.core.key_protocol_results import ClaimSettled, FindAddress, KeyEvent
 from citronspan.core.key_protocol_witness import KeyWitness
 from citronspan.core.key_table import KeyTable
@@ -48,12 +49,14 @@
     ):
         self.address = address
         self.table = KeyTable() if table is None else table
-        self.attempts = KeyAttempts(find_address=find_address)
+        self.patience = PeerPatience()
+        self.attempts = KeyAttempts(find_address=find_address, patience=self.patience)
         self.owner = KeyOwner(
             name=name,
             incarnation=incarnation,
             table=self.table,
             find_address=find_address,
+            patience=self.patience,
         )
         self.witness = KeyWitness(name=name, incarnation=incarnation, table=self.table)
 
@@ -89,6 +92,7 @@
         Returns:
             Messages to send and results for workers.
         """
+        self.patience.note_heard(sender)
         return self._deliver_own(self._handle(sender, message))
 
     def advance(self) -> list[KeyEvent]:
--- a/citronspan/core/key_protocol_attempts.py
+++ b/citronspan/core/key_protocol_attempts.py
@@ -22,6 +22,7 @@
     KeyRunning,
     ReportKind,
 )
+from citronspan.core.key_protocol_patience import PeerPatience
 from citronspan.core.key_protocol_results import (
     ClaimResult,
     ClaimSettled,
@@ -92,10 +93,16 @@
 
 
 class KeyAttempts:
-    """The attempts of one process."""
+    """The attempts of one process.
 
-    def __init__(self, *, find_address: FindAddress):
+    Attributes:
+        lost_reports: Reports that no owner took in their time.
+    """
+
+    def __init__(self, *, find_address: FindAddress, patience: PeerPatience):
+        self.lost_reports = 0
         self._find_address = find_address
+        self._patience = patience
         self._attempt_by_id: dict[bytes, _Attempt] = {}
         self._never_run: OrderedDict[bytes, KeyToken] = OrderedDict()
 
@@ -122,7 +129,8 @@
         )
         self._attempt_by_id[attempt] = item
         now = time.monotonic()
-        item.silent_at = now + min(OWNER_SILENT_SECONDS, (deadline - now) / 2)
+        patience = OWNER_SILENT_SECONDS * self._find_share(token.owner)
+        item.silent_at = now + min(patience, (deadline - now) / 2)
         return self._ask(item, now)
 
     def give_up(self, attempt: bytes) -> list[KeyEvent]:
@@ -239,9 +247,11 @@
     def _advance_asking(self, item, now):
         if now >= item.deadline:
             return self._end_unresolved(item)
+        if now >= item.silent_at and item.phase is Phase.CLOSING:
+            self._note_silent(item.token.witness)
+            return self._end_unresolved(item)
         if now >= item.silent_at:
-            if item.phase is Phase.CLOSING:
-                return self._end_unresolved(item)
+            self._note_silent(item.token.owner)
             return self._ask_witness(item, now)
         if now >= item.resend_at:
             return self._ask(item, now)
@@ -249,6 +259,7 @@
 
     def _advance_report(self, item, now):
         if now >= item.reported_at + REPORT_SECONDS:
+            self.lost_reports += 1
             del self._attempt_by_id[item.attempt]
             return []
         if now >= item.resend_at:
@@ -275,10 +286,20 @@
 
     def _ask_witness(self, item, now):
         item.phase = Phase.CLOSING
-        item.silent_at = now + WITNESS_SILENT_SECONDS
+        share = self._find_share(item.token.witness)
+        item.silent_at = now + WITNESS_SILENT_SECONDS * share
         item.resend_seconds = FIRST_RESEND_SECONDS
         return self._ask(item, now)
 
+    def _find_share(self, name):
+        address = self._find_address(name)
+        return 1.0 if address is None else self._patience.find_share(address)
+
+    def _note_silent(self, name):
+        address = self._find_address(name)
+        if address is not None:
+            self._patience.note_silent(address)
+
     def _send_report(self, item, now):
         item.plan_resend(now)
         owner = self._find_address(item.token.owner)
--- a/citronspan/core/key_protocol_owner.py
+++ b/citronspan/core/key_protocol_owner.py
@@ -21,6 +21,7 @@
     KeyRunning,
     ReportKind,
 )
+from citronspan.core.key_protocol_patience import PeerPatience
 from citronspan.core.key_protocol_results import FindAddress
 from citronspan.core.key_table import KeyRecord as TableRecord, KeyTable
 from citronspan.core.key_token import KeyToken
@@ -68,11 +69,13 @@
         incarnation: int,
         table: KeyTable,
         find_address: FindAddress,
+        patience: PeerPatience,
     ):
         self.name = name
         self.incarnation = incarnation
         self._table = table
         self._find_address = find_address
+        self._patience = patience
         self._generation = 0
         self._open_by_id: dict[bytes, _OpenKey] = {}
 
@@ -136,6 +139,7 @@
             if open_key.record.state != "recorded":
                 continue
             if now >= open_key.close_at:
+                self._note_silent(open_key.token.witness)
                 outgoing += self._close(open_key)
                 continue
             if now >= open_key.resend_at:
@@ -161,9 +165,11 @@
         if claim.token.witness == self.name:
             return self._permit(open_key)
         now = time.monotonic()
-        open_key.close_at = now + RECORD_TIMEOUT_SECONDS
-        if self._find_address(claim.token.witness) is None:
+        address = self._find_address(claim.token.witness)
+        if address is None:
             return self._close(open_key)
+        share = self._patience.find_share(address)
+        open_key.close_at = now + RECORD_TIMEOUT_SECONDS * share
         return self._ask_witness(open_key, now)
 
     def _find_obstacle(self, token) -> ResultCode | None:
@@ -229,6 +235,11 @@
         )
         return [Outgoing(to=address, message=message)]
 
+    def _note_silent(self, name):
+        address = self._find_address(name)
+        if address is not None:
+            self._patience.note_silent(address)
+
     def _permit(self, open_key):
         open_key.record.step("permit")
         message = KeyPermitted(attempt=open_key.record.attempt)
--- a/citronspan/core/key_table.py
+++ b/citronspan/core/key_table.py
@@ -20,7 +20,7 @@
 from citronspan.utils.statecharts import load_chart, step_chart, takes_event
 
 KEY_CHART = load_chart("key")
-KEEP_AFTER_EXPIRY_SECONDS = 1800.0
+KEEP_AFTER_EXPIRY_SECONDS = 1200.0
 CLOCK_MARGIN_SECONDS = 120.0
 MAXIMUM_KEYS = 65_536
 MAXIMUM_ANSWER_BYTES = 16 << 10
--- a/citronspan/core/key_token.py
+++ b/citronspan/core/key_token.py
@@ -25,7 +25,7 @@
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 
-KEY_LIFETIME_SECONDS = 600.0
+KEY_LIFETIME_SECONDS = 300.0
 KEY_MARK = "k1-"
 MAXIMUM_PREFIX_LENGTH = 400
 MAXIMUM_NAME_LENGTH = 63
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -75,6 +75,20 @@
     262, "slot-reclaimed", "WARNING", "A slot's release did not come; it is free again."
 )
 
+# 270-279: idempotency keys.
+KEYS_FULL = _define(
+    270, "keys-full", "WARNING", "New keys are refused; the memory of keys is full."
+)
+KEY_REPORT_LOST = _define(
+    271, "key-report-lost", "WARNING", "An owner never learnt what a run came to."
+)
+KEY_PEER_SILENT = _define(
+    272, "key-peer-silent", "WARNING", "An owner or a witness of keys is silent."
+)
+KEY_PEER_HEARD = _define(
+    273, "key-peer-heard", "NOTICE", "An owner or a witness is heard again."
+)
+
 # 300-399: the agent.
 CONFIGURATION_APPLIED = _define(
     300, "configuration-applied", "INFO", "A newer configuration is in force."
--- a/citronspan/ops/key_service.py
+++ b/citronspan/ops/key_service.py
@@ -8,8 +8,11 @@
 import hashlib
 import secrets
 import threading
+from collections.abc import Iterable
 
-from citronspan.core import result_codes
+import logbook
+
+from citronspan.core import log_events, result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.core.key_messages import KeptAnswer, KeyMessage, ReportKind
 from citronspan.core.key_protocol import KeyProtocol
@@ -22,17 +25,23 @@
     Refusal,
 )
 from citronspan.core.key_table import MAXIMUM_ANSWER_BYTES, KeyTable
-from citronspan.core.key_token import KeyToken, parse_key
+from citronspan.core.key_token import KeyToken, mint_prefix, parse_key
+from citronspan.core.key_token_nodes import choose_owner_and_witness
 from citronspan.core.message_base import Outgoing
+from citronspan.core.node_messages import NodeInfo
 from citronspan.core.result_codes import ResultCode
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.pending_answers import PendingAnswers
+from citronspan.utils.logs import write_event
 
 ATTEMPT_BYTES = 12
 ANSWER_DIGEST_BYTES = 16
+KEY_SPREAD_BYTES = 4
 FIRST_STEP_SECONDS = 0.01
 MAXIMUM_STEP_SECONDS = 0.25
 
+_logger = logbook.Logger("keys")
+
 
 class KeyService:
     """The key protocol of one entry process, safe for threads."""
@@ -57,7 +66,11 @@
             secret: Secret of the fleet, the one that prefixes are minted with.
             table: Memory with other bounds than the usual ones.
         """
+        self._name = name
         self._fleet = fleet
+        self._was_full = False
+        self._lost_reports = 0
+        self._silent: frozenset[str] = frozenset()
         self._secret = secret
         self._link = link
         self._lock = threading.Lock()
@@ -180,6 +193,7 @@
         """Let time pass; called by the process's tick, at least every 50 ms."""
         with self._lock:
             events = self._protocol.advance()
+            self._log_changes()
         self._emit(events)
 
     def count_dropped(self) -> int:
@@ -199,6 +213,60 @@
         """Return the number of keys in memory."""
         return self._protocol.table.count
 
+    def mint_prefix(self, nodes: Iterable[NodeInfo]) -> str:
+        """Make a prefix owned by this entry, for a refusal that asks for one.
+
+        A caller that is told to take a new key can so send again at once, also
+        while the directory still names the peer that is silent.
+
+        Args:
+            nodes: Nodes that a chooser may depend on.
+
+        Returns:
+            The prefix, empty while the nodes do not show this entry as serving;
+            this entry is its own witness where no other is heard.
+        """
+        silent = self._protocol.patience.list_silent()
+        heard = [node for node in nodes if node.entry_peer_address not in silent]
+        chosen = choose_owner_and_witness(
+            heard,
+            region="",
+            key=secrets.token_hex(KEY_SPREAD_BYTES),
+            preferred_owner=self._name,
+        )
+        if chosen is None or chosen[0].name != self._name:
+            return ""
+        own, witness = chosen
+        if witness is own:
+            witness_incarnation = self._link.incarnation
+        else:
+            witness_incarnation = witness.entry_incarnation
+        return mint_prefix(
+            fleet=self._fleet,
+            owner=own.name,
+            owner_incarnation=self._link.incarnation,
+            witness=witness.name,
+            witness_incarnation=witness_incarnation,
+            secret=self._secret,
+        )
+
+    def _log_changes(self):
+        is_full = self._protocol.table.is_full()
+        if is_full and not self._was_full:
+            write_event(_logger, log_events.KEYS_FULL, keys=self.count_keys())
+        self._was_full = is_full
+        lost = self._protocol.attempts.lost_reports
+        if lost > self._lost_reports:
+            count = lost - self._lost_reports
+            write_event(_logger, log_events.KEY_REPORT_LOST, reports=count)
+        self._lost_reports = lost
+        silent = self._protocol.patience.list_silent()
+        for address in silent - self._silent:
+            write_event(_logger, log_events.KEY_PEER_SILENT, peer=address)
+        for address in self._silent - silent:
+            write_event(_logger, log_events.KEY_PEER_HEARD, peer=address)
+        self._silent = silent
+
     def _report(self, permission, kind, *, code=None, answer=None):
         with self._lock:
             events = self._protocol.report(
--- a/citronspan/ops/key_service_test.py
+++ b/citronspan/ops/key_service_test.py
@@ -8,6 +8,7 @@
 from citronspan.core import result_codes
 from citronspan.core.key_protocol_results import Permission, Replay
 from citronspan.core.key_token import mint_prefix
+from citronspan.core.node_messages import NodeInfo
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.pending_answers import PendingAnswers
 
@@ -116,6 +117,29 @@
     assert fleet.claim("o", "done").code is result_codes.KEY_MAY_HAVE_RUN
 
 
+def test_a_silent_peer_is_left_out_of_new_prefixes(fleet):
+    nodes = [
+        NodeInfo(
+            name=name,
+            incarnation=1,
+            region="r",
+            data_centre=name,
+            agent_peer_address="",
+            entry_peer_address=name,
+            entry_callers_address="",
+            api_address="",
+            entry_state="serving",
+            entry_incarnation=1,
+        )
+        for name in "otw"
+    ]
+    fleet.away.add("w")
+    assert fleet.claim("o", "first").code is result_codes.KEY_NOT_RECORDED
+    fleet.prefix = fleet.services["o"].mint_prefix(nodes)
+    assert isinstance(fleet.claim("t", "third"), Permission)
+    assert fleet.services["w"].mint_prefix(nodes[:2]) == ""
+
+
 def test_a_malformed_key_is_refused(fleet):
     refusal = fleet.services["o"].claim("mine", 1, time.monotonic() + 1)
     assert refusal.code is result_codes.KEY_INVALID
