Wire brokers, detection and keys into the entry; the whole path over processes

Cause: the decisions stood alone and the entry chose for itself. Change: slot service (asks brokers, answers as one, falls back to its own choice), verdicts to the entries of the region while a target is not healthy, keyed requests with one report each, attempts with the retry budget, target states in the entry's report; a broker says SlotWaiting at once, so that a silent broker is told from a queue. The purchase fails with 4007 key-not-recorded; cause not found yet.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -19,6 +19,7 @@
     SlotRefusal,
     SlotRelease,
     SlotRequest,
+    SlotWaiting,
 )
 from citronspan.core.broker_pool import TargetPool
 from citronspan.core.broker_status import BrokerStatus
@@ -202,6 +203,7 @@
             self._repeat_grant(sender, attempt_id, now)
             return
         if attempt_id in self._queue:
+            self._send(sender, SlotWaiting(attempt_id=attempt_id))
             return
         if self._memory.has_ended(attempt_id):
             self._refuse(sender, request, result_codes.ATTEMPT_CANCELLED, now)
@@ -290,6 +292,7 @@
                 return
             self._give_up(last, result_codes.OVERLOADED, now)
         self._queue.add(waiting)
+        self._send(sender, SlotWaiting(attempt_id=request.attempt_id))
         self._refuse_hopeless(place + 1, now)
 
     def _find_queue_bound(self):
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -1,9 +1,10 @@
 """Messages between entries and the brokers that hand out slots of targets.
 
 An entry asks with ``SlotRequest`` and gets ``SlotGrant``, ``SlotRefusal`` or
-``SlotRedirect``. It ends a granted attempt with ``SlotRelease``, and one that it has
-given up with ``SlotCancel``. Every message names the attempt, so that late, crossed
-and duplicated ones are told apart.
+``SlotRedirect``, and before that ``SlotWaiting`` where it has to wait. It ends a
+granted attempt with ``SlotRelease``, and one that it has given up with
+``SlotCancel``. Every message names the attempt, so that late, crossed and duplicated
+ones are told apart.
 """
 
 import msgspec
@@ -83,6 +84,16 @@
     retry_after_seconds: float = 0.0
 
 
+class SlotWaiting(Message, kw_only=True):
+    """Word that the attempt waits for a slot; its answer is still to come.
+
+    Attributes:
+        attempt_id: The attempt.
+    """
+
+    attempt_id: int
+
+
 class SlotRedirect(Message, kw_only=True):
     """Word that another entry is the broker; the attempt is still unanswered.
 
@@ -175,5 +186,5 @@
 BrokerMessage = SlotRequest | SlotRelease | SlotCancel | BrokerHandover
 """Messages that a broker takes."""
 
-EntryMessage = SlotGrant | SlotRefusal | SlotRedirect
+EntryMessage = SlotGrant | SlotRefusal | SlotWaiting | SlotRedirect
 """Messages that an entry takes from a broker."""
--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -65,6 +65,22 @@
         """Return what each broker is doing."""
         return [broker.describe() for broker in self._broker_by_key.values()]
 
+    def list_health(self) -> list[tuple[ShardKey, Health]]:
+        """Return the detection of each shard that this entry is the broker of."""
+        return [
+            (key, broker.health)
+            for key, broker in self._broker_by_key.items()
+            if not broker.successor
+        ]
+
+    def describe_with_health(self) -> list[tuple[BrokerStatus, Health]]:
+        """Return what each broker is doing, with its detection."""
+        return [
+            (broker.describe(), broker.health)
+            for broker in self._broker_by_key.values()
+            if not broker.successor
+        ]
+
     def find_health(self, key: ShardKey) -> Health | None:
         """Return the detection of a shard that this entry is the broker of."""
         broker = self._broker_by_key.get(key)
--- a/citronspan/core/entry_configuration.py
+++ b/citronspan/core/entry_configuration.py
@@ -7,6 +7,7 @@
 from citronspan.core.resources import (
     Kind,
     Resource,
+    ServiceSpec,
     TargetIntent,
     decode_resource,
 )
@@ -34,6 +35,14 @@
         resource = self.resource_by_id.get((kind, name))
         return None if resource is None else resource.spec
 
+    def list_services(self) -> dict[str, ServiceSpec]:
+        """Return the rules of each service by its name."""
+        return {
+            name: resource.spec
+            for (kind, name), resource in self.resource_by_id.items()
+            if kind == Kind.SERVICE
+        }
+
 
 def apply_push(
     configuration: EntryConfiguration, push: ConfigurationPush
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -13,6 +13,7 @@
 from citronspan.core.key_messages import KeyMessage
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import NodeMessage
+from citronspan.core.verdicts import VerdictPush
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -28,7 +29,14 @@
     fleet: str
     sender: str
     incarnation: int
-    body: NodeMessage | ConfigMessage | KeyMessage | BrokerMessage | EntryMessage
+    body: (
+        NodeMessage
+        | ConfigMessage
+        | KeyMessage
+        | BrokerMessage
+        | EntryMessage
+        | VerdictPush
+    )
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -65,6 +65,58 @@
     leaving_targets: tuple[str, ...] = ()
 
 
+class TargetReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What the broker of a target knows of it.
+
+    Attributes:
+        name: Name of the target.
+        service: Name of its service.
+        state: State by the chart ``target``.
+        since_seconds: Time in that state.
+        why: Reason for the state in a short sentence.
+        evidence: Evidence against it in nats.
+        threshold: Evidence that ejects, in nats.
+        usable_slots: Slots that may be used now.
+        used_slots: Slots that are granted.
+        kept_by_floor: Whether an ejection is ignored for the floor's sake.
+    """
+
+    name: str
+    service: str
+    state: str
+    since_seconds: float = 0.0
+    why: str = ""
+    evidence: float = 0.0
+    threshold: float = 0.0
+    usable_slots: int = 0
+    used_slots: int = 0
+    kept_by_floor: bool = False
+
+
+class ShardReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """What the broker of a shard is doing.
+
+    Attributes:
+        name: Service, region and number of the shard.
+        capacity: Slots that may be used now.
+        waiting: Requests that wait.
+        grants: Grants so far.
+        refusals: Refusals so far.
+        floor_slots: Slots that the floor asks for.
+        floor_broken_by_leaving: Whether leaving targets alone break the floor.
+        targets: The shard's targets.
+    """
+
+    name: str
+    capacity: int
+    waiting: int
+    grants: int
+    refusals: int
+    floor_slots: float = 0.0
+    floor_broken_by_leaving: bool = False
+    targets: tuple[TargetReport, ...] = ()
+
+
 class EntryReport(Message, kw_only=True):
     """What the entry is doing, from entry to agent, several times a second.
 
@@ -74,6 +126,7 @@
         offset: Offset of the configuration in force at the entry.
         view_sequence: Sequence of the last view taken.
         in_flight: Requests being carried.
+        shards: Shards whose broker this entry is; None where they are not told.
     """
 
     name: str
@@ -81,6 +134,7 @@
     offset: int
     view_sequence: int = 0
     in_flight: int = 0
+    shards: tuple[ShardReport, ...] | None = None
 
 
 NodeMessage = ConfigurationPush | ViewPush | EntryReport
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -41,12 +41,15 @@
         region: Region of the host.
         data_centre: Data centre of the host.
         fleet: Name of the fleet; keys and peers of another fleet are refused.
+        secret: Secret of the fleet that keys are checked with; the same on all
+            hosts. Without one a check finds damage but no forgery.
     """
 
     name: str
     region: str
     data_centre: str
     fleet: str = "citronspan"
+    secret: str = ""
 
 
 class Tracing(Section, kw_only=True):
--- a/citronspan/core/shards.py
+++ b/citronspan/core/shards.py
@@ -195,6 +195,10 @@
             rivals = [node.name for node in came if node.region == key.region]
             self._broker_by_key[key] = choose_member([name, *rivals], key.format())
 
+    def list_nodes(self) -> tuple[NodeInfo, ...]:
+        """Return the nodes whose entries are serving."""
+        return tuple(self._node_by_name.values())
+
     def find_broker(self, key: ShardKey) -> NodeInfo | None:
         """Return the node whose entry is the broker of a shard, or None."""
         name = self._broker_by_key.get(key)
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -19,13 +19,20 @@
 from citronspan.core.config_start import PEERS_ASKED, StartFacts
 from citronspan.core.config_state import ResourceKey
 from citronspan.core.directory import DirectoryAnswer, choose_addresses
+from citronspan.core.key_token import mint_prefix
+from citronspan.core.key_token_nodes import choose_owner_and_witness
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import EntryReport, NodeInfo
 from citronspan.core.resources import Kind, decode_resource
 from citronspan.core.settings import AgentSettings
 from citronspan.ops.agent_entry import EntryFeed
 from citronspan.ops.agent_metrics import make_registry
-from citronspan.ops.agent_status import FleetStatus, TargetStatus, make_status
+from citronspan.ops.agent_status import (
+    FleetStatus,
+    TargetStatus,
+    make_status,
+    make_target_status,
+)
 from citronspan.ops.agent_view import SeedView
 from citronspan.ops.config_tail import ConfigTail
 from citronspan.ops.config_tail_held import HeldConfig
@@ -130,16 +137,47 @@
 
     def find_targets(self) -> tuple[TargetStatus, ...]:
         """Return the targets' states as far as this agent was told of them."""
-        return ()
+        report = self._report
+        if report is None or report.shards is None:
+            return ()
+        return tuple(
+            make_target_status(target, by=report.name)
+            for shard in report.shards
+            for target in shard.targets
+        )
 
     def find_directory(self, *, region: str, account: str) -> DirectoryAnswer:
         """Return addresses for a caller; see ``FleetAnswers``."""
         place = self._find_account_region(account) or region
+        place = place or self._settings.place.region
+        nodes = self.view.live_nodes()
+        addresses = choose_addresses(nodes, region=place)
         return DirectoryAnswer(
-            addresses=choose_addresses(
-                self.view.live_nodes(), region=place or self._settings.place.region
-            ),
+            addresses=addresses,
             keep_seconds=self._settings.keep_seconds,
+            key_prefix=self._mint_prefix(nodes, place, addresses),
+        )
+
+    def _mint_prefix(self, nodes, region, addresses):
+        """Mint for the address that the caller will most likely use."""
+        first = addresses[0] if addresses else ""
+        owners = [node for node in nodes if node.entry_callers_address == first]
+        chosen = choose_owner_and_witness(
+            nodes,
+            region=region,
+            key=first,
+            preferred_owner=owners[0].name if owners else "",
+        )
+        if chosen is None:
+            return ""
+        owner, witness = chosen
+        return mint_prefix(
+            fleet=self._settings.place.fleet,
+            owner=owner.name,
+            owner_incarnation=owner.entry_incarnation,
+            witness=witness.name,
+            witness_incarnation=witness.entry_incarnation,
+            secret=self._settings.place.secret.encode(),
         )
 
     def _find_account_region(self, account):
@@ -169,16 +207,16 @@
         if isinstance(body, CONFIG_MESSAGES):
             self.held.take_message(body, envelope.sender)
         elif isinstance(body, EntryReport):
-            self._take_report(body)
+            self._take_report(body, envelope.incarnation)
         elif isinstance(body, Greeting):
             self.view.take(body)
 
-    def _take_report(self, report: EntryReport):
+    def _take_report(self, report: EntryReport, incarnation: int):
         if report.name != self._settings.place.name:
             return
         self._report = report
         self._reported_at = time.monotonic()
-        self.view.update_own(entry_state=report.state)
+        self.view.update_own(entry_state=report.state, entry_incarnation=incarnation)
         self.feed.take_report(report)
 
     def _tick_forever(self):
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/agent_status.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from citronspan.core.config_state import find_warnings
-from citronspan.core.node_messages import EntryReport, NodeInfo
+from citronspan.core.node_messages import EntryReport, NodeInfo, TargetReport
 from citronspan.ops.config_tail import LogSight
 from citronspan.ops.config_tail_held import HeldConfig
 
@@ -132,6 +132,33 @@
     )
 
 
+def make_target_status(target: TargetReport, *, by: str) -> TargetStatus:
+    """Return a target's state as operators see it.
+
+    Args:
+        target: What its broker knows.
+        by: Node of the broker.
+
+    Returns:
+        The status.
+    """
+    evidence = target.why
+    if target.evidence:
+        evidence += f" ({target.evidence:.1f} of {target.threshold:.1f} nats)"
+    if target.kept_by_floor:
+        evidence += "; kept in use by the floor"
+    return TargetStatus(
+        name=target.name,
+        service=target.service,
+        state=target.state,
+        since_seconds=round(target.since_seconds, 1),
+        evidence=evidence,
+        by=by,
+        slots_in_use=target.used_slots,
+        slots=target.usable_slots,
+    )
+
+
 def _describe_log(held: HeldConfig, sight: LogSight) -> str:
     if sight.away:
         return "away"
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -7,21 +7,26 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.entry_configuration import EntryConfiguration, apply_push
+from citronspan.core.key_messages import KeyMessage
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 from citronspan.core.settings import EntrySettings
+from citronspan.core.verdicts import VerdictPush
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.http_server import make_metrics_server, make_server
+from citronspan.ops.key_service import KeyService
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.request_handler import RequestHandler
-from citronspan.ops.slot_source import OwnChoice
+from citronspan.ops.slot_service import SlotService
 from citronspan.ops.target_connection import TargetConnections
 from citronspan.utils.logs import write_event
 from citronspan.utils.statecharts import load_chart, step_chart, takes_event
 from citronspan.utils.traces import start_tracing
 
 REPORT_SECONDS = 0.25
+VERDICTS_SECONDS = 1.0
 TICK_SECONDS = 0.02
 IDLE_POLL_SECONDS = 0.05
 INCARNATION_RANDOM_BITS = 8
@@ -53,9 +58,22 @@
             incarnation=make_incarnation(),
         )
         self._connections = TargetConnections()
-        self._slots = OwnChoice(find_targets=self._find_targets)
+        self.slots = SlotService(
+            name=settings.place.name,
+            region=settings.place.region,
+            link=self.link,
+            wait_seconds=settings.broker_wait_seconds,
+        )
+        self.keys = KeyService(
+            name=settings.place.name,
+            fleet=settings.place.fleet,
+            link=self.link,
+            find_address=self._find_entry_address,
+            secret=settings.place.secret.encode(),
+        )
         self._stop = threading.Event()
         self._reported_at = 0.0
+        self._verdicts_at = 0.0
         self._server = make_server(
             settings.callers_address,
             self._make_handler(),
@@ -93,7 +111,8 @@
             name=self.settings.place.name,
             find_configuration=lambda: self.configuration,
             count_entries=lambda: max(len(self.view.nodes), 1),
-            slots=self._slots,
+            slots=self.slots,
+            keys=self.keys,
             connections=self._connections,
             metrics=self.metrics,
             tracer=start_tracing(
@@ -105,8 +124,13 @@
             is_stopping=self._stop.is_set,
         )
 
-    def _find_targets(self, service):
-        return self.configuration.targets_by_service.get(service, ())
+    def _find_entry_address(self, name):
+        for node in self.view.nodes:
+            # The state in the view lags; a message to an entry that is not there
+            # is not sent, and that is found out at once.
+            if node.name == name:
+                return node.entry_peer_address
+        return None
 
     def _receive(self):
         self.link.receive_forever(self._handle)
@@ -118,12 +142,22 @@
             return
         if isinstance(message, ViewPush):
             self._take_view(message)
+            return
+        if isinstance(message, VerdictPush):
+            self.slots.merge_verdicts(message.verdicts)
+            return
+        if isinstance(message, KeyMessage):
+            self.keys.handle(envelope.sender, message)
+            return
+        if isinstance(message, BrokerMessage | EntryMessage):
+            self.slots.handle(envelope.sender, message)
 
     def _take_configuration(self, push):
         before = self.configuration
         self.configuration = apply_push(before, push)
         if self.configuration is not before:
             write_event(_logger, log_events.CONFIGURATION_APPLIED, offset=push.offset)
+            self._update_services()
         if takes_event(self._chart, self.state, "configured"):
             self._step("configured")
         self._report()
@@ -131,7 +165,22 @@
     def _take_view(self, view):
         # A restarted agent counts from the start again, so order is not checked
         # against the old sequence; views come over one ordered connection.
+        changed_leaving = view.leaving_targets != self.view.leaving_targets
         self.view = view
+        self.slots.set_nodes(view.nodes)
+        for node in view.nodes:
+            # A connection that stands already saves the first asker its wait.
+            if node.entry_peer_address != self.link.address:
+                self.link.connect(node.entry_peer_address)
+        if changed_leaving:
+            self._update_services()
+
+    def _update_services(self):
+        self.slots.set_services(
+            self.configuration.list_services(),
+            self.configuration.targets_by_service,
+            frozenset(self.view.leaving_targets),
+        )
 
     def _tick_forever(self):
         while True:
@@ -144,6 +193,11 @@
 
     def _tick(self):
         now = time.monotonic()
+        self.slots.advance()
+        self.keys.advance()
+        if now - self._verdicts_at >= VERDICTS_SECONDS:
+            self._verdicts_at = now
+            self.link.send_all(self.slots.take_verdicts())
         if now - self._reported_at < REPORT_SECONDS:
             return
         self._report()
@@ -157,6 +211,7 @@
             offset=self.configuration.offset,
             view_sequence=self.view.sequence,
             in_flight=self.metrics.read_in_flight(),
+            shards=self.slots.describe(),
         )
         self.link.send(self.settings.agent_peer_address, report)
 
@@ -170,6 +225,7 @@
         if self.state == "serving":
             self._step("stop")
             self._report()
+            self.slots.hand_over_all()
             self._wait_while_known(bound)
         self._wait_until_idle(bound)
         self._server.shutdown_timeout = max(bound - time.monotonic(), 1.0)
--- /dev/null
+++ b/citronspan/ops/keyed_request.py
@@ -0,0 +1,107 @@
+"""A request with an idempotency key: claimed before it runs, reported after.
+
+Every permission is followed by exactly one report, whatever happens in between;
+where nothing better is known the report says that the request may have run.
+"""
+
+import hashlib
+
+from citronspan.core import result_codes
+from citronspan.core.key_protocol_results import (
+    Permission,
+    Refusal as KeyRefusal,
+    Replay,
+)
+from citronspan.core.key_token import compute_fingerprint
+from citronspan.core.result_codes import Ran, ResultCode
+from citronspan.ops.attempts import Work
+from citronspan.ops.key_service import ANSWER_DIGEST_BYTES, KeyService
+from citronspan.ops.refusals import Refusal
+
+
+class KeyedRequest:
+    """The key of one request that was permitted to run."""
+
+    def __init__(self, *, keys: KeyService, permission: Permission):
+        self._keys = keys
+        self._permission = permission
+        self._reported = False
+        self._digest = hashlib.blake2b(digest_size=ANSWER_DIGEST_BYTES)
+        self._length = 0
+
+    def note_body(self, data: bytes) -> None:
+        """Count a part of an answer that is passed on while it arrives."""
+        self._digest.update(data)
+        self._length += len(data)
+
+    def report_whole(
+        self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
+    ) -> None:
+        """Report an answer that is in memory."""
+        if self._begin_report():
+            self._keys.report_answer(self._permission, status, headers, body)
+
+    def report_streamed(self, status: int) -> None:
+        """Report an answer whose parts were all noted."""
+        if self._begin_report():
+            self._keys.report_large_answer(
+                self._permission, status, self._length, self._digest.digest()
+            )
+
+    def report_refused(self, code: ResultCode, ran: Ran | None) -> None:
+        """Report that the request got no answer of a target."""
+        if not self._begin_report():
+            return
+        if code.ran is Ran.NOT_RUN and (ran or code.ran) is Ran.NOT_RUN:
+            self._keys.report_not_run(self._permission, code)
+            return
+        self._keys.report_lost(self._permission)
+
+    def report_lost(self) -> None:
+        """Report that the request may have run, unless a report was made."""
+        if self._begin_report():
+            self._keys.report_lost(self._permission)
+
+    def _begin_report(self):
+        if self._reported:
+            return False
+        self._reported = True
+        return True
+
+
+def claim_key(keys: KeyService, work: Work) -> KeyedRequest | Replay:
+    """Claim the key of a request.
+
+    Args:
+        keys: The key protocol.
+        work: The request.
+
+    Returns:
+        The permitted request, or the kept answer of an earlier run.
+
+    Raises:
+        Refusal: If the request must not run.
+    """
+    body = work.body.buffer
+    mark = hashlib.blake2b(body).digest() if body else str(work.body.length).encode()
+    fingerprint = compute_fingerprint(work.request.method, work.request.uri, mark)
+    result = keys.claim(work.request.key, fingerprint, work.deadline)
+    if isinstance(result, Permission):
+        return KeyedRequest(keys=keys, permission=result)
+    if isinstance(result, Replay):
+        return result
+    raise _make_refusal(result)
+
+
+def _make_refusal(result: KeyRefusal) -> Refusal:
+    detail = result.detail or result.code.meaning
+    if result.answer is not None and result.code is result_codes.KEY_REPLAY_TOO_LARGE:
+        detail += (
+            f" status={result.answer.status} bytes={result.answer.length}"
+            f" blake2b={result.answer.digest.hex()}"
+        )
+    return Refusal(
+        code=result.code,
+        detail=detail,
+        retry_after_seconds=result.retry_after_seconds or None,
+    )
--- a/citronspan/ops/refusals.py
+++ b/citronspan/ops/refusals.py
@@ -10,6 +10,18 @@
 RAN_HEADER = "Citronspan-Ran"
 TARGET_HEADER = "Citronspan-Target"
 ENTRY_HEADER = "Citronspan-Entry"
+REPLAYED_HEADER = "Citronspan-Replayed"
+
+
+class Refusal(Exception):  # noqa: N818 - it is an answer, not a fault.
+    """A refusal on its way to the caller."""
+
+    def __init__(self, *, code, detail, ran=None, retry_after_seconds=None):
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+        self.ran = ran
+        self.retry_after_seconds = retry_after_seconds
 
 
 def format_status(status: int) -> str:
--- /dev/null
+++ b/citronspan/ops/shard_report.py
@@ -0,0 +1,42 @@
+"""What an entry tells its agent of the shards that it is the broker of."""
+
+from citronspan.core.broker_status import BrokerStatus
+from citronspan.core.node_messages import ShardReport, TargetReport
+from citronspan.core.service_health_types import HealthStatus
+
+
+def make_shard_report(status: BrokerStatus, health: HealthStatus) -> ShardReport:
+    """Join what the broker and its detection know of a shard.
+
+    Args:
+        status: What the broker is doing.
+        health: What detection knows.
+
+    Returns:
+        The report.
+    """
+    targets = tuple(
+        TargetReport(
+            name=target.target,
+            service=status.key.service,
+            state=target.state,
+            since_seconds=target.since_seconds,
+            why=target.why,
+            evidence=target.evidence,
+            threshold=target.threshold,
+            usable_slots=target.slots,
+            used_slots=status.granted_by_target.get(target.target, 0),
+            kept_by_floor=target.kept_by_floor,
+        )
+        for target in health.targets
+    )
+    return ShardReport(
+        name=status.key.format(),
+        capacity=status.capacity,
+        waiting=status.waiting,
+        grants=status.grants,
+        refusals=sum(status.refusals_by_code.values()),
+        floor_slots=health.floor_slots,
+        floor_broken_by_leaving=health.floor_broken_by_leaving,
+        targets=targets,
+    )
--- /dev/null
+++ b/citronspan/ops/slot_service.py
@@ -0,0 +1,387 @@
+"""Slots for the request path: this entry's brokers, and the others' by messages.
+
+A worker asks the broker of a shard and waits for its word. A broker that cannot be
+reached or stays silent for the small time budget is passed over, and the entry
+chooses by itself from what it last knew.
+"""
+
+import dataclasses
+import random
+import threading
+import time
+
+import logbook
+
+from citronspan.core import log_events, result_codes
+from citronspan.core.broker_messages import (
+    BrokerMessage,
+    EntryMessage,
+    SlotCancel,
+    SlotGrant,
+    SlotRedirect,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotWaiting,
+)
+from citronspan.core.broker_set import BrokerSet
+from citronspan.core.health import KnownTarget
+from citronspan.core.message_base import Message, Outgoing
+from citronspan.core.node_messages import NodeInfo, ShardReport
+from citronspan.core.outcomes import Outcome
+from citronspan.core.portable_health import ShardHealth
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
+from citronspan.core.shards import Shard, ShardKey, choose_shard
+from citronspan.core.verdicts import Verdict, VerdictPush, VerdictTable
+from citronspan.ops.own_choice import OwnChoice
+from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.pending_answers import PendingAnswers
+from citronspan.ops.shard_report import make_shard_report
+from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
+from citronspan.utils.logs import write_event
+
+ATTEMPT_BITS = 63
+RETRY_AFTER_SECONDS = 1.0
+# A waiting request asks again this often, so that a broker that froze is noticed.
+ASK_AGAIN_SECONDS = 0.25
+MAXIMUM_REDIRECTS = 2
+
+_FINAL_TYPES = (SlotGrant, SlotRefusal, SlotRedirect)
+_logger = logbook.Logger("slots")
+
+
+class _Question:
+    """One question to a broker and what came back so far."""
+
+    def __init__(self):
+        self.heard_at = float("-inf")
+
+
+class SlotService:
+    """Grants slots through brokers; a ``SlotSource``."""
+
+    def __init__(self, *, name: str, region: str, link: PeerLink, wait_seconds: float):
+        self._name = name
+        self._region = region
+        self._link = link
+        self._wait_seconds = wait_seconds
+        self._lock = threading.RLock()
+        self._random = random.Random()
+        self._pending: PendingAnswers[Message] = PendingAnswers()
+        self._question_by_id: dict[int, _Question] = {}
+        self._free_by_key: dict[ShardKey, int] = {}
+        self._spec_by_service: dict[str, ServiceSpec] = {}
+        self._targets_by_service: dict[str, tuple[KnownTarget, ...]] = {}
+        self._leaving_addresses: frozenset[str] = frozenset()
+        self.heard = VerdictTable()
+        self.own_choice = OwnChoice(heard=self.heard)
+        self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
+
+    def acquire(self, ask: SlotAsk) -> Slot | SlotRefused:
+        """Return a slot, or at once the reason why there is none.
+
+        Targets in this region go first; those of another region are asked for
+        where this one has no free slot in time, within the link's budget.
+        """
+        refused = None
+        for region in self._list_regions(ask.service):
+            answer = self._acquire_in(region, ask)
+            if isinstance(answer, Slot):
+                return answer
+            refused = refused or answer
+        return refused or _refuse(result_codes.NO_CAPACITY)
+
+    def release(self, slot: Slot, outcome: Outcome, answer_bytes: int) -> None:
+        """Tell the shard's broker how the attempt ended."""
+        message = SlotRelease(
+            attempt_id=slot.attempt_id,
+            service=slot.shard.service,
+            region=slot.shard.region,
+            shard=slot.shard.number,
+            outcome=outcome,
+            answer_bytes=answer_bytes,
+        )
+        self.own_choice.note_outcome(outcome)
+        if slot.broker:
+            self._tell(slot.broker, message)
+            return
+        self.own_choice.release(slot.target)
+        broker = self.brokers.table.find_address(slot.shard)
+        if broker:
+            self._tell(broker, message)
+
+    def handle(self, sender: str, message: BrokerMessage | EntryMessage) -> None:
+        """Take a message of a broker or to one from the peer link."""
+        if isinstance(message, SlotWaiting):
+            self._note_waiting(message)
+            return
+        if isinstance(message, _FINAL_TYPES):
+            self._settle(message)
+            return
+        with self._lock:
+            outgoing = self.brokers.handle(sender, message)
+        self._emit(outgoing)
+
+    def merge_verdicts(self, verdicts: tuple[Verdict, ...]) -> None:
+        """Take verdicts of another broker."""
+        with self._lock:
+            self.heard.merge(verdicts)
+
+    def advance(self) -> None:
+        """Let time pass; called by the process's tick."""
+        with self._lock:
+            outgoing = self.brokers.advance()
+            self.heard.drop_old()
+        self._emit(outgoing)
+
+    def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
+        """Take a new view; shards that have another broker now are handed over."""
+        with self._lock:
+            outgoing = self.brokers.set_nodes(nodes)
+        self._emit(outgoing)
+
+    def set_services(
+        self,
+        spec_by_service: dict[str, ServiceSpec],
+        targets_by_service: dict[str, tuple[KnownTarget, ...]],
+        leaving_addresses: frozenset[str],
+    ) -> None:
+        """Take services and targets as they are now.
+
+        Args:
+            spec_by_service: Rules of each service.
+            targets_by_service: Targets of each service.
+            leaving_addresses: Addresses that the host list shows as leaving.
+        """
+        outgoing = []
+        with self._lock:
+            marked = {
+                service: _mark_leaving(targets, leaving_addresses)
+                for service, targets in targets_by_service.items()
+                if service in spec_by_service
+            }
+            for service in self._spec_by_service.keys() - spec_by_service.keys():
+                outgoing += self.brokers.remove_service(service)
+            for service, spec in spec_by_service.items():
+                targets = marked.get(service, ())
+                if (
+                    self._spec_by_service.get(service) == spec
+                    and self._targets_by_service.get(service) == targets
+                ):
+                    continue
+                outgoing += self.brokers.set_service(service, spec, targets)
+            self._spec_by_service = dict(spec_by_service)
+            self._targets_by_service = marked
+        self._emit(outgoing)
+
+    def take_verdicts(self) -> list[Outgoing]:
+        """Return verdicts for the entries that may have to choose by themselves.
+
+        They go to the shard's region when something changed and are renewed while
+        a target is not healthy, so a fleet without sick targets sends none.
+        """
+        outgoing = []
+        with self._lock:
+            for key, health in self.brokers.list_health():
+                changes = health.take_changes()
+                _log_changes(key, changes)
+                verdicts = health.issue_verdicts()
+                is_sick = any(verdict.state != "healthy" for verdict in verdicts)
+                if not changes and not is_sick:
+                    continue
+                message = VerdictPush(service=key.service, verdicts=verdicts)
+                outgoing += [
+                    Outgoing(to=node.entry_peer_address, message=message)
+                    for node in self.brokers.table.list_nodes()
+                    if node.region == key.region and node.name != self._name
+                ]
+        return outgoing
+
+    def describe(self) -> tuple[ShardReport, ...]:
+        """Return what this entry's brokers are doing."""
+        with self._lock:
+            return tuple(
+                make_shard_report(status, health.describe())
+                for status, health in self.brokers.describe_with_health()
+            )
+
+    def hand_over_all(self) -> None:
+        """Hand every brokered shard to the entry that is next, before a stop."""
+        with self._lock:
+            nodes = self.brokers.table.list_nodes()
+            left = tuple(node for node in nodes if node.name != self._name)
+            outgoing = self.brokers.set_nodes(left) if left else []
+        self._emit(outgoing)
+
+    def _make_health(self, key: ShardKey, spec: ServiceSpec) -> ShardHealth:
+        return ShardHealth(
+            name=key.format(),
+            spec=spec,
+            issuer=self._name,
+            incarnation=self._link.incarnation,
+            heard=self.heard,
+        )
+
+    def _list_regions(self, service):
+        """Return regions with targets of a service, this one first."""
+        with self._lock:
+            regions = [
+                region
+                for name, region in self.brokers.shards_by_group
+                if name == service
+            ]
+        return sorted(regions, key=lambda region: (region != self._region, region))
+
+    def _acquire_in(self, region, ask) -> Slot | SlotRefused:
+        with self._lock:
+            shards = self.brokers.shards_by_group.get((ask.service, region), ())
+            shard = choose_shard(shards, self._free_by_key, self._random)
+            if shard is None:
+                return _refuse(result_codes.NO_CAPACITY)
+            broker = self.brokers.table.find_address(shard.key)
+        request = self._make_request(shard.key, ask)
+        for _ in range(1 + MAXIMUM_REDIRECTS):
+            if not broker:
+                break
+            answer = self._ask(broker, request, ask.deadline)
+            if isinstance(answer, SlotGrant):
+                return self._take_grant(answer, shard, broker)
+            if isinstance(answer, SlotRefusal):
+                return _refuse(
+                    RESULT_CODE_BY_NUMBER.get(answer.code, result_codes.NO_CAPACITY),
+                    answer.retry_after_seconds,
+                )
+            if answer is None:
+                self._give_up(broker, request)
+                break
+            broker = answer.broker
+        return self._choose_alone(shard, ask)
+
+    def _make_request(self, key, ask):
+        return SlotRequest(
+            attempt_id=self._random.getrandbits(ATTEMPT_BITS),
+            service=key.service,
+            region=key.region,
+            shard=key.number,
+            deadline_seconds=max(ask.deadline - time.monotonic(), 0.0),
+            worth=ask.worth,
+            idempotent=ask.idempotent,
+            request_kind=ask.request_kind,
+            excluded=ask.excluded,
+            fingerprint=ask.fingerprint,
+            is_retry=ask.is_retry,
+            from_region=self._region if key.region != self._region else "",
+            body_bytes=ask.body_bytes,
+        )
+
+    def _ask(self, broker, request, deadline) -> Message | None:
+        """Ask a broker; return its final word, or None if it stays silent."""
+        wait_id = request.attempt_id.to_bytes(8, "big")
+        waiter = self._pending.open(wait_id)
+        question = _Question()
+        self._question_by_id[request.attempt_id] = question
+        try:
+            asked_at = time.monotonic()
+            while self._tell(broker, request):
+                if waiter.wait(self._wait_seconds):
+                    return waiter.answer
+                if question.heard_at < asked_at:
+                    return None
+                if waiter.wait(ASK_AGAIN_SECONDS):
+                    return waiter.answer
+                asked_at = time.monotonic()
+                if asked_at > deadline:
+                    return None
+            return None
+        finally:
+            self._pending.close(wait_id)
+            self._question_by_id.pop(request.attempt_id, None)
+
+    def _take_grant(self, grant, shard, broker):
+        with self._lock:
+            self._free_by_key[shard.key] = grant.free_slots
+        return Slot(
+            attempt_id=grant.attempt_id,
+            target=grant.target,
+            address=grant.address,
+            shard=shard.key,
+            broker=broker,
+        )
+
+    def _give_up(self, broker, request):
+        write_event(
+            _logger,
+            log_events.BROKER_UNREACHABLE,
+            broker=broker,
+            service=request.service,
+        )
+        cancel = SlotCancel(
+            attempt_id=request.attempt_id,
+            service=request.service,
+            region=request.region,
+            shard=request.shard,
+        )
+        self._tell(broker, cancel)
+
+    def _choose_alone(self, shard: Shard, ask: SlotAsk) -> Slot | SlotRefused:
+        with self._lock:
+            spec = self._spec_by_service[ask.service]
+            target = self.own_choice.choose(shard, spec.floor, frozenset(ask.excluded))
+        if target is None:
+            return _refuse(result_codes.NO_CAPACITY)
+        return Slot(
+            attempt_id=self._random.getrandbits(ATTEMPT_BITS),
+            target=target.name,
+            address=target.address,
+            shard=shard.key,
+            broker="",
+        )
+
+    def _note_waiting(self, message):
+        question = self._question_by_id.get(message.attempt_id)
+        if question is not None:
+            question.heard_at = time.monotonic()
+
+    def _settle(self, message):
+        # A grant that nobody waits for any more is dropped here; the cancel that
+        # its worker sent when it gave up gives the slot back.
+        self._pending.resolve(message.attempt_id.to_bytes(8, "big"), message)
+
+    def _tell(self, to: str, message: Message) -> bool:
+        if to != self._link.address:
+            return self._link.send(to, message)
+        self.handle(to, message)
+        return True
+
+    def _emit(self, outgoing: list[Outgoing]) -> None:
+        for item in outgoing:
+            self._tell(item.to, item.message)
+
+
+def _log_changes(key, changes):
+    for change in changes:
+        write_event(
+            _logger,
+            log_events.TARGET_STATE_CHANGED,
+            shard=key.format(),
+            target=change.target,
+            before=change.before,
+            after=change.after,
+            why=change.why,
+        )
+
+
+def _refuse(code, retry_after_seconds=RETRY_AFTER_SECONDS):
+    return SlotRefused(code=code, retry_after_seconds=retry_after_seconds)
+
+
+def _mark_leaving(targets, leaving_addresses):
+    if not leaving_addresses:
+        return targets
+    return tuple(
+        dataclasses.replace(target, leaving=True)
+        if target.address in leaving_addresses
+        else target
+        for target in targets
+    )
