Test spreading over a bad network; make the two trees independent

Cause: the property "the loss of one node cuts nobody off" failed at once for 14 nodes: two trees in unrelated orders can give a node the same parent in both. Change: readers tell each other, each of two heads one tree of the rest, and the second tree has the reverse order, so that a node which passes news on in one is a leaf in the other. Further properties: over loss, repetition, reordering and restarts no offset goes back, each state is that of its offset's prefix, and all converge once the network delivers.

--- /dev/null
+++ b/citronspan/core/config_spread_test.py
@@ -0,0 +1,208 @@
+"""Spreading over a network that loses, repeats, delays and reorders."""
+
+from unittest import mock
+
+import pytest
+from freezegun import freeze_time
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core import config_snapshots, config_spread
+from citronspan.core.config_record import LogBatch, encode_record
+from citronspan.core.config_snapshots import make_snapshot, split_snapshot
+from citronspan.core.config_spread import ConfigSpread
+from citronspan.core.config_spread_tree import (
+    FAN_OUT,
+    READERS_PER_REGION,
+    TREES,
+    find_readers,
+    make_plan,
+)
+from citronspan.core.config_state import ConfigState, apply_batch
+from citronspan.core.config_state_test import NaiveReader, make_change, make_records
+from citronspan.core.node_messages import NodeInfo
+
+HEAL_ROUNDS = 40
+
+
+@pytest.fixture(autouse=True)
+def small_sizes():
+    with (
+        mock.patch.object(config_spread, "RECENT_BYTES", 500),
+        mock.patch.object(config_spread, "ANSWER_BYTES", 300),
+        mock.patch.object(config_snapshots, "SNAPSHOT_PART_BYTES", 120),
+    ):
+        yield
+
+
+def make_node(number, regions=2):
+    return NodeInfo(
+        name=f"n{number}",
+        incarnation=1,
+        region=f"r{number % regions}",
+        data_centre="d",
+        agent_peer_address=f"127.0.0.{number + 1}:7100",
+        entry_peer_address="",
+        entry_callers_address="",
+        api_address="",
+    )
+
+
+def make_log(size):
+    """Return records that each create a resource, with a snapshot among them."""
+    datas = []
+    while len(datas) < size:
+        number = len(datas)
+        change = make_change(
+            NaiveReader(), number, number, f"s-{number}", "new", 0, 0.5, False
+        )
+        datas.append(encode_record(change))
+        if number == size // 2:
+            state = replay(make_records(datas))
+            part = split_snapshot(make_snapshot(state), at_seconds=0)[0]
+            datas.append(encode_record(part))
+    return make_records(datas)
+
+
+def replay(records):
+    batch = LogBatch(from_offset=0, next_offset=len(records), records=tuple(records))
+    return apply_batch(ConfigState(), batch).state
+
+
+class Network:
+    """Agents, a log and the messages under way."""
+
+    def __init__(self, records, size):
+        self.records = records
+        self.nodes = tuple(make_node(number) for number in range(size))
+        self.spread_by_address = {}
+        self.state_by_offset = {
+            offset: replay(records[:offset]) for offset in range(len(records) + 1)
+        }
+        self.under_way = []
+        for node in self.nodes:
+            self.restart(node)
+
+    def restart(self, node):
+        spread = ConfigSpread(own=node)
+        spread.set_nodes(self.nodes)
+        self.spread_by_address[node.agent_peer_address] = spread
+
+    def read_log(self, node, size):
+        spread = self.spread_by_address[node.agent_peer_address]
+        begin = spread.state.offset
+        end = min(begin + size, len(self.records))
+        batch = LogBatch(
+            from_offset=begin, next_offset=end, records=tuple(self.records[begin:end])
+        )
+        self._step(node.agent_peer_address, lambda: spread.take_log_batch(batch))
+
+    def tick(self, node):
+        spread = self.spread_by_address[node.agent_peer_address]
+        self._step(node.agent_peer_address, spread.tick)
+
+    def deliver(self, index, keep):
+        sender, item = self.under_way[index]
+        if not keep:
+            del self.under_way[index]
+        spread = self.spread_by_address[item.to]
+        self._step(item.to, lambda: spread.take_message(item.message, sender))
+
+    def _step(self, address, step):
+        spread = self.spread_by_address[address]
+        before = spread.state.offset
+        result = step()
+        assert spread.state.offset >= before, "an offset went back"
+        assert spread.state == self.state_by_offset[spread.state.offset]
+        self.under_way.extend((address, item) for item in result.outgoing)
+
+    def offsets(self):
+        return {spread.state.offset for spread in self.spread_by_address.values()}
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["read", "tick", "deliver", "deliver", "repeat", "lose", "restart", "wait"]
+        ),
+        st.integers(0, 1000),
+    ),
+    max_size=60,
+)
+
+
+def act(network, clock, action, number):
+    node = network.nodes[number % len(network.nodes)]
+    index = number % len(network.under_way) if network.under_way else None
+    if action == "read":
+        network.read_log(node, 1 + number % 3)
+    elif action == "tick":
+        network.tick(node)
+    elif action == "restart":
+        network.restart(node)
+    elif action == "wait":
+        clock.tick(0.6)
+    elif index is None:
+        return
+    elif action == "lose":
+        del network.under_way[index]
+    else:
+        network.deliver(index, keep=action == "repeat")
+
+
+@settings(max_examples=60)
+@given(actions=ACTIONS, size=st.integers(2, 9))
+def test_no_offset_goes_back_and_all_converge(actions, size):
+    with freeze_time("2026-01-01") as clock:
+        network = Network(make_log(8), size)
+        for action, number in actions:
+            act(network, clock, action, number)
+        # From here on the network delivers, and one node has read the whole log.
+        network.read_log(network.nodes[0], len(network.records))
+        for _ in range(HEAL_ROUNDS):
+            clock.tick(1.1)
+            for node in network.nodes:
+                network.tick(node)
+            while network.under_way:
+                network.deliver(0, keep=False)
+        assert network.offsets() == {len(network.records)}
+
+
+@given(size=st.integers(1, 60), regions=st.integers(1, 3))
+def test_news_of_any_reader_reaches_its_region_without_repair(size, regions):
+    nodes = tuple(make_node(number, regions) for number in range(size))
+    plan_by_address = {
+        node.agent_peer_address: make_plan(node, nodes) for node in nodes
+    }
+    readers = {node.agent_peer_address for node in find_readers(nodes)}
+    for node in nodes:
+        plan = plan_by_address[node.agent_peer_address]
+        assert len(plan.receivers) <= TREES * FAN_OUT + READERS_PER_REGION
+        assert plan.is_reader == (node.agent_peer_address in readers)
+    near = {node.agent_peer_address for node in nodes if node.region == "r0"}
+    first = make_first(near & readers, plan_by_address)
+    assert first == near
+
+
+def make_first(readers, plan_by_address):
+    """Return who hears news that the readers pass on."""
+    reached, pending = set(readers), list(readers)
+    while pending:
+        for to in plan_by_address[pending.pop()].receivers:
+            if to not in reached:
+                reached.add(to)
+                pending.append(to)
+    return reached
+
+
+@settings(max_examples=40)
+@given(size=st.integers(8, 60), data=st.data())
+def test_the_loss_of_one_node_cuts_nobody_off(size, data):
+    nodes = tuple(make_node(number, 1) for number in range(size))
+    plan_by_address = {
+        node.agent_peer_address: make_plan(node, nodes) for node in nodes
+    }
+    readers = {node.agent_peer_address for node in find_readers(nodes)}
+    lost = data.draw(st.sampled_from(sorted(plan_by_address)))
+    plan_by_address[lost] = make_plan(nodes[0], nodes[:1])
+    reached = make_first(readers - {lost}, plan_by_address)
+    assert reached | {lost} == set(plan_by_address)
--- a/citronspan/core/config_spread_tree.py
+++ b/citronspan/core/config_spread_tree.py
@@ -37,8 +37,10 @@
 def make_plan(own: NodeInfo, nodes: tuple[NodeInfo, ...]) -> SpreadPlan:
     """Plan the spreading in the region of a node.
 
-    Each of ``TREES`` trees has another reader at its root and another order of
-    the rest, so that the loss of one node cuts nobody off from both.
+    The readers tell each other, and each of ``TREES`` of them heads a tree of the
+    other nodes. The second tree has the order of the first reversed: a node that
+    passes news on in one is a leaf in the other, and the trees have different
+    heads, so that the loss of one node cuts nobody off.
 
     Args:
         own: The node.
@@ -54,13 +56,27 @@
     }
     address_by_name[own.name] = own.agent_peer_address
     ranking = _rank_readers(address_by_name, own.region)
+    rank = ranking.index(own.name)
+    readers, others = ranking[:READERS_PER_REGION], ranking[READERS_PER_REGION:]
     receivers = set()
-    for tree in range(TREES):
-        order = _order_tree(ranking, tree)
-        place = order.index(own.name)
-        children = order[place * FAN_OUT + 1 : place * FAN_OUT + FAN_OUT + 1]
-        receivers.update(address_by_name[name] for name in children)
-    return SpreadPlan(rank=ranking.index(own.name), receivers=tuple(sorted(receivers)))
+    if own.name in readers:
+        receivers.update(readers)
+    for tree, order in enumerate((others, others[::-1])):
+        place = order.index(own.name) if own.name in order else None
+        receivers.update(_find_children(order, place, leads=rank == tree))
+    receivers.discard(own.name)
+    return SpreadPlan(
+        rank=rank, receivers=tuple(sorted(address_by_name[name] for name in receivers))
+    )
+
+
+def _find_children(order: list[str], place: int | None, *, leads: bool) -> list[str]:
+    if leads:
+        return order[:FAN_OUT]
+    if place is None:
+        return []
+    first = (place + 1) * FAN_OUT
+    return order[first : first + FAN_OUT]
 
 
 def find_readers(nodes: tuple[NodeInfo, ...]) -> list[NodeInfo]:
@@ -79,13 +95,6 @@
     return rank_members(names, f"configuration-readers {region}")
 
 
-def _order_tree(ranking: list[str], tree: int) -> list[str]:
-    readers = ranking[:READERS_PER_REGION]
-    turn = tree % len(readers)
-    others = rank_members(ranking[READERS_PER_REGION:], f"configuration-tree {tree}")
-    return readers[turn:] + readers[:turn] + others
-
-
 def rank_in_fleet(own: NodeInfo, nodes: tuple[NodeInfo, ...]) -> int:
     """Return the place of a node among all nodes that may append snapshots."""
     names = {node.name for node in nodes} | {own.name}
