--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,15 +8,12 @@
 
 import msgspec
 
-from citronspan.core.config_messages import (
-    ConfigOffset,
-    ConfigPull,
-    ConfigRecords,
-    ConfigStatePart,
-    Greeting,
-)
+from citronspan.core.broker_messages import BrokerMessage, EntryMessage
+from citronspan.core.config_messages import ConfigMessage
+from citronspan.core.key_messages import KeyMessage
 from citronspan.core.message_base import Message
-from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.node_messages import NodeMessage
+from citronspan.core.verdicts import VerdictPush
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -33,14 +30,12 @@
     sender: str
     incarnation: int
     body: (
-        ConfigurationPush
-        | ViewPush
-        | EntryReport
-        | Greeting
-        | ConfigOffset
-        | ConfigPull
-        | ConfigRecords
-        | ConfigStatePart
+        NodeMessage
+        | ConfigMessage
+        | KeyMessage
+        | BrokerMessage
+        | EntryMessage
+        | VerdictPush
     )
 
 
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -156,6 +156,16 @@
 CONFIGURATION_MISSING = _define(
     3013, "configuration-missing", 503, _NOT, "The entry has no configuration yet."
 )
+LINK_BUDGET_SPENT = _define(
+    3060,
+    "link-budget-spent",
+    503,
+    _NOT,
+    "The request may not use the link between the regions now.",
+)
+ATTEMPT_CANCELLED = _define(
+    3061, "attempt-cancelled", 503, _NOT, "The entry gave the attempt up itself."
+)
 
 # 4000-4099: idempotency keys.
 KEY_INVALID = _define(4001, "key-invalid", 400, _NOT, "The key is not well formed.")
@@ -178,3 +188,12 @@
 KEY_REUSED = _define(
     4008, "key-reused", 422, _NOT, "The key was used for a different request."
 )
+
+# 4010-4029: results of the key protocol beside those that every caller's page names.
+KEY_TOO_FAR_AHEAD = _define(
+    4010,
+    "key-too-far-ahead",
+    409,
+    _NOT,
+    "The key expires later than keys can; it is closed, take a new key.",
+)
