Hold the view of the fleet by membership; read the host list as a hint

Cause: plain greetings to everyone cost each node messages in proportion to the fleet, and one lost direction made a node forget a peer that others heard. Change: core/membership.py after SWIM, with refutation, relayed heartbeats, members that are heard by others only kept out of the own choice, gone members tried again; host list polled, leaving targets told to the entry.

--- a/citronspan/core/config_messages.py
+++ b/citronspan/core/config_messages.py
@@ -2,19 +2,6 @@
 
 from citronspan.core.config_record import LogBatch
 from citronspan.core.message_base import Message
-from citronspan.core.node_messages import NodeInfo
-
-
-class Greeting(Message, kw_only=True):
-    """An agent's own information, until membership carries it.
-
-    Attributes:
-        node: The sender.
-        addresses: Peer addresses of agents that the sender knows.
-    """
-
-    node: NodeInfo
-    addresses: tuple[str, ...] = ()
 
 
 class ConfigOffset(Message, kw_only=True):
@@ -69,4 +56,4 @@
     data: bytes
 
 
-ConfigMessage = Greeting | ConfigOffset | ConfigPull | ConfigRecords | ConfigStatePart
+ConfigMessage = ConfigOffset | ConfigPull | ConfigRecords | ConfigStatePart
--- /dev/null
+++ b/citronspan/core/membership_test.py
@@ -0,0 +1,167 @@
+import random
+
+from freezegun import freeze_time
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core.member_messages import MemberRecord, MemberStatus, MemberSync
+from citronspan.core.membership import Membership
+from citronspan.core.node_messages import NodeInfo
+
+STEP_SECONDS = 0.25
+# Far above what detection, suspicion and spreading take together.
+SETTLE_SECONDS = 40
+
+
+def make_node(name, incarnation=1):
+    return NodeInfo(
+        name=name,
+        incarnation=incarnation,
+        region="r",
+        data_centre="d",
+        agent_peer_address=name,
+        entry_peer_address=f"{name}-entry",
+        entry_callers_address=f"{name}-callers",
+        api_address=f"{name}-api",
+        entry_state="serving",
+    )
+
+
+class Network:
+    """Members that hand their messages to each other, save over cut directions."""
+
+    def __init__(self, clock, count):
+        self.clock = clock
+        self.cuts = set()
+        names = [f"n{number}" for number in range(count)]
+        self.member_by_name = {
+            name: Membership(own=make_node(name), seeds=("n0", "n1"), seed=number)
+            for number, name in enumerate(names)
+        }
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_SECONDS)):
+            self.clock.tick(STEP_SECONDS)
+            for name, member in list(self.member_by_name.items()):
+                self.deliver(name, member.tick())
+
+    def deliver(self, sender, outgoing):
+        for item in outgoing:
+            receiver = self.member_by_name.get(item.to)
+            if receiver is None or (sender, item.to) in self.cuts:
+                continue
+            self.deliver(item.to, receiver.handle(sender, item.message))
+
+    def views(self):
+        return {
+            name: {node.name for node in member.live_nodes()}
+            for name, member in self.member_by_name.items()
+        }
+
+
+def test_all_members_find_each_other_from_the_seeds():
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 7)
+        network.run(SETTLE_SECONDS)
+        assert all(
+            view == set(network.member_by_name) for view in network.views().values()
+        )
+
+
+@settings(max_examples=25)
+@given(st.data())
+def test_one_way_cuts_at_one_observer_remove_a_member_from_no_other_view(data):
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 6)
+        network.run(SETTLE_SECONDS)
+        names = list(network.member_by_name)
+        observer = data.draw(st.sampled_from(names))
+        others = [name for name in names if name != observer]
+        unheard = data.draw(st.sets(st.sampled_from(others), max_size=3))
+        unreached = data.draw(st.sets(st.sampled_from(others), max_size=3))
+        network.cuts = {(name, observer) for name in unheard}
+        network.cuts |= {(observer, name) for name in unreached}
+        network.run(SETTLE_SECONDS)
+        for name, view in network.views().items():
+            if name != observer:
+                assert set(others) <= view
+
+
+def test_a_peer_that_is_not_heard_is_no_peer_to_depend_on():
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 5)
+        network.run(SETTLE_SECONDS)
+        network.cuts = {("n3", "n2")}
+        network.run(SETTLE_SECONDS)
+        views = network.views()
+        assert "n3" not in views["n2"]
+        assert {"n2", "n3"} <= views["n1"]
+        unheard = network.member_by_name["n2"].unheard_nodes()
+        assert [node.name for node in unheard] == ["n3"]
+        network.cuts = set()
+        network.run(SETTLE_SECONDS)
+        assert "n3" in network.views()["n2"]
+
+
+def test_a_stopped_member_leaves_all_views_and_an_old_incarnation_stays_out():
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 6)
+        network.run(SETTLE_SECONDS)
+        del network.member_by_name["n4"]
+        network.run(SETTLE_SECONDS)
+        assert all("n4" not in view for view in network.views().values())
+        old = MemberRecord(
+            node=make_node("n4", incarnation=0),
+            revision=99,
+            status=MemberStatus.ALIVE,
+        )
+        for member in network.member_by_name.values():
+            member.handle("n0", MemberSync(records=(old,)))
+        assert all("n4" not in view for view in network.views().values())
+        back = Membership(own=make_node("n4", incarnation=2), seeds=("n0",), seed=9)
+        network.member_by_name["n4"] = back
+        network.run(SETTLE_SECONDS)
+        assert all(
+            view == set(network.member_by_name) for view in network.views().values()
+        )
+
+
+def test_parted_halves_find_together_without_seeds():
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 6)
+        network.run(SETTLE_SECONDS)
+        for member in network.member_by_name.values():
+            member._seeds = ()
+        west = {"n0", "n1", "n2"}
+        east = {"n3", "n4", "n5"}
+        network.cuts = {(a, b) for a in west for b in east}
+        network.cuts |= {(b, a) for a in west for b in east}
+        network.run(120)
+        assert network.views()["n0"] == west
+        assert network.views()["n5"] == east
+        network.cuts = set()
+        network.run(2 * SETTLE_SECONDS)
+        assert all(view == west | east for view in network.views().values())
+
+
+RECORD = st.builds(
+    lambda name, incarnation, revision, status: MemberRecord(
+        node=make_node(name, incarnation), revision=revision, status=status
+    ),
+    st.sampled_from(["a", "b"]),
+    st.integers(0, 2),
+    st.integers(0, 2),
+    st.sampled_from(MemberStatus),
+)
+
+
+@given(st.lists(RECORD, max_size=8), st.integers())
+def test_records_merge_alike_in_any_order_with_duplicates(records, seed):
+    mixed = records + records[::2]
+    random.Random(seed).shuffle(mixed)
+    views = []
+    for batch in (records, mixed):
+        member = Membership(own=make_node("own"), seed=1)
+        for record in batch:
+            member.handle("x", MemberSync(records=(record,)))
+        views.append((member.live_nodes(), member.gone_nodes()))
+    assert views[0] == views[1]
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -11,6 +11,7 @@
 from citronspan.core.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.config_messages import ConfigMessage
 from citronspan.core.key_messages import KeyMessage
+from citronspan.core.member_messages import MemberMessage
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import NodeMessage
 from citronspan.core.verdicts import VerdictPush
@@ -36,6 +37,7 @@
         | BrokerMessage
         | EntryMessage
         | VerdictPush
+        | MemberMessage
     )
 
 
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -13,7 +13,6 @@
     ConfigPull,
     ConfigRecords,
     ConfigStatePart,
-    Greeting,
 )
 from citronspan.core.config_spread_tree import find_readers, rank_in_fleet
 from citronspan.core.config_start import PEERS_ASKED, StartFacts
@@ -21,6 +20,7 @@
 from citronspan.core.directory import DirectoryAnswer, choose_addresses
 from citronspan.core.key_token import mint_prefix
 from citronspan.core.key_token_nodes import choose_owner_and_witness
+from citronspan.core.member_messages import MemberMessage
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import EntryReport, NodeInfo
 from citronspan.core.resources import Kind, decode_resource
@@ -33,17 +33,18 @@
     make_status,
     make_target_status,
 )
-from citronspan.ops.agent_view import SeedView
+from citronspan.ops.agent_view import MembershipView
 from citronspan.ops.config_tail import ConfigTail
 from citronspan.ops.config_tail_held import HeldConfig
 from citronspan.ops.config_tail_retention import RetentionKeeper
+from citronspan.ops.host_list import HostListReader
 from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.log_client import HttpLogStore, LogStore
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.resource_api import ResourceApi, make_application
 from citronspan.utils.logs import write_event
 
-TICK_SECONDS = 0.5
+TICK_SECONDS = 0.2
 START_TICK_SECONDS = 0.1
 API_THREADS = 24
 STOP_SECONDS = 1.0
@@ -71,7 +72,7 @@
             address=settings.peer_address,
             incarnation=self.incarnation,
         )
-        self.view = SeedView(own=own, seeds=settings.seeds)
+        self.view = MembershipView(own=own, seeds=settings.seeds)
         self.held = HeldConfig(own=own, send_all=self.link.send_all)
         self.keeper = RetentionKeeper(
             held=self.held,
@@ -79,6 +80,7 @@
             interval_seconds=settings.snapshot_seconds,
         )
         self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
+        self.hosts = HostListReader(url=settings.host_list_url)
         self.feed = EntryFeed(to=settings.entry_peer_address, link=self.link)
         api = ResourceApi(held=self.held, store=self.store, fleet=self)
         self._server = make_server(
@@ -98,6 +100,7 @@
             self._start(self._keep_running(self.keeper.run), "retention"),
             self._start(self._keep_running(self._tick_forever), "tick"),
             self._start(self._keep_running(self._feed_forever), "feed"),
+            self._start(self._keep_running(self._read_hosts), "hosts"),
             self._start(self._server.serve, "api"),
             self._start(self._metrics_server.serve, "metrics"),
         ]
@@ -109,8 +112,10 @@
         )
         self._stop.wait()
         write_event(_logger, log_events.PROCESS_STOPPING)
+        self.link.send_all(self.view.leave())
         self.tail.stop()
         self.keeper.stop()
+        self.hosts.stop()
         self.held.close()
         self._server.stop()
         self._metrics_server.stop()
@@ -208,8 +213,8 @@
             self.held.take_message(body, envelope.sender)
         elif isinstance(body, EntryReport):
             self._take_report(body, envelope.incarnation)
-        elif isinstance(body, Greeting):
-            self.view.take(body)
+        elif isinstance(body, MemberMessage):
+            self.link.send_all(self.view.handle(envelope.sender, body))
 
     def _take_report(self, report: EntryReport, incarnation: int):
         if report.name != self._settings.place.name:
@@ -228,10 +233,13 @@
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
             self.keeper.rank = self._find_snapshot_rank(nodes)
-            self.feed.push_view(nodes)
+            self.feed.push_view(nodes, self.hosts.leaving_targets)
             if not self.held.ready:
                 self._look_at_gate(nodes)
 
+    def _read_hosts(self):
+        self.hosts.run(lambda: len(self.view.live_nodes()))
+
     def _find_tick_seconds(self):
         return TICK_SECONDS if self.held.ready else START_TICK_SECONDS
 
--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -37,7 +37,7 @@
         self._sent: ConfigState | None = None
         self._sent_at = float("-inf")
         self._reported_offset = 0
-        self._view: tuple[NodeInfo, ...] = ()
+        self._view: tuple[tuple[NodeInfo, ...], tuple[str, ...]] = ((), ())
         self._view_sequence = time.time_ns() // 1_000_000
         self._view_sent_at = float("-inf")
 
@@ -80,16 +80,26 @@
                 return
             self._sent = None
 
-    def push_view(self, nodes: tuple[NodeInfo, ...]) -> None:
-        """Send the view if it changed, and now and then all the same."""
+    def push_view(
+        self, nodes: tuple[NodeInfo, ...], leaving_targets: tuple[str, ...]
+    ) -> None:
+        """Send the view if it changed, and now and then all the same.
+
+        Args:
+            nodes: Nodes that the entry may depend on.
+            leaving_targets: Addresses that the host list shows as leaving.
+        """
         now = time.monotonic()
-        if nodes == self._view and now < self._view_sent_at + VIEW_SECONDS:
+        view = (nodes, leaving_targets)
+        if view == self._view and now < self._view_sent_at + VIEW_SECONDS:
             return
         self._view_sequence += 1
-        message = ViewPush(sequence=self._view_sequence, nodes=nodes)
+        message = ViewPush(
+            sequence=self._view_sequence, nodes=nodes, leaving_targets=leaving_targets
+        )
         if not self._link.send(self._to, message):
             return
-        self._view = nodes
+        self._view = view
         self._view_sent_at = now
 
 
