--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,8 +8,11 @@
 
 import msgspec
 
+from citronspan.core.broker_messages import BrokerMessage, EntryMessage
+from citronspan.core.config_messages import ConfigMessage
+from citronspan.core.key_messages import KeyMessage
 from citronspan.core.message_base import Message
-from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.node_messages import NodeMessage
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -25,7 +28,7 @@
     fleet: str
     sender: str
     incarnation: int
-    body: ConfigurationPush | ViewPush | EntryReport
+    body: NodeMessage | ConfigMessage | KeyMessage | BrokerMessage | EntryMessage
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -81,3 +81,6 @@
     offset: int
     view_sequence: int = 0
     in_flight: int = 0
+
+
+NodeMessage = ConfigurationPush | ViewPush | EntryReport
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -100,6 +100,19 @@
 API_REQUEST_INVALID = _define(
     2007, "api-request-invalid", 400, _NA, "The API request is not valid."
 )
+TOO_MANY_WATCHES = _define(
+    2010,
+    "too-many-watches",
+    503,
+    _NA,
+    "The agent serves no further watch; ask another.",
+)
+API_UNREACHABLE = _define(
+    2011, "api-unreachable", 503, _NA, "The agent's API does not answer."
+)
+AGENT_STARTING = _define(
+    2012, "agent-starting", 503, _NA, "The agent has not caught up yet; come back."
+)
 
 # 3000-3099: callers' requests.
 NO_ROUTE = _define(3001, "no-route", 404, _NOT, "No route matches the request.")
@@ -143,6 +156,16 @@
 CONFIGURATION_MISSING = _define(
     3013, "configuration-missing", 503, _NOT, "The entry has no configuration yet."
 )
+LINK_BUDGET_SPENT = _define(
+    3060,
+    "link-budget-spent",
+    503,
+    _NOT,
+    "The request may not use the link between the regions now.",
+)
+ATTEMPT_CANCELLED = _define(
+    3061, "attempt-cancelled", 503, _NOT, "The entry gave the attempt up itself."
+)
 
 # 4000-4099: idempotency keys.
 KEY_INVALID = _define(4001, "key-invalid", 400, _NOT, "The key is not well formed.")
@@ -165,3 +188,12 @@
 KEY_REUSED = _define(
     4008, "key-reused", 422, _NOT, "The key was used for a different request."
 )
+
+# 4010-4029: results of the key protocol beside those that every caller's page names.
+KEY_TOO_FAR_AHEAD = _define(
+    4010,
+    "key-too-far-ahead",
+    409,
+    _NOT,
+    "The key expires later than keys can; it is closed, take a new key.",
+)
