Count attempts that are still unanswered when they are overdue

Cause: a target that takes 20 times as long tells of it only when it answers at last; with two slots that is less than one outcome a second.

Change: the broker notes each attempt once when it is older than a very slow answer of its kind; its later outcome is then not counted again. A cancelled attempt counts only if it was overdue when it was given up.

--- a/bench/detection_model.py
+++ b/bench/detection_model.py
@@ -21,6 +21,8 @@
 DEADLINE_MEDIANS = 40
 IDEMPOTENT_SHARE = 0.7
 FLOOR = 0.5
+# How late the broker's sweep finds an overdue attempt.
+OVERDUE_DELAY_SECONDS = 0.1
 
 
 class SimulatedClock:
@@ -105,6 +107,12 @@
     def learn(self, entry: int, target: int, failed: bool, latency: float) -> None:
         """Take an outcome."""
 
+    def find_overdue_seconds(self) -> float:
+        """Return the age at which an unanswered attempt is noted."""
+
+    def note_overdue(self, target: int) -> None:
+        """Note an unanswered attempt."""
+
     def count_blind(self, target: int) -> int:
         """Return how many choosers still use a target."""
 
@@ -183,6 +191,14 @@
             )
         )
 
+    def find_overdue_seconds(self):
+        """Return the age at which an unanswered attempt is noted."""
+        return self.health.find_overdue_seconds("browse")
+
+    def note_overdue(self, target):
+        """Note an unanswered attempt."""
+        self.health.note_overdue(self.names[target])
+
     def count_blind(self, target):
         """Return how many choosers still use a target."""
         self.find_slots(0)
@@ -216,6 +232,13 @@
         """Take an outcome."""
         pass
 
+    def find_overdue_seconds(self):
+        """Return the age at which an unanswered attempt is noted."""
+        return math.inf
+
+    def note_overdue(self, target):
+        """Note an unanswered attempt."""
+
     def count_blind(self, target):
         """Return how many choosers still use a target."""
         return self.choosers
@@ -370,7 +393,12 @@
         while True:
             now += self.random.expovariate(self.rate)
             while self.ends and self.ends[0][0] <= now:
-                self._end(heapq.heappop(self.ends))
+                end = heapq.heappop(self.ends)
+                if end[2] < 0:
+                    CLOCK.now = end[0]
+                    self.policy.note_overdue(end[1])
+                else:
+                    self._end(end)
                 if on_outcome is not None and on_outcome():
                     return
             if now > until:
@@ -404,6 +432,9 @@
                 self.last_sent_at = now
         self.policy.note_sent(entry, target)
         heapq.heappush(self.ends, (now + latency, target, entry, failed, latency))
+        overdue = self.policy.find_overdue_seconds() + OVERDUE_DELAY_SECONDS
+        if latency > overdue:
+            heapq.heappush(self.ends, (now + overdue, target, -1, False, 0.0))
 
     def _choose(self, entry):
         slots = self.policy.find_slots(entry)
--- a/citronspan/core/cusum.py
+++ b/citronspan/core/cusum.py
@@ -277,7 +277,13 @@
         return test.evidence
 
     def add_answer(
-        self, target: str, kind: str, latency_seconds: float, now: float
+        self,
+        target: str,
+        kind: str,
+        latency_seconds: float,
+        now: float,
+        *,
+        overdue: bool = False,
     ) -> float:
         """Add a good answer.
 
@@ -286,6 +292,7 @@
             kind: Request kind.
             latency_seconds: From dispatch to the first byte of the answer.
             now: Present time.
+            overdue: Whether the wait for it was added already.
 
         Returns:
             The target's evidence in nats.
@@ -294,11 +301,17 @@
         test = self.test_by_target[target]
         weight = self._weigh(test, now)
         self._add(test, Mark.FAILED, False, False, weight)
-        self._add_latency(test, latency_seconds / level, weight)
+        if not overdue:
+            self._add_latency(test, latency_seconds / level, weight)
         return test.evidence
 
+    def compute_overdue_seconds(self, kind: str) -> float:
+        """Return from which age an attempt is very slow, whatever comes of it."""
+        level = self.levels.get_level(kind) or math.inf
+        return level * LATENCY_MARGIN * VERY_SLOW_FACTOR
+
     def add_unanswered(self, target: str, now: float) -> float:
-        """Add an attempt that was given up after more than the very slow latency.
+        """Add an attempt that had no answer within the very slow latency.
 
         Args:
             target: Name of the target.
@@ -314,10 +327,9 @@
 
     def judge_answer(self, kind: str, latency_seconds: float) -> tuple[bool, bool]:
         """Return whether a latency is slow and very slow, the margin applied."""
-        level = self.levels.get_level(kind) or math.inf
-        slow = latency_seconds > level * LATENCY_MARGIN
-        very_slow = latency_seconds > level * LATENCY_MARGIN * VERY_SLOW_FACTOR
-        return slow, very_slow
+        very_slow_seconds = self.compute_overdue_seconds(kind)
+        slow = latency_seconds > very_slow_seconds / VERY_SLOW_FACTOR
+        return slow, latency_seconds > very_slow_seconds
 
     def get_long_run(self, target: str, mark: int) -> float:
         """Return the long-run share of a mark at the peers of a target."""
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -120,7 +120,7 @@
             self._take_starting_sign(record, now)
             return
         if outcome_class is OutcomeClass.CANCELLED:
-            self._take_given_up(record, outcome, now)
+            self._take_given_up(record, outcome)
             return
         if not self._is_too_short(outcome):
             self._take_answer(record, outcome, True, now)
@@ -128,10 +128,16 @@
     def _take_answer(
         self, record: TargetRecord, outcome: Outcome, failed: bool, now: float
     ) -> None:
-        if record.state in ("ejected", "trial"):
-            self._add_to_trial(record, outcome, failed, now)
+        overdue = self._is_known_overdue(record, outcome)
+        if record.state not in ("ejected", "trial"):
+            self._add_to_test(record, outcome, failed, overdue, now)
+            return
+        # Requests that were sent before the trial began tell nothing of it.
+        if overdue or now - outcome.latency_seconds < record.since:
             return
-        self._add_to_test(record, outcome, failed, now)
+        record.starting_seconds = 0.0
+        bad = failed or self._is_gray_answer(record, outcome)
+        self._judge_trial(record, bad, now)
 
     def _is_too_short(self, outcome: Outcome) -> bool:
         """Return whether the caller gave less time than a good answer may take."""
@@ -140,20 +146,60 @@
         level = self._test.levels.get_level(outcome.request_kind)
         return outcome.deadline_seconds < level * VERY_SLOW_FACTOR
 
-    def _take_given_up(
-        self, record: TargetRecord, outcome: Outcome, now: float
-    ) -> None:
-        """Count a cancelled attempt only if even a slow answer was overdue."""
-        level = self._test.levels.get_level(outcome.request_kind)
-        if not 0 < level * VERY_SLOW_FACTOR < outcome.latency_seconds:
+    def _take_given_up(self, record: TargetRecord, outcome: Outcome) -> None:
+        """Count a cancelled attempt only if even a very slow answer was overdue."""
+        overdue_seconds = self.find_overdue_seconds(outcome.request_kind)
+        if outcome.latency_seconds <= overdue_seconds:
             return
-        if record.state not in ("healthy", "suspect"):
+        if self._is_known_overdue(record, outcome):
             return
-        evidence = self._test.add_unanswered(outcome.target, now)
-        self._judge(record, evidence, now)
+        self.note_overdue(outcome.target)
+        record.overdue -= 1
+
+    def find_overdue_seconds(self, kind: str) -> float:
+        """Return the age at which an unanswered attempt is to be noted.
+
+        Args:
+            kind: Request kind.
+
+        Returns:
+            The age in seconds, infinite while nothing is known of the kind.
+        """
+        return self._test.compute_overdue_seconds(kind)
+
+    def note_overdue(self, target: str) -> None:
+        """Take as evidence that an attempt is still unanswered; once an attempt.
+
+        Args:
+            target: Name of the target.
+        """
+        record = self._record_by_target.get(target)
+        if record is None or record.state == "draining":
+            return
+        now = time.monotonic()
+        record.overdue = min(record.overdue + 1, record.known.slots)
+        if record.state in ("ejected", "trial"):
+            self._judge_trial(record, True, now)
+            return
+        self._judge(record, self._test.add_unanswered(target, now), now)
+
+    def _is_known_overdue(self, record: TargetRecord, outcome: Outcome) -> bool:
+        """Return whether the wait for an outcome was noted, and count it off."""
+        if record.overdue == 0:
+            return False
+        overdue_seconds = self.find_overdue_seconds(outcome.request_kind)
+        if outcome.latency_seconds <= overdue_seconds:
+            return False
+        record.overdue -= 1
+        return True
 
     def _add_to_test(
-        self, record: TargetRecord, outcome: Outcome, failed: bool, now: float
+        self,
+        record: TargetRecord,
+        outcome: Outcome,
+        failed: bool,
+        overdue: bool,
+        now: float,
     ) -> None:
         if now - outcome.latency_seconds < record.returned_at:
             return
@@ -162,7 +208,11 @@
             record.failures.append(outcome.fingerprint)
         else:
             evidence = self._test.add_answer(
-                outcome.target, outcome.request_kind, outcome.latency_seconds, now
+                outcome.target,
+                outcome.request_kind,
+                outcome.latency_seconds,
+                now,
+                overdue=overdue,
             )
         self._judge(record, evidence, now)
 
@@ -201,17 +251,12 @@
         usual = self._test.get_long_run(record.known.name, record.mark)
         return trial.TrialTest(usual=usual, gray=record.gray_share)
 
-    def _add_to_trial(
-        self, record: TargetRecord, outcome: Outcome, failed: bool, now: float
-    ) -> None:
-        """Add an answer to a request that was sent since the trial began."""
-        if now - outcome.latency_seconds < record.since:
-            return
+    def _judge_trial(self, record: TargetRecord, bad: bool, now: float) -> None:
+        """Add one answer to a trial, or to the use that the floor asks for."""
         kept = record.known.name in self._floor.ignored
         if record.state == "ejected" and not kept:
             return
-        record.starting_seconds = 0.0
-        record.trial.add(failed or self._is_gray_answer(record, outcome))
+        record.trial.add(bad)
         if record.trial.passed:
             self._return(record, now)
             return
--- a/citronspan/core/service_health_record.py
+++ b/citronspan/core/service_health_record.py
@@ -35,6 +35,7 @@
         returned_at: When it last returned from a trial.
         told_draining: Whether it said itself that it is draining.
         failures: Fingerprints of its last failures.
+        overdue: Unanswered attempts that were counted before their outcome.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "returned_at",
         "told_draining",
         "failures",
+        "overdue",
     )
 
     def __init__(self, *, known: KnownTarget, now: float):
@@ -72,4 +74,5 @@
         self.ramp_started_at = -math.inf
         self.returned_at = -math.inf
         self.told_draining = False
+        self.overdue = 0
         self.failures = deque(maxlen=REMEMBERED_FAILURES)
