Test kills, freezes, an away log and a graceful stop on real processes

Cause: the promises under failures of whole processes were unproved. Change: five tests on a fleet of four hosts, three targets, log and host list.

--- /dev/null
+++ b/citronspan_standins/failures_test.py
@@ -0,0 +1,250 @@
+"""Failures of whole processes: the promises to callers while parts of a fleet fail."""
+
+import hashlib
+import signal
+import subprocess
+import threading
+import time
+import uuid
+
+import msgspec
+import pytest
+import urllib3
+
+from citronspan_standins.demo_checks import (
+    API_PORT,
+    CALLERS_PORT,
+    Demo,
+    check_apply,
+    check_in_force,
+    check_membership,
+    check_ready,
+)
+from citronspan_standins.fleet import (
+    PROJECT,
+    find_free_fleet,
+    list_processes,
+    write_files,
+)
+
+BOUND_SECONDS = 20.0
+REGION = "svealand"
+
+
+class RunningFleet:
+    """A fleet whose processes a test may signal by their names."""
+
+    def __init__(self, directory):
+        self.fleet = find_free_fleet(directory)
+        write_files(self.fleet)
+        self.demo = Demo(fleet=self.fleet)
+        self.process_by_name = {}
+        self.http = urllib3.PoolManager(
+            timeout=BOUND_SECONDS, retries=False, maxsize=16
+        )
+        self.command_by_name = {
+            process.name: process.format_command(directory)
+            for process in list_processes(self.fleet)
+        }
+
+    def start(self, name):
+        self.process_by_name[name] = subprocess.Popen(
+            self.command_by_name[name], cwd=PROJECT, shell=True
+        )
+
+    def signal(self, name, number):
+        self.process_by_name[name].send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.process_by_name[name].wait(BOUND_SECONDS)
+
+    def end(self):
+        for process in self.process_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.process_by_name.values():
+            try:
+                process.wait(BOUND_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+    def find_host(self, name):
+        return next(host for host in self.fleet.hosts if host.name == name)
+
+    def send(self, host, method, path, **options):
+        address = self.find_host(host).get_address(CALLERS_PORT)
+        return self.http.request(method, f"http://{address}{path}", **options)
+
+    def ask_agent(self, host, path):
+        address = self.find_host(host).get_address(API_PORT)
+        answer = self.http.request("GET", f"http://{address}{path}")
+        return msgspec.json.decode(answer.data)
+
+    def find_brokers(self):
+        """Hosts in one region whose entry is the broker of a shard there."""
+        brokers = set()
+        for host in self.fleet.hosts:
+            if host.region != REGION:
+                continue
+            for target in self.ask_agent(host.name, "/status")["targets"]:
+                brokers.add(target["by"])
+        return brokers
+
+    def count_runs(self, key):
+        return sum(
+            record.key.endswith(key)
+            for ran in self.demo.list_runs().values()
+            for record in ran
+        )
+
+
+def wait_until(condition, seconds=BOUND_SECONDS):
+    end = time.monotonic() + seconds
+    while True:
+        try:
+            if condition():
+                return
+        except urllib3.exceptions.HTTPError:
+            pass
+        assert time.monotonic() < end, "it did not come about in time"
+        time.sleep(0.1)
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory):
+    running = RunningFleet(tmp_path_factory.mktemp("fleet"))
+    try:
+        for name in running.command_by_name:
+            running.start(name)
+        check_ready(running.demo)
+        check_apply(running.demo)
+        check_in_force(running.demo)
+        check_membership(running.demo)
+        yield running
+    finally:
+        running.end()
+
+
+def browse_all(running, hosts, count=40):
+    """Browse through some entries; return the statuses that callers saw."""
+    return [
+        running.send(hosts[number % len(hosts)], "GET", f"/packs/{number}").status
+        for number in range(count)
+    ]
+
+
+def warm_up(running):
+    """Let both entries of the region ask the broker at least once."""
+    assert set(browse_all(running, ["host-1", "host-2"])) == {200}
+    wait_until(lambda: running.find_brokers())
+
+
+def find_roles(running):
+    warm_up(running)
+    broker = sorted(running.find_brokers())[0]
+    other = next(name for name in ("host-1", "host-2") if name != broker)
+    return broker, other
+
+
+def test_a_frozen_broker_costs_no_request(running):
+    broker, other = find_roles(running)
+    running.signal(f"{broker}-entry", signal.SIGSTOP)
+    try:
+        assert set(browse_all(running, [other])) == {200}
+    finally:
+        running.signal(f"{broker}-entry", signal.SIGCONT)
+    wait_until(lambda: set(browse_all(running, [broker, other], 4)) == {200})
+
+
+def test_a_killed_broker_costs_the_others_no_request_and_may_come_back(running):
+    broker, other = find_roles(running)
+    running.kill(f"{broker}-entry")
+    assert set(browse_all(running, [other])) == {200}
+    running.start(f"{broker}-entry")
+    wait_until(lambda: running.send(broker, "GET", "/packs/1").status == 200)
+    assert set(browse_all(running, [broker, other])) == {200}
+
+
+def make_key(running, host):
+    prefix = running.ask_agent(host, f"/directory?region={REGION}")["keyPrefix"]
+    return f"{prefix}.{uuid.uuid4().hex}"
+
+
+def purchase(running, host, key):
+    return running.send(
+        host,
+        "POST",
+        "/purchases",
+        body=b'{"pack": 1}',
+        headers={"Idempotency-Key": key},
+    )
+
+
+def test_a_purchase_sent_again_past_a_killed_owner_runs_at_most_once(running):
+    key = make_key(running, "host-1")
+    first = purchase(running, "host-1", key)
+    assert first.status == 200
+    running.kill("host-1-entry")
+    again = purchase(running, "host-2", key)
+    assert again.status in (200, 409)
+    if again.status != 200:
+        assert again.headers["Citronspan-Ran"] == "may-have-run"
+    running.start("host-1-entry")
+    wait_until(lambda: running.send("host-1", "GET", "/packs/1").status == 200)
+    late = purchase(running, "host-1", key)
+    assert late.status != 200 or late.data == first.data
+    assert late.headers.get("Citronspan-Ran") != "not-run"
+    assert running.count_runs(key.rpartition(".")[2]) == 1
+
+
+def test_entries_serve_and_start_while_the_log_is_away(running):
+    running.kill("log")
+    try:
+        assert set(browse_all(running, ["host-1", "host-2", "host-3"])) == {200}
+        before = running.ask_agent("host-3", "/status")["offset"]
+        for role in ("agent", "entry"):
+            running.kill(f"host-3-{role}")
+            running.start(f"host-3-{role}")
+        wait_until(lambda: running.send("host-3", "GET", "/packs/1").status == 200)
+        assert running.ask_agent("host-3", "/status")["offset"] >= before
+        api = running.find_host("host-1").get_address(API_PORT)
+        answer = running.http.request(
+            "PUT",
+            f"http://{api}/resources/Account/late?version=-1",
+            body=b'{"spec": {}}',
+        )
+        assert answer.status == 503
+        assert b"2004" in answer.data
+    finally:
+        running.start("log")
+
+
+def test_a_stop_cuts_no_upload_in_flight(running):
+    parts = [bytes([number]) * 65536 for number in range(20)]
+    digest = hashlib.sha256(b"".join(parts)).hexdigest()
+    began = threading.Event()
+    answers = []
+
+    def read_parts():
+        for part in parts:
+            yield part
+            began.set()
+            time.sleep(0.1)
+
+    def upload():
+        answers.append(
+            running.send("host-2", "PUT", "/pack-uploads/castle", body=read_parts())
+        )
+
+    thread = threading.Thread(target=upload)
+    thread.start()
+    assert began.wait(BOUND_SECONDS)
+    running.signal("host-2-entry", signal.SIGTERM)
+    thread.join(BOUND_SECONDS)
+    assert answers[0].status == 200
+    assert msgspec.json.decode(answers[0].data)["bodyDigest"] == digest
+    assert running.process_by_name["host-2-entry"].wait(BOUND_SECONDS) == 0
+    addresses = running.ask_agent("host-1", f"/directory?region={REGION}")["addresses"]
+    assert running.find_host("host-2").get_address(CALLERS_PORT) not in addresses
