Show sick targets of the whole region at each agent; send views only on change

Cause: a status named only targets brokered by the asked host, and an agent sent its whole view to its entry whenever an offset moved. Change: entries report the verdicts that they heard, verdicts carry the reason; the view has a version and is sent when that changes, every 5 s, and to an entry that reports an older one.

--- a/citronspan/core/membership.py
+++ b/citronspan/core/membership.py
@@ -92,6 +92,7 @@
         self._sync_at = time.monotonic() + SYNC_SECONDS * self._random.random()
         self._join_at = -math.inf
         self._is_leaving = False
+        self._version = 0
         self._announce()
 
     @property
@@ -116,6 +117,11 @@
         receivers = self._choose_live(RELAYS)
         return [self._make_sync(node.agent_peer_address, False) for node in receivers]
 
+    @property
+    def version(self) -> int:
+        """Number that grows with each change of the view, offsets apart."""
+        return self._version
+
     def live_nodes(self) -> tuple[NodeInfo, ...]:
         """Return this node and the live members that it can hear, by name."""
         nodes = [self._own]
@@ -182,6 +188,7 @@
 
     def _announce(self):
         self._revision += 1
+        self._version += 1
         self._news.add(self._make_own_record())
 
     def _make_own_record(self):
@@ -213,14 +220,19 @@
         if member is None:
             return []
         if not ack.relayed:
-            member.unheard = False
+            self._set_unheard(member, False)
             self._note_offset(sender, ack.offset)
         probe = self._probe
         if probe is not None and probe.sequence == ack.sequence:
-            member.unheard = ack.relayed
+            self._set_unheard(member, ack.relayed)
             self._probe = None
         return []
 
+    def _set_unheard(self, member, unheard):
+        if member.unheard != unheard:
+            member.unheard = unheard
+            self._version += 1
+
     def _handle_ping_request(self, sender, request, now):
         sequence = self._next_sequence()
         self._relay_by_sequence[sequence] = (sender, request.sequence, now)
@@ -260,6 +272,7 @@
             member = _Member(record=record, now=now)
             self._member_by_name[record.node.name] = member
             self._news.add(record)
+            self._version += 1
             self._insert_in_round(record.node.name)
             return
         if record.rank <= member.record.rank:
@@ -268,6 +281,7 @@
             member.unheard = False
         member.record = record
         member.changed_at = now
+        self._version += 1
         self._news.add(record)
 
     def _insert_in_round(self, name):
@@ -369,6 +383,7 @@
     def _set_status(self, member, status, now):
         member.record = msgspec.structs.replace(member.record, status=status)
         member.changed_at = now
+        self._version += 1
         self._news.add(member.record)
 
     def _expire(self, now):
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -79,11 +79,13 @@
         usable_slots: Slots that may be used now.
         used_slots: Slots that are granted.
         kept_by_floor: Whether an ejection is ignored for the floor's sake.
+        broker: Node whose entry is the broker that says so.
     """
 
     name: str
     service: str
     state: str
+    broker: str
     since_seconds: float = 0.0
     why: str = ""
     evidence: float = 0.0
@@ -127,6 +129,7 @@
         view_sequence: Sequence of the last view taken.
         in_flight: Requests being carried.
         shards: Shards whose broker this entry is; None where they are not told.
+        sick_targets: Targets that other brokers of the region hold as not healthy.
     """
 
     name: str
@@ -135,6 +138,7 @@
     view_sequence: int = 0
     in_flight: int = 0
     shards: tuple[ShardReport, ...] | None = None
+    sick_targets: tuple[TargetReport, ...] = ()
 
 
 NodeMessage = ConfigurationPush | ViewPush | EntryReport
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -506,6 +506,7 @@
                     evidence=record.evidence,
                     age_seconds=now - record.since,
                     back_off_seconds=record.back_off_seconds,
+                    why=record.why,
                 )
             )
         return tuple(verdicts)
--- a/citronspan/core/verdicts.py
+++ b/citronspan/core/verdicts.py
@@ -35,6 +35,7 @@
         age_seconds: Time since the state was entered.
         remaining_seconds: Time until the verdict expires unless renewed.
         back_off_seconds: Wait before the next trial, doubled by each relapse.
+        why: Reason for the state in a short sentence, for operators.
     """
 
     target: str
@@ -47,6 +48,7 @@
     age_seconds: float = 0.0
     remaining_seconds: float = VERDICT_SECONDS
     back_off_seconds: float = 0.0
+    why: str = ""
 
 
 class VerdictPush(Message, kw_only=True):
@@ -163,6 +165,22 @@
             if held.expires_at < limit:
                 del self.held_by_key[key]
 
+    def list_sick(self) -> list[HeldVerdict]:
+        """Return the newest verdict in force on each target that is not healthy."""
+        now = time.monotonic()
+        newest_by_target: dict[str, HeldVerdict] = {}
+        for held in self.held_by_key.values():
+            if held.expires_at <= now:
+                continue
+            known = newest_by_target.get(held.verdict.target)
+            if known is None or known.entered_at < held.entered_at:
+                newest_by_target[held.verdict.target] = held
+        return [
+            held
+            for _, held in sorted(newest_by_target.items())
+            if held.verdict.state != "healthy"
+        ]
+
     def combine(self, address_by_target: dict[str, str]) -> CombinedVerdicts:
         """Combine the verdicts in force on the targets that exist.
 
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -145,11 +145,10 @@
         report = self._report
         if report is None or report.shards is None:
             return ()
-        return tuple(
-            make_target_status(target, by=report.name)
-            for shard in report.shards
-            for target in shard.targets
-        )
+        own = [target for shard in report.shards for target in shard.targets]
+        names = {target.name for target in own}
+        heard = [item for item in report.sick_targets if item.name not in names]
+        return tuple(make_target_status(target) for target in (*own, *heard))
 
     def find_directory(self, *, region: str, account: str) -> DirectoryAnswer:
         """Return addresses for a caller; see ``FleetAnswers``."""
@@ -233,7 +232,7 @@
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
             self.keeper.rank = self._find_snapshot_rank(nodes)
-            self.feed.push_view(nodes, self.hosts.leaving_targets)
+            self.feed.push_view(self.view.version, nodes, self.hosts.leaving_targets)
             if not self.held.ready:
                 self._look_at_gate(nodes)
 
--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from dataclasses import dataclass
 
 import logbook
 
@@ -18,11 +19,24 @@
 
 # A push whose effect shows in no report for this long is taken as lost.
 LOST_SECONDS = 1.0
-VIEW_SECONDS = 1.0
+VIEW_SECONDS = 5.0
 
 _logger = logbook.Logger("entry-feed")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SentView:
+    """What identifies a view that was sent.
+
+    Attributes:
+        version: Version of the view.
+        leaving_targets: Addresses of targets that leave.
+    """
+
+    version: int
+    leaving_targets: tuple[str, ...]
+
+
 class EntryFeed:
     """What the entry was sent and what it reports.
 
@@ -37,7 +51,7 @@
         self._sent: ConfigState | None = None
         self._sent_at = float("-inf")
         self._reported_offset = 0
-        self._view: tuple[tuple[NodeInfo, ...], tuple[str, ...]] = ((), ())
+        self._view: SentView | None = None
         self._view_sequence = time.time_ns() // 1_000_000
         self._view_sent_at = float("-inf")
 
@@ -72,6 +86,7 @@
 
     def take_report(self, report: EntryReport) -> None:
         """Take the entry's word on what it has; forget a push that was lost."""
+        self._note_view(report)
         with self._lock:
             self._reported_offset = report.offset
             if self._sent is None or report.offset == self._sent.offset:
@@ -81,16 +96,20 @@
             self._sent = None
 
     def push_view(
-        self, nodes: tuple[NodeInfo, ...], leaving_targets: tuple[str, ...]
+        self,
+        version: int,
+        nodes: tuple[NodeInfo, ...],
+        leaving_targets: tuple[str, ...],
     ) -> None:
         """Send the view if it changed, and now and then all the same.
 
         Args:
+            version: Version of the view.
             nodes: Nodes that the entry may depend on.
             leaving_targets: Addresses that the host list shows as leaving.
         """
         now = time.monotonic()
-        view = (nodes, leaving_targets)
+        view = SentView(version=version, leaving_targets=leaving_targets)
         if view == self._view and now < self._view_sent_at + VIEW_SECONDS:
             return
         self._view_sequence += 1
@@ -102,6 +121,13 @@
         self._view = view
         self._view_sent_at = now
 
+    def _note_view(self, report):
+        """Send the view anew to an entry that has an older one."""
+        if report.view_sequence >= self._view_sequence:
+            return
+        if time.monotonic() >= self._view_sent_at + LOST_SECONDS:
+            self._view = None
+
 
 def _make_push(sent: ConfigState | None, state: ConfigState) -> ConfigurationPush:
     base = ConfigState() if sent is None else sent
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/agent_status.py
@@ -132,19 +132,19 @@
     )
 
 
-def make_target_status(target: TargetReport, *, by: str) -> TargetStatus:
+def make_target_status(target: TargetReport) -> TargetStatus:
     """Return a target's state as operators see it.
 
     Args:
         target: What its broker knows.
-        by: Node of the broker.
 
     Returns:
         The status.
     """
     evidence = target.why
     if target.evidence:
-        evidence += f" ({target.evidence:.1f} of {target.threshold:.1f} nats)"
+        evidence += f" ({target.evidence:.1f} nats"
+        evidence += f" of {target.threshold:.1f})" if target.threshold else ")"
     if target.kept_by_floor:
         evidence += "; kept in use by the floor"
     return TargetStatus(
@@ -153,7 +153,7 @@
         state=target.state,
         since_seconds=round(target.since_seconds, 1),
         evidence=evidence,
-        by=by,
+        by=target.broker,
         slots_in_use=target.used_slots,
         slots=target.usable_slots,
     )
--- a/citronspan/ops/agent_view.py
+++ b/citronspan/ops/agent_view.py
@@ -28,6 +28,11 @@
         """This node."""
         return self._membership.own
 
+    @property
+    def version(self) -> int:
+        """Number that grows with each change of the view, offsets apart."""
+        return self._membership.version
+
     def update_own(self, **changes) -> None:
         """Change fields of this node's own information."""
         with self._lock:
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -212,6 +212,7 @@
             view_sequence=self.view.sequence,
             in_flight=self.metrics.read_in_flight(),
             shards=self.slots.describe(),
+            sick_targets=self.slots.describe_heard(),
         )
         self.link.send(self.settings.agent_peer_address, report)
 
--- a/citronspan/ops/shard_report.py
+++ b/citronspan/ops/shard_report.py
@@ -1,16 +1,21 @@
 """What an entry tells its agent of the shards that it is the broker of."""
 
 from citronspan.core.broker_status import BrokerStatus
+from citronspan.core.health import KnownTarget
 from citronspan.core.node_messages import ShardReport, TargetReport
 from citronspan.core.service_health_types import HealthStatus
+from citronspan.core.verdicts import HeldVerdict
 
 
-def make_shard_report(status: BrokerStatus, health: HealthStatus) -> ShardReport:
+def make_shard_report(
+    status: BrokerStatus, health: HealthStatus, *, broker: str
+) -> ShardReport:
     """Join what the broker and its detection know of a shard.
 
     Args:
         status: What the broker is doing.
         health: What detection knows.
+        broker: Name of this node.
 
     Returns:
         The report.
@@ -20,6 +25,7 @@
             name=target.target,
             service=status.key.service,
             state=target.state,
+            broker=broker,
             since_seconds=target.since_seconds,
             why=target.why,
             evidence=target.evidence,
@@ -40,3 +46,25 @@
         floor_broken_by_leaving=health.floor_broken_by_leaving,
         targets=targets,
     )
+
+
+def make_heard_report(
+    held: HeldVerdict, *, service: str, known: KnownTarget, now: float
+) -> TargetReport:
+    """Return what another broker holds of a target.
+
+    Args:
+        held: Its verdict.
+        service: Name of the service.
+        known: The target.
+        now: Time of ``time.monotonic()``.
+    """
+    return TargetReport(
+        name=known.name,
+        service=service,
+        state=held.verdict.state,
+        broker=held.verdict.issuer,
+        since_seconds=now - held.entered_at,
+        why=held.verdict.why,
+        evidence=held.verdict.evidence,
+    )
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -27,7 +27,7 @@
 from citronspan.core.broker_set import BrokerSet
 from citronspan.core.health import KnownTarget
 from citronspan.core.message_base import Message, Outgoing
-from citronspan.core.node_messages import NodeInfo, ShardReport
+from citronspan.core.node_messages import NodeInfo, ShardReport, TargetReport
 from citronspan.core.outcomes import Outcome
 from citronspan.core.portable_health import ShardHealth
 from citronspan.core.resources import ServiceSpec
@@ -37,7 +37,7 @@
 from citronspan.ops.own_choice import OwnChoice
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.pending_answers import PendingAnswers
-from citronspan.ops.shard_report import make_shard_report
+from citronspan.ops.shard_report import make_heard_report, make_shard_report
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
 from citronspan.utils.logs import write_event
 
@@ -73,7 +73,7 @@
         self._free_by_key: dict[ShardKey, int] = {}
         self._spec_by_service: dict[str, ServiceSpec] = {}
         self._targets_by_service: dict[str, tuple[KnownTarget, ...]] = {}
-        self._leaving_addresses: frozenset[str] = frozenset()
+        self._target_by_name: dict[str, tuple[str, KnownTarget]] = {}
         self.heard = VerdictTable()
         self.own_choice = OwnChoice(heard=self.heard)
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
@@ -173,6 +173,11 @@
                 outgoing += self.brokers.set_service(service, spec, targets)
             self._spec_by_service = dict(spec_by_service)
             self._targets_by_service = marked
+            self._target_by_name = {
+                target.name: (service, target)
+                for service, targets in marked.items()
+                for target in targets
+            }
         self._emit(outgoing)
 
     def take_verdicts(self) -> list[Outgoing]:
@@ -202,10 +207,24 @@
         """Return what this entry's brokers are doing."""
         with self._lock:
             return tuple(
-                make_shard_report(status, health.describe())
+                make_shard_report(status, health.describe(), broker=self._name)
                 for status, health in self.brokers.describe_with_health()
             )
 
+    def describe_heard(self) -> tuple[TargetReport, ...]:
+        """Return the targets that other brokers hold as not healthy."""
+        now = time.monotonic()
+        reports = []
+        with self._lock:
+            for held in self.heard.list_sick():
+                found = self._target_by_name.get(held.verdict.target)
+                if found is None or found[1].address != held.verdict.address:
+                    continue
+                service, known = found
+                report = make_heard_report(held, service=service, known=known, now=now)
+                reports.append(report)
+        return tuple(reports)
+
     def hand_over_all(self) -> None:
         """Hand every brokered shard to the entry that is next, before a stop."""
         with self._lock:
