--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -11,8 +11,10 @@
 from citronspan.core.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.config_messages import ConfigMessage
 from citronspan.core.key_messages import KeyMessage
+from citronspan.core.member_messages import MemberMessage
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import NodeMessage
+from citronspan.core.verdicts import VerdictPush
 
 
 class Envelope(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -28,7 +30,15 @@
     fleet: str
     sender: str
     incarnation: int
-    body: NodeMessage | ConfigMessage | KeyMessage | BrokerMessage | EntryMessage
+    body: (
+        NodeMessage
+        | ConfigMessage
+        | KeyMessage
+        | BrokerMessage
+        | EntryMessage
+        | VerdictPush
+        | MemberMessage
+    )
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -13,30 +13,38 @@
     ConfigPull,
     ConfigRecords,
     ConfigStatePart,
-    Greeting,
 )
 from citronspan.core.config_spread_tree import find_readers, rank_in_fleet
 from citronspan.core.config_start import PEERS_ASKED, StartFacts
 from citronspan.core.config_state import ResourceKey
 from citronspan.core.directory import DirectoryAnswer, choose_addresses
+from citronspan.core.key_token import mint_prefix
+from citronspan.core.key_token_nodes import choose_owner_and_witness
+from citronspan.core.member_messages import MemberMessage
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import EntryReport, NodeInfo
 from citronspan.core.resources import Kind, decode_resource
 from citronspan.core.settings import AgentSettings
 from citronspan.ops.agent_entry import EntryFeed
 from citronspan.ops.agent_metrics import make_registry
-from citronspan.ops.agent_status import FleetStatus, TargetStatus, make_status
-from citronspan.ops.agent_view import SeedView
+from citronspan.ops.agent_status import (
+    FleetStatus,
+    TargetStatus,
+    make_status,
+    make_target_status,
+)
+from citronspan.ops.agent_view import MembershipView
 from citronspan.ops.config_tail import ConfigTail
 from citronspan.ops.config_tail_held import HeldConfig
 from citronspan.ops.config_tail_retention import RetentionKeeper
+from citronspan.ops.host_list import HostListReader
 from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.log_client import HttpLogStore, LogStore
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.resource_api import ResourceApi, make_application
 from citronspan.utils.logs import write_event
 
-TICK_SECONDS = 0.5
+TICK_SECONDS = 0.2
 START_TICK_SECONDS = 0.1
 API_THREADS = 24
 STOP_SECONDS = 1.0
@@ -64,7 +72,7 @@
             address=settings.peer_address,
             incarnation=self.incarnation,
         )
-        self.view = SeedView(own=own, seeds=settings.seeds)
+        self.view = MembershipView(own=own, seeds=settings.seeds)
         self.held = HeldConfig(own=own, send_all=self.link.send_all)
         self.keeper = RetentionKeeper(
             held=self.held,
@@ -72,6 +80,7 @@
             interval_seconds=settings.snapshot_seconds,
         )
         self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
+        self.hosts = HostListReader(url=settings.host_list_url)
         self.feed = EntryFeed(to=settings.entry_peer_address, link=self.link)
         api = ResourceApi(held=self.held, store=self.store, fleet=self)
         self._server = make_server(
@@ -91,6 +100,7 @@
             self._start(self._keep_running(self.keeper.run), "retention"),
             self._start(self._keep_running(self._tick_forever), "tick"),
             self._start(self._keep_running(self._feed_forever), "feed"),
+            self._start(self._keep_running(self._read_hosts), "hosts"),
             self._start(self._server.serve, "api"),
             self._start(self._metrics_server.serve, "metrics"),
         ]
@@ -102,8 +112,10 @@
         )
         self._stop.wait()
         write_event(_logger, log_events.PROCESS_STOPPING)
+        self.link.send_all(self.view.leave())
         self.tail.stop()
         self.keeper.stop()
+        self.hosts.stop()
         self.held.close()
         self._server.stop()
         self._metrics_server.stop()
@@ -130,16 +142,46 @@
 
     def find_targets(self) -> tuple[TargetStatus, ...]:
         """Return the targets' states as far as this agent was told of them."""
-        return ()
+        report = self._report
+        if report is None or report.shards is None:
+            return ()
+        own = [target for shard in report.shards for target in shard.targets]
+        names = {target.name for target in own}
+        heard = [item for item in report.sick_targets if item.name not in names]
+        return tuple(make_target_status(target) for target in (*own, *heard))
 
     def find_directory(self, *, region: str, account: str) -> DirectoryAnswer:
         """Return addresses for a caller; see ``FleetAnswers``."""
         place = self._find_account_region(account) or region
+        place = place or self._settings.place.region
+        nodes = self.view.live_nodes()
+        addresses = choose_addresses(nodes, region=place)
         return DirectoryAnswer(
-            addresses=choose_addresses(
-                self.view.live_nodes(), region=place or self._settings.place.region
-            ),
+            addresses=addresses,
             keep_seconds=self._settings.keep_seconds,
+            key_prefix=self._mint_prefix(nodes, place, addresses),
+        )
+
+    def _mint_prefix(self, nodes, region, addresses):
+        """Mint for the address that the caller will most likely use."""
+        first = addresses[0] if addresses else ""
+        owners = [node for node in nodes if node.entry_callers_address == first]
+        chosen = choose_owner_and_witness(
+            nodes,
+            region=region,
+            key=first,
+            preferred_owner=owners[0].name if owners else "",
+        )
+        if chosen is None:
+            return ""
+        owner, witness = chosen
+        return mint_prefix(
+            fleet=self._settings.place.fleet,
+            owner=owner.name,
+            owner_incarnation=owner.entry_incarnation,
+            witness=witness.name,
+            witness_incarnation=witness.entry_incarnation,
+            secret=self._settings.place.secret.encode(),
         )
 
     def _find_account_region(self, account):
@@ -169,16 +211,16 @@
         if isinstance(body, CONFIG_MESSAGES):
             self.held.take_message(body, envelope.sender)
         elif isinstance(body, EntryReport):
-            self._take_report(body)
-        elif isinstance(body, Greeting):
-            self.view.take(body)
+            self._take_report(body, envelope.incarnation)
+        elif isinstance(body, MemberMessage):
+            self.link.send_all(self.view.handle(envelope.sender, body))
 
-    def _take_report(self, report: EntryReport):
+    def _take_report(self, report: EntryReport, incarnation: int):
         if report.name != self._settings.place.name:
             return
         self._report = report
         self._reported_at = time.monotonic()
-        self.view.update_own(entry_state=report.state)
+        self.view.update_own(entry_state=report.state, entry_incarnation=incarnation)
         self.feed.take_report(report)
 
     def _tick_forever(self):
@@ -190,10 +232,13 @@
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
             self.keeper.rank = self._find_snapshot_rank(nodes)
-            self.feed.push_view(nodes)
+            self.feed.push_view(self.view.version, nodes, self.hosts.leaving_targets)
             if not self.held.ready:
                 self._look_at_gate(nodes)
 
+    def _read_hosts(self):
+        self.hosts.run(lambda: len(self.view.live_nodes()))
+
     def _find_tick_seconds(self):
         return TICK_SECONDS if self.held.ready else START_TICK_SECONDS
 
