--- /dev/null
+++ b/bench/keyed_requests.py
@@ -0,0 +1,140 @@
+"""Measures what a key adds to a whole request through a real fleet on loopback.
+
+The fleet is that of the demonstration: four hosts, each an entry and an agent, with
+stand-ins for the platform and three targets. Each keyed request is paired with the
+same request without a key at the same entry. Run ``python -m bench.keyed_requests``;
+with ``--json`` the figures come as JSON. It takes about half a minute.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import numpy as np
+
+from citronspan_standins.demo_checks import (
+    API_PORT,
+    CALLERS_PORT,
+    REGION,
+    Demo,
+    check_apply,
+    check_in_force,
+    check_membership,
+    check_ready,
+)
+from citronspan_standins.fleet import (
+    PROJECT,
+    find_free_fleet,
+    list_processes,
+    write_files,
+)
+
+PAIRS = 300
+PAIRS_PER_SECOND = 40
+SERVICE_SECONDS = 0.005
+END_SECONDS = 10.0
+PATH = "/pack-uploads/keyed"
+BODY = b"x" * 200
+
+
+def start_fleet(fleet):
+    return [
+        subprocess.Popen(
+            process.format_command(fleet.directory), cwd=PROJECT, shell=True
+        )
+        for process in list_processes(fleet)
+    ]
+
+
+def end_fleet(processes):
+    for process in processes:
+        process.terminate()
+    for process in processes:
+        try:
+            process.wait(END_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+
+
+def set_service_seconds(demo):
+    for address in demo.fleet.target_address_by_name.values():
+        body = json.dumps({"serviceSeconds": SERVICE_SECONDS})
+        demo.send("POST", f"{address}/control", body=body)
+
+
+def ask_directory(demo):
+    api = demo.fleet.hosts[0].get_address(API_PORT)
+    url = f"{api}/directory?region={REGION}&account=demo-till"
+    return json.loads(demo.send("GET", url).data)
+
+
+def send(demo, address, key):
+    headers = {"Idempotency-Key": key} if key else {}
+    start = time.perf_counter()
+    answer = demo.send("POST", f"{address}{PATH}", body=BODY, headers=headers)
+    return time.perf_counter() - start, answer.status
+
+
+def measure_at(demo, address, prefix):
+    """Send pairs at an even rate, each order of the two in turn."""
+    unkeyed, keyed, failed = [], [], 0
+    begin = time.monotonic()
+    for number in range(PAIRS):
+        at = begin + number / PAIRS_PER_SECOND
+        time.sleep(max(at - time.monotonic(), 0))
+        keys = ["", f"{prefix}.{address.replace('.', '-').replace(':', '-')}-{number}"]
+        for key in keys if number % 2 else keys[::-1]:
+            seconds, status = send(demo, address, key)
+            failed += status != 200
+            (keyed if key else unkeyed).append(seconds * 1000)
+    rows = {"failed": failed, "pairs": PAIRS}
+    for name, values in (("unkeyed", unkeyed), ("keyed", keyed)):
+        p50, p99 = np.percentile(values, [50, 99])
+        rows[name] = {
+            "p50Milliseconds": round(p50, 2),
+            "p99Milliseconds": round(p99, 2),
+        }
+    difference = np.array(keyed) - np.array(unkeyed)
+    rows["medianOfDifferencesMilliseconds"] = round(float(np.median(difference)), 2)
+    return rows
+
+
+def measure(demo):
+    set_service_seconds(demo)
+    directory = ask_directory(demo)
+    prefix = directory["keyPrefix"]
+    owner, witness = directory["addresses"][:2]
+    third = demo.fleet.hosts[-1].get_address(CALLERS_PORT)
+    report = {"loadAverage": os.getloadavg()}
+    for label, address in (("owner", owner), ("witness", witness), ("third", third)):
+        measure_at_warm = send(demo, address, f"{prefix}.warm-{label}")
+        report[label] = measure_at(demo, address, prefix)
+        report[label]["firstMilliseconds"] = round(measure_at_warm[0] * 1000, 2)
+    return report
+
+
+def main():
+    with tempfile.TemporaryDirectory(prefix="citronspan-bench-") as directory:
+        fleet = find_free_fleet(Path(directory))
+        write_files(fleet)
+        processes = start_fleet(fleet)
+        try:
+            demo = Demo(fleet=fleet)
+            for check in (check_ready, check_apply, check_in_force, check_membership):
+                check(demo)
+            report = measure(demo)
+        finally:
+            end_fleet(processes)
+    if "--json" in sys.argv:
+        print(json.dumps(report, indent=2))
+        return
+    for label, row in report.items():
+        print(f"{label:12} {json.dumps(row)}")
+
+
+if __name__ == "__main__":
+    main()
