--- a/citronspan/core/key_protocol_attempts.py
+++ b/citronspan/core/key_protocol_attempts.py
@@ -42,6 +42,8 @@
 FIRST_RESEND_SECONDS = 0.01
 MAXIMUM_RESEND_SECONDS = 0.5
 REPORT_SECONDS = 30.0
+# A worker that has not reported so long after its deadline never will.
+ABANDONED_SECONDS = 600.0
 REPORT_TO_WITNESS_AFTER_SECONDS = 0.6
 MAY_HAVE_RUN_RETRY_SECONDS = 1.0
 MAXIMUM_NEVER_RUN = 8192
@@ -237,6 +239,8 @@
         events: list[KeyEvent] = []
         for item in list(self._attempt_by_id.values()):
             if item.phase is Phase.PERMITTED:
+                if now >= item.deadline + ABANDONED_SECONDS:
+                    events += self.report(item.attempt, ReportKind.LOST, None, None)
                 continue
             if item.phase is Phase.REPORTING:
                 events += self._advance_report(item, now)
--- a/citronspan/core/key_protocol_test.py
+++ b/citronspan/core/key_protocol_test.py
@@ -20,6 +20,7 @@
     ReportKind,
 )
 from citronspan.core.key_protocol import KeyProtocol
+from citronspan.core.key_protocol_attempts import ABANDONED_SECONDS
 from citronspan.core.key_protocol_results import ClaimSettled, Permission, Replay
 from citronspan.core.key_table import KeyTable
 from citronspan.core.key_token import KeyToken
@@ -421,3 +422,18 @@
     said = search(World, 3000, phases=(Phase.generate, Phase.shrink))
     codes = {code.name for code in TAKE_A_NEW_KEY}
     assert said.keys() >= codes | {"replay", "key-may-have-run", "key-reused"}
+
+
+def test_a_permission_that_nobody_reports_on_ends_as_may_have_run():
+    with freezegun.freeze_time("2026-01-01") as frozen:
+        World.frozen = frozen
+        world = World(maximum_keys=50, focus="narrow")
+        world.send(0)
+        world.flush_all()
+        assert isinstance(world.sendings[0].result, Permission)
+        frozen.tick(DEADLINE_SECONDS + ABANDONED_SECONDS)
+        world.tick(0)
+        world.flush_all()
+        world.send(2)
+        world.flush_all()
+        assert world.sendings[1].result.code is result_codes.KEY_MAY_HAVE_RUN
--- a/citronspan/ops/key_service.py
+++ b/citronspan/ops/key_service.py
@@ -8,6 +8,7 @@
 import hashlib
 import secrets
 import threading
+import time
 from collections.abc import Iterable
 
 import logbook
@@ -39,6 +40,7 @@
 KEY_SPREAD_BYTES = 4
 FIRST_STEP_SECONDS = 0.01
 MAXIMUM_STEP_SECONDS = 0.25
+LATE_SECONDS = 1.0
 
 _logger = logbook.Logger("keys")
 
@@ -110,13 +112,30 @@
         with self._lock:
             events = self._protocol.claim(attempt, token, fingerprint, deadline)
         self._emit(events)
+        try:
+            return self._wait(waiter, attempt, deadline)
+        except BaseException:
+            self._abandon(attempt)
+            raise
+
+    def _wait(self, waiter, attempt, deadline):
         step_seconds = FIRST_STEP_SECONDS
         while not waiter.wait(step_seconds):
             # The worker keeps its own time, however slow the process's tick is.
             self.advance()
             step_seconds = min(step_seconds * 2, MAXIMUM_STEP_SECONDS)
+            if time.monotonic() >= deadline + LATE_SECONDS:
+                return self._abandon(attempt)
         return waiter.answer
 
+    def _abandon(self, attempt) -> Refusal:
+        """End an attempt that nobody waits for; it does not run any more."""
+        self._pending.close(attempt)
+        with self._lock:
+            events = self._protocol.give_up(attempt)
+        self._emit(events)
+        return Refusal(code=result_codes.KEY_MAY_HAVE_RUN)
+
     def report_not_run(self, permission: Permission, code: ResultCode) -> None:
         """Report that the permitted request provably did not run.
 
--- a/citronspan/ops/key_service_test.py
+++ b/citronspan/ops/key_service_test.py
@@ -145,6 +145,36 @@
     assert isinstance(fleet.claim("o"), Permission)
 
 
+def test_a_worker_is_not_held_by_an_attempt_that_went_missing(fleet, monkeypatch):
+    service = fleet.services["o"]
+    protocol = service._protocol
+    begin = protocol.attempts.claim
+
+    def claim_and_lose(attempt, *arguments):
+        begin(attempt, *arguments)
+        del protocol.attempts._attempt_by_id[attempt]
+        return []
+
+    monkeypatch.setattr(protocol.attempts, "claim", claim_and_lose)
+    key = f"{fleet.prefix}.a"
+    result = service.claim(key, 1, time.monotonic() + 0.01)
+    assert result.code is result_codes.KEY_MAY_HAVE_RUN
+
+
+def test_a_worker_that_fails_while_it_waits_frees_the_key(fleet, monkeypatch):
+    fleet.away.add("w")
+    service = fleet.services["o"]
+    with monkeypatch.context() as patch, pytest.raises(RuntimeError):
+        patch.setattr(service, "_wait", fail)
+        fleet.claim("o")
+    fleet.away.clear()
+    assert isinstance(fleet.claim("o"), Permission)
+
+
+def fail(*arguments):
+    raise RuntimeError
+
+
 def test_a_malformed_key_is_refused(fleet):
     refusal = fleet.services["o"].claim("mine", 1, time.monotonic() + 1)
     assert refusal.code is result_codes.KEY_INVALID
