Measure pauses, and send every key again that was told not run

Cause: the bench showed kills only, and counted double runs but not untrue refusals. Change: owner and witness stopped for 2 s; at the end every key that was told not run is claimed again.

--- a/bench/keys.py
+++ b/bench/keys.py
@@ -2,12 +2,13 @@
 
 Owner and witness run in processes of their own, started by this one, which is a
 third entry and plays the callers. Run ``python -m bench.keys``; with ``--json``
-the figures come as JSON only. It takes about 75 s.
+the figures come as JSON only. It takes about 90 s.
 """
 
 import collections
 import json
 import os
+import signal
 import subprocess
 import sys
 import threading
@@ -45,6 +46,7 @@
 RESTART_AFTER_SECONDS = 1.0
 AWAY_SECONDS = 1.0
 DIRECTORY_KEEP_SECONDS = 5.0
+PAUSED_SECONDS = 2.0
 PING_MESSAGES = 2
 NOTICE_SECONDS = 2.0  # Time until the view of the fleet shows a restart.
 REQUEST_DEADLINE_SECONDS = 3.0
@@ -179,6 +181,12 @@
         self._process.stdin.flush()
         return json.loads(self._process.stdout.readline())
 
+    def pause(self, seconds):
+        """Stop the process for a while, as a paused host does."""
+        self._process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self._process.send_signal(signal.SIGCONT)
+
     def kill(self):
         """End the process at once, as kill -9 does."""
         self._process.kill()
@@ -246,6 +254,11 @@
         for name in names:
             self.children[name] = Child(name, self.children[name].incarnation + 1)
 
+    def pause(self, names):
+        """Pause nodes past every timeout; the view does not change."""
+        for name in names:
+            self.children[name].pause(PAUSED_SECONDS)
+
     def show_restart(self, names):
         """Let the view show nodes as gone, and as restarted a while later."""
         for name in names:
@@ -288,13 +301,21 @@
 
     def measure_restart(self, names, with_prefix):
         """Place orders while nodes are killed and come back."""
-        orders = Orders(self, with_prefix)
-        count = int(LOAD_SECONDS * REQUESTS_PER_SECOND)
         shown_after = RESTART_AFTER_SECONDS + NOTICE_SECONDS
         timers = [
             threading.Timer(RESTART_AFTER_SECONDS, self.restart, [names]),
             threading.Timer(shown_after, self.show_restart, [names]),
         ]
+        return self._measure_orders(timers, with_prefix)
+
+    def measure_pause(self, names):
+        """Place orders while nodes are paused and resume."""
+        timer = threading.Timer(RESTART_AFTER_SECONDS, self.pause, [names])
+        return self._measure_orders([timer], True)
+
+    def _measure_orders(self, timers, with_prefix):
+        orders = Orders(self, with_prefix)
+        count = int(LOAD_SECONDS * REQUESTS_PER_SECOND)
         for timer in timers:
             timer.start()
         begin = time.monotonic()
@@ -306,6 +327,7 @@
         for timer in timers:
             timer.join()
         resent = [self.third.claim(key) for key in orders.keys_that_ran]
+        refused = [self.third.claim(key) for key in orders.keys_not_run]
         return {
             "orders": count,
             "firstAnswers": dict(orders.first_answers),
@@ -313,6 +335,10 @@
             "slowestFirstAnswerSeconds": round(max(orders.first_seconds), 3),
             "resentAfterwards": dict(collections.Counter(map(describe, resent))),
             "ranTwice": orders.ran_twice,
+            "toldNotRun": len(refused),
+            "toldNotRunAndPermitted": sum(
+                isinstance(result, Permission) for result in refused
+            ),
         }
 
 
@@ -330,6 +356,7 @@
         self.final_answers = collections.Counter()
         self.first_seconds = []
         self.keys_that_ran = []
+        self.keys_not_run = []
         self.ran_twice = 0
 
     def place(self, number):
@@ -343,6 +370,7 @@
             if not isinstance(result, Refusal):
                 break
             if result.code in (result_codes.KEY_CLOSED, result_codes.KEY_NOT_RECORDED):
+                self.keys_not_run.append(key)
                 key = f"{self._take_new_prefix()}.order-{number}-{resend}"
             time.sleep(result.retry_after_seconds)
             result = self._send(key)
@@ -452,9 +480,9 @@
     lines.append("memory")
     for label, row in report["memory"].items():
         lines.append(f"{label:26}  {row['bytesPerKey']:9} bytes a key")
-    lines.append("restarts")
-    for label, row in report["restarts"].items():
-        lines += [f"{label}: {json.dumps(row)}"]
+    for title in ("restarts", "pauses"):
+        lines.append(title)
+        lines += [f"{label}: {json.dumps(row)}" for label, row in report[title].items()]
     return "\n".join(lines)
 
 
@@ -477,6 +505,10 @@
             )
             for source in ("the directory", "the refusal")
         }
+        report["pauses"] = {
+            f"{name}, prefix from the refusal": bench.measure_pause([name])
+            for name in ("owner", "witness")
+        }
     finally:
         for child in bench.children.values():
             child.kill()
