Quarantine requests that crash targets, across the fleet

Cause: a request that crashes each target that runs it was sent on and its targets were blamed. Change: each broker's outcomes feed a table per service; single crashes are told to the service's brokers, a quarantine to all entries; the evidence is withdrawn from the targets; the refusal (3009, not-run) is given before any slot, and after the key's claim, so a resent key that may have run is told so instead. Ruled out: notices every second to everyone (47 KB/s from one broker at 470 nodes by size of a notice times nodes, worked out, not run).

--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -14,6 +14,7 @@
 from citronspan.core.member_messages import MemberMessage
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import NodeMessage
+from citronspan.core.poison import PoisonNotice
 from citronspan.core.verdicts import VerdictPush
 
 
@@ -37,6 +38,7 @@
         | BrokerMessage
         | EntryMessage
         | VerdictPush
+        | PoisonNotice
         | MemberMessage
     )
 
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -12,6 +12,7 @@
 from citronspan.core.key_messages import KeyMessage
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.poison import PoisonNotice
 from citronspan.core.settings import EntrySettings
 from citronspan.core.verdicts import VerdictPush
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -148,6 +149,9 @@
         if isinstance(message, VerdictPush):
             self.slots.merge_verdicts(message.verdicts)
             return
+        if isinstance(message, PoisonNotice):
+            self.slots.merge_notice(message)
+            return
         if isinstance(message, KeyMessage):
             self.keys.handle(envelope.sender, message)
             return
@@ -200,6 +204,7 @@
         if now - self._verdicts_at >= VERDICTS_SECONDS:
             self._verdicts_at = now
             self.link.send_all(self.slots.take_verdicts())
+            self.link.send_all(self.slots.take_notices())
         if now - self._reported_at < REPORT_SECONDS:
             return
         self._report()
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -29,6 +29,7 @@
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo, ShardReport, TargetReport
 from citronspan.core.outcomes import Outcome
+from citronspan.core.poison import PoisonNotice
 from citronspan.core.portable_health import ShardHealth
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
@@ -37,6 +38,7 @@
 from citronspan.ops.own_choice import OwnChoice
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.pending_answers import PendingAnswers
+from citronspan.ops.quarantine import Quarantine
 from citronspan.ops.shard_report import make_heard_report, make_shard_report
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
 from citronspan.utils.logs import write_event
@@ -46,6 +48,7 @@
 # A waiting request asks again this often, so that a broker that froze is noticed.
 ASK_AGAIN_SECONDS = 0.25
 MAXIMUM_REDIRECTS = 2
+QUARANTINED_SECONDS = 300.0
 
 _FINAL_TYPES = (SlotGrant, SlotRefusal, SlotRedirect)
 _logger = logbook.Logger("slots")
@@ -75,6 +78,7 @@
         self._targets_by_service: dict[str, tuple[KnownTarget, ...]] = {}
         self._target_by_name: dict[str, tuple[str, KnownTarget]] = {}
         self.heard = VerdictTable()
+        self._quarantine = Quarantine()
         self.own_choice = OwnChoice(heard=self.heard)
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
 
@@ -84,6 +88,9 @@
         Targets in this region go first; those of another region are asked for
         where this one has no free slot in time, within the link's budget.
         """
+        with self._lock:
+            if self._quarantine.is_quarantined(ask.service, ask.fingerprint):
+                return _refuse(result_codes.REQUEST_QUARANTINED, QUARANTINED_SECONDS)
         refused = None
         for region in self._list_regions(ask.service):
             answer = self._acquire_in(region, ask)
@@ -120,9 +127,32 @@
             self._settle(message)
             return
         with self._lock:
+            if isinstance(message, SlotRelease):
+                self._quarantine.observe(message.service, message.outcome)
             outgoing = self.brokers.handle(sender, message)
         self._emit(outgoing)
 
+    def merge_notice(self, notice: PoisonNotice) -> None:
+        """Take another entry's word on a request that crashes targets."""
+        with self._lock:
+            self._quarantine.merge(notice)
+
+    def take_notices(self) -> list[Outgoing]:
+        """Withdraw the blame of quarantined requests from targets and tell others."""
+        with self._lock:
+            for service, fingerprint in self._quarantine.take_quarantined():
+                for key, health in self.brokers.list_health():
+                    if key.service == service:
+                        health.withdraw(fingerprint)
+            table = self.brokers.table
+            brokers_by_service: dict[str, set[str]] = {}
+            for (service, _), shards in self.brokers.shards_by_group.items():
+                found = {table.find_address(shard.key) for shard in shards}
+                brokers_by_service.setdefault(service, set()).update(found)
+            entries = {node.entry_peer_address for node in table.list_nodes()}
+            entries.discard(self._link.address)
+            return self._quarantine.take_notices(brokers_by_service, entries)
+
     def merge_verdicts(self, verdicts: tuple[Verdict, ...]) -> None:
         """Take verdicts of another broker."""
         with self._lock:
--- a/citronspan_standins/failures_test.py
+++ b/citronspan_standins/failures_test.py
@@ -199,6 +199,38 @@
     assert running.count_runs(key.rpartition(".")[2]) == 1
 
 
+def test_a_request_that_crashes_targets_is_quarantined_and_its_targets_stay(running):
+    addresses = list(running.fleet.target_address_by_name.values())
+    for address in addresses:
+        running.http.request(
+            "POST", f"http://{address}/control", body=b'{"crashPath": "poison"}'
+        )
+    seen = []
+
+    def send_poison():
+        seen[:] = [
+            running.send(host, "GET", "/packs/poison").headers
+            for host in ("host-1", "host-2")
+        ]
+        return {item.get("Citronspan-Result") for item in seen} == {
+            "3009 request-quarantined"
+        }
+
+    try:
+        wait_until(send_poison)
+        assert {item["Citronspan-Ran"] for item in seen} == {"not-run"}
+        assert set(browse_all(running, ["host-1", "host-2"])) == {200}
+        states = {
+            target["name"]: target["state"]
+            for host in ("host-1", "host-2")
+            for target in running.ask_agent(host, "/status")["targets"]
+        }
+        assert "ejected" not in states.values(), (states, seen)
+    finally:
+        for address in addresses:
+            running.http.request("POST", f"http://{address}/control", body=b"{}")
+
+
 def test_entries_serve_and_start_while_the_log_is_away(running):
     running.kill("log")
     try:
