--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -41,12 +41,15 @@
         region: Region of the host.
         data_centre: Data centre of the host.
         fleet: Name of the fleet; keys and peers of another fleet are refused.
+        secret: Secret of the fleet that keys are checked with; the same on all
+            hosts. Without one a check finds damage but no forgery.
     """
 
     name: str
     region: str
     data_centre: str
     fleet: str = "citronspan"
+    secret: str = ""
 
 
 class Tracing(Section, kw_only=True):
@@ -107,6 +110,8 @@
         host_list_url: URL of the platform's list of hosts, or empty.
         seeds: Peer addresses of agents to ask first.
         keep_seconds: Time for which callers may keep a directory answer.
+        snapshot_seconds: Time between snapshots in the log; the log must keep
+            records for at least three times as long.
         log_level: Name of a logbook level.
     """
 
@@ -120,6 +125,7 @@
     host_list_url: str = ""
     seeds: tuple[str, ...] = ()
     keep_seconds: float = 5.0
+    snapshot_seconds: float = 21600.0
     log_level: str = "INFO"
 
 
