Test agents on loopback before a log that fails on demand

Real agents, HTTP and peer links; the log is a fake with faults: refused, answer lost though taken, swallowed. Held: store down is 2004 at once and changes nothing; a lost answer is found and not appended again; a swallowed append is tried again; an unknown outcome (2005) names its change id and can be sent again; of racing writers exactly one wins each version, at two agents; bad input names the field and appends nothing; an agent restarted without the log equals its peer; an entry gets changes, and everything after its restart.

Found by it: a store that is empty was taken for none (truth value of an object with a length); mended.

--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -65,7 +65,9 @@
         self._reported_at = float("-inf")
         self.incarnation = time.time_ns() // 1_000_000
         own = make_own_node(settings, incarnation=self.incarnation)
-        self.store = store or HttpLogStore(url=settings.log_url)
+        if store is None:
+            store = HttpLogStore(url=settings.log_url)
+        self.store = store
         self.link = PeerLink(
             fleet=settings.place.fleet,
             address=settings.peer_address,
--- /dev/null
+++ b/citronspan/ops/agent_test.py
@@ -0,0 +1,376 @@
+"""Agents with real sockets on loopback before a log that fails on demand."""
+
+import threading
+import time
+from unittest import mock
+
+import msgspec
+import pytest
+import urllib3
+
+from citronspan.core.config_record import LogRecord
+from citronspan.core.config_state import ResourceKey
+from citronspan.core.errors import CitronspanError
+from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.resources import Kind, Resource, ServiceSpec
+from citronspan.core.settings import AgentSettings, Place
+from citronspan.ops import config_tail, config_tail_writer
+from citronspan.ops.agent import Agent
+from citronspan.ops.api_client import ApiClient
+from citronspan.ops.log_client import LogAwayError, LogPage, LogTruncatedError
+from citronspan.ops.peer_link import PeerLink
+
+DEADLINE_SECONDS = 20.0
+SERVICE = Resource(kind=Kind.SERVICE, name="a", spec=ServiceSpec())
+
+
+class FakeLog:
+    """A log in memory.
+
+    ``fault`` is empty, ``away`` (refuses connections), ``lose`` (an append takes
+    effect, its answer is lost) or ``swallow`` (neither).
+    """
+
+    def __init__(self):
+        self._news = threading.Condition()
+        self._datas = []
+        self.first = 0
+        self.faults = []
+        self.fault = ""
+
+    def append(self, data):
+        with self._news:
+            fault = self.faults.pop(0) if self.faults else self.fault
+            if fault == "away":
+                raise LogAwayError("refused", may_have_taken=False)
+            if fault != "swallow":
+                self._datas.append(data)
+                self._news.notify_all()
+            if fault:
+                raise LogAwayError(fault, may_have_taken=True)
+            return len(self._datas) - 1
+
+    def read(self, from_offset, *, wait_seconds=0.0):
+        with self._news:
+            self._news.wait_for(lambda: len(self._datas) > from_offset, wait_seconds)
+            if self.fault == "away":
+                raise LogAwayError("refused", may_have_taken=False)
+            if from_offset < self.first:
+                raise LogTruncatedError(
+                    first_offset=self.first, next_offset=len(self._datas)
+                )
+            datas = self._datas[from_offset : from_offset + 50]
+            return LogPage(
+                first_offset=self.first,
+                next_offset=len(self._datas),
+                records=tuple(
+                    LogRecord(offset=from_offset + at, data=data)
+                    for at, data in enumerate(datas)
+                ),
+            )
+
+    def wake(self):
+        with self._news:
+            self._news.notify_all()
+
+    def __len__(self):
+        return len(self._datas)
+
+
+def make_settings(number, seeds=()):
+    ip = f"127.0.42.{number}"
+    return AgentSettings(
+        place=Place(name=f"n{number}", region="north", data_centre="north-1"),
+        peer_address=f"{ip}:7100",
+        api_address=f"{ip}:7200",
+        entry_peer_address=f"{ip}:7300",
+        entry_callers_address=f"{ip}:8080",
+        metrics_address=f"{ip}:7400",
+        log_url="http://127.0.0.1:1",
+        seeds=seeds,
+    )
+
+
+@pytest.fixture
+def fleet():
+    """Starts agents, and stops them at the end of the test."""
+    running = []
+
+    def start(number, log, seeds=()):
+        agent = Agent(settings=make_settings(number, seeds), store=log)
+        thread = threading.Thread(target=agent.run)
+        thread.start()
+        running.append((agent, thread))
+        return agent
+
+    def stop(agent):
+        thread = next(thread for known, thread in running if known is agent)
+        agent.request_stop()
+        thread.join(DEADLINE_SECONDS)
+        assert not thread.is_alive()
+
+    start.stop = stop
+    with (
+        mock.patch.object(config_tail, "POLL_SECONDS", 0.2),
+        mock.patch.object(config_tail_writer, "LOOK_SECONDS", 0.3),
+        mock.patch.object(config_tail_writer, "READ_BACK_SECONDS", 0.6),
+    ):
+        yield start
+        for agent, _ in running:
+            stop(agent)
+
+
+def connect(number):
+    return ApiClient(address=f"127.0.42.{number}:7200")
+
+
+def refuse(action):
+    with pytest.raises(CitronspanError) as caught:
+        action()
+    return caught.value.code.number
+
+
+def wait_until(condition):
+    end = time.monotonic() + DEADLINE_SECONDS
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
+def wait_ready(agent):
+    assert agent.held.wait_ready(DEADLINE_SECONDS)
+
+
+def test_a_store_that_is_down_refuses_and_changes_nothing(fleet):
+    log = FakeLog()
+    wait_ready(fleet(1, log))
+    client = connect(1)
+    accepted = client.put_resource(SERVICE, version=-1)
+    log.fault = "away"
+    put = lambda: client.put_resource(SERVICE, version=accepted.version)  # noqa: E731
+    assert refuse(put) == 2004
+    assert len(log) == 1
+    assert client.find_resource("Service", "a").version == accepted.version
+    log.fault = ""
+    assert put().version == 1
+
+
+def test_a_lost_answer_is_found_and_not_appended_again(fleet):
+    log = FakeLog()
+    wait_ready(fleet(1, log))
+    log.faults = ["lose"]
+    assert connect(1).put_resource(SERVICE, version=-1).version == 0
+    assert len(log) == 1
+
+
+def test_an_append_that_was_swallowed_is_tried_again(fleet):
+    log = FakeLog()
+    wait_ready(fleet(1, log))
+    log.faults = ["swallow", "lose"]
+    assert connect(1).put_resource(SERVICE, version=-1).version == 0
+    assert len(log) == 1
+
+
+def test_an_unknown_outcome_names_the_change_and_can_be_sent_again(fleet):
+    log = FakeLog()
+    wait_ready(fleet(1, log))
+    pool = urllib3.PoolManager()
+    url = "http://127.0.42.1:7200/resources/Service/a?version=-1"
+
+    def put():
+        return pool.request(
+            "PUT", url, body=b'{"spec":{}}', headers={"Change-Id": "my-change-1"}
+        )
+
+    log.fault = "swallow"
+    answer = put()
+    assert answer.status == 504
+    refusal = msgspec.json.decode(answer.data)
+    assert refusal["code"] == 2005
+    assert "my-change-1" in refusal["detail"]
+    log.fault = ""
+    assert put().status == 200
+    # The same change again is the same change: same answer, nothing appended.
+    size = len(log)
+    again = put()
+    assert again.status == 200
+    assert msgspec.json.decode(again.data)["version"] == 0
+    assert len(log) <= size + 1
+    found = pool.request("GET", "http://127.0.42.1:7200/changes/my-change-1")
+    assert msgspec.json.decode(found.data)["verdict"] == "accepted"
+
+
+def test_of_racing_writers_exactly_one_wins_each_version(fleet):
+    log = FakeLog()
+    agents = [fleet(1, log), fleet(2, log, ("127.0.42.1:7100",))]
+    for agent in agents:
+        wait_ready(agent)
+    results = []
+
+    def write(number):
+        client = connect(1 + number % 2)
+        for _ in range(12):
+            found = client.find_resource("Service", "a")
+            version = -1 if found is None else found.version
+            spec = ServiceSpec(floor=number / 10)
+            resource = Resource(kind=Kind.SERVICE, name="a", spec=spec)
+            try:
+                answer = client.put_resource(resource, version=version)
+            except CitronspanError as error:
+                assert error.code.number == 2003
+                continue
+            results.append((version, answer.version))
+
+    threads = [threading.Thread(target=write, args=[number]) for number in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(DEADLINE_SECONDS)
+    # Each accepted change replaced the version that the one before it made.
+    replaced = sorted(results)
+    assert replaced, "nobody won"
+    assert [old for old, _ in replaced] == [-1, *(new for _, new in replaced[:-1])]
+    for agent in agents:
+        wait_until(lambda agent=agent: agent.held.state.offset == len(log))
+        stored = agent.held.state.resource_by_key[ResourceKey("Service", "a")]
+        assert stored.version == replaced[-1][1]
+
+
+BAD_INPUTS = [
+    ("Service/a?version=-1", b'{"spec":{"floor":3}}', 2001, "$.spec.floor"),
+    ("Service/a?version=-1", b'{"spec":{"flor":1}}', 2001, "flor"),
+    ("Service/a?version=-1", b'{"spec":', 2001, "$"),
+    ("Service/A_b?version=-1", b'{"spec":{}}', 2001, "$.name"),
+    ("Service/a?version=x", b'{"spec":{}}', 2007, "version"),
+    ("Service/a", b'{"spec":{}}', 2007, "version"),
+    ("Servise/a?version=-1", b'{"spec":{}}', 2007, "Servise"),
+    ("Service/a?version=-2", b'{"spec":{}}', 2003, "version -1"),
+]
+
+
+def test_bad_input_names_the_field_and_changes_nothing(fleet):
+    log = FakeLog()
+    agent = fleet(1, log)
+    wait_ready(agent)
+    for path, body, code, part in BAD_INPUTS:
+        url = f"http://127.0.42.1:7200/resources/{path}"
+        answer = urllib3.request("PUT", url, body=body)
+        refusal = msgspec.json.decode(answer.data)
+        assert refusal["code"] == code, path
+        assert part in refusal["detail"], path
+        assert answer.headers["Citronspan-Result"].startswith(str(code))
+    assert not agent.held.state.resource_by_key
+    assert len(log) == 0
+
+
+def test_a_watch_streams_from_a_version_or_says_that_it_cannot(fleet):
+    log = FakeLog()
+    agent = fleet(1, log)
+    wait_ready(agent)
+    client = connect(1)
+    first = client.put_resource(SERVICE, version=-1).version
+    second = client.put_resource(SERVICE, version=first).version
+    lines = client.watch(first)
+    assert (next(lines).version, second) == (second, second)
+    third = client.delete_resource("Service", "a", version=second).version
+    line = next(line for line in lines if line.type != "at")
+    assert (line.type, line.version) == ("delete", third)
+    # An agent that takes a whole state does not know what led to it.
+    joined = fleet(2, log, ("127.0.42.1:7100",))
+    with mock.patch.object(log, "read", side_effect=LogAwayError("", may_have_taken=0)):
+        wait_ready(joined)
+    joined.held._history_from = third
+    assert refuse(lambda: next(connect(2).watch(first))) == 2006
+
+
+def test_an_agent_restarted_without_the_log_is_never_behind_its_peers(fleet):
+    log = FakeLog()
+    agents = [fleet(1, log), fleet(2, log, ("127.0.42.1:7100",))]
+    for agent in agents:
+        wait_ready(agent)
+    for number in range(5):
+        resource = Resource(kind=Kind.SERVICE, name=f"s-{number}", spec=ServiceSpec())
+        connect(1).put_resource(resource, version=-1)
+    log.fault = "away"
+    log.wake()
+    fleet.stop(agents[0])
+    restarted = fleet(1, log, ("127.0.42.2:7100",))
+    wait_ready(restarted)
+    assert restarted.held.state == agents[1].held.state
+    assert restarted.held.state.offset == 5
+
+
+def test_an_agent_that_knows_nothing_serves_nothing(fleet):
+    log = FakeLog()
+    log.fault = "away"
+    fleet(1, log)
+    with mock.patch("citronspan.ops.resource_api.READY_SECONDS", 0.2):
+        assert refuse(lambda: connect(1).list_resources("Service")) == 2012
+    assert not connect(1).find_status().ready
+
+
+def test_an_entry_gets_changes_and_after_a_restart_everything(fleet):
+    log = FakeLog()
+    agent = fleet(1, log)
+    wait_ready(agent)
+    client = connect(1)
+    client.put_resource(SERVICE, version=-1)
+    entry = FakeEntry()
+    with entry:
+        watch_entry(client, entry)
+
+
+def watch_entry(client, entry):
+    wait_until(lambda: entry.offset == 1)
+    assert entry.pushes[0].base_offset == 0
+    client.put_resource(SERVICE, version=0)
+    wait_until(lambda: entry.offset == 2)
+    assert entry.pushes[-1].base_offset == 1
+    wait_until(lambda: client.find_status().nodes[0].entry == "serving")
+    entry.offset = 0
+    wait_until(lambda: entry.offset == 2)
+    assert entry.pushes[-1].base_offset == 0
+    wait_until(lambda: entry.views)
+    assert entry.views[-1].nodes[0].name == "n1"
+
+
+class FakeEntry:
+    """Takes pushes as an entry does, and reports."""
+
+    def __init__(self):
+        self.offset = 0
+        self.pushes = []
+        self.views = []
+        self._stopped = threading.Event()
+        self._link = PeerLink(
+            fleet="citronspan", address="127.0.42.1:7300", incarnation=1
+        )
+        self._threads = [
+            threading.Thread(target=self._link.receive_forever, args=[self._handle]),
+            threading.Thread(target=self._report),
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self._stopped.set()
+        self._link.close()
+        for thread in self._threads:
+            thread.join(DEADLINE_SECONDS)
+
+    def _handle(self, envelope):
+        if isinstance(envelope.body, ViewPush):
+            self.views.append(envelope.body)
+        if not isinstance(envelope.body, ConfigurationPush):
+            return
+        if envelope.body.base_offset in (0, self.offset):
+            self.pushes.append(envelope.body)
+            self.offset = envelope.body.offset
+
+    def _report(self):
+        while not self._stopped.wait(0.1):
+            report = EntryReport(name="n1", state="serving", offset=self.offset)
+            self._link.send("127.0.42.1:7100", report)
