Read callers' requests strictly and in bounded time

Cause: fuzzing a whole entry with raw callers (83 cases) showed requests that two readers frame in two ways and that were run (both length and chunks, doubled lengths and keys, folded and bare lines, headers with an underscore that shadow Content-Length, chunks in HTTP/1.0); errors without a number; a chunk's length that was cut taken as the end of an upload; a whole chunk held in memory; silent connections that held every thread; a body sent byte by byte that held a thread without bound; what a target left unread of a body in chunks parsed as the next request; refusals lost to a reset while the caller still sent. Change: request_head refuses by RFC 9112 with codes 3008, 3070 to 3072; chunked_body reads pieces; caller_stream has one deadline for the request and a little more for the answer, lingers where bytes are unread, and new connections wait in the selector until they have something. poll takes the place of select, which fails from descriptor 1024 on. Ruled out: dropping headers with an underscore, which loses them silently.

--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -166,6 +166,15 @@
 ATTEMPT_CANCELLED = _define(
     3061, "attempt-cancelled", 503, _NOT, "The entry gave the attempt up itself."
 )
+CALLER_TOO_SLOW = _define(
+    3070, "caller-too-slow", 408, _MAY, "The caller's request did not come in time."
+)
+HEAD_TOO_LARGE = _define(
+    3071, "head-too-large", 431, _NOT, "The first line or the headers are too large."
+)
+ENTRY_FAULT = _define(
+    3072, "entry-fault", 500, _MAY, "The entry itself failed on the request."
+)
 
 # 4000-4099: idempotency keys.
 KEY_INVALID = _define(4001, "key-invalid", 400, _NOT, "The key is not well formed.")
--- a/citronspan/ops/caller_connection.py
+++ b/citronspan/ops/caller_connection.py
@@ -1,10 +1,11 @@
 """The caller's side of a connection: ending it visibly, noticing that it is gone."""
 
 import contextlib
-import select
 import socket
 import struct
 
+from citronspan.ops.caller_stream import is_readable
+
 # Linger for zero seconds: closing sends a reset, which no caller takes for an end.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -24,17 +25,26 @@
         """End the connection after the answer and say so in its headers."""
         self._request.close_connection = True
 
+    def bound(self, deadline: float) -> None:
+        """Bound the reading of the request, and a little later the answer.
+
+        Args:
+            deadline: Time of ``time.monotonic()``.
+        """
+        self._request.conn.bounds.deadline = deadline
+
     def abort(self) -> None:
         """Reset the connection, so that no cut answer looks complete."""
         self._request.close_connection = True
-        self._request.conn.is_aborted = True
+        self._request.conn.bounds.is_aborted = True
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def is_gone(self) -> bool:
         """Return whether the caller has closed the connection."""
         try:
-            readable, _, _ = select.select([self.socket], [], [], 0)
-            return bool(readable) and not self.socket.recv(1, socket.MSG_PEEK)
+            if not is_readable(self.socket):
+                return False
+            return not self.socket.recv(1, socket.MSG_PEEK)
         except (OSError, ValueError):
             return True
--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/caller_request.py
@@ -172,7 +172,8 @@
         """Yield the body.
 
         Raises:
-            CitronspanError: With code 3012 if the caller ends it too early.
+            CitronspanError: With code 3012 if the caller ends it too early, 3070
+                if it is not here before the deadline.
         """
         if self._buffer is not None:
             if self._buffer:
@@ -191,20 +192,8 @@
             yield data
 
     def _iterate_chunked(self):
-        while True:
-            data = self._read(READ_BYTES)
-            if not data:
-                break
+        while data := self._read(READ_BYTES):
             yield data
-        self._read_trailers()
-
-    def _read_trailers(self):
-        """Read up to the end of the body, else it would pass as a next request."""
-        try:
-            for _ in self._request.body.read_trailer_lines():
-                continue
-        except (OSError, ValueError) as error:
-            raise self._cut_short() from error
 
     def _read_exactly(self, length):
         parts = []
@@ -220,6 +209,10 @@
     def _read(self, size):
         try:
             return self._request.body.read(size)
+        except TimeoutError as error:
+            raise CitronspanError(
+                code=result_codes.CALLER_TOO_SLOW, detail="the body is late"
+            ) from error
         except (OSError, ValueError, EOFError) as error:
             raise self._cut_short() from error
 
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -1,40 +1,23 @@
 """HTTP servers by cheroot, and the WSGI gateway that shows the connection."""
 
-import contextlib
 import http.client
 import socket
 from collections.abc import Callable
 
 from cheroot import wsgi
-from cheroot.server import HTTPConnection
 from prometheus_client import CollectorRegistry, make_wsgi_app
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.ops.caller_connection import CallerConnection
+from citronspan.ops.caller_stream import CallerStream
+from citronspan.ops.request_head import CheckedRequest
 from citronspan.utils.addresses import split_address
 
 MAXIMUM_HEADER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
 METRICS_THREADS = 1
-
-
-class AbortableConnection(HTTPConnection):
-    """A connection that can end with a reset, which no caller takes for an end."""
-
-    is_aborted = False
-
-    def _close_kernel_socket(self):
-        # A shutdown would tell the caller of an orderly end before the reset.
-        if not self.is_aborted:
-            super()._close_kernel_socket()
-
-    def close(self):
-        """Close the socket now, not when its writer is collected."""
-        super().close()
-        # What a failed write left in the buffer cannot be flushed any more.
-        with contextlib.suppress(OSError):
-            self.wfile.close()
+KEEP_ALIVE_CONNECTIONS = 512
 
 
 class ConnectionGateway(wsgi.Gateway_10):
@@ -47,6 +30,17 @@
         return environ
 
 
+class CallerServer(wsgi.Server):
+    """A server whose threads are given only connections that have something."""
+
+    def process_conn(self, conn):
+        """Hand a connection to a thread, a silent new one to the selector."""
+        if conn.last_used is None and not conn.has_bytes():
+            self.put_conn(conn)
+            return
+        super().process_conn(conn)
+
+
 def make_server(
     address: str, app: Callable, *, threads: int, idle_seconds: float = 30.0
 ) -> wsgi.Server:
@@ -64,7 +58,7 @@
     Raises:
         CitronspanError: With code 1004 if the address cannot be bound.
     """
-    server = wsgi.Server(
+    server = CallerServer(
         split_address(address),
         app,
         numthreads=threads,
@@ -73,7 +67,9 @@
         request_queue_size=LISTEN_BACKLOG,
     )
     server.gateway = ConnectionGateway
-    server.ConnectionClass = AbortableConnection
+    server.ConnectionClass = CallerStream
+    server.ConnectionClass.RequestHandlerClass = CheckedRequest
+    server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     server.max_request_header_size = MAXIMUM_HEADER_BYTES
     server.server_name = "citronspan"
     try:
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -15,6 +15,7 @@
 from citronspan.core.key_token import is_fleet_key
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.resources import Kind, RouteSpec
+from citronspan.core.result_codes import Ran
 from citronspan.core.route_table import find_route
 from citronspan.ops.attempts import Answered, AttemptRunner, Work
 from citronspan.ops.caller_request import (
@@ -162,8 +163,9 @@
                 detail=f"route {route.name!r} names no service",
             )
         self._check_account(configuration, request)
-        body = CallerBody(request=request)
         seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
+        request.connection.bound(received + seconds)
+        body = _receive_body(request)
         return Work(
             request=request,
             body=body,
@@ -270,6 +272,14 @@
         )
 
 
+def _receive_body(request: CallerRequest) -> CallerBody:
+    """Read a small body; what fails here was sent to no target yet."""
+    try:
+        return CallerBody(request=request)
+    except CitronspanError as error:
+        raise Refusal(code=error.code, detail=error.detail, ran=Ran.NOT_RUN) from error
+
+
 def _compute_fingerprint(request, body) -> int:
     digest = xxhash.xxh3_64()
     digest.update(f"{request.method}\0{request.host}\0{request.uri}\0".encode())
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -291,16 +291,16 @@
 
     def _await_answer(self, connection, deadline, caller):
         """Wait until bytes are here; end early when the caller is gone."""
+        poll = select.poll()
+        poll.register(connection.sock, select.POLLIN)
         while True:
             left = deadline - time.monotonic()
             if left <= 0:
                 raise AttemptFailedError(
                     outcome_class=OutcomeClass.TIMED_OUT, detail="no answer in time"
                 )
-            readable, _, _ = select.select(
-                [connection.sock], [], [], min(left, POLL_CALLER_SECONDS)
-            )
-            if readable:
+            wait_seconds = min(left, POLL_CALLER_SECONDS)
+            if poll.poll(wait_seconds * 1000):
                 return
             if caller is not None and caller.is_gone():
                 raise AttemptFailedError(
