Measure the hop of one entry and the cost of control

Cause: the target is 4.5 ms added at p99 at 83 requests/s, and 64 MB, 1.1 % of a core and 25 KB/s for control; nothing measured the whole path. Change: bench/hop.py sends open loop, blocks straight to a target and blocks through an entry taking turns, over the four hosts of the demonstration; the entry shows the bytes of its link in /metrics.

--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,382 @@
+"""Added latency of one entry against the bare target, and what control costs.
+
+Starts the fleet of the demonstration (four hosts, three targets) on loopback and
+sends ``GET`` requests in an open loop over kept connections: blocks straight to a
+target and blocks through the entry of host 1 take turns in one run. A request's
+latency counts from its scheduled time, so that a stall is not left out. Prints a
+table, or JSON with ``--json``.
+
+    python -m bench.hop [--json] [--seconds 20] [--idle-seconds 20]
+"""
+
+import contextlib
+import http.client
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import urllib3
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.argv_input import ArgvInput
+
+from citronspan.core.settings import Exporter, Tracing
+from citronspan_standins import fleet as fleets
+from citronspan_standins.demo_checks import (
+    Demo,
+    check_apply,
+    check_directory,
+    check_in_force,
+    check_ready,
+)
+from citronspan_standins.fleet import Fleet
+
+RATES_PER_SECOND = (83, 150, 300)
+BLOCK_SECONDS = 1.0
+CLIENT_THREADS = 24
+TARGET_SWITCHES = '{"slots": 64, "serviceSeconds": 0.002, "serviceSigma": 0.2}'
+WARM_UP_REQUESTS = 300
+STOP_SECONDS = 10.0
+REQUEST_SECONDS = 5.0
+PATH = "/packs/42?bytes=2000"
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class Usage(msgspec.Struct, frozen=True, kw_only=True):
+    """Resources that one process has used.
+
+    Attributes:
+        cpu_seconds: Processor time since its start.
+        rss_bytes: Resident memory now.
+    """
+
+    cpu_seconds: float
+    rss_bytes: int
+
+
+class HopRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures at one rate."""
+
+    tracing: bool
+    rate_per_second: int
+    requests: int
+    failed: int
+    bare_p50_ms: float
+    bare_p99_ms: float
+    entry_p50_ms: float
+    entry_p99_ms: float
+    added_p50_ms: float
+    added_p99_ms: float
+    entry_cpu_ms_per_request: float
+    entry_core_share: float
+    entry_rss_mb: float
+    agent_rss_mb: float
+
+
+class IdleRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures without requests, of one process."""
+
+    process: str
+    core_share: float
+    rss_mb: float
+    peer_bytes_per_second: float
+
+
+class HopReport(msgspec.Struct, frozen=True, kw_only=True):
+    """All figures of one run."""
+
+    rows: tuple[HopRow, ...]
+    idle: tuple[IdleRow, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunningFleet:
+    """A fleet with the processes that were started for it."""
+
+    fleet: Fleet
+    process_by_name: dict[str, subprocess.Popen]
+
+
+@contextlib.contextmanager
+def run_fleet(*, tracing: bool):
+    """Run the fleet of the demonstration.
+
+    Args:
+        tracing: Whether entries record and export every span.
+
+    Yields:
+        The running fleet, configured.
+    """
+    with tempfile.TemporaryDirectory(prefix="citronspan-bench-") as directory:
+        fleet = fleets.find_free_fleet(Path(directory))
+        fleets.write_files(fleet)
+        for host in fleet.hosts:
+            write_entry_settings(fleet, host, tracing=tracing)
+        process_by_name = {}
+        try:
+            for process in fleets.list_processes(fleet, TARGET_SWITCHES):
+                process_by_name[process.name] = start_process(fleet, process)
+            demo = Demo(fleet=fleet)
+            for check in (check_ready, check_apply, check_in_force, check_directory):
+                check(demo)
+            yield RunningFleet(fleet=fleet, process_by_name=process_by_name)
+        finally:
+            stop_processes(process_by_name.values())
+
+
+def write_entry_settings(fleet, host, *, tracing):
+    settings = fleets.make_entry_settings(host)
+    exporter = Exporter.CONSOLE if tracing else Exporter.NONE
+    settings = msgspec.structs.replace(settings, tracing=Tracing(exporter=exporter))
+    path = fleet.directory / f"{host.name}-entry.json"
+    path.write_bytes(msgspec.json.encode(settings))
+
+
+def start_process(fleet, process):
+    with open(fleet.directory / f"{process.name}.log", "wb") as log:
+        return subprocess.Popen(
+            [sys.executable, *process.arguments],
+            cwd=fleets.PROJECT,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+
+
+def stop_processes(processes):
+    for process in processes:
+        process.send_signal(signal.SIGTERM)
+    for process in processes:
+        try:
+            process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+class OpenLoop:
+    """Sends requests at scheduled times over one kept connection a thread."""
+
+    def __init__(self, *, address: str):
+        self._address = address
+        self._lock = threading.Lock()
+        self._local = threading.local()
+        self._latencies: list[float] = []
+        self._failed = 0
+        self._next = 0
+
+    def run_block(self, *, count: int, rate: float) -> tuple[list[float], int]:
+        """Send a block of requests.
+
+        Args:
+            count: Number of requests.
+            rate: Requests a second.
+
+        Returns:
+            Seconds of the requests that were answered whole with 200, and the
+            number of the others.
+        """
+        self._latencies, self._failed, self._next = [], 0, 0
+        begin = time.monotonic() + 0.02
+        threads = [
+            threading.Thread(target=self._work, args=(begin, count, rate))
+            for _ in range(CLIENT_THREADS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return self._latencies, self._failed
+
+    def _work(self, begin, count, rate):
+        connection = http.client.HTTPConnection(self._address, timeout=REQUEST_SECONDS)
+        with contextlib.closing(connection):
+            while True:
+                with self._lock:
+                    number = self._next
+                    self._next += 1
+                if number >= count:
+                    return
+                due = begin + number / rate
+                time.sleep(max(due - time.monotonic(), 0.0))
+                self._send(connection, due)
+
+    def _send(self, connection, due):
+        try:
+            connection.request("GET", PATH)
+            answer = connection.getresponse()
+            whole = answer.status == 200 and len(answer.read()) == 2000
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            whole = False
+        seconds = time.monotonic() - due
+        with self._lock:
+            if whole:
+                self._latencies.append(seconds)
+            else:
+                self._failed += 1
+
+
+def read_usage(running: RunningFleet, name: str) -> Usage:
+    """Read what a process has used from /proc."""
+    pid = running.process_by_name[name].pid
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return Usage(
+        cpu_seconds=(int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND,
+        rss_bytes=pages * PAGE_BYTES,
+    )
+
+
+def read_peer_bytes(running: RunningFleet, name: str) -> float:
+    """Read the bytes exchanged with other processes of the fleet from /metrics."""
+    host_name, _, role = name.rpartition("-")
+    host = next(host for host in running.fleet.hosts if host.name == host_name)
+    port = fleets.ENTRY_METRICS_PORT if role == "entry" else fleets.AGENT_METRICS_PORT
+    text = urllib3.request("GET", f"http://{host.get_address(port)}/metrics").data
+    total = 0.0
+    for line in text.decode().splitlines():
+        metric, _, value = line.partition(" ")
+        if metric.endswith(("peer_sent_bytes", "peer_received_bytes")):
+            total += float(value)
+    return total
+
+
+def find_percentile(values: list[float], share: float) -> float:
+    """Return the value below which a share of the values lies, in ms."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)] * 1000
+
+
+def measure_rate(running, *, rate, seconds, tracing) -> HopRow:
+    """Measure one rate in blocks that take turns."""
+    fleet = running.fleet
+    bare = OpenLoop(address=fleet.target_address_by_name["shop-1"])
+    entry_address = fleet.hosts[0].get_address(fleets.CALLERS_PORT)
+    entry = OpenLoop(address=entry_address)
+    entry.run_block(count=WARM_UP_REQUESTS, rate=rate)
+    bare_seconds: list[float] = []
+    entry_seconds: list[float] = []
+    failed = 0
+    cpu_seconds = 0.0
+    count = int(rate * BLOCK_SECONDS)
+    for _ in range(int(seconds / BLOCK_SECONDS)):
+        bare_seconds += bare.run_block(count=count, rate=rate)[0]
+        before = read_usage(running, "host-1-entry")
+        answered, lost = entry.run_block(count=count, rate=rate)
+        after = read_usage(running, "host-1-entry")
+        entry_seconds += answered
+        failed += lost
+        cpu_seconds += after.cpu_seconds - before.cpu_seconds
+    requests = len(entry_seconds) + failed
+    bare_p50, entry_p50 = (
+        find_percentile(v, 0.5) for v in (bare_seconds, entry_seconds)
+    )
+    bare_p99, entry_p99 = (
+        find_percentile(v, 0.99) for v in (bare_seconds, entry_seconds)
+    )
+    return HopRow(
+        tracing=tracing,
+        rate_per_second=rate,
+        requests=requests,
+        failed=failed,
+        bare_p50_ms=bare_p50,
+        bare_p99_ms=bare_p99,
+        entry_p50_ms=entry_p50,
+        entry_p99_ms=entry_p99,
+        added_p50_ms=entry_p50 - bare_p50,
+        added_p99_ms=entry_p99 - bare_p99,
+        entry_cpu_ms_per_request=cpu_seconds / requests * 1000,
+        entry_core_share=cpu_seconds / seconds,
+        entry_rss_mb=read_usage(running, "host-1-entry").rss_bytes / 1e6,
+        agent_rss_mb=read_usage(running, "host-1-agent").rss_bytes / 1e6,
+    )
+
+
+def measure_idle(running, seconds) -> list[IdleRow]:
+    """Measure the entry and the agent of host 1 without requests."""
+    names = ("host-1-entry", "host-1-agent")
+    first_by_name = {name: read_usage(running, name) for name in names}
+    peer_bytes_by_name = {name: read_peer_bytes(running, name) for name in names}
+    time.sleep(seconds)
+    rows = []
+    for name, first in first_by_name.items():
+        last = read_usage(running, name)
+        peer_bytes = read_peer_bytes(running, name) - peer_bytes_by_name[name]
+        rows.append(
+            IdleRow(
+                process=name,
+                core_share=(last.cpu_seconds - first.cpu_seconds) / seconds,
+                rss_mb=last.rss_bytes / 1e6,
+                peer_bytes_per_second=peer_bytes / seconds,
+            )
+        )
+    return rows
+
+
+def measure(*, seconds: float, idle_seconds: float) -> HopReport:
+    """Measure everything, with tracing off and on."""
+    rows: list[HopRow] = []
+    idle: list[IdleRow] = []
+    for tracing in (False, True):
+        with run_fleet(tracing=tracing) as running:
+            if not tracing:
+                idle = measure_idle(running, idle_seconds)
+            for rate in RATES_PER_SECOND:
+                row = measure_rate(running, rate=rate, seconds=seconds, tracing=tracing)
+                rows.append(row)
+    return HopReport(rows=tuple(rows), idle=tuple(idle))
+
+
+def format_table(items) -> str:
+    """Format structs of one type as a table."""
+    names = items[0].__struct_fields__
+    lines = [" | ".join(names)]
+    for item in items:
+        values = [getattr(item, name) for name in names]
+        texts = [f"{v:.3f}" if isinstance(v, float) else str(v) for v in values]
+        lines.append(" | ".join(texts))
+    return "\n".join(lines)
+
+
+class HopCommand(Command):
+    """Runs the measurement."""
+
+    name = "hop"
+    description = "Measure the added latency of one entry and the cost of control."
+    options = [
+        option("json", None, "Print JSON instead of tables."),
+        option("seconds", None, "Seconds a rate, each way.", flag=False, default="20"),
+        option("idle-seconds", None, "Idle seconds.", flag=False, default="20"),
+    ]
+
+    def handle(self) -> int:
+        """Measure and print."""
+        report = measure(
+            seconds=float(self.option("seconds")),
+            idle_seconds=float(self.option("idle-seconds")),
+        )
+        if self.option("json"):
+            print(msgspec.json.encode(report).decode())
+            return 0
+        print(format_table(report.idle))
+        print(format_table(report.rows))
+        return 0
+
+
+def main() -> int:
+    application = Application("hop", "0.1.0")
+    application.add(HopCommand())
+    return application.run(ArgvInput([sys.argv[0], HopCommand.name, *sys.argv[1:]]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -57,6 +57,7 @@
             address=settings.peer_address,
             incarnation=make_incarnation(),
         )
+        self.metrics.watch_link(self.link)
         self._connections = TargetConnections()
         self.slots = SlotService(
             name=settings.place.name,
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -6,6 +6,7 @@
 
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
+from citronspan.ops.peer_link import PeerLink
 
 LATENCY_BUCKETS_SECONDS = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
@@ -54,6 +55,22 @@
             registry=self.registry,
         )
 
+    def watch_link(self, link: PeerLink) -> None:
+        """Show what the link to the other processes has sent and received."""
+        read_by_name = {
+            "sent_bytes": lambda: link.sent_bytes,
+            "sent_messages": lambda: link.sent_messages,
+            "received_bytes": lambda: link.received_bytes,
+            "received_messages": lambda: link.received_messages,
+        }
+        for name, read in read_by_name.items():
+            gauge = Gauge(
+                f"citronspan_entry_peer_{name}",
+                f"Peer {name.replace('_', ' ')}.",
+                registry=self.registry,
+            )
+            gauge.set_function(read)
+
     def begin_request(self) -> None:
         """Count a request as carried."""
         self._in_flight.inc()
--- a/citronspan_standins/fleet.py
+++ b/citronspan_standins/fleet.py
@@ -210,8 +210,18 @@
         (fleet.directory / f"{name}.json").write_bytes(text + b"\n")
 
 
-def list_processes(fleet: Fleet) -> list[FleetProcess]:
-    """Return the processes of the fleet, the platform's before the product's."""
+def list_processes(
+    fleet: Fleet, target_switches: str = TARGET_SWITCHES
+) -> list[FleetProcess]:
+    """Return the processes of the fleet, the platform's before the product's.
+
+    Args:
+        fleet: The fleet.
+        target_switches: Switches of each target, JSON.
+
+    Returns:
+        The processes in the order in which they are to be started.
+    """
     standin = ("-m", "citronspan_standins.main")
     hosts_file = str(fleet.directory / "hosts.json")
     processes = [
@@ -227,7 +237,7 @@
         ),
     ]
     for name, address in fleet.target_address_by_name.items():
-        switches = f"--switches={TARGET_SWITCHES}"
+        switches = f"--switches={target_switches}"
         arguments = (*standin, "target", address, name, switches)
         processes.append(FleetProcess(name=name, arguments=arguments))
     for host in fleet.hosts:
