--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -12,6 +12,7 @@
 from citronspan.core.key_messages import KeyMessage
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
+from citronspan.core.poison import PoisonNotice
 from citronspan.core.settings import EntrySettings
 from citronspan.core.verdicts import VerdictPush
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -19,6 +20,7 @@
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.request_handler import RequestHandler
+from citronspan.ops.shard_metrics import ShardCollector
 from citronspan.ops.slot_service import SlotService
 from citronspan.ops.target_connection import TargetConnections
 from citronspan.utils.logs import write_event
@@ -57,6 +59,7 @@
             address=settings.peer_address,
             incarnation=make_incarnation(),
         )
+        self.metrics.watch_link(self.link)
         self._connections = TargetConnections()
         self.slots = SlotService(
             name=settings.place.name,
@@ -79,6 +82,7 @@
             self._make_handler(),
             threads=settings.worker_threads,
         )
+        self.metrics.registry.register(ShardCollector(describe=self.slots.describe))
         self._metrics_server = make_metrics_server(
             settings.metrics_address, self.metrics.registry
         )
@@ -146,6 +150,9 @@
         if isinstance(message, VerdictPush):
             self.slots.merge_verdicts(message.verdicts)
             return
+        if isinstance(message, PoisonNotice):
+            self.slots.merge_notice(message)
+            return
         if isinstance(message, KeyMessage):
             self.keys.handle(envelope.sender, message)
             return
@@ -198,6 +205,7 @@
         if now - self._verdicts_at >= VERDICTS_SECONDS:
             self._verdicts_at = now
             self.link.send_all(self.slots.take_verdicts())
+            self.link.send_all(self.slots.take_notices())
         if now - self._reported_at < REPORT_SECONDS:
             return
         self._report()
