--- a/citronspan/core/key_protocol.py
+++ b/citronspan/core/key_protocol.py
@@ -31,7 +31,6 @@
 from citronspan.core.key_protocol_witness import KeyWitness
 from citronspan.core.key_table import KeyTable
 from citronspan.core.key_token import KeyToken
-from citronspan.core.message_base import Outgoing
 from citronspan.core.result_codes import ResultCode
 
 
@@ -153,6 +152,3 @@
         if self.witness.is_witness(message.token):
             self.witness.handle_report(message)
         return []
-
-
-__all__ = ["KeyProtocol", "Outgoing"]
--- a/citronspan/core/key_protocol_owner.py
+++ b/citronspan/core/key_protocol_owner.py
@@ -23,7 +23,7 @@
 )
 from citronspan.core.key_protocol_patience import PeerPatience
 from citronspan.core.key_protocol_results import FindAddress
-from citronspan.core.key_table import KeyRecord as TableRecord, KeyTable
+from citronspan.core.key_table import KeyTable, RememberedKey
 from citronspan.core.key_token import KeyToken
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.result_codes import ResultCode
@@ -49,7 +49,7 @@
         "close_at",
     )
 
-    def __init__(self, *, token: KeyToken, record: TableRecord, claimant: str):
+    def __init__(self, *, token: KeyToken, record: RememberedKey, claimant: str):
         self.token = token
         self.record = record
         self.claimant = claimant
--- a/citronspan/core/key_table.py
+++ b/citronspan/core/key_table.py
@@ -28,7 +28,7 @@
 BUCKET_MILLISECONDS = 10_000
 
 
-class KeyRecord:
+class RememberedKey:
     """The state of one key at one process.
 
     Attributes:
@@ -74,12 +74,12 @@
         self.longest_lifetime_seconds = longest_lifetime_seconds
         self.count = 0
         self.answers_bytes = 0
-        self._records_by_bucket: dict[int, dict[bytes, KeyRecord]] = {}
-        self._answered: deque[KeyRecord] = deque()
+        self._records_by_bucket: dict[int, dict[bytes, RememberedKey]] = {}
+        self._answered: deque[RememberedKey] = deque()
         self._forgotten_through = 0
         self._closed_through = 0
 
-    def find(self, token: KeyToken) -> KeyRecord | None:
+    def find(self, token: KeyToken) -> RememberedKey | None:
         """Return the record of a key, or None."""
         records = self._records_by_bucket.get(_compute_bucket(token))
         return None if records is None else records.get(token.key_id)
@@ -107,7 +107,7 @@
 
     def record(
         self, token: KeyToken, *, fingerprint: int, attempt: bytes, generation: int
-    ) -> KeyRecord:
+    ) -> RememberedKey:
         """Record a key that has no record.
 
         The caller has asked ``is_forgotten``, ``is_closed`` and ``is_full``.
@@ -148,7 +148,7 @@
         if not records:
             del self._records_by_bucket[_compute_bucket(token)]
 
-    def finish(self, record: KeyRecord, answer: KeptAnswer) -> None:
+    def finish(self, record: RememberedKey, answer: KeptAnswer) -> None:
         """Keep the answer of a key; the oldest bodies go first at the bound."""
         record.step("finish")
         if answer.body is not None and len(answer.body) > MAXIMUM_ANSWER_BYTES:
@@ -193,7 +193,7 @@
         record.answer = _without_body(record.answer)
 
     def _add(self, token, fingerprint, attempt, generation):
-        record = KeyRecord(
+        record = RememberedKey(
             fingerprint=fingerprint, attempt=attempt, generation=generation
         )
         bucket = _compute_bucket(token)
--- a/citronspan/ops/key_service.py
+++ b/citronspan/ops/key_service.py
@@ -303,6 +303,3 @@
     def _send(self, event: Outgoing) -> None:
         # A message that no connection takes is repeated by the protocol's timers.
         self._link.send(event.to, event.message)
-
-
-__all__ = ["KeyService"]
