End each streamed answer exactly once; hand out a key prefix with a refusal

Cause: an answer whose iteration never began kept its slot and its key (the generator's cleanup does not run then); a caller that was told to take a new key had to ask the directory, which may still name a silent peer; another account with the same key and request got the kept answer; a stop did not wait for the last key reports; a restarted peer was reconnected after up to one second.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -31,6 +31,7 @@
 VERDICTS_SECONDS = 1.0
 TICK_SECONDS = 0.02
 IDLE_POLL_SECONDS = 0.05
+KEY_REPORT_SECONDS = 1.0
 INCARNATION_RANDOM_BITS = 8
 
 _logger = logbook.Logger("entry")
@@ -126,6 +127,7 @@
                 sampled_share=tracing.sampled_share,
             ),
             is_stopping=self._stop.is_set,
+            mint_prefix=lambda: self.keys.mint_prefix(self.view.nodes),
         )
 
     def _find_entry_address(self, name):
@@ -237,6 +239,7 @@
             self.slots.hand_over_all()
             self._wait_while_known(bound)
         self._wait_until_idle(bound)
+        self._wait_for_reports(bound)
         self._server.shutdown_timeout = max(bound - time.monotonic(), 1.0)
         self._server.stop()
         left = self.metrics.read_in_flight()
@@ -255,6 +258,12 @@
         while time.monotonic() < end:
             time.sleep(IDLE_POLL_SECONDS)
 
+    def _wait_for_reports(self, bound):
+        """Let the owners of keys hear what the last requests came to."""
+        end = min(time.monotonic() + KEY_REPORT_SECONDS, bound)
+        while time.monotonic() < end and not self.keys.is_idle():
+            time.sleep(IDLE_POLL_SECONDS)
+
     def _wait_until_idle(self, bound):
         while time.monotonic() < bound:
             if self.metrics.read_in_flight() == 0:
--- a/citronspan/ops/keyed_request.py
+++ b/citronspan/ops/keyed_request.py
@@ -84,7 +84,10 @@
     """
     body = work.body.buffer
     mark = hashlib.blake2b(body).digest() if body else str(work.body.length).encode()
-    fingerprint = compute_fingerprint(work.request.method, work.request.uri, mark)
+    request = work.request
+    # Another account that learned the key must not be given the kept answer.
+    path = f"{request.account}\0{request.uri}"
+    fingerprint = compute_fingerprint(request.method, path, mark)
     result = keys.claim(work.request.key, fingerprint, work.deadline)
     if isinstance(result, Permission):
         return KeyedRequest(keys=keys, permission=result)
--- a/citronspan/ops/refusals.py
+++ b/citronspan/ops/refusals.py
@@ -10,6 +10,7 @@
 RAN_HEADER = "Citronspan-Ran"
 TARGET_HEADER = "Citronspan-Target"
 ENTRY_HEADER = "Citronspan-Entry"
+KEY_PREFIX_HEADER = "Citronspan-Key-Prefix"
 REPLAYED_HEADER = "Citronspan-Replayed"
 
 
@@ -37,6 +38,7 @@
     ran: Ran | None = None,
     retry_after_seconds: float | None = None,
     entry: str = "",
+    key_prefix: str = "",
 ) -> list[bytes]:
     """Answer a caller with a numbered result.
 
@@ -47,6 +49,7 @@
         ran: Whether the request was run, where that is less than the code says.
         retry_after_seconds: When coming back helps, None if it does not.
         entry: Name of this entry.
+        key_prefix: Prefix for a new key, where the caller is to take one.
 
     Returns:
         The body of the answer.
@@ -61,5 +64,7 @@
     ]
     if retry_after_seconds is not None:
         headers.append(("Retry-After", str(max(1, math.ceil(retry_after_seconds)))))
+    if key_prefix:
+        headers.append((KEY_PREFIX_HEADER, key_prefix))
     start_response(format_status(code.http_status), headers)
     return [body]
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -1,7 +1,7 @@
 """The path of one request through an entry, from its receipt to its answer."""
 
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 import logbook
 import xxhash
@@ -13,14 +13,12 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.key_protocol_results import Replay
 from citronspan.core.key_token import is_fleet_key
-from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
 from citronspan.core.route_table import find_route
 from citronspan.ops.attempts import Answered, AttemptRunner, Work
 from citronspan.ops.caller_request import (
     DROPPED_HEADERS,
-    READ_BYTES,
     CallerBody,
     CallerRequest,
     read_caller_request,
@@ -39,7 +37,8 @@
     format_status,
 )
 from citronspan.ops.slot_source import SlotSource
-from citronspan.ops.target_connection import AttemptFailedError, TargetConnections
+from citronspan.ops.streamed_answer import StreamedAnswer
+from citronspan.ops.target_connection import TargetConnections
 from citronspan.utils.logs import write_event
 from citronspan.utils.traces import PROPAGATOR
 
@@ -54,6 +53,14 @@
         REPLAYED_HEADER,
     )
 )
+NEW_KEY_CODES = frozenset(
+    {
+        result_codes.KEY_CLOSED,
+        result_codes.KEY_EXPIRED,
+        result_codes.KEY_NOT_RECORDED,
+        result_codes.KEY_TOO_FAR_AHEAD,
+    }
+)
 
 
 class RequestHandler:
@@ -71,6 +78,7 @@
         metrics: EntryMetrics,
         tracer: trace.Tracer,
         is_stopping: Callable[[], bool],
+        mint_prefix: Callable[[], str],
     ):
         self._name = name
         self._find_configuration = find_configuration
@@ -82,6 +90,7 @@
         self._metrics = metrics
         self._tracer = tracer
         self._is_stopping = is_stopping
+        self._mint_prefix = mint_prefix
         self._accounts = AccountLimits()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -100,7 +109,7 @@
             refusal = Refusal(code=error.code, detail=error.detail)
             body = self._refuse(start_response, connection, refusal)
         finally:
-            if isinstance(body, list):
+            if not isinstance(body, StreamedAnswer):
                 self._metrics.end_request()
         return body
 
@@ -195,7 +204,14 @@
         status = answered.answer.status
         if not answered.is_whole:
             start_response(f"{status} {reason}", headers)
-            return self._stream(work, keyed, answered, received)
+            return StreamedAnswer(
+                work=work,
+                keyed=keyed,
+                answered=answered,
+                received=received,
+                attempts=self._attempts,
+                metrics=self._metrics,
+            )
         answered.answer.finish()
         self._attempts.release(work, answered, answer_bytes=len(answered.head))
         if keyed is not None:
@@ -225,33 +241,6 @@
         headers.append((ENTRY_HEADER, self._name))
         return headers
 
-    def _stream(self, work, keyed, answered, received) -> Iterator[bytes]:
-        """Yield a long body; a cut resets the caller's connection."""
-        outcome_class = OutcomeClass.CANCELLED
-        passed_bytes = 0
-        try:
-            for data in _iterate_answer(answered):
-                if keyed is not None:
-                    keyed.note_body(data)
-                passed_bytes += len(data)
-                yield data
-            outcome_class = answered.outcome_class
-            answered.answer.finish()
-            if keyed is not None:
-                keyed.report_streamed(answered.answer.status)
-        except AttemptFailedError as error:
-            outcome_class = error.outcome_class
-            raise
-        finally:
-            if outcome_class is not answered.outcome_class:
-                answered.answer.abandon()
-                work.request.connection.abort()
-            if keyed is not None:
-                keyed.report_lost()
-            self._attempts.release(work, answered, outcome_class, passed_bytes)
-            self._metrics.observe_answer(work.spec, answered.answer.status, received)
-            self._metrics.end_request()
-
     def _refuse(self, start_response, connection, refusal: Refusal):
         # What is left of the body must not be read as the next request.
         connection.close_after_answer()
@@ -269,8 +258,15 @@
             ran=refusal.ran,
             retry_after_seconds=refusal.retry_after_seconds,
             entry=self._name,
+            key_prefix=self._find_new_prefix(refusal.code),
         )
 
+    def _find_new_prefix(self, code) -> str:
+        """Return a prefix for a caller that is told to take a new key, or empty."""
+        if code not in NEW_KEY_CODES:
+            return ""
+        return self._mint_prefix()
+
 
 def _receive_body(request: CallerRequest) -> CallerBody:
     """Read a small body; what fails here was sent to no target yet."""
@@ -287,13 +283,6 @@
     return digest.intdigest() >> 1
 
 
-def _iterate_answer(answered: Answered) -> Iterator[bytes]:
-    if answered.head:
-        yield answered.head
-    while data := answered.answer.read(READ_BYTES):
-        yield data
-
-
 def needs_claim(spec: RouteSpec, key: str) -> bool:
     """Return whether a request runs under the key protocol.
 
