Compute limits by a pure function; let any request try a target when none is idempotent

A target that had said it drains was pulled back by the floor when its word grew old.

Ruled out: a health endpoint in place of the trial, which clears nothing.

Change: service_health_limits.py plans the limits; service_health_export.py makes verdicts and status; cusum_evidence.py holds threshold and evidence. After 10 s without an idempotent request a trial takes any request, one at a time.

Shown to fail when broken on purpose: trials of idempotent requests only, a drained target pulled back, no look at spare slots, slow start before the floor.

--- a/citronspan/core/cusum_test.py
+++ b/citronspan/core/cusum_test.py
@@ -6,7 +6,7 @@
 from freezegun import freeze_time
 from hypothesis import given, settings, strategies as st
 
-from citronspan.core import cusum
+from citronspan.core import cusum, cusum_evidence
 from citronspan.core.cusum_counts import (
     INITIAL_SHARE_BY_MARK,
     MARKS,
@@ -107,13 +107,13 @@
         rows = [row for row in self.rows[start:] if row[2] == mark]
         own = [row for row in rows if row[1] == target]
         peers = [row for row in rows if row[1] != target and row[5]]
-        prior = cusum.PRIOR_OUTCOMES_PER_PEER * (self.count - 1)
+        prior = cusum_evidence.PRIOR_OUTCOMES_PER_PEER * (self.count - 1)
         usual = self.long_run[target][mark]
         peer_marked = sum(row[3] for row in peers)
         level = max(usual, (peer_marked + prior * usual) / (len(peers) + prior))
         if mark == 0:
-            level += cusum.FAILED_MARGIN * level * (1 - level)
-            level += cusum.FAILED_MARGIN_SHARE
+            level += cusum_evidence.FAILED_MARGIN * level * (1 - level)
+            level += cusum_evidence.FAILED_MARGIN_SHARE
         marked = sum(row[4] for row in own)
         share = marked / len(own)
         if share <= level:
@@ -155,7 +155,9 @@
                 for index, name in enumerate(names)
             )
         )
-        naive = NaiveTest(count=count, threshold=cusum.compute_threshold(costs))
+        naive = NaiveTest(
+            count=count, threshold=cusum_evidence.compute_threshold(costs)
+        )
         for number in range(250):
             frozen.tick(rng.choice([0.01, 0.1, 0.5]))
             now = time.monotonic()
@@ -183,7 +185,9 @@
 
 def test_the_threshold_grows_with_the_cost_of_a_false_ejection():
     thresholds = [
-        cusum.compute_threshold(DetectionCosts(late_second=late, false_ejection=cost))
+        cusum_evidence.compute_threshold(
+            DetectionCosts(late_second=late, false_ejection=cost)
+        )
         for late, cost in [(10.0, 100.0), (1.0, 100.0), (1.0, 1000.0)]
     ]
     assert thresholds == sorted(thresholds)
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -10,12 +10,14 @@
 from collections import deque
 
 from citronspan.core import trial
-from citronspan.core.cusum import ServiceTest, StrongestEvidence
+from citronspan.core.cusum import ServiceTest
 from citronspan.core.cusum_counts import VERY_SLOW_FACTOR, Mark
-from citronspan.core.floor import FloorResult, apply_floor
+from citronspan.core.cusum_evidence import StrongestEvidence
 from citronspan.core.health import KnownTarget, TargetLimit
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.resources import ServiceSpec
+from citronspan.core.service_health_export import make_status, make_verdicts
+from citronspan.core.service_health_limits import plan_limits
 from citronspan.core.service_health_record import (
     CHART,
     REMEMBERED_FAILURES,
@@ -24,7 +26,6 @@
 from citronspan.core.service_health_types import (
     HealthStatus,
     StateChange,
-    TargetStatus,
 )
 from citronspan.core.service_health_use import SlotUse
 from citronspan.core.verdicts import CombinedVerdicts, Verdict, VerdictTable
@@ -32,12 +33,6 @@
 
 IGNORED_CLASSES = (OutcomeClass.NOT_USED, OutcomeClass.SHED)
 
-# A suspect gets no more than a trickle while the slots in use are at most this share
-# of the healthy targets' slots.
-SPARE_SHARE = 0.5
-# While slow start is under way the limits are computed anew this often.
-RAMP_STEP_SECONDS = 0.25
-
 
 class ServiceHealth:
     """Detection for the targets of one service or shard, floor included."""
@@ -48,14 +43,12 @@
         self._spec = spec
         self._test = ServiceTest(costs=spec.costs, now=now)
         self._record_by_target: dict[str, TargetRecord] = {}
-        self._limit_by_target: dict[str, TargetLimit] = {}
         self._due_at = -math.inf
         self._use = SlotUse(now=now)
-        self._diverted = frozenset()
         self._sequence = 0
         self._changes: deque[StateChange] = deque(maxlen=256)
-        self._floor = apply_floor(
-            slots_by_target={}, evidence_by_target={}, leaving=set(), floor=0.0
+        self._plan = plan_limits(
+            record_by_target={}, floor=0.0, slots_in_use=0.0, now=now
         )
 
     def set_targets(self, targets: tuple[KnownTarget, ...]) -> None:
@@ -253,7 +246,7 @@
 
     def _judge_trial(self, record: TargetRecord, bad: bool, now: float) -> None:
         """Add one answer to a trial, or to the use that the floor asks for."""
-        kept = record.known.name in self._floor.ignored
+        kept = record.known.name in self._plan.floor.ignored
         if record.state == "ejected" and not kept:
             return
         record.trial.add(bad)
@@ -281,6 +274,7 @@
         record.returned_at = now
         record.ramp_started_at = now
         record.starting_seconds = 0.0
+        record.told_draining = False
         record.trial = None
         record.failures.clear()
         self._test.test_by_target[record.known.name].reset()
@@ -288,8 +282,8 @@
     def _take_draining_sign(self, record: TargetRecord, now: float) -> None:
         if not takes_event(CHART, record.state, "drain"):
             return
-        if record.told_draining:
-            record.draining_seconds = min(2 * record.draining_seconds, 3600.0)
+        wait = max(2 * record.draining_seconds, trial.DRAINING_SECONDS)
+        record.draining_seconds = min(wait, trial.MAX_DRAINING_SECONDS)
         record.told_draining = True
         record.trial_at = now + record.draining_seconds
         self._step(record, "drain", now, "it answers that it is draining")
@@ -366,25 +360,18 @@
         now = time.monotonic()
         if now >= self._due_at:
             self._recompute(now)
-        return self._limit_by_target
+        return self._plan.limit_by_target
 
     def _recompute(self, now: float) -> None:
         for record in self._record_by_target.values():
             self._take_timers(record, now)
-        self._due_at = math.inf
-        self._diverted = self._find_diverted(now)
-        self._floor = self._apply_floor(now)
-        limit_by_target = self._compute_limits(now, ramped=True)
-        full = sum(limit.slots for limit in limit_by_target.values() if not limit.trial)
-        if full < self._floor.floor_slots:
-            limit_by_target = self._compute_limits(now, ramped=False)
-        self._limit_by_target = limit_by_target
-
-    def _compute_limits(self, now: float, *, ramped: bool) -> dict[str, TargetLimit]:
-        limit_by_target = {}
-        for name, record in self._record_by_target.items():
-            limit_by_target[name] = self._compute_limit(record, now, ramped)
-        return limit_by_target
+        self._plan = plan_limits(
+            record_by_target=self._record_by_target,
+            floor=self._spec.floor,
+            slots_in_use=self._use.estimate(now),
+            now=now,
+        )
+        self._due_at = self._plan.due_at
 
     def _take_timers(self, record: TargetRecord, now: float) -> None:
         if record.state == "ejected" and now >= record.trial_at:
@@ -394,74 +381,6 @@
             why = "it has not been seen leaving since it said so"
             self._begin_trial(record, "returned", now, 0.0, why)
 
-    def _find_diverted(self, now: float) -> frozenset[str]:
-        """Return the suspects that others have the spare slots to stand in for.
-
-        A suspect then gets a trickle of idempotent requests only, which decides the
-        test as fast and harms no caller, and nothing is lost if it is healthy.
-        """
-        suspects = set()
-        spare = 0.0
-        for name, record in self._record_by_target.items():
-            if record.state == "suspect":
-                suspects.add(name)
-            if record.state == "healthy":
-                spare += record.known.slots
-        if not suspects:
-            return frozenset()
-        self._due_at = now + RAMP_STEP_SECONDS
-        if self._use.estimate(now) > SPARE_SHARE * spare:
-            return frozenset()
-        return frozenset(suspects)
-
-    def _apply_floor(self, now: float) -> FloorResult:
-        evidence_by_target = {}
-        leaving = set()
-        for name, record in self._record_by_target.items():
-            if record.state == "draining":
-                leaving.add(name)
-            if record.state == "trial" and record.starting_seconds > 0:
-                leaving.add(name)
-            if record.state in ("ejected", "trial") or name in self._diverted:
-                evidence_by_target[name] = record.evidence
-        return apply_floor(
-            slots_by_target={
-                name: record.known.slots
-                for name, record in self._record_by_target.items()
-            },
-            evidence_by_target=evidence_by_target,
-            leaving=leaving,
-            floor=self._spec.floor,
-        )
-
-    def _compute_limit(
-        self, record: TargetRecord, now: float, ramped: bool
-    ) -> TargetLimit:
-        name = record.known.name
-        if name in self._floor.ignored:
-            return TargetLimit(target=name, slots=record.known.slots)
-        if record.state == "draining":
-            self._expect(record.trial_at, now)
-            return TargetLimit(target=name, slots=0)
-        if record.state == "ejected":
-            self._expect(record.trial_at, now)
-            return TargetLimit(target=name, slots=0)
-        if record.state == "trial" or name in self._diverted:
-            if now < record.trial_at:
-                self._expect(record.trial_at, now)
-                return TargetLimit(target=name, slots=0, trial=True)
-            return TargetLimit(target=name, slots=1, trial=True)
-        age = now - record.ramp_started_at
-        if ramped and age < trial.RAMP_SECONDS:
-            self._due_at = min(self._due_at, now + RAMP_STEP_SECONDS)
-            slots = trial.compute_ramped_slots(record.known.slots, age)
-            return TargetLimit(target=name, slots=slots)
-        return TargetLimit(target=name, slots=record.known.slots)
-
-    def _expect(self, due_at: float, now: float) -> None:
-        if due_at > now:
-            self._due_at = min(self._due_at, due_at)
-
     def _step(self, record: TargetRecord, event: str, now: float, why: str) -> None:
         before = record.state
         record.state = step_chart(CHART, before, event)
@@ -490,26 +409,15 @@
         Returns:
             One verdict for each target.
         """
-        now = time.monotonic()
         self.find_limits()
         self._sequence += 1
-        verdicts = []
-        for name, record in self._record_by_target.items():
-            verdicts.append(
-                Verdict(
-                    target=name,
-                    address=record.known.address,
-                    issuer=issuer,
-                    issuer_incarnation=incarnation,
-                    sequence=self._sequence,
-                    state=record.state,
-                    evidence=record.evidence,
-                    age_seconds=now - record.since,
-                    back_off_seconds=record.back_off_seconds,
-                    why=record.why,
-                )
-            )
-        return tuple(verdicts)
+        return make_verdicts(
+            record_by_target=self._record_by_target,
+            issuer=issuer,
+            incarnation=incarnation,
+            sequence=self._sequence,
+            now=time.monotonic(),
+        )
 
     def import_verdicts(self, table: VerdictTable) -> None:
         """Begin with what other brokers held; own evidence goes first.
@@ -534,6 +442,7 @@
         name = record.known.name
         if name in combined.leaving:
             record.told_draining = True
+            record.draining_seconds = trial.DRAINING_SECONDS
             record.trial_at = now + record.draining_seconds
             self._step(record, "drain", now, "the broker before saw it draining")
             return
@@ -549,27 +458,11 @@
 
     def describe(self) -> HealthStatus:
         """Return what operators see."""
-        now = time.monotonic()
-        limit_by_target = self.find_limits()
-        statuses = []
-        for name, record in self._record_by_target.items():
-            statuses.append(
-                TargetStatus(
-                    target=name,
-                    state=record.state,
-                    since_seconds=now - record.since,
-                    evidence=record.evidence,
-                    threshold=self._test.threshold,
-                    slots=limit_by_target[name].slots,
-                    kept_by_floor=name in self._floor.ignored,
-                    why=record.why,
-                )
-            )
-        return HealthStatus(
+        self.find_limits()
+        return make_status(
             service=self._name,
-            targets=tuple(statuses),
-            slots=self._floor.slots,
-            slots_in_use=self._floor.slots_in_use,
-            floor_slots=self._floor.floor_slots,
-            floor_broken_by_leaving=self._floor.broken_by_leaving,
+            record_by_target=self._record_by_target,
+            plan=self._plan,
+            threshold=self._test.threshold,
+            now=time.monotonic(),
         )
--- a/citronspan/core/service_health_record.py
+++ b/citronspan/core/service_health_record.py
@@ -3,7 +3,6 @@
 import math
 from collections import deque
 
-from citronspan.core import trial
 from citronspan.core.cusum_counts import Mark
 from citronspan.core.health import KnownTarget
 from citronspan.utils.statecharts import load_chart
@@ -28,7 +27,7 @@
         gray_share: Share of marked outcomes when it was ejected.
         back_off_seconds: Wait before the next trial.
         starting_seconds: Last wait after it said that it is starting, 0 if it did not.
-        draining_seconds: Wait after it said that it is draining.
+        draining_seconds: Last wait after it said that it is draining.
         trial_at: When the next trial request may be sent.
         trial: Test under way, or None.
         ramp_started_at: When slow start began.
@@ -68,7 +67,7 @@
         self.gray_share = 0.9
         self.back_off_seconds = 0.0
         self.starting_seconds = 0.0
-        self.draining_seconds = trial.DRAINING_SECONDS
+        self.draining_seconds = 0.0
         self.trial_at = math.inf
         self.trial = None
         self.ramp_started_at = -math.inf
--- a/citronspan/core/service_health_test.py
+++ b/citronspan/core/service_health_test.py
@@ -278,3 +278,27 @@
         assert idle.find_limits()["t0"].slots == 0
         assert busy.find_limits()["t0"].slots == 2
         assert not busy.find_limits()["t0"].trial
+
+
+def test_a_service_without_idempotent_requests_gets_its_target_back():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(6)
+        run_good(health, frozen, range(6))
+        run_bad(health, frozen, 0)
+        for _ in range(400):
+            frozen.tick(0.1)
+            limit = health.find_limits()["t0"]
+            if limit.slots and not limit.trial:
+                health.observe(make_outcome(0, latency=0.04))
+        assert get_states(health)["t0"] == "healthy"
+
+
+def test_a_target_that_said_it_drains_is_not_pulled_back_by_the_floor():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(2, floor=1.0)
+        health.observe(make_outcome(0, OutcomeClass.DRAINING))
+        assert health.find_limits()["t0"].slots == 0
+        frozen.tick(121)
+        assert get_states(health)["t0"] == "trial"
+        assert health.find_limits()["t0"].slots == 1
+        assert health.describe().floor_broken_by_leaving
--- a/citronspan/core/trial.py
+++ b/citronspan/core/trial.py
@@ -32,6 +32,11 @@
 # A target that says it is draining is asked again after this, when no other source
 # has shown it as leaving or gone.
 DRAINING_SECONDS = 120.0
+MAX_DRAINING_SECONDS = 3600.0
+
+# When no idempotent request has come for a trial in this time, any request may be
+# used, or a service without idempotent requests would never get a target back.
+IDLE_TRIAL_SECONDS = 10.0
 
 RAMP_SECONDS = 10.0
 # Share of the slots that a returned target starts with.
