--- a/citronspan/core/service_health_test.py
+++ b/citronspan/core/service_health_test.py
@@ -254,6 +254,8 @@
             waiting.note_overdue("t0")
             for health in (waiting, answered):
                 health.observe(make_outcome(0, latency=0.9))
+        for health in (waiting, answered):
+            health.observe(make_outcome(0, latency=0.9))
         evidence = [
             health.describe().targets[0].evidence for health in (waiting, answered)
         ]
