Don't blame a cold target for being slow

Cause: a new or restarted target answers slowly at first and was ejected for it.

Change: for 10 s after it is new, or after its first trial since it said that it starts, only its failures count; a caller that gave up on it is counted by the same rule.

Shown to fail when broken on purpose: latencies counted while cold.

A target that stays slow is found after those 10 s.

--- a/citronspan/core/cusum.py
+++ b/citronspan/core/cusum.py
@@ -198,7 +198,7 @@
             kind: Request kind.
             latency_seconds: From dispatch to the first byte of the answer.
             now: Present time.
-            overdue: Whether the wait for it was added already.
+            overdue: Whether the wait for it was added already, or tells nothing.
 
         Returns:
             The target's evidence in nats.
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -73,7 +73,9 @@
             record = self._record_by_target.get(known.name)
             if record is None:
                 record = TargetRecord(known=known, now=now)
-                record.ramp_started_at = -math.inf if first else now
+                if not first:
+                    record.ramp_started_at = now
+                    record.cold_until = now + trial.RAMP_SECONDS
                 self._record_by_target[known.name] = record
             self._take_leaving(record, known, now)
         self._test.set_targets(frozenset(self._record_by_target))
@@ -146,8 +148,7 @@
             return
         if self._is_known_overdue(record, outcome):
             return
-        self.note_overdue(outcome.target)
-        record.overdue -= 1
+        self._count_overdue(record)
 
     def find_overdue_seconds(self, kind: str) -> float:
         """Return the age at which an unanswered attempt is to be noted.
@@ -169,12 +170,18 @@
         record = self._record_by_target.get(target)
         if record is None or record.state == "draining":
             return
-        now = time.monotonic()
         record.overdue = min(record.overdue + 1, record.known.slots)
+        self._count_overdue(record)
+
+    def _count_overdue(self, record: TargetRecord) -> None:
+        now = time.monotonic()
+        if now < record.cold_until:
+            return
         if record.state in ("ejected", "trial"):
             self._judge_trial(record, True, now)
             return
-        self._judge(record, self._test.add_unanswered(target, now), now)
+        evidence = self._test.add_unanswered(record.known.name, now)
+        self._judge(record, evidence, now)
 
     def _is_known_overdue(self, record: TargetRecord, outcome: Outcome) -> bool:
         """Return whether the wait for an outcome was noted, and count it off."""
@@ -205,7 +212,7 @@
                 outcome.request_kind,
                 outcome.latency_seconds,
                 now,
-                overdue=overdue,
+                overdue=overdue or now < record.cold_until,
             )
         self._judge(record, evidence, now)
 
@@ -263,6 +270,8 @@
         self._wait_for_trial(record, now)
 
     def _is_gray_answer(self, record: TargetRecord, outcome: Outcome) -> bool:
+        if record.told_starting:
+            return False
         slow, very_slow = self._test.judge_answer(
             outcome.request_kind, outcome.latency_seconds
         )
@@ -273,7 +282,10 @@
         record.evidence = 0.0
         record.returned_at = now
         record.ramp_started_at = now
+        if record.told_starting:
+            record.cold_until = now + trial.RAMP_SECONDS
         record.starting_seconds = 0.0
+        record.told_starting = False
         record.told_draining = False
         record.trial = None
         record.failures.clear()
@@ -293,6 +305,7 @@
             return
         wait = max(2 * record.starting_seconds, trial.STARTING_SECONDS)
         record.starting_seconds = min(wait, trial.MAX_STARTING_SECONDS)
+        record.told_starting = True
         self._begin_trial(
             record,
             "starting",
--- a/citronspan/core/service_health_record.py
+++ b/citronspan/core/service_health_record.py
@@ -32,6 +32,8 @@
         trial: Test under way, or None.
         ramp_started_at: When slow start began.
         returned_at: When it last returned from a trial.
+        told_starting: Whether it said that it starts, since it last returned.
+        cold_until: Until when its latencies are those of a cold start.
         told_draining: Whether it said itself that it is draining.
         failures: Fingerprints of its last failures.
         overdue: Unanswered attempts that were counted before their outcome.
@@ -52,6 +54,8 @@
         "trial",
         "ramp_started_at",
         "returned_at",
+        "told_starting",
+        "cold_until",
         "told_draining",
         "failures",
         "overdue",
@@ -72,6 +76,8 @@
         self.trial = None
         self.ramp_started_at = -math.inf
         self.returned_at = -math.inf
+        self.told_starting = False
+        self.cold_until = -math.inf
         self.told_draining = False
         self.overdue = 0
         self.failures = deque(maxlen=REMEMBERED_FAILURES)
--- a/citronspan/core/service_health_test.py
+++ b/citronspan/core/service_health_test.py
@@ -304,3 +304,32 @@
         assert get_states(health)["t0"] == "trial"
         assert health.find_limits()["t0"].slots == 1
         assert health.describe().floor_broken_by_leaving
+
+
+def test_a_cold_target_is_not_blamed_for_being_slow():
+    with freeze_time("2026-01-01") as frozen:
+        health = make_health(5)
+        run_good(health, frozen, range(5))
+        health.set_targets(make_targets(6))
+        assert health.find_limits()["t5"].slots == 1
+        for _ in range(40):
+            frozen.tick(0.15)
+            run_good(health, frozen, range(5), 1)
+            health.observe(make_outcome(5, latency=0.15))
+        assert get_states(health)["t5"] == "healthy"
+        frozen.tick(5)
+        for _ in range(40):
+            run_good(health, frozen, range(5), 1)
+            health.observe(make_outcome(5, latency=0.15))
+        assert get_states(health)["t5"] == "ejected"
+
+
+def test_a_caller_that_gave_up_counts_only_when_the_answer_was_overdue():
+    with freeze_time("2026-01-01") as frozen:
+        early, late = make_health(6), make_health(6)
+        for health, latency in ((early, 0.05), (late, 0.9)):
+            run_good(health, frozen, range(6))
+            for _ in range(5):
+                health.observe(make_outcome(0, OutcomeClass.CANCELLED, latency))
+        assert early.describe().targets[0].evidence == 0
+        assert late.describe().targets[0].evidence > 7
