Bench halves of a service and the cost of the crash table

Cause: a broker may see only one region's half of a service; docs/CAPACITY.md needs the table's cost.

Change: part halves; poisonMicroseconds in part cost.

Conclusion: halves not run yet.

--- a/bench/detection.py
+++ b/bench/detection.py
@@ -1,10 +1,11 @@
 """Measure detection: time to detect and false ejections, against simpler policies.
 
-Run ``python -m bench.detection OUT.json [quick|grid|noise|cost]``. Everything is
+Run ``python -m bench.detection OUT.json [quick|grid|halves|noise|cost]``. Everything is
 simulated with fixed seeds; only ``cost`` reads the real clock.
 """
 
 import copy
+import dataclasses
 import json
 import math
 import multiprocessing
@@ -24,6 +25,7 @@
 )
 from citronspan.core import service_health
 from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.poison import PoisonTable
 from citronspan.core.resources import DetectionCosts
 
 SHOP_COSTS = DetectionCosts(late_second=10.0, false_ejection=100.0)
@@ -49,7 +51,17 @@
     make_shape("turret-orders", 12, 2, 32, 0.1, TURRET_COSTS),
     make_shape("turret-artwork", 8, 2, 32, 0.2, TURRET_COSTS),
 )
-SHAPE_BY_NAME = {shape.name: shape for shape in SHAPES}
+# A broker that sees one region's half of a service only.
+HALVES = tuple(
+    dataclasses.replace(
+        shape,
+        name=f"{shape.name}-half",
+        targets=shape.targets // 2,
+        entries=shape.entries // 2,
+    )
+    for shape in SHAPES
+)
+SHAPE_BY_NAME = {shape.name: shape for shape in SHAPES + HALVES}
 LOADS = (0.2, 0.5, 0.8)
 FAULTS = (
     Fault(name="errors 5 %", error_share=0.05),
@@ -180,6 +192,7 @@
                 latency_seconds=0.05 * rng.lognormvariate(0, LATENCY_SIGMA),
                 deadline_seconds=2.0,
                 request_kind="browse",
+                fingerprint=rng.randrange(1, 5000),
             )
             for _ in range(50_000)
         ]
@@ -194,12 +207,15 @@
         observe_us = measure_us(health.observe, outcomes)
         find_us = measure_us(lambda _, health=health: health.find_limits(), outcomes)
         recompute_us = measure_us(health._recompute, [time.monotonic()] * 10_000)
+        table = PoisonTable(service="cost")
+        poison_us = measure_us(table.observe, outcomes)
         rows.append(
             {
                 "targets": targets,
                 "observeMicroseconds": round(observe_us, 2),
                 "findLimitsMicroseconds": round(find_us, 3),
                 "recomputeMicroseconds": round(recompute_us, 2),
+                "poisonMicroseconds": round(poison_us, 2),
                 "bytesPerTarget": round(bytes_per_target),
             }
         )
@@ -256,8 +272,14 @@
     part = sys.argv[2] if len(sys.argv) > 2 else "grid"
     report = {"part": part}
     with multiprocessing.Pool(PROCESSES) as pool:
-        if part in ("grid", "quick"):
+        if part in ("grid", "quick", "halves"):
             cells = list_grid_cells(EPISODES if part == "grid" else 2)
+            if part == "halves":
+                cells = [
+                    (shape.name, load, "citronspan", EPISODES)
+                    for shape in HALVES
+                    for load in LOADS
+                ]
             parts = pool.imap_unordered(run_cell, cells, chunksize=1)
             report["grid"] = [row for rows in parts for row in rows]
             print_rows(report["grid"])
