Prove the broker by properties and against a naive one; need counts deviations

Cause: the broker stood without proof, and refused by mean hold times. Change: random histories (requests, bursts, duplicates, releases, cancels, lost releases, limits, trials, leaving and returning targets) check that slots are never over-granted, leaving targets get nothing, no refusal is delayed, answers stay the same and worth order holds; a naive broker over one list gives the same answers. Found by it and mended: an answer was forgotten when its slot was reclaimed, so that a late duplicate got a second slot; a first hold time of 0 s counted as no sample.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with small seeded models; nothing here is run by the tests."""
--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -174,7 +174,7 @@
             region=self.key.region,
             shard=self.key.number,
             grants=self._book.export(now),
-            mean_seconds_by_kind=dict(self._hold_times.mean_seconds_by_kind),
+            mean_seconds_by_kind=self._hold_times.export(),
             evidence=evidence,
         )
         self._send(successor, handover)
@@ -255,7 +255,7 @@
             trial=is_trial,
             free_slots=max(0, self._pool.capacity - len(self._book)),
         )
-        self._answer(sender, answer, hold_seconds, now)
+        self._answer(sender, answer, hold_seconds + KEEP_SECONDS, now)
 
     def _repeat_grant(self, sender, attempt_id, now):
         grant = self._book.find(attempt_id)
@@ -266,7 +266,7 @@
             address=grant.use.known.address,
             hold_seconds=remaining,
         )
-        self._answer(sender, answer, remaining, now)
+        self._answer(sender, answer, remaining + KEEP_SECONDS, now)
 
     def _queue_or_refuse(self, sender, request, now):
         if request.from_region or not self._pool.has_usable(request, now):
@@ -298,7 +298,7 @@
     def _is_hopeless(self, waiting, place, now):
         """Return whether a request at a place of the queue cannot be served."""
         wait = (place + 1) * self._hold_times.mean_seconds / max(1, self._pool.capacity)
-        needed = wait + self._hold_times.estimate(waiting.request.request_kind)
+        needed = wait + self._hold_times.estimate_need(waiting.request.request_kind)
         return now + needed >= waiting.deadline_at
 
     def _find_reason(self, request, place) -> ResultCode:
--- /dev/null
+++ b/citronspan/core/broker_properties_test.py
@@ -0,0 +1,498 @@
+"""Promises of a broker over random histories, and a naive broker beside it."""
+
+import time
+from dataclasses import dataclass, field, replace
+
+import freezegun
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core import result_codes
+from citronspan.core.broker import (
+    MINIMUM_WAITING,
+    RECLAIM_SECONDS,
+    WAITING_PER_SLOT,
+    Broker,
+)
+from citronspan.core.broker_answers import KEEP_SECONDS
+from citronspan.core.broker_expiry import BUCKET_SECONDS
+from citronspan.core.broker_messages import SlotGrant
+from citronspan.core.broker_targets import (
+    DRAINING_SECONDS,
+    SHED_SECONDS,
+    STARTING_SECONDS,
+)
+from citronspan.core.broker_test import (
+    KEY,
+    FakeHealth,
+    make_cancel,
+    make_release,
+    make_request,
+    make_target,
+)
+from citronspan.core.broker_times import DEVIATIONS, SAMPLE_WEIGHT
+from citronspan.core.outcomes import OutcomeClass
+
+NAMES = ("a", "b", "c")
+ATTEMPTS = 40
+
+attempts = st.integers(1, ATTEMPTS)
+targets = st.sampled_from(NAMES)
+requests = st.fixed_dictionaries(
+    {
+        "worth": st.sampled_from([1.0, 2.0, 5.0]),
+        "deadline_seconds": st.sampled_from([0.05, 0.35, 0.5, 0.8, 2.0, 9.0]),
+        "idempotent": st.booleans(),
+        "is_retry": st.booleans(),
+        "request_kind": st.sampled_from(["browse", "order"]),
+        "excluded": st.sampled_from([(), (), (), (), ("a",), ("a", "b")]),
+    }
+)
+classes = st.sampled_from(
+    [
+        OutcomeClass.OK,
+        OutcomeClass.OK,
+        OutcomeClass.OK,
+        OutcomeClass.TIMED_OUT,
+        OutcomeClass.SHED,
+        OutcomeClass.DRAINING,
+        OutcomeClass.STARTING,
+        OutcomeClass.NOT_USED,
+    ]
+)
+changes = st.one_of(
+    st.tuples(st.just("limit"), targets, st.integers(1, 3), st.just(True)),
+    st.tuples(st.just("limit"), targets, st.integers(0, 3), st.booleans()),
+    st.tuples(st.just("leave"), targets, st.booleans()),
+    st.tuples(st.just("remove"), targets),
+)
+# Most steps load the shard, so that queues grow; a few change what may be used.
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("ask"), attempts),
+        st.tuples(st.just("burst"), attempts, st.integers(8, 40)),
+        st.tuples(st.just("burst"), attempts, st.integers(8, 40)),
+        st.tuples(st.just("release"), attempts, classes, st.integers(-1, 6)),
+        st.tuples(st.just("finish"), st.integers(0, 6), st.integers(-1, 6)),
+        st.tuples(st.just("finish"), st.integers(0, 6), st.integers(-1, 6)),
+        st.tuples(st.just("work"), st.integers(0, 6), st.integers(1, 4)),
+        st.tuples(st.just("work"), st.integers(0, 6), st.integers(1, 4)),
+        st.tuples(st.just("cancel"), attempts),
+        st.tuples(st.just("wait"), st.sampled_from([0.01, 0.05, 0.2, 1.0, 7.0])),
+        st.tuples(st.just("change"), changes),
+    ),
+    max_size=40,
+)
+histories = st.tuples(
+    st.lists(requests, min_size=ATTEMPTS, max_size=ATTEMPTS),
+    st.lists(st.sampled_from([1, 1, 2, 3]), min_size=3, max_size=3),
+    steps,
+)
+
+
+@pytest.fixture(scope="module")
+def clock():
+    # Freezing is slow, so that it is done once and not for each history.
+    with freezegun.freeze_time("2026-01-01") as frozen:
+        yield frozen
+
+
+@dataclass
+class Run:
+    """One broker under a history, with the test's own account of its answers."""
+
+    fields_by_id: dict
+    target_by_name: dict
+    health: FakeHealth = field(default_factory=FakeHealth)
+    present: dict = field(default_factory=dict)
+    answer_by_id: dict = field(default_factory=dict)
+    ended: set = field(default_factory=set)
+    held_by_id: dict = field(default_factory=dict)
+    asked_at_by_id: dict = field(default_factory=dict)
+
+    def start(self, make):
+        self.present = dict(self.target_by_name)
+        self.broker = make(self.health, tuple(self.present.values()))
+
+    def expand(self, step):
+        """Turn a step into steps of one message each."""
+        match step:
+            case ("burst", first, count):
+                numbers = range(first, min(first + count, ATTEMPTS + 1))
+                return [("ask", attempt_id) for attempt_id in numbers]
+            case ("finish", index, load):
+                held = sorted(self.held_by_id)
+                if not held:
+                    return []
+                attempt_id = held[index % len(held)]
+                ended = ("release", attempt_id, OutcomeClass.OK, load)
+                return [("wait", 0.05), ended]
+            case ("work", index, count):
+                held = sorted(self.held_by_id)
+                done = [held[(index + i) % len(held)] for i in range(count) if held]
+                ends = [("release", number, OutcomeClass.OK, -1) for number in done]
+                return [("wait", 0.2), *ends]
+            case ("change", change):
+                return [change]
+        return [step]
+
+    def step(self, clock, step, *, with_load):
+        """Apply one step and return the messages that were sent."""
+        match step:
+            case ("ask", attempt_id):
+                # An attempt is never asked for again once it has been forgotten.
+                asked_at = self.asked_at_by_id.setdefault(attempt_id, time.monotonic())
+                if time.monotonic() - asked_at > KEEP_SECONDS - BUCKET_SECONDS:
+                    return []
+                request = make_request(attempt_id, **self.fields_by_id[attempt_id])
+                return self.broker.handle("entry", request)
+            case ("release", attempt_id, outcome_class, load):
+                answer = self.answer_by_id.get(attempt_id)
+                if not isinstance(answer, SlotGrant):
+                    return []
+                load = load if with_load else -1
+                self.end(attempt_id)
+                release = make_release(attempt_id, answer.target, outcome_class, load)
+                return self.broker.handle("entry", release)
+            case ("cancel", attempt_id):
+                if attempt_id not in self.asked_at_by_id:
+                    return []
+                self.end(attempt_id)
+                return self.broker.handle("entry", make_cancel(attempt_id))
+            case ("wait", seconds):
+                clock.tick(seconds)
+                return self.broker.advance()
+            case ("advance",):
+                return self.broker.advance()
+            case ("limit", name, slots, trial):
+                self.health.set_limit(name, slots, trial=trial)
+                return []
+            case ("leave", name, leaving):
+                target = self.target_by_name[name]
+                self.present[name] = replace(target, leaving=leaving)
+            case ("remove", name):
+                self.present.pop(name, None)
+        ordered = tuple(self.present[name] for name in sorted(self.present))
+        return self.broker.set_targets(ordered)
+
+    def end(self, attempt_id):
+        self.ended.add(attempt_id)
+        self.held_by_id.pop(attempt_id, None)
+
+    def list_unanswered(self):
+        return [
+            attempt_id
+            for attempt_id in self.asked_at_by_id
+            if attempt_id not in self.answer_by_id and attempt_id not in self.ended
+        ]
+
+    def note(self, outgoing):
+        """Take the answers as given, without a check."""
+        for message in (item.message for item in outgoing):
+            self.answer_by_id[message.attempt_id] = message
+            if isinstance(message, SlotGrant) and message.attempt_id not in self.ended:
+                self.held_by_id[message.attempt_id] = (message.target, None)
+
+    def check(self, outgoing):
+        """Check the promises against what was sent."""
+        now = time.monotonic()
+        for attempt_id, (_, until) in list(self.held_by_id.items()):
+            if until <= now:
+                del self.held_by_id[attempt_id]
+        for message in (item.message for item in outgoing):
+            is_new = message.attempt_id not in self.answer_by_id
+            before = self.answer_by_id.setdefault(message.attempt_id, message)
+            assert before == message, "a second answer differs"
+            if is_new and isinstance(message, SlotGrant):
+                self.check_grant(message, now)
+        for attempt_id in self.list_unanswered():
+            fields = self.fields_by_id[attempt_id]
+            deadline = self.asked_at_by_id[attempt_id] + fields["deadline_seconds"]
+            assert now < deadline, "a refusal is delayed"
+
+    def check_grant(self, grant, now):
+        limit = self.health.limit_by_target[grant.target]
+        assert not self.present[grant.target].leaving
+        until = now + grant.hold_seconds
+        self.held_by_id[grant.attempt_id] = (grant.target, until)
+        held = [name for name, _ in self.held_by_id.values() if name == grant.target]
+        assert len(held) <= (1 if limit.trial else limit.slots)
+        fields = self.fields_by_id[grant.attempt_id]
+        assert grant.target not in fields["excluded"]
+        assert not limit.trial or (fields["idempotent"] and not fields["is_retry"])
+        for attempt_id in self.list_unanswered():
+            other = self.fields_by_id[attempt_id]
+            if limit.trial or grant.target in other["excluded"]:
+                continue
+            assert other["worth"] <= fields["worth"], "the more worthy was passed over"
+
+
+def start_run(history, make):
+    fields, slots, _ = history
+    target_by_name = {
+        name: make_target(name, slots=count)
+        for name, count in zip(NAMES, slots, strict=True)
+    }
+    fields_by_id = dict(enumerate(fields, start=1))
+    run = Run(fields_by_id=fields_by_id, target_by_name=target_by_name)
+    run.start(make)
+    return run
+
+
+def make_real(health, known):
+    return Broker(key=KEY, health=health, targets=known)
+
+
+def test_a_broker_keeps_its_promises_in_any_order_of_events(clock):
+    @settings(max_examples=300)
+    @given(histories)
+    def check(history):
+        run = start_run(history, make_real)
+        for step in history[2]:
+            for single in run.expand(step):
+                outgoing = run.step(clock, single, with_load=True)
+                run.check(outgoing)
+
+    check()
+
+
+class NaiveBroker:
+    """The rules over one plain list of attempts, all worked out anew each time."""
+
+    def __init__(self, health, known):
+        self.health = health
+        self.attempts = []
+        self.samples = []
+        self.held_until = {}
+        self.full_until = {}
+        self.set_targets(known)
+
+    def set_targets(self, known):
+        self.health.set_targets(known)
+        self.known = known
+        return self.settle()
+
+    def handle(self, sender, message):
+        if type(message).__name__ == "SlotRequest":
+            return self.ask(message)
+        found = [a for a in self.attempts if a["id"] == message.attempt_id]
+        if any(a["ended"] for a in found):
+            return []
+        for attempt in found:
+            if type(message).__name__ == "SlotRelease":
+                self.learn(attempt, message.outcome)
+            attempt["ended"] = True
+        return self.settle()
+
+    def advance(self):
+        bucket = int(time.monotonic() / BUCKET_SECONDS)
+        for attempt in self.list_held():
+            reclaim_at = attempt["deadline"] + RECLAIM_SECONDS
+            if int(reclaim_at / BUCKET_SECONDS) + 1 <= bucket:
+                attempt["reclaimed"] = True
+        return self.settle()
+
+    def learn(self, attempt, outcome):
+        now = time.monotonic()
+        name = outcome.target
+        kind = outcome.outcome_class
+        is_sample = kind in (OutcomeClass.OK, OutcomeClass.TIMED_OUT)
+        if is_sample and attempt in self.list_held():
+            seconds = now - attempt["granted_at"]
+            self.samples.append((attempt["request"].request_kind, seconds))
+        if name not in [target.name for target in self.known]:
+            return
+        if kind is OutcomeClass.DRAINING:
+            self.held_until[name] = now + DRAINING_SECONDS
+        if kind is OutcomeClass.STARTING:
+            until = max(self.held_until.get(name, 0), now + STARTING_SECONDS)
+            self.held_until[name] = until
+        if kind is OutcomeClass.SHED:
+            slots = next(t.slots for t in self.known if t.name == name)
+            attempt["ended"] = True
+            foreign = max(0, slots - len(self.list_held(name)))
+            self.full_until[name] = (now + SHED_SECONDS, foreign)
+
+    def list_held(self, name=None):
+        return [
+            a
+            for a in self.attempts
+            if a["target"] and not a["ended"] and not a["reclaimed"]
+            if name in (None, a["target"])
+        ]
+
+    def list_waiting(self):
+        waiting = [
+            a
+            for a in self.attempts
+            if not a["target"] and not a["code"] and not a["ended"]
+        ]
+        return sorted(
+            waiting, key=lambda a: (-a["request"].worth, a["deadline"], a["number"])
+        )
+
+    def mean(self, kind=None, deviations=0.0):
+        chosen = [s for k, s in self.samples if kind in (None, k)]
+        if not chosen:
+            return self.mean(None, deviations) if self.samples else 0.0
+        mean = chosen[0]
+        deviation = 0.0
+        for seconds in chosen:
+            error = seconds - mean
+            deviation += (abs(error) - deviation) * SAMPLE_WEIGHT
+            mean += error * SAMPLE_WEIGHT
+        return mean + deviations * deviation
+
+    def list_usable(self):
+        now = time.monotonic()
+        for target in self.known:
+            if target.leaving or now < self.held_until.get(target.name, 0):
+                continue
+            limit = self.health.find_limits()[target.name]
+            slots = min(1, limit.slots) if limit.trial else limit.slots
+            yield target, limit, slots
+
+    def capacity(self):
+        return sum(slots for _, limit, slots in self.list_usable() if not limit.trial)
+
+    def find_target(self, request):
+        now = time.monotonic()
+        ranked = []
+        for target, limit, slots in self.list_usable():
+            until, foreign = self.full_until.get(target.name, (0, 0))
+            free = slots - len(self.list_held(target.name))
+            if now < until:
+                free -= foreign
+            if free <= 0 or target.name in request.excluded:
+                continue
+            if limit.trial and (request.is_retry or not request.idempotent):
+                continue
+            doubtful = not request.idempotent and limit.slots < target.slots
+            turn = (self.known.index(target) + request.attempt_id) % len(self.known)
+            rank = (not limit.trial, doubtful, -free / limit.slots, turn)
+            ranked.append((rank, target.name))
+        return min(ranked)[1] if ranked else None
+
+    def could_serve(self, request):
+        return any(
+            slots > 0 and not limit.trial and target.name not in request.excluded
+            for target, limit, slots in self.list_usable()
+        )
+
+    def is_hopeless(self, attempt, place):
+        wait = (place + 1) * self.mean() / max(1, self.capacity())
+        needed = wait + self.mean(attempt["request"].request_kind, DEVIATIONS)
+        return time.monotonic() + needed >= attempt["deadline"]
+
+    def settle(self):
+        """Serve who can be served, then refuse who has no hope."""
+        sent = []
+        for attempt in self.list_waiting():
+            if time.monotonic() >= attempt["deadline"]:
+                sent.append(self.refuse(attempt))
+                continue
+            target = self.find_target(attempt["request"])
+            if target:
+                sent.append(self.grant(attempt, target))
+        return sent + self.refuse_hopeless()
+
+    def refuse_hopeless(self):
+        sent = []
+        place = 0
+        for attempt in self.list_waiting():
+            usable = self.could_serve(attempt["request"])
+            if usable and not self.is_hopeless(attempt, place):
+                place += 1
+                continue
+            sent.append(self.refuse(attempt))
+        return sent
+
+    def grant(self, attempt, target):
+        attempt["target"] = target
+        attempt["granted_at"] = time.monotonic()
+        return (attempt["id"], target)
+
+    def refuse(self, attempt):
+        attempt["code"] = True
+        return (attempt["id"], "refused")
+
+    def ask(self, request):
+        for attempt in self.attempts:
+            if attempt["id"] != request.attempt_id:
+                continue
+            if attempt["target"]:
+                return [(attempt["id"], attempt["target"])]
+            if attempt["code"] or attempt["ended"]:
+                return [(attempt["id"], "refused")]
+            return []
+        sent = self.settle()
+        now = time.monotonic()
+        attempt = {
+            "id": request.attempt_id,
+            "number": len(self.attempts),
+            "request": request,
+            "deadline": now + request.deadline_seconds,
+            "target": None,
+            "code": None,
+            "ended": False,
+            "reclaimed": False,
+        }
+        self.attempts.append(attempt)
+        target = self.find_target(request)
+        if target:
+            return [*sent, self.grant(attempt, target)]
+        if not self.could_serve(request):
+            return [*sent, self.refuse(attempt)]
+        waiting = self.list_waiting()
+        if self.is_hopeless(attempt, waiting.index(attempt)):
+            return [*sent, self.refuse(attempt)]
+        if len(waiting) > max(MINIMUM_WAITING, WAITING_PER_SLOT * self.capacity()):
+            others = [a for a in waiting if a is not attempt]
+            last = others[-1]
+            if last["request"].worth >= request.worth:
+                return [*sent, self.refuse(attempt)]
+            sent.append(self.refuse(last))
+        return sent + self.refuse_hopeless()
+
+
+def simplify(outgoing):
+    """Return the answers as pairs of attempt and target or word of refusal."""
+    pairs = []
+    for item in outgoing:
+        if not isinstance(item, tuple):
+            message = item.message
+            target = getattr(message, "target", "refused")
+            item = (message.attempt_id, target)
+        pairs.append(item)
+    return sorted(pairs)
+
+
+def test_a_broker_answers_like_the_naive_one(clock):
+    @settings(max_examples=300)
+    @given(histories)
+    def check(history):
+        real = start_run(history, make_real)
+        naive = start_run(history, NaiveBroker)
+        clock.tick(1.0)
+        for step in history[2]:
+            for single in real.expand(step):
+                # Both see the same moments; only the first one moves the clock.
+                sent = real.step(clock, single, with_load=False)
+                same = ("advance",) if single[0] == "wait" else single
+                expected = naive.step(clock, same, with_load=False)
+                assert simplify(sent) == simplify(expected), single
+                real.note(sent)
+                naive.note(sent)
+
+    check()
+
+
+def test_the_codes_of_refusals_all_say_not_run():
+    codes = [
+        result_codes.NO_CAPACITY,
+        result_codes.OVERLOADED,
+        result_codes.DEADLINE_TOO_SHORT,
+        result_codes.LINK_BUDGET_SPENT,
+        result_codes.ATTEMPT_CANCELLED,
+    ]
+    assert {code.ran for code in codes} == {result_codes.Ran.NOT_RUN}
--- a/citronspan/core/broker_times.py
+++ b/citronspan/core/broker_times.py
@@ -1,35 +1,81 @@
-"""Mean times for which slots are held, by request kind."""
+"""How long slots are held, by request kind.
+
+Means and mean deviations follow the samples with exponential weights, as the
+estimator of round-trip times in TCP does. Source: Jacobson, "Congestion avoidance
+and control", SIGCOMM 1988.
+"""
+
+from dataclasses import dataclass
 
 SAMPLE_WEIGHT = 1 / 32
-"""Weight of a new sample in a mean; the mean follows over about as many samples."""
+"""Weight of a new sample; an estimate follows over about as many samples."""
+
+DEVIATIONS = 2.0
+"""Mean deviations above the mean that a request is taken to need."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HoldTime:
+    """Estimate of the time from grant to release.
+
+    Attributes:
+        mean_seconds: Mean.
+        deviation_seconds: Mean absolute deviation from the mean.
+    """
+
+    mean_seconds: float
+    deviation_seconds: float = 0.0
+
+    def blend(self, seconds: float) -> "HoldTime":
+        """Return the estimate after one more sample."""
+        error = seconds - self.mean_seconds
+        deviation = self.deviation_seconds
+        deviation += (abs(error) - deviation) * SAMPLE_WEIGHT
+        return HoldTime(
+            mean_seconds=self.mean_seconds + error * SAMPLE_WEIGHT,
+            deviation_seconds=deviation,
+        )
 
 
 class HoldTimes:
-    """Exponentially weighted means of the time from grant to release."""
+    """Estimates over all requests and for each request kind."""
 
     def __init__(self):
-        self.mean_seconds_by_kind: dict[str, float] = {}
-        self.mean_seconds = 0.0
+        self._overall: HoldTime | None = None
+        self._time_by_kind: dict[str, HoldTime] = {}
+
+    @property
+    def mean_seconds(self) -> float:
+        """Mean over all requests, 0 before the first sample."""
+        return 0.0 if self._overall is None else self._overall.mean_seconds
 
     def add(self, request_kind: str, seconds: float) -> None:
         """Add one sample."""
-        before = self.mean_seconds_by_kind.get(request_kind, seconds)
-        self.mean_seconds_by_kind[request_kind] = _blend(before, seconds)
-        self.mean_seconds = _blend(self.mean_seconds or seconds, seconds)
+        first = HoldTime(mean_seconds=seconds)
+        self._overall = (self._overall or first).blend(seconds)
+        before = self._time_by_kind.get(request_kind, first)
+        self._time_by_kind[request_kind] = before.blend(seconds)
+
+    def estimate_need(self, request_kind: str) -> float:
+        """Return the time that a request of a kind is taken to need.
 
-    def estimate(self, request_kind: str) -> float:
-        """Return the mean of a kind, or of all kinds before its first sample."""
-        return self.mean_seconds_by_kind.get(request_kind, self.mean_seconds)
+        A kind without samples is taken to be like all; without any samples the
+        need is taken as 0.
+        """
+        time = self._time_by_kind.get(request_kind, self._overall)
+        if time is None:
+            return 0.0
+        return time.mean_seconds + DEVIATIONS * time.deviation_seconds
+
+    def export(self) -> dict[str, float]:
+        """Return the mean of each kind in seconds, for a handover."""
+        return {
+            kind: time.mean_seconds for kind, time in sorted(self._time_by_kind.items())
+        }
 
     def take_over(self, mean_seconds_by_kind: dict[str, float]) -> None:
         """Take the means of another broker where there are none yet."""
         for kind, seconds in mean_seconds_by_kind.items():
-            self.mean_seconds_by_kind.setdefault(kind, seconds)
-        if self.mean_seconds or not mean_seconds_by_kind:
-            return
-        total = sum(mean_seconds_by_kind.values())
-        self.mean_seconds = total / len(mean_seconds_by_kind)
-
-
-def _blend(before, sample):
-    return before + (sample - before) * SAMPLE_WEIGHT
+            time = HoldTime(mean_seconds=seconds)
+            self._time_by_kind.setdefault(kind, time)
+            self._overall = self._overall or time
