--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -75,6 +75,20 @@
     262, "slot-reclaimed", "WARNING", "A slot's release did not come; it is free again."
 )
 
+# 270-279: idempotency keys.
+KEYS_FULL = _define(
+    270, "keys-full", "WARNING", "New keys are refused; the memory of keys is full."
+)
+KEY_REPORT_LOST = _define(
+    271, "key-report-lost", "WARNING", "An owner never learnt what a run came to."
+)
+KEY_PEER_SILENT = _define(
+    272, "key-peer-silent", "WARNING", "An owner or a witness of keys is silent."
+)
+KEY_PEER_HEARD = _define(
+    273, "key-peer-heard", "NOTICE", "An owner or a witness is heard again."
+)
+
 # 300-399: the agent.
 CONFIGURATION_APPLIED = _define(
     300, "configuration-applied", "INFO", "A newer configuration is in force."
@@ -94,3 +108,17 @@
 PEER_STATE_CHANGED = _define(
     305, "peer-state-changed", "NOTICE", "The view of a peer changed."
 )
+
+# 310-349: the agent's configuration.
+ENTRY_CONFIGURED = _define(
+    310, "entry-configured", "INFO", "The entry was sent a whole configuration."
+)
+LOG_BEHIND = _define(
+    311, "log-behind", "ERROR", "The log ends before what is in force; nothing reverts."
+)
+SNAPSHOT_MISSING = _define(
+    312, "snapshot-missing", "ERROR", "The log was truncated and holds no snapshot."
+)
+SNAPSHOT_DIFFERS = _define(
+    313, "snapshot-differs", "ERROR", "A snapshot in the log is not what replay gives."
+)
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -100,6 +100,19 @@
 API_REQUEST_INVALID = _define(
     2007, "api-request-invalid", 400, _NA, "The API request is not valid."
 )
+TOO_MANY_WATCHES = _define(
+    2010,
+    "too-many-watches",
+    503,
+    _NA,
+    "The agent serves no further watch; ask another.",
+)
+API_UNREACHABLE = _define(
+    2011, "api-unreachable", 503, _NA, "The agent's API does not answer."
+)
+AGENT_STARTING = _define(
+    2012, "agent-starting", 503, _NA, "The agent has not caught up yet; come back."
+)
 
 # 3000-3099: callers' requests.
 NO_ROUTE = _define(3001, "no-route", 404, _NOT, "No route matches the request.")
@@ -153,6 +166,15 @@
 ATTEMPT_CANCELLED = _define(
     3061, "attempt-cancelled", 503, _NOT, "The entry gave the attempt up itself."
 )
+CALLER_TOO_SLOW = _define(
+    3070, "caller-too-slow", 408, _MAY, "The caller's request did not come in time."
+)
+HEAD_TOO_LARGE = _define(
+    3071, "head-too-large", 431, _NOT, "The first line or the headers are too large."
+)
+ENTRY_FAULT = _define(
+    3072, "entry-fault", 500, _MAY, "The entry itself failed on the request."
+)
 
 # 4000-4099: idempotency keys.
 KEY_INVALID = _define(4001, "key-invalid", 400, _NOT, "The key is not well formed.")
@@ -175,3 +197,12 @@
 KEY_REUSED = _define(
     4008, "key-reused", 422, _NOT, "The key was used for a different request."
 )
+
+# 4010-4029: results of the key protocol beside those that every caller's page names.
+KEY_TOO_FAR_AHEAD = _define(
+    4010,
+    "key-too-far-ahead",
+    409,
+    _NOT,
+    "The key expires later than keys can; it is closed, take a new key.",
+)
--- /dev/null
+++ b/citronspan/ops/request_handler.py
@@ -0,0 +1,309 @@
+"""The path of one request through an entry, from its receipt to its answer."""
+
+import time
+from collections.abc import Callable, Iterable, Iterator
+
+import logbook
+import xxhash
+from opentelemetry import trace
+
+from citronspan.core import log_events, result_codes
+from citronspan.core.account_limits import AccountLimits
+from citronspan.core.entry_configuration import EntryConfiguration
+from citronspan.core.errors import CitronspanError
+from citronspan.core.key_protocol_results import Replay
+from citronspan.core.key_token import is_fleet_key
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.resources import Kind, RouteSpec
+from citronspan.core.result_codes import Ran
+from citronspan.core.route_table import find_route
+from citronspan.ops.attempts import Answered, AttemptRunner, Work
+from citronspan.ops.caller_request import (
+    DROPPED_HEADERS,
+    READ_BYTES,
+    CallerBody,
+    CallerRequest,
+    read_caller_request,
+)
+from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.key_service import KeyService
+from citronspan.ops.keyed_request import KeyedRequest, claim_key
+from citronspan.ops.refusals import (
+    ENTRY_HEADER,
+    RAN_HEADER,
+    REPLAYED_HEADER,
+    RESULT_HEADER,
+    TARGET_HEADER,
+    Refusal,
+    answer_refusal,
+    format_status,
+)
+from citronspan.ops.slot_source import SlotSource
+from citronspan.ops.target_connection import AttemptFailedError, TargetConnections
+from citronspan.utils.logs import write_event
+from citronspan.utils.traces import PROPAGATOR
+
+_logger = logbook.Logger("request")
+_FLEET_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        RESULT_HEADER,
+        RAN_HEADER,
+        TARGET_HEADER,
+        ENTRY_HEADER,
+        REPLAYED_HEADER,
+    )
+)
+
+
+class RequestHandler:
+    """The WSGI application of an entry."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        find_configuration: Callable[[], EntryConfiguration],
+        count_entries: Callable[[], int],
+        slots: SlotSource,
+        keys: KeyService,
+        connections: TargetConnections,
+        metrics: EntryMetrics,
+        tracer: trace.Tracer,
+        is_stopping: Callable[[], bool],
+    ):
+        self._name = name
+        self._find_configuration = find_configuration
+        self._count_entries = count_entries
+        self._keys = keys
+        self._attempts = AttemptRunner(
+            slots=slots, connections=connections, metrics=metrics, tracer=tracer
+        )
+        self._metrics = metrics
+        self._tracer = tracer
+        self._is_stopping = is_stopping
+        self._accounts = AccountLimits()
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        """Answer one request, as WSGI asks."""
+        received = time.monotonic()
+        connection = environ["citronspan.connection"]
+        if self._is_stopping():
+            connection.close_after_answer()
+        self._metrics.begin_request()
+        body: Iterable[bytes] = []
+        try:
+            body = self._handle(environ, start_response, received)
+        except Refusal as refusal:
+            body = self._refuse(start_response, connection, refusal)
+        except CitronspanError as error:
+            refusal = Refusal(code=error.code, detail=error.detail)
+            body = self._refuse(start_response, connection, refusal)
+        finally:
+            if isinstance(body, list):
+                self._metrics.end_request()
+        return body
+
+    def _handle(self, environ, start_response, received):
+        request = read_caller_request(environ)
+        context = PROPAGATOR.extract(request.trace_headers)
+        with self._tracer.start_as_current_span("entry", context=context) as span:
+            work = self._prepare(request, received)
+            span.set_attribute("citronspan.route", work.route.name)
+            keyed = None
+            if needs_claim(work.spec, request.key):
+                with self._tracer.start_as_current_span("key-claim"):
+                    keyed = claim_key(self._keys, work)
+            if isinstance(keyed, Replay):
+                return self._replay(keyed, start_response)
+            return self._run(work, keyed, start_response, received)
+
+    def _run(self, work, keyed: KeyedRequest | None, start_response, received):
+        """Run a request and see to it that its key is reported on."""
+        try:
+            answered = self._attempts.run(work)
+            return self._pass_on(work, keyed, answered, start_response, received)
+        except Refusal as refusal:
+            if keyed is not None:
+                keyed.report_refused(refusal.code, refusal.ran)
+            raise
+        except BaseException:
+            if keyed is not None:
+                keyed.report_lost()
+            raise
+
+    def _replay(self, replay: Replay, start_response):
+        answer = replay.answer
+        kept = [item for item in answer.headers if item[0] != ENTRY_HEADER]
+        headers = [*kept, (REPLAYED_HEADER, "1"), (ENTRY_HEADER, self._name)]
+        start_response(format_status(answer.status), headers)
+        return [answer.body] if answer.body else []
+
+    def _prepare(self, request: CallerRequest, received: float) -> Work:
+        configuration = self._find_configuration()
+        if configuration.offset == 0:
+            raise Refusal(
+                code=result_codes.CONFIGURATION_MISSING,
+                detail="no configuration yet",
+                retry_after_seconds=1,
+            )
+        route = find_route(configuration.routes, request.host, request.path)
+        if route is None:
+            raise Refusal(
+                code=result_codes.NO_ROUTE, detail=f"{request.host} {request.path}"
+            )
+        if route.spec.require_key and not request.key:
+            raise Refusal(
+                code=result_codes.KEY_REQUIRED, detail=f"route {route.name!r}"
+            )
+        service = configuration.find(Kind.SERVICE, route.spec.service)
+        if service is None:
+            raise Refusal(
+                code=result_codes.NO_ROUTE,
+                detail=f"route {route.name!r} names no service",
+            )
+        self._check_account(configuration, request)
+        seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
+        request.connection.bound(received + seconds)
+        body = _receive_body(request)
+        return Work(
+            request=request,
+            body=body,
+            route=route,
+            service=service,
+            deadline=received + seconds,
+            fingerprint=_compute_fingerprint(request, body),
+        )
+
+    def _check_account(self, configuration, request):
+        if not request.account:
+            return
+        spec = configuration.find(Kind.ACCOUNT, request.account)
+        if spec is None:
+            return
+        wait = self._accounts.admit(request.account, spec, self._count_entries())
+        if wait > 0:
+            raise Refusal(
+                code=result_codes.ACCOUNT_LIMITED,
+                detail=f"account {request.account!r}",
+                retry_after_seconds=wait,
+            )
+
+    def _pass_on(self, work, keyed, answered: Answered, start_response, received):
+        headers = self._make_headers(work, answered)
+        reason = answered.answer.reason
+        status = answered.answer.status
+        if not answered.is_whole:
+            start_response(f"{status} {reason}", headers)
+            return self._stream(work, keyed, answered, received)
+        answered.answer.finish()
+        self._attempts.release(work, answered, answer_bytes=len(answered.head))
+        if keyed is not None:
+            keyed.report_whole(status, tuple(headers), answered.head)
+        self._metrics.observe_answer(work.spec, status, received)
+        start_response(f"{status} {reason}", headers)
+        return [answered.head] if answered.head else []
+
+    def _make_headers(self, work, answered):
+        answer = answered.answer
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() not in DROPPED_HEADERS
+            and name.lower() not in _FLEET_HEADERS
+        ]
+        if answer.is_bodyless:
+            length = answer.find_header("Content-Length")
+            if length is not None and work.request.method == "HEAD":
+                headers.append(("Content-Length", length))
+        elif answered.is_whole:
+            headers.append(("Content-Length", str(len(answered.head))))
+        elif answer.length is not None:
+            whole = len(answered.head) + answer.length
+            headers.append(("Content-Length", str(whole)))
+        headers.append((TARGET_HEADER, answered.slot.target))
+        headers.append((ENTRY_HEADER, self._name))
+        return headers
+
+    def _stream(self, work, keyed, answered, received) -> Iterator[bytes]:
+        """Yield a long body; a cut resets the caller's connection."""
+        outcome_class = OutcomeClass.CANCELLED
+        passed_bytes = 0
+        try:
+            for data in _iterate_answer(answered):
+                if keyed is not None:
+                    keyed.note_body(data)
+                passed_bytes += len(data)
+                yield data
+            outcome_class = answered.outcome_class
+            answered.answer.finish()
+            if keyed is not None:
+                keyed.report_streamed(answered.answer.status)
+        except AttemptFailedError as error:
+            outcome_class = error.outcome_class
+            raise
+        finally:
+            if outcome_class is not answered.outcome_class:
+                answered.answer.abandon()
+                work.request.connection.abort()
+            if keyed is not None:
+                keyed.report_lost()
+            self._attempts.release(work, answered, outcome_class, passed_bytes)
+            self._metrics.observe_answer(work.spec, answered.answer.status, received)
+            self._metrics.end_request()
+
+    def _refuse(self, start_response, connection, refusal: Refusal):
+        # What is left of the body must not be read as the next request.
+        connection.close_after_answer()
+        self._metrics.count_refusal(refusal.code)
+        write_event(
+            _logger,
+            log_events.REQUEST_REFUSED,
+            code=refusal.code.number,
+            detail=refusal.detail,
+        )
+        return answer_refusal(
+            start_response,
+            code=refusal.code,
+            detail=refusal.detail,
+            ran=refusal.ran,
+            retry_after_seconds=refusal.retry_after_seconds,
+            entry=self._name,
+        )
+
+
+def _receive_body(request: CallerRequest) -> CallerBody:
+    """Read a small body; what fails here was sent to no target yet."""
+    try:
+        return CallerBody(request=request)
+    except CitronspanError as error:
+        raise Refusal(code=error.code, detail=error.detail, ran=Ran.NOT_RUN) from error
+
+
+def _compute_fingerprint(request, body) -> int:
+    digest = xxhash.xxh3_64()
+    digest.update(f"{request.method}\0{request.host}\0{request.uri}\0".encode())
+    digest.update(body.buffer or str(body.length).encode())
+    return digest.intdigest() >> 1
+
+
+def _iterate_answer(answered: Answered) -> Iterator[bytes]:
+    if answered.head:
+        yield answered.head
+    while data := answered.answer.read(READ_BYTES):
+        yield data
+
+
+def needs_claim(spec: RouteSpec, key: str) -> bool:
+    """Return whether a request runs under the key protocol.
+
+    A key of the caller's own making cannot be claimed; it is passed on to the
+    target, and the request is run by one attempt at most.
+
+    Args:
+        spec: The route.
+        key: The request's key, or empty.
+    """
+    if spec.idempotent or not key:
+        return False
+    return spec.require_key or is_fleet_key(key)
