--- /dev/null
+++ b/bench/choice_costs.py
@@ -0,0 +1,250 @@
+"""Costs of brokers as slopes: processor time, messages and bytes.
+
+Run: ``python -m bench.choice_costs`` for lines, with ``--json`` for JSON. Each time
+is the least of several rounds, as other load on the machine only adds to it.
+"""
+
+import json
+import sys
+import time
+
+from bench.choice_ways import FixedHealth
+from citronspan.core.broker import Broker
+from citronspan.core.broker_messages import (
+    SlotCancel,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotWaiting,
+)
+from citronspan.core.broker_set import BrokerSet
+from citronspan.core.health import KnownTarget
+from citronspan.core.message_base import Message
+from citronspan.core.messages import Envelope, encode_envelope
+from citronspan.core.node_messages import NodeInfo
+from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.shards import ShardKey, form_shards
+
+ROUNDS = 5
+REQUESTS = 2_000
+KEY = ShardKey(service="artist-intake", region="svealand", number=0)
+WARM_UP_SECONDS = 0.6
+
+
+def make_targets(count, service="s"):
+    return tuple(
+        KnownTarget(
+            name=f"{service}-target-{number}",
+            address="127.0.2.1:9000",
+            region=KEY.region,
+            data_centre="svealand-1",
+            slots=6,
+        )
+        for number in range(count)
+    )
+
+
+def make_nodes(count):
+    return [
+        NodeInfo(
+            name=f"node-{number}",
+            incarnation=1,
+            region=KEY.region,
+            data_centre="svealand-1",
+            agent_peer_address="127.0.0.1:7001",
+            entry_peer_address=f"127.0.0.{number}:7002",
+            entry_callers_address="127.0.0.1:8080",
+            api_address="127.0.0.1:7003",
+            entry_state="serving",
+        )
+        for number in range(count)
+    ]
+
+
+def make_request(number, **fields):
+    return SlotRequest(
+        attempt_id=(1 << 62) + number,
+        service=KEY.service,
+        region=KEY.region,
+        shard=0,
+        deadline_seconds=10.0,
+        worth=2.5,
+        request_kind="pack-upload",
+        fingerprint=(1 << 63) + number,
+        body_bytes=100_000,
+        **fields,
+    )
+
+
+def make_release(number, target):
+    outcome = Outcome(
+        target=target,
+        outcome_class=OutcomeClass.OK,
+        latency_seconds=0.05,
+        deadline_seconds=10.0,
+        request_kind="pack-upload",
+        fingerprint=(1 << 63) + number,
+        load=3,
+    )
+    return SlotRelease(
+        attempt_id=(1 << 62) + number,
+        service=KEY.service,
+        region=KEY.region,
+        shard=0,
+        outcome=outcome,
+        answer_bytes=500,
+    )
+
+
+def time_decisions(targets, waiting) -> tuple[float, float]:
+    """Time requests and releases of one broker, with some requests waiting.
+
+    Returns:
+        Microseconds for one request and for one release.
+    """
+    best = (float("inf"), float("inf"))
+    for _ in range(ROUNDS):
+        broker = Broker(key=KEY, health=FixedHealth(), targets=make_targets(targets))
+        time.sleep(WARM_UP_SECONDS)
+        held = []
+        for number in range(targets * 6 - (0 if waiting else 1)):
+            broker_grant = broker.handle("entry", make_request(number))[-1].message
+            held.append((number, broker_grant.target))
+        for number in range(10_000, 10_000 + waiting):
+            broker.handle("entry", make_request(number))
+        best = min(best, _time_turns(broker, held, waiting))
+    return best
+
+
+def _time_turns(broker, held, waiting):
+    request_seconds = 0.0
+    release_seconds = 0.0
+    for number in range(100_000, 100_000 + REQUESTS):
+        began = time.perf_counter()
+        outgoing = broker.handle("entry", make_request(number))
+        middle = time.perf_counter()
+        held += _list_granted(outgoing)
+        released, target = held.pop(0)
+        message = make_release(released, target)
+        before = time.perf_counter()
+        outgoing = broker.handle("entry", message)
+        ended = time.perf_counter()
+        held += _list_granted(outgoing)
+        request_seconds += middle - began
+        release_seconds += ended - before
+    return 1e6 * request_seconds / REQUESTS, 1e6 * release_seconds / REQUESTS
+
+
+def _list_granted(outgoing):
+    return [
+        (item.message.attempt_id - (1 << 62), item.message.target)
+        for item in outgoing
+        if isinstance(item.message, SlotGrant)
+    ]
+
+
+def time_view(nodes, services) -> tuple[float, float, float]:
+    """Time what a whole view, one node's change and all shards cost.
+
+    Returns:
+        Milliseconds to form all shards, to find all brokers in a first view, and to
+        take a view in which one node came and one went.
+    """
+    brokers = BrokerSet(address="none", make_health=lambda key, spec: FixedHealth())
+    began = time.perf_counter()
+    for number in range(services):
+        targets = make_targets(4100 // services, service=f"s{number}")
+        brokers.set_service(f"s{number}", ServiceSpec(), targets)
+    formed = time.perf_counter()
+    brokers.set_nodes(make_nodes(nodes))
+    keys = [s.key for group in brokers.shards_by_group.values() for s in group]
+    for key in keys:
+        brokers.table.find_broker(key)
+    found = time.perf_counter()
+    brokers.set_nodes(make_nodes(nodes + 1)[1:])
+    for key in keys:
+        brokers.table.find_broker(key)
+    changed = time.perf_counter()
+    return (
+        1e3 * (formed - began),
+        1e3 * (found - formed),
+        1e3 * (changed - found),
+    )
+
+
+def time_one_service(targets) -> float:
+    """Return the milliseconds to form the shards of one service."""
+    known = make_targets(targets, service=f"one{targets}")
+    began = time.perf_counter()
+    form_shards("s", known, 12)
+    return 1e3 * (time.perf_counter() - began)
+
+
+def count_bytes(message: Message) -> int:
+    """Return the length of a message on the wire in its envelope."""
+    envelope = Envelope(
+        fleet="citronspan",
+        sender="127.0.0.1:7002",
+        incarnation=1 << 50,
+        body=message,
+    )
+    return len(encode_envelope(envelope))
+
+
+def measure() -> dict:
+    """Measure everything."""
+    rows = {"decisions": [], "views": [], "services": [], "bytes": {}}
+    for targets in (4, 12, 24, 48):
+        for waiting in (0, 8, 16):
+            request, release = time_decisions(targets, waiting)
+            row = {"targets": targets, "waiting": waiting}
+            row |= {"requestMicroseconds": request, "releaseMicroseconds": release}
+            rows["decisions"].append(row)
+    for nodes, services in ((36, 3), (235, 40), (235, 81), (470, 81)):
+        formed, found, changed = time_view(nodes, services)
+        row = {"nodes": nodes, "services": services, "formMilliseconds": formed}
+        row |= {"firstViewMilliseconds": found, "changeMilliseconds": changed}
+        rows["views"].append(row)
+    for targets in (12, 50, 200):
+        row = {"targets": targets, "formMilliseconds": time_one_service(targets)}
+        rows["services"].append(row)
+    grant = SlotGrant(
+        attempt_id=1 << 62,
+        target="artist-intake-7",
+        address="127.0.2.7:9000",
+        hold_seconds=10.5,
+        free_slots=30,
+    )
+    refusal = SlotRefusal(attempt_id=1 << 62, code=3003, retry_after_seconds=1.0)
+    cancel = SlotCancel(
+        attempt_id=1 << 62, service=KEY.service, region=KEY.region, shard=0
+    )
+    for message in (
+        make_request(1),
+        grant,
+        SlotWaiting(attempt_id=1 << 62),
+        refusal,
+        make_release(1, "artist-intake-7"),
+        cancel,
+    ):
+        rows["bytes"][type(message).__name__] = count_bytes(message)
+    return rows
+
+
+def main() -> None:
+    """Measure and print."""
+    rows = measure()
+    if "--json" in sys.argv:
+        print(json.dumps(rows, indent=1))
+        return
+    for name in ("decisions", "views", "services"):
+        for row in rows[name]:
+            print(name, *(f"{key}={value:.4g}" for key, value in row.items()))
+    for name, length in rows["bytes"].items():
+        print(name, length, "bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/choice_ways.py
+++ b/bench/choice_ways.py
@@ -222,9 +222,9 @@
 
     def deliver(self, outgoing):
         for item in outgoing:
+            self.model.messages += 1
             if not isinstance(item.message, SlotGrant | SlotRefusal):
                 continue
-            self.model.messages += 1
             delay = self.delay_by_entry[int(item.to)]
             self.model.at(delay, self.take_answer, item.message)
 
--- a/citronspan/core/broker_properties_test.py
+++ b/citronspan/core/broker_properties_test.py
@@ -16,7 +16,7 @@
 )
 from citronspan.core.broker_answers import KEEP_SECONDS
 from citronspan.core.broker_expiry import BUCKET_SECONDS
-from citronspan.core.broker_messages import SlotGrant
+from citronspan.core.broker_messages import SlotGrant, SlotWaiting
 from citronspan.core.broker_targets import (
     DRAINING_SECONDS,
     SHED_SECONDS,
@@ -137,7 +137,19 @@
         return [step]
 
     def step(self, clock, step, *, with_load):
-        """Apply one step and return the messages that were sent."""
+        """Apply one step and return the answers that were sent."""
+        sent = self.apply(clock, step, with_load=with_load)
+        answers = []
+        for item in sent:
+            if not isinstance(getattr(item, "message", None), SlotWaiting):
+                answers.append(item)
+                continue
+            # Word of waiting goes only to the one who asked and has no answer.
+            assert step == ("ask", item.message.attempt_id)
+            assert item.message.attempt_id not in self.answer_by_id
+        return answers
+
+    def apply(self, clock, step, *, with_load):
         match step:
             case ("ask", attempt_id):
                 # An attempt is never asked for again once it has been forgotten.
--- /dev/null
+++ b/citronspan/core/broker_set_test.py
@@ -0,0 +1,165 @@
+"""Brokers of several entries at once: routing, handover and disagreement."""
+
+import freezegun
+import pytest
+
+from citronspan.core.broker_messages import (
+    BrokerHandover,
+    SlotGrant,
+    SlotRedirect,
+    SlotRefusal,
+    SlotWaiting,
+)
+from citronspan.core.broker_set import BrokerSet
+from citronspan.core.broker_test import (
+    KEY,
+    FakeHealth,
+    make_release,
+    make_request,
+    make_target,
+)
+from citronspan.core.message_base import Outgoing
+from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.shards_test import make_node
+from citronspan.utils.rendezvous import rank_members
+
+FIRST, SECOND = rank_members(["n-1", "n-2"], KEY.format())
+
+
+@pytest.fixture
+def clock():
+    with freezegun.freeze_time("2026-01-01") as frozen:
+        yield frozen
+
+
+class PortableFake(FakeHealth):
+    imported = b""
+
+    def export_evidence(self):
+        return b"evidence"
+
+    def import_evidence(self, evidence):
+        self.imported = evidence
+
+
+def make_set(name, *, nodes=("n-1", "n-2"), slots=2):
+    brokers = BrokerSet(
+        address=f"{name}:2", make_health=lambda key, spec: PortableFake()
+    )
+    brokers.set_service("shop", ServiceSpec(), [make_target("a", slots=slots)])
+    brokers.set_nodes(make_node(node) for node in nodes)
+    return brokers
+
+
+def get_messages(outgoing):
+    return [item.message for item in outgoing]
+
+
+def test_an_entry_that_is_not_the_broker_says_who_is(clock):
+    brokers = make_set(SECOND)
+    (answer,) = get_messages(brokers.handle("entry", make_request(1)))
+    assert answer == SlotRedirect(attempt_id=1, broker=f"{FIRST}:2")
+    (answer,) = get_messages(brokers.handle("entry", make_request(1, insist=True)))
+    assert isinstance(answer, SlotGrant)
+
+
+def test_an_unknown_shard_is_refused_at_once(clock):
+    brokers = make_set(FIRST)
+    brokers.remove_service("shop")
+    (answer,) = get_messages(brokers.handle("entry", make_request(1)))
+    assert isinstance(answer, SlotRefusal)
+
+
+def test_a_draining_broker_hands_over_and_forwards_releases(clock):
+    old = make_set(FIRST)
+    new = make_set(SECOND)
+    old.handle("entry", make_request(1))
+    clock.tick(1)
+    for attempt_id in (2, 3):
+        old.handle("entry", make_request(attempt_id))
+    view = [make_node(FIRST, state="draining"), make_node(SECOND)]
+    outgoing = old.set_nodes(view)
+    new.set_nodes(view)
+    assert outgoing[0].to == f"{SECOND}:2"
+    assert isinstance(outgoing[0].message, BrokerHandover)
+    assert get_messages(outgoing)[1] == SlotRedirect(attempt_id=3, broker=f"{SECOND}:2")
+    new.handle(f"{FIRST}:2", outgoing[0].message)
+    assert new.find_health(KEY).imported == b"evidence"
+    (answer,) = get_messages(new.handle("entry", make_request(3)))
+    assert answer == SlotWaiting(attempt_id=3)
+    forwarded = old.handle("entry", make_release(1, "a"))
+    assert [item.to for item in forwarded] == [f"{SECOND}:2"]
+    (sent,) = new.handle(f"{FIRST}:2", forwarded[0].message)
+    assert (sent.to, sent.message.attempt_id) == ("entry", 3)
+    old.handle("entry", make_release(2, "a"))
+    clock.tick(10)
+    old.advance()
+    assert old.describe() == []
+
+
+def test_a_dead_broker_is_replaced_without_flooding_and_slots_come_free(clock):
+    new = make_set(SECOND, slots=4)
+    new.set_nodes([make_node(SECOND)])
+    answers = [
+        get_messages(new.handle("entry", make_request(attempt_id)))
+        for attempt_id in range(1, 5)
+    ]
+    kinds = [type(answer) for (answer,) in answers]
+    assert kinds == [SlotGrant, SlotWaiting, SlotWaiting, SlotWaiting]
+    clock.tick(0.3)
+    assert len(new.advance()) == 3
+
+
+def test_two_brokers_that_both_serve_learn_of_each_other(clock):
+    one = make_set("n-1", nodes=["n-1"], slots=4)
+    two = make_set("n-2", nodes=["n-2"], slots=4)
+    for brokers in (one, two):
+        brokers.handle("entry", make_request(99))
+        brokers.handle("entry", make_release(99, "a"))
+    clock.tick(1)
+    for attempt_id in (1, 2, 3):
+        one.handle("entry", make_request(attempt_id))
+    two.handle("entry", make_request(4))
+    two.handle("entry", make_release(4, "a", load=4))
+    ((first,), (second,)) = [
+        get_messages(two.handle("entry", make_request(attempt_id)))
+        for attempt_id in (5, 6)
+    ]
+    assert isinstance(first, SlotGrant)
+    assert isinstance(second, SlotWaiting)
+
+
+def test_a_handover_to_an_entry_that_hands_back_does_not_go_round(clock):
+    old = make_set(FIRST)
+    stale = make_set(SECOND)
+    old.handle("entry", make_request(1))
+    outgoing = old.set_nodes([make_node(SECOND)])
+    stale.handle(f"{FIRST}:2", outgoing[0].message)
+    # The stale entry still takes the old one as the broker and hands back.
+    back = stale.set_nodes([make_node(FIRST), make_node(SECOND)])
+    old.handle(f"{SECOND}:2", back[0].message)
+    pending = [Outgoing(to=f"{FIRST}:2", message=make_release(1, "a"))]
+    hops = 0
+    while pending:
+        item = pending.pop()
+        brokers = old if item.to == f"{FIRST}:2" else stale
+        pending += brokers.handle("entry", item.message)
+        hops += 1
+        assert hops < 5
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        make_request(1, excluded=("a",), fingerprint=(1 << 64) - 1),
+        make_release((1 << 64) - 1, "a", load=3),
+        SlotGrant(attempt_id=1, target="a", address="127.0.0.1:1", hold_seconds=1.0),
+        SlotRefusal(attempt_id=1, code=3002, retry_after_seconds=1.5),
+        SlotRedirect(attempt_id=1),
+        BrokerHandover(service="s", region="r", shard=0, evidence=b"\x00"),
+    ],
+)
+def test_messages_survive_the_codec(message):
+    envelope = Envelope(fleet="f", sender="s", incarnation=1, body=message)
+    assert decode_envelope(encode_envelope(envelope)) == envelope
--- /dev/null
+++ b/citronspan/core/shards_test.py
@@ -0,0 +1,92 @@
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core.broker_test import make_target
+from citronspan.core.node_messages import NodeInfo
+from citronspan.core.shards import (
+    BrokerTable,
+    ShardKey,
+    assign_names,
+    choose_shard,
+    form_shards,
+)
+from citronspan.utils.rendezvous import choose_member
+
+
+def make_node(name, *, region="svea", state="serving"):
+    return NodeInfo(
+        name=name,
+        incarnation=1,
+        region=region,
+        data_centre=f"{region}-1",
+        agent_peer_address="127.0.0.1:1",
+        entry_peer_address=f"{name}:2",
+        entry_callers_address="127.0.0.1:3",
+        api_address="127.0.0.1:4",
+        entry_state=state,
+    )
+
+
+@given(st.integers(1, 200), st.integers(1, 40))
+def test_every_target_is_in_one_shard_of_bounded_size(count, size):
+    targets = [make_target(f"t-{number}") for number in range(count)]
+    (shards,) = form_shards("shop", targets, size).values()
+    names = [target.name for shard in shards for target in shard.targets]
+    assert sorted(names) == sorted(target.name for target in targets)
+    mean = count / max(1, round(count / size))
+    assert max(len(shard.targets) for shard in shards) <= 1.25 * mean + 1
+    shuffled = random.sample(targets, count)
+    assert form_shards("shop", shuffled, size)["svea"] == shards
+
+
+def test_one_more_target_moves_few_others():
+    moved = 0
+    for count in range(40, 52):
+        names = tuple(sorted(f"t-{number}" for number in range(count)))
+        more = tuple(sorted([*names, "t-new"]))
+        before = dict(zip(names, assign_names(names, 12), strict=True))
+        after = dict(zip(more, assign_names(more, 12), strict=True))
+        if len(set(after.values())) == len(set(before.values())):
+            moved += sum(before[name] != after[name] for name in names)
+    assert moved <= 12
+
+
+nodes = st.dictionaries(
+    st.sampled_from([f"n-{number}" for number in range(8)]),
+    st.tuples(
+        st.sampled_from(["svea", "gota"]), st.sampled_from(["serving", "draining"])
+    ),
+)
+
+
+@settings(max_examples=200)
+@given(st.lists(nodes, min_size=1, max_size=6))
+def test_the_table_kept_from_view_to_view_equals_a_fresh_choice(views):
+    table = BrokerTable()
+    keys = [
+        ShardKey(service="shop", region=region, number=number)
+        for region in ("svea", "gota")
+        for number in range(4)
+    ]
+    for view in views:
+        table.set_nodes(
+            make_node(name, region=region, state=state)
+            for name, (region, state) in view.items()
+        )
+        for key in keys:
+            names = [
+                name for name, fact in view.items() if fact == (key.region, "serving")
+            ]
+            node = table.find_broker(key)
+            expected = choose_member(names, key.format())
+            assert (node and node.name) == expected
+
+
+def test_the_shard_with_more_known_free_slots_is_asked_first():
+    targets = [make_target(f"t-{number}") for number in range(24)]
+    (shards,) = form_shards("shop", targets, 12).values()
+    draw = random.Random(1)
+    free_by_key = {shards[0].key: 0}
+    chosen = [choose_shard(shards, free_by_key, draw).key.number for _ in range(200)]
+    assert chosen.count(1) > chosen.count(0) > 0
