--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -49,7 +49,7 @@
 API_THREADS = 24
 STOP_SECONDS = 1.0
 # Between tries to reach the entry.
-FEED_PAUSE_SECONDS = 0.1
+FEED_PAUSE_SECONDS = 0.5
 ENTRY_SILENT_SECONDS = 3.0
 CONFIG_MESSAGES = (ConfigOffset, ConfigPull, ConfigRecords, ConfigStatePart)
 
