Show what is wrong first in status, target states in get -o wide

Cause: the first screen listed nodes only. Change: status begins with one sentence for each problem (log away, target states with reason and who says so, entries not serving, nodes behind, nodes that can't be heard or are gone, warnings), then targets and at most 40 nodes, those with a problem first. get Target -o wide shows state, since, slots and evidence. Tests of agents take loopback addresses by process id: two runs side by side collided on 127.0.42.1 (code 1004).

--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -137,7 +137,7 @@
             name=self._settings.place.name,
             held=self.held,
             sight=self.tail.sight,
-            nodes=self.view.live_nodes(),
+            view=self.view,
             entry=self._report,
             targets=self.find_targets(),
         )
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/agent_status.py
@@ -1,5 +1,7 @@
 """What ``/status`` answers."""
 
+from typing import Protocol
+
 import msgspec
 
 from citronspan.core.config_state import find_warnings
@@ -72,6 +74,8 @@
         warnings_left_out: How many more there are.
         nodes: Nodes taken as live.
         targets: Targets of which something is known.
+        unheard: Nodes that others hear and the asked agent does not.
+        gone: Nodes that are dead or have left.
     """
 
     node: str
@@ -86,6 +90,21 @@
     warnings_left_out: int
     nodes: tuple[NodeStatus, ...]
     targets: tuple[TargetStatus, ...] = ()
+    unheard: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
+class FleetView(Protocol):
+    """The nodes that an agent knows."""
+
+    def live_nodes(self) -> tuple[NodeInfo, ...]:
+        """Return the nodes taken as live."""
+
+    def unheard_nodes(self) -> tuple[NodeInfo, ...]:
+        """Return nodes that others hear and this one does not."""
+
+    def gone_nodes(self) -> tuple[NodeInfo, ...]:
+        """Return nodes that are dead or have left."""
 
 
 def make_status(
@@ -93,7 +112,7 @@
     name: str,
     held: HeldConfig,
     sight: LogSight,
-    nodes: tuple[NodeInfo, ...],
+    view: FleetView,
     entry: EntryReport | None,
     targets: tuple[TargetStatus, ...],
 ) -> FleetStatus:
@@ -103,7 +122,7 @@
         name: Name of the asked agent's host.
         held: The configuration that it holds.
         sight: What it last saw of the log.
-        nodes: Nodes taken as live.
+        view: The nodes that it knows.
         entry: The last report of its entry.
         targets: What is known of targets.
 
@@ -127,8 +146,10 @@
         void_records=held.void_records,
         warnings=tuple(warnings[:MAXIMUM_WARNINGS]),
         warnings_left_out=max(0, len(warnings) - MAXIMUM_WARNINGS),
-        nodes=_make_node_statuses(nodes, state.offset),
+        nodes=_make_node_statuses(view.live_nodes(), state.offset),
         targets=targets,
+        unheard=tuple(node.name for node in view.unheard_nodes()),
+        gone=tuple(node.name for node in view.gone_nodes()),
     )
 
 
--- a/citronspan/ops/agent_test.py
+++ b/citronspan/ops/agent_test.py
@@ -1,5 +1,6 @@
 """Agents with real sockets on loopback before a log that fails on demand."""
 
+import os
 import threading
 import time
 from unittest import mock
@@ -21,6 +22,8 @@
 from citronspan.ops.peer_link import PeerLink
 
 DEADLINE_SECONDS = 20.0
+# Loopback addresses of this run alone, so that two runs can go on side by side.
+NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
 SERVICE = Resource(kind=Kind.SERVICE, name="a", spec=ServiceSpec())
 
 
@@ -78,7 +81,7 @@
 
 
 def make_settings(number, seeds=()):
-    ip = f"127.0.42.{number}"
+    ip = f"{NETWORK}.{number}"
     return AgentSettings(
         place=Place(name=f"n{number}", region="north", data_centre="north-1"),
         peer_address=f"{ip}:7100",
@@ -121,7 +124,7 @@
 
 
 def connect(number):
-    return ApiClient(address=f"127.0.42.{number}:7200")
+    return ApiClient(address=f"{NETWORK}.{number}:7200")
 
 
 def refuse(action):
@@ -175,7 +178,7 @@
     log = FakeLog()
     wait_ready(fleet(1, log))
     pool = urllib3.PoolManager()
-    url = "http://127.0.42.1:7200/resources/Service/a?version=-1"
+    url = f"http://{NETWORK}.1:7200/resources/Service/a?version=-1"
 
     def put():
         return pool.request(
@@ -196,13 +199,13 @@
     assert again.status == 200
     assert msgspec.json.decode(again.data)["version"] == 0
     assert len(log) <= size + 1
-    found = pool.request("GET", "http://127.0.42.1:7200/changes/my-change-1")
+    found = pool.request("GET", f"http://{NETWORK}.1:7200/changes/my-change-1")
     assert msgspec.json.decode(found.data)["verdict"] == "accepted"
 
 
 def test_of_racing_writers_exactly_one_wins_each_version(fleet):
     log = FakeLog()
-    agents = [fleet(1, log), fleet(2, log, ("127.0.42.1:7100",))]
+    agents = [fleet(1, log), fleet(2, log, (f"{NETWORK}.1:7100",))]
     for agent in agents:
         wait_ready(agent)
     results = []
@@ -253,7 +256,7 @@
     agent = fleet(1, log)
     wait_ready(agent)
     for path, body, code, part in BAD_INPUTS:
-        url = f"http://127.0.42.1:7200/resources/{path}"
+        url = f"http://{NETWORK}.1:7200/resources/{path}"
         answer = urllib3.request("PUT", url, body=body)
         refusal = msgspec.json.decode(answer.data)
         assert refusal["code"] == code, path
@@ -276,7 +279,7 @@
     line = next(line for line in lines if line.type != "at")
     assert (line.type, line.version) == ("delete", third)
     # An agent that takes a whole state does not know what led to it.
-    joined = fleet(2, log, ("127.0.42.1:7100",))
+    joined = fleet(2, log, (f"{NETWORK}.1:7100",))
     with mock.patch.object(log, "read", side_effect=LogAwayError("", may_have_taken=0)):
         wait_ready(joined)
     joined.held._history_from = third
@@ -285,7 +288,7 @@
 
 def test_an_agent_restarted_without_the_log_is_never_behind_its_peers(fleet):
     log = FakeLog()
-    agents = [fleet(1, log), fleet(2, log, ("127.0.42.1:7100",))]
+    agents = [fleet(1, log), fleet(2, log, (f"{NETWORK}.1:7100",))]
     for agent in agents:
         wait_ready(agent)
     for number in range(5):
@@ -294,7 +297,7 @@
     log.fault = "away"
     log.wake()
     fleet.stop(agents[0])
-    restarted = fleet(1, log, ("127.0.42.2:7100",))
+    restarted = fleet(1, log, (f"{NETWORK}.2:7100",))
     wait_ready(restarted)
     assert restarted.held.state == agents[1].held.state
     assert restarted.held.state.offset == 5
@@ -343,7 +346,7 @@
         self.views = []
         self._stopped = threading.Event()
         self._link = PeerLink(
-            fleet="citronspan", address="127.0.42.1:7300", incarnation=1
+            fleet="citronspan", address=f"{NETWORK}.1:7300", incarnation=1
         )
         self._threads = [
             threading.Thread(target=self._link.receive_forever, args=[self._handle]),
@@ -373,4 +376,4 @@
     def _report(self):
         while not self._stopped.wait(0.1):
             report = EntryReport(name="n1", state="serving", offset=self.offset)
-            self._link.send("127.0.42.1:7100", report)
+            self._link.send(f"{NETWORK}.1:7100", report)
--- a/citronspan/ops/api_client_tables.py
+++ b/citronspan/ops/api_client_tables.py
@@ -4,9 +4,12 @@
 
 import msgspec
 
-from citronspan.ops.agent_status import FleetStatus
+from citronspan.ops.agent_status import FleetStatus, TargetStatus
 from citronspan.ops.resource_api import ResourceAnswer
 
+# Rows of nodes on the first screen; those with a problem come first.
+MAXIMUM_NODE_ROWS = 40
+
 
 def format_table(head: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> str:
     """Return rows under a head, in columns as wide as they must be."""
@@ -21,23 +24,109 @@
 
 
 def format_resources(items: tuple[ResourceAnswer, ...], *, wide: bool) -> str:
-    """Return a table of resources, with their specifications if wide."""
+    """Return a table of resources; if wide, with states and specifications."""
     head = ("KIND", "NAME", "VERSION", "WARNINGS")
     if wide:
-        head += ("SPEC",)
+        head += ("STATE", "SINCE", "SLOTS", "EVIDENCE", "SPEC")
     rows = []
     for item in items:
         warnings = " ".join(item.status.warnings) or "-"
         row = (item.kind, item.name, str(item.version), warnings)
         if wide:
+            row += _format_target_state(item.status.target)
             row += (msgspec.json.encode(item.spec).decode(),)
         rows.append(row)
     return format_table(head, rows)
 
 
 def format_status(status: FleetStatus) -> str:
-    """Return the status as one screen, what is wrong first."""
-    lines = [f"as seen by {status.node}; log {status.log}"]
+    """Return the status as one screen: what is wrong, then the fleet."""
+    problems = find_problems(status)
+    lines = [
+        f"as seen by {status.node}: {len(status.nodes)} nodes live,"
+        f" log {status.log}, configuration offset {status.offset}"
+        f" ({status.resources} resources, {status.void_records} void records)",
+        f"WRONG NOW ({len(problems)})" if problems else "nothing is known to be wrong",
+    ]
+    lines.extend(f"  {problem}" for problem in problems)
+    if status.targets:
+        lines.extend(["", _format_targets(status.targets)])
+    lines.extend(["", _format_nodes(status.nodes)])
+    return "\n".join(lines)
+
+
+def find_problems(status: FleetStatus) -> list[str]:
+    """Return what an operator should look at, the most urgent first.
+
+    Args:
+        status: The status that an agent gave.
+
+    Returns:
+        One sentence for each problem.
+    """
+    problems = []
+    if not status.ready:
+        problems.append(f"{status.node} has not caught up and serves nothing yet")
+    if status.log == "away":
+        problems.append(
+            "the log is away: changes are refused (2004), the fleet goes on with"
+            f" offset {status.offset}"
+        )
+    for target in status.targets:
+        if target.state == "healthy":
+            continue
+        problems.append(
+            f"target {target.name} of {target.service} is {target.state} for"
+            f" {target.since_seconds:.0f} s: {target.evidence or 'no reason given'}"
+            f" (says {target.by or 'its broker'})"
+        )
+    for node in status.nodes:
+        if node.entry != "serving":
+            problems.append(
+                f"entry of {node.name} ({node.data_centre}) is {node.entry}"
+            )
+        if node.behind:
+            problems.append(f"{node.name} is {node.behind} offsets behind")
+    if 0 <= status.entry_offset < status.offset:
+        problems.append(
+            f"entry of {status.node} has offset {status.entry_offset} in force,"
+            f" its agent {status.offset}"
+        )
+    problems.extend(
+        f"{name} cannot be heard by {status.node}, though others hear it"
+        for name in status.unheard
+    )
+    problems.extend(f"{name} is gone" for name in status.gone)
+    problems.extend(status.warnings)
+    if status.warnings_left_out:
+        problems.append(
+            f"and {status.warnings_left_out} more warnings: see get -o wide"
+        )
+    return problems
+
+
+def _format_target_state(target: TargetStatus | None) -> tuple[str, ...]:
+    if target is None:
+        return ("-", "-", "-", "-")
+    slots = f"{target.slots_in_use}/{target.slots}"
+    since = f"{target.since_seconds:.0f} s"
+    return (target.state, since, slots, target.evidence or "-")
+
+
+def _format_targets(targets) -> str:
+    head = ("TARGET", "SERVICE", "STATE", "SINCE", "SLOTS", "EVIDENCE", "BY")
+    rows = []
+    for target in sorted(targets, key=lambda target: (target.service, target.name)):
+        state = _format_target_state(target)
+        rows.append((target.name, target.service, *state, target.by or "-"))
+    return format_table(head, rows)
+
+
+def _format_nodes(nodes) -> str:
+    head = ("NODE", "REGION", "DATA CENTRE", "ENTRY", "OFFSET", "BEHIND")
+    ordered = sorted(
+        nodes, key=lambda node: (node.entry == "serving", -node.behind, node.name)
+    )
     rows = [
         (
             node.name,
@@ -47,15 +136,9 @@
             str(node.offset),
             str(node.behind),
         )
-        for node in sorted(
-            status.nodes,
-            key=lambda node: (node.entry == "serving", -node.behind, node.name),
-        )
+        for node in ordered[:MAXIMUM_NODE_ROWS]
     ]
-    head = ("NODE", "REGION", "DATA CENTRE", "ENTRY", "OFFSET", "BEHIND")
-    lines.append(
-        f"configuration: offset {status.offset}, {status.resources} resources,"
-        f" {status.void_records} void records"
-    )
-    lines.append(format_table(head, rows))
-    return "\n".join(lines)
+    table = format_table(head, rows)
+    if len(ordered) > MAXIMUM_NODE_ROWS:
+        table += f"\n... and {len(ordered) - MAXIMUM_NODE_ROWS} more"
+    return table
--- a/citronspan/ops/resource_api.py
+++ b/citronspan/ops/resource_api.py
@@ -23,6 +23,7 @@
 )
 from citronspan.core.errors import CitronspanError
 from citronspan.core.resources import Kind
+from citronspan.ops.agent_status import TargetStatus
 from citronspan.ops.config_tail_held import HeldConfig
 from citronspan.ops.config_tail_writer import (
     Accepted,
@@ -49,14 +50,16 @@
     spec: msgspec.Raw
 
 
-class ResourceStatus(msgspec.Struct, frozen=True, kw_only=True):
+class ResourceStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What the fleet says of a resource.
 
     Attributes:
         warnings: What is odd about it.
+        target: What its broker says of a target, None where none is known here.
     """
 
     warnings: tuple[str, ...] = ()
+    target: TargetStatus | None = None
 
 
 class ResourceAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -169,6 +172,9 @@
     def find_status(self) -> msgspec.Struct:
         """Return what the fleet is doing."""
 
+    def find_targets(self) -> tuple[TargetStatus, ...]:
+        """Return what is known of targets."""
+
     def find_directory(self, *, region: str, account: str) -> msgspec.Struct:
         """Return the addresses that a caller should use."""
 
@@ -217,8 +223,9 @@
     def _list(self, kind):
         _check_kind(kind)
         state = self._held.state
+        target_by_name = self._find_targets(kind)
         items = [
-            _read_stored(state, key)
+            _read_stored(state, key, target_by_name.get(key.name))
             for key in sorted(state.resource_by_key)
             if key.kind == kind
         ]
@@ -232,7 +239,13 @@
             raise CitronspanError(
                 code=result_codes.RESOURCE_UNKNOWN, detail=f"{kind}/{name}"
             )
-        return _make_json(_read_stored(state, key))
+        target = self._find_targets(kind).get(name)
+        return _make_json(_read_stored(state, key, target))
+
+    def _find_targets(self, kind) -> dict[str, TargetStatus]:
+        if kind != Kind.TARGET.value:
+            return {}
+        return {target.name: target for target in self._fleet.find_targets()}
 
     def _put(self, request, kind, name):
         try:
@@ -450,14 +463,16 @@
     )
 
 
-def _read_stored(state: ConfigState, key: ResourceKey) -> ResourceAnswer:
+def _read_stored(
+    state: ConfigState, key: ResourceKey, target: TargetStatus | None
+) -> ResourceAnswer:
     stored = state.resource_by_key[key]
     return ResourceAnswer(
         kind=key.kind,
         name=key.name,
         version=stored.version,
         spec=msgspec.json.decode(stored.data, type=_Stored).spec,
-        status=ResourceStatus(warnings=find_warnings(state, key)),
+        status=ResourceStatus(warnings=find_warnings(state, key), target=target),
     )
 
 
