Push configuration to the entry in parts of bounded size

Cause: at the target's 20,281 resources a whole push is 3,519,952 bytes (counted by encoding one), near the 4 MiB bound of a message; a little more and the receiver would drop it each time and the entry never get a configuration.

--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -43,12 +43,16 @@
         offset: Offset after the change.
         changed: Resources in JSON, with their versions.
         removed: Pairs of kind and name.
+        part: Number of this part, from 0; see ``push_parts``.
+        parts: Number of parts of the push.
     """
 
     base_offset: int
     offset: int
     changed: tuple[bytes, ...] = ()
     removed: tuple[tuple[str, str], ...] = ()
+    part: int = 0
+    parts: int = 1
 
 
 class ViewPush(Message, kw_only=True):
--- /dev/null
+++ b/citronspan/core/push_parts_test.py
@@ -0,0 +1,28 @@
+from unittest import mock
+
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core import push_parts
+from citronspan.core.node_messages import ConfigurationPush
+from citronspan.core.push_parts import PushCollector, split_push
+
+PUSHES = st.builds(
+    ConfigurationPush,
+    base_offset=st.integers(0, 2),
+    offset=st.integers(3, 5),
+    changed=st.lists(st.binary(min_size=3, max_size=5), max_size=5).map(tuple),
+    removed=st.just((("Service", "gone"),)),
+)
+
+
+@settings(max_examples=300)
+@given(pushes=st.lists(PUSHES, min_size=1, max_size=5), data=st.data())
+def test_only_whole_pushes_come_out_and_the_last_does_if_nothing_is_lost(pushes, data):
+    with mock.patch.object(push_parts, "PART_BYTES", 5):
+        messages = [part for push in pushes[:-1] for part in split_push(push)]
+        last = split_push(pushes[-1])
+    messages = [message for message in messages if data.draw(st.booleans())]
+    collector = PushCollector()
+    outs = [collector.add(message) for message in [*messages, *last]]
+    assert outs[-1] == pushes[-1]
+    assert [out for out in outs if out is not None and out not in pushes] == []
--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -14,6 +14,7 @@
     NodeInfo,
     ViewPush,
 )
+from citronspan.core.push_parts import split_push
 from citronspan.ops.peer_link import PeerLink
 from citronspan.utils.logs import write_event
 
@@ -77,8 +78,9 @@
             if state.offset < self._reported_offset:
                 return
             message = _make_push(self._sent, state)
-            if not self._link.send(self._to, message):
-                return
+            for part in split_push(message):
+                if not self._link.send(self._to, part):
+                    return
             if message.base_offset == 0:
                 write_event(_logger, log_events.ENTRY_CONFIGURED, offset=state.offset)
             self._sent = state
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -13,6 +13,7 @@
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 from citronspan.core.poison import PoisonNotice
+from citronspan.core.push_parts import PushCollector
 from citronspan.core.settings import EntrySettings
 from citronspan.core.verdicts import VerdictPush
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -52,6 +53,7 @@
         self._chart = load_chart("entry")
         self.state = self._chart.initial
         self.configuration = EntryConfiguration()
+        self._push_collector = PushCollector()
         self.view = ViewPush(sequence=0, nodes=())
         self.metrics = EntryMetrics()
         self.link = PeerLink(
@@ -159,7 +161,10 @@
         if isinstance(message, BrokerMessage | EntryMessage):
             self.slots.handle(envelope.sender, message)
 
-    def _take_configuration(self, push):
+    def _take_configuration(self, part):
+        push = self._push_collector.add(part)
+        if push is None:
+            return
         before = self.configuration
         self.configuration = apply_push(before, push)
         if self.configuration is not before:
