--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -20,6 +20,8 @@
 
 # A push whose effect shows in no report for this long is taken as lost.
 LOST_SECONDS = 1.0
+# Decoding and indexing a whole configuration takes the entry some time.
+LOST_WHOLE_SECONDS = 5.0
 VIEW_SECONDS = 5.0
 
 _logger = logbook.Logger("entry-feed")
@@ -51,6 +53,7 @@
         self._lock = threading.Lock()
         self._sent: ConfigState | None = None
         self._sent_at = float("-inf")
+        self._lost_seconds = LOST_SECONDS
         self._reported_offset = 0
         self._view: SentView | None = None
         self._view_sequence = time.time_ns() // 1_000_000
@@ -85,6 +88,8 @@
                 write_event(_logger, log_events.ENTRY_CONFIGURED, offset=state.offset)
             self._sent = state
             self._sent_at = time.monotonic()
+            whole = message.base_offset == 0
+            self._lost_seconds = LOST_WHOLE_SECONDS if whole else LOST_SECONDS
 
     def take_report(self, report: EntryReport) -> None:
         """Take the entry's word on what it has; forget a push that was lost."""
@@ -93,7 +98,7 @@
             self._reported_offset = report.offset
             if self._sent is None or report.offset == self._sent.offset:
                 return
-            if time.monotonic() < self._sent_at + LOST_SECONDS:
+            if time.monotonic() < self._sent_at + self._lost_seconds:
                 return
             self._sent = None
 
--- a/citronspan/ops/agent_test.py
+++ b/citronspan/ops/agent_test.py
@@ -9,13 +9,14 @@
 import pytest
 import urllib3
 
+from citronspan.core import config_retention
 from citronspan.core.config_record import LogRecord
 from citronspan.core.config_state import ResourceKey
 from citronspan.core.errors import CitronspanError
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 from citronspan.core.resources import Kind, Resource, ServiceSpec
 from citronspan.core.settings import AgentSettings, Place
-from citronspan.ops import config_tail, config_tail_writer
+from citronspan.ops import config_tail, config_tail_retention, config_tail_writer
 from citronspan.ops.agent import Agent
 from citronspan.ops.api_client import ApiClient
 from citronspan.ops.log_client import LogAwayError, LogPage, LogTruncatedError
@@ -72,6 +73,9 @@
                 ),
             )
 
+    def count_snapshots(self, from_offset):
+        return sum(b'"snapshot"' in data for data in self._datas[from_offset:])
+
     def wake(self):
         with self._news:
             self._news.notify_all()
@@ -303,6 +307,47 @@
     assert restarted.held.state.offset == 5
 
 
+def test_an_agent_starts_from_a_log_that_forgot_its_beginning(fleet):
+    log = FakeLog()
+    with (
+        mock.patch.object(config_retention, "PAUSE_SECONDS", 0.0),
+        mock.patch.object(config_retention, "UNKNOWN_SECONDS", 0.2),
+        mock.patch.object(config_tail_retention, "CHECK_SECONDS", 0.1),
+    ):
+        first = fleet(1, log)
+        wait_ready(first)
+        for number in range(3):
+            resource = Resource(
+                kind=Kind.SERVICE, name=f"s-{number}", spec=ServiceSpec()
+            )
+            connect(1).put_resource(resource, version=-1)
+        before = len(log)
+        wait_until(lambda: log.count_snapshots(from_offset=before) == 1)
+        connect(1).put_resource(SERVICE, version=-1)
+    # The time to the next snapshot is the interval now, so no further one came.
+    assert log.count_snapshots(from_offset=0) <= 3
+    state = first.held.state
+    fleet.stop(first)
+    log.first = before
+    second = fleet(2, log)
+    wait_ready(second)
+    assert second.held.state == state
+    assert len(state.resource_by_key) == 4
+
+
+def test_a_log_that_forgot_and_has_no_snapshot_gives_no_part_of_a_state(fleet):
+    log = FakeLog()
+    first = fleet(1, log)
+    wait_ready(first)
+    connect(1).put_resource(SERVICE, version=-1)
+    connect(1).put_resource(SERVICE, version=0)
+    log.first = 1
+    second = fleet(2, log)
+    time.sleep(1.5)
+    assert not second.held.ready
+    assert second.held.state.offset == 0
+
+
 def test_an_agent_that_knows_nothing_serves_nothing(fleet):
     log = FakeLog()
     log.fault = "away"
