--- a/citronspan/core/config_spread.py
+++ b/citronspan/core/config_spread.py
@@ -266,19 +266,19 @@
             return ()
         self._compared_at = now
         self._comparisons += 1
-        peer = self._choose_peer()
-        if peer is None:
+        to = self._choose_peer()
+        if to is None:
             return ()
-        message = ConfigOffset(offset=self._state.offset)
-        return (Outgoing(to=peer.agent_peer_address, message=message),)
+        return (Outgoing(to=to, message=ConfigOffset(offset=self._state.offset)),)
 
-    def _choose_peer(self) -> NodeInfo | None:
-        others = [node for node in self._nodes if node.name != self._own.name]
-        near = [node for node in others if node.region == self._own.region]
-        far = [node for node in others if node.region != self._own.region]
+    def _choose_peer(self) -> str | None:
+        near = self._plan.compared
         look_far = self._plan.is_reader and self._comparisons % FAR_EVERY == 0
-        if far and (look_far or not near):
-            return random.choice(find_readers(tuple(far)))
+        if near and not look_far:
+            return random.choice(near)
+        far = [node for node in self._nodes if node.region != self._own.region]
+        if far:
+            return random.choice(find_readers(tuple(far))).agent_peer_address
         return random.choice(near) if near else None
 
     def _pull_if_behind(self):
--- a/citronspan/core/config_spread_test.py
+++ b/citronspan/core/config_spread_test.py
@@ -194,6 +194,25 @@
     return reached
 
 
+@given(size=st.integers(2, 120))
+def test_comparisons_join_the_whole_region(size):
+    nodes = tuple(make_node(number, 1) for number in range(size))
+    compared_by_address = {
+        node.agent_peer_address: set(make_plan(node, nodes).compared) for node in nodes
+    }
+    for address, compared in list(compared_by_address.items()):
+        assert address not in compared
+        for other in compared:
+            compared_by_address[other].add(address)
+    reached, pending = set(), [nodes[0].agent_peer_address]
+    while pending:
+        address = pending.pop()
+        if address not in reached:
+            reached.add(address)
+            pending.extend(compared_by_address[address])
+    assert reached == set(compared_by_address)
+
+
 @settings(max_examples=40)
 @given(size=st.integers(8, 60), data=st.data())
 def test_the_loss_of_one_node_cuts_nobody_off(size, data):
--- a/citronspan/core/config_spread_tree.py
+++ b/citronspan/core/config_spread_tree.py
@@ -13,6 +13,7 @@
 READERS_PER_REGION = 3
 TREES = 2
 FAN_OUT = 6
+COMPARED_PEERS = 8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -23,10 +24,14 @@
         rank: Place of the node among the readers of its region, from 0; nodes
             that are not to read have ranks from ``READERS_PER_REGION`` on.
         receivers: Peer addresses to which it passes news on.
+        compared: Peer addresses with which it compares offsets. They are few, so
+            that a node keeps connections to a few peers only, and each node has
+            others, so that together they join the whole region.
     """
 
     rank: int
     receivers: tuple[str, ...]
+    compared: tuple[str, ...] = ()
 
     @property
     def is_reader(self) -> bool:
@@ -65,8 +70,15 @@
         place = order.index(own.name) if own.name in order else None
         receivers.update(_find_children(order, place, leads=rank == tree))
     receivers.discard(own.name)
+    others_ranked = rank_members(
+        set(address_by_name) - {own.name}, f"configuration-compared {own.name}"
+    )
     return SpreadPlan(
-        rank=rank, receivers=tuple(sorted(address_by_name[name] for name in receivers))
+        rank=rank,
+        receivers=tuple(sorted(address_by_name[name] for name in receivers)),
+        compared=tuple(
+            address_by_name[name] for name in others_ranked[:COMPARED_PEERS]
+        ),
     )
 
 
--- a/citronspan/ops/api_client_tables_test.py
+++ b/citronspan/ops/api_client_tables_test.py
@@ -1,5 +1,12 @@
+import msgspec
+
 from citronspan.ops.agent_status import FleetStatus, NodeStatus, TargetStatus
-from citronspan.ops.api_client_tables import find_problems, format_status
+from citronspan.ops.api_client_tables import (
+    find_problems,
+    format_resources,
+    format_status,
+)
+from citronspan.ops.resource_api import ResourceAnswer, ResourceStatus
 
 
 def make_node(name, **changes):
@@ -71,3 +78,27 @@
     text = format_status(make_status(nodes=nodes))
     assert "entry of z (d) is stopped" in text
     assert len(text.splitlines()) < 60
+
+
+def test_a_wide_table_shows_the_state_of_a_target_and_why():
+    target = TargetStatus(
+        name="t",
+        service="a",
+        state="ejected",
+        since_seconds=3,
+        evidence="slow",
+        slots_in_use=0,
+        slots=6,
+    )
+    item = ResourceAnswer(
+        kind="Target",
+        name="t",
+        version=4,
+        spec=msgspec.Raw(b"{}"),
+        status=ResourceStatus(target=target),
+    )
+    wide = format_resources((item,), wide=True).splitlines()[1].split("  ")
+    assert [cell.strip() for cell in wide if cell] == [
+        *("Target", "t", "4", "-", "ejected", "3 s", "0/6", "slow", "{}")
+    ]
+    assert "slow" not in format_resources((item,), wide=False)
