Tell lag by what a node lacked when it was last heard

Cause: status took a node's offset from membership, where it comes round at its own pace; with 32 agents that all had offset 24 in force, one was shown 15 behind (seen on processes).

--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -8,6 +8,7 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.config_lag import LagTracker
 from citronspan.core.config_messages import (
     ConfigOffset,
     ConfigPull,
@@ -20,7 +21,7 @@
 from citronspan.core.directory import DirectoryAnswer, choose_addresses
 from citronspan.core.key_token import mint_prefix
 from citronspan.core.key_token_nodes import choose_owner_and_witness
-from citronspan.core.member_messages import MemberMessage
+from citronspan.core.member_messages import MemberAck, MemberMessage, MemberPing
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import EntryReport, NodeInfo
 from citronspan.core.resources import Kind, decode_resource
@@ -83,6 +84,7 @@
         )
         self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
         self.hosts = HostListReader(url=settings.host_list_url)
+        self.lag = LagTracker()
         self.feed = EntryFeed(to=settings.entry_peer_address, link=self.link)
         api = ResourceApi(held=self.held, store=self.store, fleet=self)
         self._server = make_server(
@@ -140,6 +142,7 @@
             view=self.view,
             entry=self._report,
             targets=self.find_targets(),
+            find_behind=self.lag.find_behind,
         )
 
     def find_targets(self) -> tuple[TargetStatus, ...]:
@@ -210,6 +213,7 @@
 
     def _handle(self, envelope: Envelope):
         body = envelope.body
+        self._note_lag(envelope)
         if isinstance(body, CONFIG_MESSAGES):
             self.held.take_message(body, envelope.sender)
         elif isinstance(body, EntryReport):
@@ -217,6 +221,14 @@
         elif isinstance(body, MemberMessage):
             self.link.send_all(self.view.handle(envelope.sender, body))
 
+    def _note_lag(self, envelope: Envelope):
+        self.lag.note_own(self.held.state.offset)
+        body = envelope.body
+        if isinstance(body, MemberAck) and body.relayed:
+            return
+        if isinstance(body, ConfigOffset | MemberPing | MemberAck):
+            self.lag.note_peer(envelope.sender, body.offset)
+
     def _take_report(self, report: EntryReport, incarnation: int):
         if report.name != self._settings.place.name:
             return
@@ -233,6 +245,7 @@
             self.link.close_idle()
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
+            self.lag.forget_others({node.agent_peer_address for node in nodes})
             self.keeper.rank = self._find_snapshot_rank(nodes)
             self.feed.push_view(self.view.version, nodes, self.hosts.leaving_targets)
             if not self.held.ready:
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/agent_status.py
@@ -1,5 +1,6 @@
 """What ``/status`` answers."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -20,8 +21,9 @@
         region: Region of the host.
         data_centre: Data centre of the host.
         entry: State of its entry.
-        offset: Next offset that it has not applied.
-        behind: Offsets that it is behind the furthest node.
+        offset: Next offset that it had not applied when its news came round.
+        behind: Offsets that it lacked, when last heard, of what had been in force
+            at the asked agent for longer than a change may take.
     """
 
     name: str
@@ -115,6 +117,7 @@
     view: FleetView,
     entry: EntryReport | None,
     targets: tuple[TargetStatus, ...],
+    find_behind: Callable[[str], int],
 ) -> FleetStatus:
     """Put the status together.
 
@@ -125,6 +128,7 @@
         view: The nodes that it knows.
         entry: The last report of its entry.
         targets: What is known of targets.
+        find_behind: Gives the lag of the node with a peer address.
 
     Returns:
         The status.
@@ -146,7 +150,7 @@
         void_records=held.void_records,
         warnings=tuple(warnings[:MAXIMUM_WARNINGS]),
         warnings_left_out=max(0, len(warnings) - MAXIMUM_WARNINGS),
-        nodes=_make_node_statuses(view.live_nodes(), state.offset),
+        nodes=_make_node_statuses(view.live_nodes(), find_behind),
         targets=targets,
         unheard=tuple(node.name for node in view.unheard_nodes()),
         gone=tuple(node.name for node in view.gone_nodes()),
@@ -186,8 +190,7 @@
     return "reachable" if held.plan.is_reader else "not-read"
 
 
-def _make_node_statuses(nodes, offset):
-    highest = max([offset, *(node.offset for node in nodes)])
+def _make_node_statuses(nodes, find_behind):
     return tuple(
         NodeStatus(
             name=node.name,
@@ -195,7 +198,7 @@
             data_centre=node.data_centre,
             entry=node.entry_state,
             offset=node.offset,
-            behind=highest - node.offset,
+            behind=find_behind(node.agent_peer_address),
         )
         for node in nodes
     )
