--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 export PYTHONHASHSEED = 0
 
-.PHONY: venv test lint format demo up tables
+.PHONY: venv test lint format demo up tables capacity measure
 
 venv: $(VENV)/.installed
 
@@ -34,3 +34,16 @@
 
 up: venv
 	$(BIN)/python -m citronspan_standins.demo --stay
+
+# Runs every benchmark that docs/CAPACITY.md rests on; about ten minutes, alone.
+measure: venv
+	$(BIN)/python -m bench.membership bench/results/membership.json
+	$(BIN)/python -m bench.detection bench/results/detection-cost.json cost
+	$(BIN)/python -m bench.choice_costs --json > bench/results/choice-costs.json
+	$(BIN)/python -m bench.keys --json > bench/results/keys.json
+	$(BIN)/python -m bench.hop --json > bench/results/hop.json
+	$(BIN)/python -m bench.spread 8 16 32 64 --json bench/results/spread.json
+
+# Makes the tables and plots of docs/CAPACITY.md anew from bench/results.
+capacity: venv
+	$(BIN)/python -m bench.capacity
