Refuse numbers that make no sense; measure the replacement of a broker

Cause: a deadline of inf or nan in a message raised after the slot was counted, so that the slot was lost; a worth of nan would break the order of the queue. Change: both are refused at once, and a handover's impossible times are passed over.

--- a/bench/choice_ways.py
+++ b/bench/choice_ways.py
@@ -179,8 +179,9 @@
         if self.hands_over:
             handover = old.hand_over("new")[0].message
             self.broker.handle("old", handover)
+        pause = 2 * self.dispatch_delay if self.hands_over else ASK_AGAIN_SECONDS
         for attempt_id, (arrival, _) in waiting:
-            self.model.at(ASK_AGAIN_SECONDS, self.ask, attempt_id, arrival)
+            self.model.at(pause, self.ask, attempt_id, arrival)
         if self.is_running():
             self.model.at(self.replace_seconds, self.replace)
 
--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -35,6 +35,9 @@
 RECLAIM_SECONDS = 0.5
 """Time after a request's deadline when its slot is taken back."""
 
+MAXIMUM_DEADLINE_SECONDS = 3600.0
+"""Longest deadline of a route, as resources allow it."""
+
 WAITING_PER_SLOT = 4
 """Requests that may wait per usable slot."""
 
@@ -213,9 +216,13 @@
             return
         self._serve_waiting(now)
         self._refuse_hopeless(0, now)
-        if request.deadline_seconds <= 0:
+        # Written so that it holds for what is no number, too.
+        if not 0 < request.deadline_seconds <= MAXIMUM_DEADLINE_SECONDS:
             self._refuse(sender, request, result_codes.DEADLINE_TOO_SHORT, now)
             return
+        if not request.worth >= 0:
+            self._refuse(sender, request, result_codes.REQUEST_INVALID, now)
+            return
         if request.from_region and not self._spend_link(request):
             self._refuse(sender, request, result_codes.LINK_BUDGET_SPENT, now)
             return
@@ -412,6 +419,9 @@
                 continue
             if self._book.find(held.attempt_id) is not None:
                 continue
+            remaining_seconds = held.hold_seconds - held.held_seconds
+            if not 0 < remaining_seconds <= MAXIMUM_DEADLINE_SECONDS + RECLAIM_SECONDS:
+                continue
             grant = Grant(
                 use=use,
                 request_kind=held.request_kind,
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -9,6 +9,7 @@
 from citronspan.core.broker import Broker
 from citronspan.core.broker_messages import (
     BrokerHandover,
+    HeldGrant,
     SlotCancel,
     SlotGrant,
     SlotRedirect,
@@ -248,3 +249,38 @@
     (first,) = ask(broker, 1)
     assert isinstance(first, SlotRefusal)
     assert ask(broker, 1) == [first]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"deadline_seconds": float("nan")},
+        {"deadline_seconds": float("inf")},
+        {"deadline_seconds": -1.0},
+        {"worth": float("nan")},
+        {"worth": -1.0},
+    ],
+)
+def test_numbers_that_make_no_sense_are_refused_and_lose_nothing(clock, fields):
+    broker = make_broker(clock, make_target("a", slots=1))
+    (refusal,) = ask(broker, 1, **fields)
+    assert isinstance(refusal, SlotRefusal)
+    assert broker.describe().granted_by_target == {"a": 0}
+    assert isinstance(ask(broker, 2)[0], SlotGrant)
+
+
+def test_a_handover_with_impossible_times_is_passed_over(clock):
+    broker = make_broker(clock, make_target("a"))
+    held = [
+        HeldGrant(
+            attempt_id=number,
+            target="a",
+            request_kind="",
+            held_seconds=0.0,
+            hold_seconds=seconds,
+        )
+        for number, seconds in enumerate([float("nan"), float("inf"), -1.0, 1.0])
+    ]
+    handover = BrokerHandover(service="shop", region="svea", shard=0, grants=held)
+    broker.handle("entry-9", handover)
+    assert broker.describe().granted_by_target == {"a": 1}
