Let a shard without idempotent requests get its targets back

Cause: a trial, or a suspect's trickle, that no idempotent request came for counted as an ordinary target with one slot, which requests that must not run twice avoid while any other has room; so it was never chosen. Ruled out: detection (its own test passes when it is handed outcomes). Change: the limit says that any request may be used for the trial, the trial keeps its turn and spacing, and the wait for an idempotent request counts from the last one that came.

--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -89,9 +89,10 @@
         """Choose a target with a free slot for a request.
 
         A trial goes first, or it would not come about at low load; only requests
-        that may run twice are used for it. Requests that must not run twice avoid
-        targets that are not fully trusted. Then the target goes first of which the
-        largest share is free, and equal ones take turns.
+        that may run twice are used for it, unless none has come for long. Requests
+        that must not run twice avoid targets that are not fully trusted. Then the
+        target goes first of which the largest share is free, and equal ones take
+        turns.
 
         Args:
             request: The request.
@@ -106,12 +107,13 @@
         for index, (use, limit) in enumerate(self._limited):
             if use.known.name in request.excluded:
                 continue
-            if limit.trial and (request.is_retry or not request.idempotent):
+            if limit.trial and not _may_try(request, limit):
                 continue
             free = use.find_free(limit, now)
             if free <= 0:
                 continue
-            is_doubtful = not request.idempotent and limit.slots < use.known.slots
+            is_limited = limit.slots < use.known.slots and not limit.trial
+            is_doubtful = not request.idempotent and is_limited
             turn = (index + request.attempt_id) % count
             rank = (not limit.trial, is_doubtful, -free / limit.slots, turn)
             if best is not None and rank >= best_rank:
@@ -119,3 +121,9 @@
             best = use
             best_rank = rank
         return best
+
+
+def _may_try(request: SlotRequest, limit: TargetLimit) -> bool:
+    if request.is_retry:
+        return False
+    return request.idempotent or limit.any_request
--- /dev/null
+++ b/citronspan/core/broker_return_test.py
@@ -0,0 +1,79 @@
+"""A target that is well again returns, whatever kind of requests its shard gets."""
+
+import pytest
+from freezegun import freeze_time
+
+from citronspan.core.broker import Broker
+from citronspan.core.broker_messages import SlotGrant, SlotRelease, SlotRequest
+from citronspan.core.health import KnownTarget
+from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.service_health import ServiceHealth
+from citronspan.core.shards import ShardKey
+
+KEY = ShardKey(service="s", region="r", number=0)
+TARGETS = tuple(
+    KnownTarget(
+        name=f"t{number}", address=f"a{number}", region="r", data_centre="d", slots=6
+    )
+    for number in range(5)
+)
+REQUEST_SECONDS = 0.05
+GRAY_SECONDS = 30
+RETURN_SECONDS = 600
+
+
+def run_requests(broker, clock, seconds, idempotent, find_class):
+    """Send requests one after another; return how many each target was given."""
+    given = dict.fromkeys([target.name for target in TARGETS], 0)
+    for number in range(int(seconds / REQUEST_SECONDS)):
+        request = SlotRequest(
+            attempt_id=int(clock().timestamp() * 1e6) + number,
+            service="s",
+            region="r",
+            shard=0,
+            deadline_seconds=5.0,
+            idempotent=idempotent,
+        )
+        grant = broker.handle("entry", request)[0].message
+        assert isinstance(grant, SlotGrant)
+        clock.tick(REQUEST_SECONDS)
+        given[grant.target] += 1
+        outcome = Outcome(
+            target=grant.target,
+            outcome_class=find_class(grant.target),
+            latency_seconds=REQUEST_SECONDS,
+            deadline_seconds=5.0,
+        )
+        release = SlotRelease(
+            attempt_id=request.attempt_id,
+            service="s",
+            region="r",
+            shard=0,
+            outcome=outcome,
+        )
+        broker.handle("entry", release)
+        broker.advance()
+    return given
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_target_that_was_gray_returns_once_it_is_well(idempotent):
+    with freeze_time("2026-01-01") as clock:
+        health = ServiceHealth(name="s", spec=ServiceSpec())
+        broker = Broker(key=KEY, health=health, targets=TARGETS)
+
+        def fail_first(name):
+            return OutcomeClass.TARGET_ERROR if name == "t0" else OutcomeClass.OK
+
+        run_requests(broker, clock, GRAY_SECONDS, idempotent, lambda _: OutcomeClass.OK)
+        run_requests(broker, clock, GRAY_SECONDS, idempotent, fail_first)
+        assert health.describe().targets[0].state != "healthy"
+        run_requests(
+            broker, clock, RETURN_SECONDS, idempotent, lambda _: OutcomeClass.OK
+        )
+        assert health.describe().targets[0].state == "healthy"
+        given = run_requests(
+            broker, clock, GRAY_SECONDS, idempotent, lambda _: OutcomeClass.OK
+        )
+        assert given["t0"] > 0
--- a/citronspan/core/health.py
+++ b/citronspan/core/health.py
@@ -35,11 +35,14 @@
         target: Name of the target.
         slots: Requests that may be at the target at once, 0 for none.
         trial: Whether only a trickle of idempotent requests may be sent.
+        any_request: Whether a trial may be any request, because no idempotent one
+            has come for long.
     """
 
     target: str
     slots: int
     trial: bool = False
+    any_request: bool = False
 
 
 class Health(Protocol):
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -335,7 +335,11 @@
         spacing = trial.TRIAL_SPACING_SECONDS
         if record.state == "suspect":
             spacing = trial.SUSPECT_SPACING_SECONDS
-        record.trial_at = time.monotonic() + spacing
+        now = time.monotonic()
+        record.trial_at = now + spacing
+        limit = self._plan.limit_by_target.get(target)
+        if limit is not None and not limit.any_request:
+            record.idempotent_trial_at = now
         self._due_at = -math.inf
 
     def withdraw(self, fingerprint: int) -> None:
--- a/citronspan/core/service_health_limits.py
+++ b/citronspan/core/service_health_limits.py
@@ -127,8 +127,9 @@
         if now < record.trial_at:
             return TargetLimit(target=name, slots=0, trial=True)
         # Any request may be used when no idempotent one has come for long.
-        waiting = now - record.trial_at < trial.IDLE_TRIAL_SECONDS
-        return TargetLimit(target=name, slots=1, trial=waiting)
+        idle_since = max(record.idempotent_trial_at, record.since)
+        idle = now - idle_since >= trial.IDLE_TRIAL_SECONDS
+        return TargetLimit(target=name, slots=1, trial=True, any_request=idle)
     age = now - record.ramp_started_at
     slots = trial.compute_ramped_slots(record.known.slots, age)
     return TargetLimit(target=name, slots=slots)
--- a/citronspan/core/service_health_record.py
+++ b/citronspan/core/service_health_record.py
@@ -50,6 +50,7 @@
         "back_off_seconds",
         "starting_seconds",
         "draining_seconds",
+        "idempotent_trial_at",
         "trial_at",
         "trial",
         "ramp_started_at",
@@ -73,6 +74,8 @@
         self.starting_seconds = 0.0
         self.draining_seconds = 0.0
         self.trial_at = math.inf
+        # When an idempotent request last came for a trial.
+        self.idempotent_trial_at = -math.inf
         self.trial = None
         self.ramp_started_at = -math.inf
         self.returned_at = -math.inf
