--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -156,6 +156,8 @@
         """
         now = time.monotonic()
         self._reclaimed += self._book.reclaim_due(now)
+        for grant in self._book.pop_overdue(now):
+            self.health.note_overdue(grant.use.known.name)
         self._memory.forget_due(now)
         self._serve_waiting(now)
         self._refuse_hopeless(0, now)
@@ -253,6 +255,9 @@
             crosses_link=bool(request.from_region),
         )
         self._book.add(request.attempt_id, grant, now)
+        overdue_seconds = self.health.find_overdue_seconds(request.request_kind)
+        if overdue_seconds < hold_seconds:
+            self._book.watch(request.attempt_id, now + overdue_seconds)
         if is_trial:
             self.health.note_trial(use.known.name)
         self._grants += 1
--- a/citronspan/core/broker_grants.py
+++ b/citronspan/core/broker_grants.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self._grant_by_id: dict[int, Grant] = {}
         self._reclaims = ExpiryWheel()
+        self._overdue = ExpiryWheel()
 
     def __len__(self):
         """Return the number of grants."""
@@ -57,9 +58,19 @@
         if grant is None:
             return None
         self._reclaims.discard(attempt_id)
+        self._overdue.discard(attempt_id)
         grant.use.count_end(now)
         return grant
 
+    def watch(self, attempt_id: int, overdue_at: float) -> None:
+        """Have a grant named by ``pop_overdue`` if it still stands then."""
+        self._overdue.add(attempt_id, overdue_at)
+
+    def pop_overdue(self, now: float) -> list[Grant]:
+        """Return the grants that became overdue; each once."""
+        due = self._overdue.pop_due(now)
+        return [self._grant_by_id[attempt_id] for attempt_id in due]
+
     def reclaim_due(self, now: float) -> int:
         """Free the slots whose release did not come in time.
 
@@ -69,6 +80,7 @@
         due = self._reclaims.pop_due(now)
         for attempt_id in due:
             grant = self._grant_by_id.pop(attempt_id)
+            self._overdue.discard(attempt_id)
             grant.use.count_end(now)
         return len(due)
 
--- a/citronspan/core/broker_return_test.py
+++ b/citronspan/core/broker_return_test.py
@@ -21,6 +21,7 @@
 REQUEST_SECONDS = 0.05
 GRAY_SECONDS = 30
 RETURN_SECONDS = 600
+RUNNING_REQUESTS = 12
 
 
 def run_requests(broker, clock, seconds, idempotent, find_class):
@@ -77,3 +78,49 @@
             broker, clock, GRAY_SECONDS, idempotent, lambda _: OutcomeClass.OK
         )
         assert given["t0"] > 0
+
+
+def make_request(attempt_id):
+    return SlotRequest(
+        attempt_id=attempt_id,
+        service="s",
+        region="r",
+        shard=0,
+        deadline_seconds=600.0,
+        idempotent=True,
+    )
+
+
+def make_release(grant):
+    outcome = Outcome(
+        target=grant.target,
+        outcome_class=OutcomeClass.OK,
+        latency_seconds=REQUEST_SECONDS,
+        deadline_seconds=600.0,
+    )
+    return SlotRelease(
+        attempt_id=grant.attempt_id,
+        service="s",
+        region="r",
+        shard=0,
+        outcome=outcome,
+    )
+
+
+def test_a_target_that_answers_nothing_is_suspected_before_any_deadline():
+    with freeze_time("2026-01-01") as clock:
+        health = ServiceHealth(name="s", spec=ServiceSpec())
+        broker = Broker(key=KEY, health=health, targets=TARGETS)
+        run_requests(broker, clock, GRAY_SECONDS, True, lambda _: OutcomeClass.OK)
+        running = []
+        for number in range(3000):
+            grant = broker.handle("entry", make_request(number))[0].message
+            assert isinstance(grant, SlotGrant)
+            if grant.target != "t0":
+                running.append(grant)
+            # Several requests run at once, so that the target is used again.
+            clock.tick(REQUEST_SECONDS / RUNNING_REQUESTS)
+            if len(running) > RUNNING_REQUESTS:
+                broker.handle("entry", make_release(running.pop(0)))
+            broker.advance()
+        assert health.describe().targets[0].state != "healthy"
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -42,6 +42,9 @@
     def find_limits(self):
         return self.limit_by_target
 
+    def find_overdue_seconds(self, kind):
+        return float("inf")
+
     def note_trial(self, target):
         self.trials.append(target)
 
--- a/citronspan/core/health.py
+++ b/citronspan/core/health.py
@@ -59,3 +59,9 @@
 
     def note_trial(self, target: str) -> None:
         """Note that a trial request was sent to a target."""
+
+    def find_overdue_seconds(self, kind: str) -> float:
+        """Return the age at which an unanswered attempt is to be noted."""
+
+    def note_overdue(self, target: str) -> None:
+        """Take as evidence that an attempt is still unanswered; once an attempt."""
--- a/citronspan/core/portable_health.py
+++ b/citronspan/core/portable_health.py
@@ -44,6 +44,10 @@
         """Return one verdict of this broker for each target."""
         return self.export_verdicts(issuer=self._issuer, incarnation=self._incarnation)
 
+    def list_kept_by_floor(self) -> frozenset[str]:
+        """Return the targets whose ejection the floor leaves without effect."""
+        return frozenset(self._plan.floor.ignored)
+
     def export_evidence(self) -> bytes:
         """Return the evidence for the next broker."""
         return _ENCODER.encode(self.issue_verdicts())
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -41,6 +41,7 @@
 from citronspan.ops.quarantine import Quarantine
 from citronspan.ops.shard_report import make_heard_report, make_shard_report
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
+from citronspan.ops.target_log import TargetLog
 from citronspan.utils.logs import write_event
 
 ATTEMPT_BITS = 63
@@ -79,6 +80,7 @@
         self._target_by_name: dict[str, tuple[str, KnownTarget]] = {}
         self.heard = VerdictTable()
         self._quarantine = Quarantine()
+        self._target_log = TargetLog()
         self.own_choice = OwnChoice(heard=self.heard)
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
 
@@ -110,14 +112,21 @@
             answer_bytes=answer_bytes,
         )
         self.own_choice.note_outcome(outcome)
-        if slot.broker:
-            self._tell(slot.broker, message)
-            return
-        self.own_choice.release(slot.target)
-        broker = self.brokers.table.find_address(slot.shard)
+        if not slot.broker:
+            self.own_choice.release(slot.target)
+        broker = self._find_release_address(slot)
         if broker:
             self._tell(broker, message)
 
+    def _find_release_address(self, slot: Slot) -> str:
+        """Return the broker that granted, or its successor once that one is gone."""
+        with self._lock:
+            table = self.brokers.table
+            live = {node.entry_peer_address for node in table.list_nodes()}
+            if slot.broker and (slot.broker in live or not live):
+                return slot.broker
+            return table.find_address(slot.shard)
+
     def handle(self, sender: str, message: BrokerMessage | EntryMessage) -> None:
         """Take a message of a broker or to one from the peer link."""
         if isinstance(message, SlotWaiting):
@@ -219,11 +228,10 @@
         outgoing = []
         with self._lock:
             for key, health in self.brokers.list_health():
-                changes = health.take_changes()
-                _log_changes(key, changes)
+                changed = self._target_log.write(key, health)
                 verdicts = health.issue_verdicts()
                 is_sick = any(verdict.state != "healthy" for verdict in verdicts)
-                if not changes and not is_sick:
+                if not changed and not is_sick:
                     continue
                 message = VerdictPush(service=key.service, verdicts=verdicts)
                 outgoing += [
@@ -408,19 +416,6 @@
             self._tell(item.to, item.message)
 
 
-def _log_changes(key, changes):
-    for change in changes:
-        write_event(
-            _logger,
-            log_events.TARGET_STATE_CHANGED,
-            shard=key.format(),
-            target=change.target,
-            before=change.before,
-            after=change.after,
-            why=change.why,
-        )
-
-
 def _refuse(code, retry_after_seconds=RETRY_AFTER_SECONDS):
     return SlotRefused(code=code, retry_after_seconds=retry_after_seconds)
 
