--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -81,6 +81,7 @@
             held=self.held,
             store=self.store,
             interval_seconds=settings.snapshot_seconds,
+            find_rank=self._find_snapshot_rank,
         )
         self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
         self.hosts = HostListReader(url=settings.host_list_url)
@@ -246,7 +247,6 @@
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
             self.lag.forget_others({node.agent_peer_address for node in nodes})
-            self.keeper.rank = self._find_snapshot_rank(nodes)
             self.feed.push_view(self.view.version, nodes, self.hosts.leaving_targets)
             if not self.held.ready:
                 self._look_at_gate(nodes)
@@ -257,9 +257,10 @@
     def _find_tick_seconds(self):
         return TICK_SECONDS if self.held.ready else START_TICK_SECONDS
 
-    def _find_snapshot_rank(self, nodes):
+    def _find_snapshot_rank(self):
         if not self.held.plan.is_reader:
             return None
+        nodes = self.view.live_nodes()
         return rank_in_fleet(self.view.own, tuple(find_readers(nodes)))
 
     def _look_at_gate(self, nodes):
--- a/citronspan/ops/api_client.py
+++ b/citronspan/ops/api_client.py
@@ -14,7 +14,7 @@
 from citronspan.core.resources import Resource
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
 from citronspan.ops.agent_status import FleetStatus
-from citronspan.ops.resource_api import (
+from citronspan.ops.resource_api_types import (
     ChangeAnswer,
     ErrorAnswer,
     ListAnswer,
--- a/citronspan/ops/api_client_tables.py
+++ b/citronspan/ops/api_client_tables.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from citronspan.ops.agent_status import FleetStatus, TargetStatus
-from citronspan.ops.resource_api import ResourceAnswer
+from citronspan.ops.resource_api_types import ResourceAnswer
 
 # Rows of nodes on the first screen; those with a problem come first.
 MAXIMUM_NODE_ROWS = 40
--- a/citronspan/ops/api_client_tables_test.py
+++ b/citronspan/ops/api_client_tables_test.py
@@ -6,7 +6,7 @@
     format_resources,
     format_status,
 )
-from citronspan.ops.resource_api import ResourceAnswer, ResourceStatus
+from citronspan.ops.resource_api_types import ResourceAnswer, ResourceStatus
 
 
 def make_node(name, **changes):
--- a/citronspan/ops/config_tail_retention.py
+++ b/citronspan/ops/config_tail_retention.py
@@ -3,6 +3,7 @@
 import queue
 import threading
 import time
+from collections.abc import Callable
 
 import logbook
 
@@ -31,8 +32,16 @@
 class RetentionKeeper:
     """Watches the snapshots that pass by and appends one when it is due."""
 
-    def __init__(self, *, held: HeldConfig, store: LogStore, interval_seconds: float):
+    def __init__(
+        self,
+        *,
+        held: HeldConfig,
+        store: LogStore,
+        interval_seconds: float,
+        find_rank: Callable[[], int | None],
+    ):
         self._held = held
+        self._find_rank = find_rank
         self._store = store
         self._interval_seconds = interval_seconds
         self._stopped = threading.Event()
@@ -42,7 +51,6 @@
         self._snapshot_offset: int | None = None
         self._first_offset = 0
         self._next_offset = 0
-        self.rank: int | None = None
 
     def note_page(self, page: LogPage) -> None:
         """Note what a read of the log shows."""
@@ -71,11 +79,12 @@
         self._stopped.set()
 
     def _is_due(self):
-        if self.rank is None or not self._held.ready:
+        rank = self._find_rank()
+        if rank is None or not self._held.ready:
             return False
         return is_snapshot_due(
             RetentionFacts(
-                rank=self.rank,
+                rank=rank,
                 offset=self._held.state.offset,
                 first_offset=self._first_offset,
                 next_offset=self._next_offset,
--- a/citronspan/ops/resource_api.py
+++ b/citronspan/ops/resource_api.py
@@ -1,8 +1,7 @@
 """The HTTP API of an agent: resources, watch, status and the address directory."""
 
 import secrets
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from typing import Protocol
 from urllib.parse import parse_qs
 
@@ -31,139 +30,25 @@
     submit_change,
 )
 from citronspan.ops.log_client import LogStore
+from citronspan.ops.resource_api_types import (
+    ApiAnswer,
+    ApiRequest,
+    ChangeAnswer,
+    ErrorAnswer,
+    ListAnswer,
+    OutcomeAnswer,
+    ResourceAnswer,
+    ResourceStatus,
+    SpecBody,
+    StoredSpec,
+    WatchLine,
+)
 from citronspan.utils.validation import describe_error
 
 MAXIMUM_BODY_BYTES = 1 << 20
 WATCH_IDLE_SECONDS = 5.0
 MAXIMUM_WATCHES = 12
 READY_SECONDS = 3.0
-JSON_TYPE = "application/json"
-
-
-class SpecBody(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Body of a PUT.
-
-    Attributes:
-        spec: Specification in JSON.
-    """
-
-    spec: msgspec.Raw
-
-
-class ResourceStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """What the fleet says of a resource.
-
-    Attributes:
-        warnings: What is odd about it.
-        target: What its broker says of a target, None where none is known here.
-    """
-
-    warnings: tuple[str, ...] = ()
-    target: TargetStatus | None = None
-
-
-class ResourceAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A resource as the API gives it."""
-
-    kind: str
-    name: str
-    version: int
-    spec: msgspec.Raw
-    status: ResourceStatus = ResourceStatus()
-
-
-class ListAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Resources of one kind, with the version to watch from."""
-
-    version: int
-    items: tuple[ResourceAnswer, ...]
-
-
-class ChangeAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """Answer to an accepted change."""
-
-    version: int
-    change_id: str
-
-
-class OutcomeAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
-    """What became of a change id."""
-
-    change_id: str
-    verdict: str
-    offset: int
-    detail: str
-
-
-class WatchLine(
-    msgspec.Struct, frozen=True, kw_only=True, rename="camel", omit_defaults=True
-):
-    """One line of a watch.
-
-    Attributes:
-        type: ``put``, ``delete``, ``at`` (nothing new up to the version) or
-            ``gone`` (list and watch anew).
-        version: Version of the change.
-        kind: Kind of the resource.
-        name: Name of the resource.
-        spec: Specification, for ``put``.
-    """
-
-    type: str
-    version: int
-    kind: str = ""
-    name: str = ""
-    spec: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
-
-
-class ErrorAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A refusal."""
-
-    code: int
-    name: str
-    detail: str
-
-
-class _Stored(msgspec.Struct, frozen=True):
-    spec: msgspec.Raw
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ApiRequest:
-    """One request, read from the WSGI environment.
-
-    Attributes:
-        method: HTTP method.
-        parts: Parts of the path.
-        query: Query parameters, the last of each name.
-        body: The whole body.
-        change_id: Change id that the client chose, or empty.
-        author: Who the client says it is.
-    """
-
-    method: str
-    parts: tuple[str, ...]
-    query: dict[str, str]
-    body: bytes = b""
-    change_id: str = ""
-    author: str = ""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ApiAnswer:
-    """One answer.
-
-    Attributes:
-        status: HTTP status.
-        body: The body, or an iterator of its pieces.
-        headers: Further headers.
-        content_type: Type of the body.
-    """
-
-    status: int
-    body: bytes | Iterator[bytes]
-    headers: tuple[tuple[str, str], ...] = field(default=())
-    content_type: str = JSON_TYPE
 
 
 class FleetAnswers(Protocol):
@@ -471,7 +356,7 @@
         kind=key.kind,
         name=key.name,
         version=stored.version,
-        spec=msgspec.json.decode(stored.data, type=_Stored).spec,
+        spec=msgspec.json.decode(stored.data, type=StoredSpec).spec,
         status=ResourceStatus(warnings=find_warnings(state, key), target=target),
     )
 
@@ -489,7 +374,7 @@
         version=change.version,
         kind=change.key.kind,
         name=change.key.name,
-        spec=msgspec.json.decode(change.data, type=_Stored).spec,
+        spec=msgspec.json.decode(change.data, type=StoredSpec).spec,
     )
 
 
