--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -80,6 +80,9 @@
                 return
             if state.offset < self._reported_offset:
                 return
+            # A whole push is costly to make; without its receiver it is not made.
+            if not self._link.is_connected(self._to):
+                return
             message = _make_push(self._sent, state)
             for part in split_push(message):
                 if not self._link.send(self._to, part):
