--- a/citronspan/ops/caller_stream.py
+++ b/citronspan/ops/caller_stream.py
@@ -6,11 +6,11 @@
 """
 
 import contextlib
+import io
 import select
 import socket
 import time
 
-from cheroot.makefile import StreamReader, StreamWriter
 from cheroot.server import HTTPConnection
 
 # A refusal for slowness is sent when the time for the request is over.
@@ -61,36 +61,54 @@
 
 
 class _BoundedSocketIO(socket.SocketIO):
-    def __init__(self, sock, mode, bounds):
-        super().__init__(sock, mode)
+    def __init__(self, *, sock, bounds):
+        super().__init__(sock, "r")
         self._bounded_socket = sock
         self._bounds = bounds
+        self.is_paused = False
 
     def readinto(self, buffer):
+        if self.is_paused:
+            return None
         self._bounds.apply(self._bounded_socket, 0.0)
         return super().readinto(buffer)
 
-    def write(self, data):
-        try:
-            self._bounds.apply(self._bounded_socket, ANSWER_GRACE_SECONDS)
-            return super().write(data)
-        except TimeoutError:
-            # Part of an answer may be out: its end must not look orderly.
-            self._bounds.is_aborted = True
-            raise
 
+class _Reader(io.BufferedReader):
+    """What the server reads a connection with."""
 
-class _Reader(StreamReader):
-    def __init__(self, raw, size):
-        super(StreamReader, self).__init__(raw, size)
+    def __init__(self, *, raw, size):
+        super().__init__(raw, size)
         self.bytes_read = 0
 
+    def has_data(self):
+        """Return whether bytes were read ahead, without reading more."""
+        self.raw.is_paused = True
+        try:
+            return bool(self.peek(1))
+        finally:
+            self.raw.is_paused = False
+
+
+class _Writer:
+    """What the server writes a connection with; it holds nothing back."""
 
-class _Writer(StreamWriter):
-    def __init__(self, raw, size):
-        super(StreamWriter, self).__init__(raw, size)
+    def __init__(self, *, sock, bounds):
+        self._socket = sock
+        self._bounds = bounds
         self.bytes_written = 0
 
+    def write(self, data):
+        """Send all of the bytes."""
+        try:
+            self._bounds.apply(self._socket, ANSWER_GRACE_SECONDS)
+            self._socket.sendall(data)
+        except TimeoutError:
+            # Part of an answer may be out: its end must not look orderly.
+            self._bounds.is_aborted = True
+            raise
+        return len(data)
+
 
 class CallerStream(HTTPConnection):
     """One connection of a caller.
@@ -110,17 +128,17 @@
         return is_readable(self.socket)
 
     def close(self):
-        """Close the socket now, after what the caller still sends was taken."""
+        """Close the socket, after what the caller still sends was taken."""
         if self.has_unread and not self.bounds.is_aborted:
             self._linger()
         super().close()
-        # What a failed write left in the buffer cannot be flushed any more.
-        with contextlib.suppress(OSError):
-            self.wfile.close()
 
     def _make_file(self, sock, mode, size):
-        raw = _BoundedSocketIO(sock, mode, self.bounds)
-        return _Reader(raw, size) if "r" in mode else _Writer(raw, size)
+        # The server's own files are written in Python, byte by byte in places.
+        if "w" in mode:
+            return _Writer(sock=sock, bounds=self.bounds)
+        raw = _BoundedSocketIO(sock=sock, bounds=self.bounds)
+        return _Reader(raw=raw, size=size)
 
     def _linger(self):
         """Take what is still sent, for a bounded time.
