--- a/citronspan/core/service_health_record.py
+++ b/citronspan/core/service_health_record.py
@@ -3,7 +3,6 @@
 import math
 from collections import deque
 
-from citronspan.core import trial
 from citronspan.core.cusum_counts import Mark
 from citronspan.core.health import KnownTarget
 from citronspan.utils.statecharts import load_chart
@@ -28,11 +27,13 @@
         gray_share: Share of marked outcomes when it was ejected.
         back_off_seconds: Wait before the next trial.
         starting_seconds: Last wait after it said that it is starting, 0 if it did not.
-        draining_seconds: Wait after it said that it is draining.
+        draining_seconds: Last wait after it said that it is draining.
         trial_at: When the next trial request may be sent.
         trial: Test under way, or None.
         ramp_started_at: When slow start began.
         returned_at: When it last returned from a trial.
+        told_starting: Whether it said that it starts, since it last returned.
+        cold_until: Until when its latencies are those of a cold start.
         told_draining: Whether it said itself that it is draining.
         failures: Fingerprints of its last failures.
         overdue: Unanswered attempts that were counted before their outcome.
@@ -53,6 +54,8 @@
         "trial",
         "ramp_started_at",
         "returned_at",
+        "told_starting",
+        "cold_until",
         "told_draining",
         "failures",
         "overdue",
@@ -68,11 +71,13 @@
         self.gray_share = 0.9
         self.back_off_seconds = 0.0
         self.starting_seconds = 0.0
-        self.draining_seconds = trial.DRAINING_SECONDS
+        self.draining_seconds = 0.0
         self.trial_at = math.inf
         self.trial = None
         self.ramp_started_at = -math.inf
         self.returned_at = -math.inf
+        self.told_starting = False
+        self.cold_until = -math.inf
         self.told_draining = False
         self.overdue = 0
         self.failures = deque(maxlen=REMEMBERED_FAILURES)
--- a/citronspan/ops/agent_test.py
+++ b/citronspan/ops/agent_test.py
@@ -1,5 +1,6 @@
 """Agents with real sockets on loopback before a log that fails on demand."""
 
+import os
 import threading
 import time
 from unittest import mock
@@ -8,19 +9,22 @@
 import pytest
 import urllib3
 
+from citronspan.core import config_retention
 from citronspan.core.config_record import LogRecord
 from citronspan.core.config_state import ResourceKey
 from citronspan.core.errors import CitronspanError
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 from citronspan.core.resources import Kind, Resource, ServiceSpec
 from citronspan.core.settings import AgentSettings, Place
-from citronspan.ops import config_tail, config_tail_writer
+from citronspan.ops import config_tail, config_tail_retention, config_tail_writer
 from citronspan.ops.agent import Agent
 from citronspan.ops.api_client import ApiClient
 from citronspan.ops.log_client import LogAwayError, LogPage, LogTruncatedError
 from citronspan.ops.peer_link import PeerLink
 
 DEADLINE_SECONDS = 20.0
+# Loopback addresses of this run alone, so that two runs can go on side by side.
+NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
 SERVICE = Resource(kind=Kind.SERVICE, name="a", spec=ServiceSpec())
 
 
@@ -69,6 +73,9 @@
                 ),
             )
 
+    def count_snapshots(self, from_offset):
+        return sum(b'"snapshot"' in data for data in self._datas[from_offset:])
+
     def wake(self):
         with self._news:
             self._news.notify_all()
@@ -78,7 +85,7 @@
 
 
 def make_settings(number, seeds=()):
-    ip = f"127.0.42.{number}"
+    ip = f"{NETWORK}.{number}"
     return AgentSettings(
         place=Place(name=f"n{number}", region="north", data_centre="north-1"),
         peer_address=f"{ip}:7100",
@@ -121,7 +128,7 @@
 
 
 def connect(number):
-    return ApiClient(address=f"127.0.42.{number}:7200")
+    return ApiClient(address=f"{NETWORK}.{number}:7200")
 
 
 def refuse(action):
@@ -175,7 +182,7 @@
     log = FakeLog()
     wait_ready(fleet(1, log))
     pool = urllib3.PoolManager()
-    url = "http://127.0.42.1:7200/resources/Service/a?version=-1"
+    url = f"http://{NETWORK}.1:7200/resources/Service/a?version=-1"
 
     def put():
         return pool.request(
@@ -196,13 +203,13 @@
     assert again.status == 200
     assert msgspec.json.decode(again.data)["version"] == 0
     assert len(log) <= size + 1
-    found = pool.request("GET", "http://127.0.42.1:7200/changes/my-change-1")
+    found = pool.request("GET", f"http://{NETWORK}.1:7200/changes/my-change-1")
     assert msgspec.json.decode(found.data)["verdict"] == "accepted"
 
 
 def test_of_racing_writers_exactly_one_wins_each_version(fleet):
     log = FakeLog()
-    agents = [fleet(1, log), fleet(2, log, ("127.0.42.1:7100",))]
+    agents = [fleet(1, log), fleet(2, log, (f"{NETWORK}.1:7100",))]
     for agent in agents:
         wait_ready(agent)
     results = []
@@ -253,7 +260,7 @@
     agent = fleet(1, log)
     wait_ready(agent)
     for path, body, code, part in BAD_INPUTS:
-        url = f"http://127.0.42.1:7200/resources/{path}"
+        url = f"http://{NETWORK}.1:7200/resources/{path}"
         answer = urllib3.request("PUT", url, body=body)
         refusal = msgspec.json.decode(answer.data)
         assert refusal["code"] == code, path
@@ -276,7 +283,7 @@
     line = next(line for line in lines if line.type != "at")
     assert (line.type, line.version) == ("delete", third)
     # An agent that takes a whole state does not know what led to it.
-    joined = fleet(2, log, ("127.0.42.1:7100",))
+    joined = fleet(2, log, (f"{NETWORK}.1:7100",))
     with mock.patch.object(log, "read", side_effect=LogAwayError("", may_have_taken=0)):
         wait_ready(joined)
     joined.held._history_from = third
@@ -285,7 +292,7 @@
 
 def test_an_agent_restarted_without_the_log_is_never_behind_its_peers(fleet):
     log = FakeLog()
-    agents = [fleet(1, log), fleet(2, log, ("127.0.42.1:7100",))]
+    agents = [fleet(1, log), fleet(2, log, (f"{NETWORK}.1:7100",))]
     for agent in agents:
         wait_ready(agent)
     for number in range(5):
@@ -294,12 +301,53 @@
     log.fault = "away"
     log.wake()
     fleet.stop(agents[0])
-    restarted = fleet(1, log, ("127.0.42.2:7100",))
+    restarted = fleet(1, log, (f"{NETWORK}.2:7100",))
     wait_ready(restarted)
     assert restarted.held.state == agents[1].held.state
     assert restarted.held.state.offset == 5
 
 
+def test_an_agent_starts_from_a_log_that_forgot_its_beginning(fleet):
+    log = FakeLog()
+    with (
+        mock.patch.object(config_retention, "PAUSE_SECONDS", 0.0),
+        mock.patch.object(config_retention, "UNKNOWN_SECONDS", 0.2),
+        mock.patch.object(config_tail_retention, "CHECK_SECONDS", 0.1),
+    ):
+        first = fleet(1, log)
+        wait_ready(first)
+        for number in range(3):
+            resource = Resource(
+                kind=Kind.SERVICE, name=f"s-{number}", spec=ServiceSpec()
+            )
+            connect(1).put_resource(resource, version=-1)
+        before = len(log)
+        wait_until(lambda: log.count_snapshots(from_offset=before) == 1)
+        connect(1).put_resource(SERVICE, version=-1)
+    # The time to the next snapshot is the interval now, so no further one came.
+    assert log.count_snapshots(from_offset=0) <= 3
+    state = first.held.state
+    fleet.stop(first)
+    log.first = before
+    second = fleet(2, log)
+    wait_ready(second)
+    assert second.held.state == state
+    assert len(state.resource_by_key) == 4
+
+
+def test_a_log_that_forgot_and_has_no_snapshot_gives_no_part_of_a_state(fleet):
+    log = FakeLog()
+    first = fleet(1, log)
+    wait_ready(first)
+    connect(1).put_resource(SERVICE, version=-1)
+    connect(1).put_resource(SERVICE, version=0)
+    log.first = 1
+    second = fleet(2, log)
+    time.sleep(1.5)
+    assert not second.held.ready
+    assert second.held.state.offset == 0
+
+
 def test_an_agent_that_knows_nothing_serves_nothing(fleet):
     log = FakeLog()
     log.fault = "away"
@@ -343,7 +391,7 @@
         self.views = []
         self._stopped = threading.Event()
         self._link = PeerLink(
-            fleet="citronspan", address="127.0.42.1:7300", incarnation=1
+            fleet="citronspan", address=f"{NETWORK}.1:7300", incarnation=1
         )
         self._threads = [
             threading.Thread(target=self._link.receive_forever, args=[self._handle]),
@@ -373,4 +421,4 @@
     def _report(self):
         while not self._stopped.wait(0.1):
             report = EntryReport(name="n1", state="serving", offset=self.offset)
-            self._link.send("127.0.42.1:7100", report)
+            self._link.send(f"{NETWORK}.1:7100", report)
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -13,6 +13,7 @@
 from citronspan.core.messages import Envelope
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 from citronspan.core.poison import PoisonNotice
+from citronspan.core.push_parts import PushCollector
 from citronspan.core.settings import EntrySettings
 from citronspan.core.verdicts import VerdictPush
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -31,6 +32,7 @@
 VERDICTS_SECONDS = 1.0
 TICK_SECONDS = 0.02
 IDLE_POLL_SECONDS = 0.05
+KEY_REPORT_SECONDS = 1.0
 INCARNATION_RANDOM_BITS = 8
 
 _logger = logbook.Logger("entry")
@@ -52,6 +54,7 @@
         self._chart = load_chart("entry")
         self.state = self._chart.initial
         self.configuration = EntryConfiguration()
+        self._push_collector = PushCollector()
         self.view = ViewPush(sequence=0, nodes=())
         self.metrics = EntryMetrics()
         self.link = PeerLink(
@@ -126,6 +129,7 @@
                 sampled_share=tracing.sampled_share,
             ),
             is_stopping=self._stop.is_set,
+            mint_prefix=lambda: self.keys.mint_prefix(self.view.nodes),
         )
 
     def _find_entry_address(self, name):
@@ -159,7 +163,10 @@
         if isinstance(message, BrokerMessage | EntryMessage):
             self.slots.handle(envelope.sender, message)
 
-    def _take_configuration(self, push):
+    def _take_configuration(self, part):
+        push = self._push_collector.add(part)
+        if push is None:
+            return
         before = self.configuration
         self.configuration = apply_push(before, push)
         if self.configuration is not before:
@@ -237,6 +244,7 @@
             self.slots.hand_over_all()
             self._wait_while_known(bound)
         self._wait_until_idle(bound)
+        self._wait_for_reports(bound)
         self._server.shutdown_timeout = max(bound - time.monotonic(), 1.0)
         self._server.stop()
         left = self.metrics.read_in_flight()
@@ -255,6 +263,12 @@
         while time.monotonic() < end:
             time.sleep(IDLE_POLL_SECONDS)
 
+    def _wait_for_reports(self, bound):
+        """Let the owners of keys hear what the last requests came to."""
+        end = min(time.monotonic() + KEY_REPORT_SECONDS, bound)
+        while time.monotonic() < end and not self.keys.is_idle():
+            time.sleep(IDLE_POLL_SECONDS)
+
     def _wait_until_idle(self, bound):
         while time.monotonic() < bound:
             if self.metrics.read_in_flight() == 0:
