--- a/bench/hop.py
+++ b/bench/hop.py
@@ -11,6 +11,7 @@
 
 import contextlib
 import http.client
+import math
 import os
 import signal
 import subprocess
@@ -251,7 +252,17 @@
 
 
 def find_percentile(values: list[float], share: float) -> float:
-    """Return the value below which a share of the values lies, in ms."""
+    """Return the value below which a share of the values lies, in ms.
+
+    Args:
+        values: Seconds.
+        share: The share, 0 to 1.
+
+    Returns:
+        The value, not a number where no request was answered.
+    """
+    if not values:
+        return math.nan
     ordered = sorted(values)
     return ordered[min(int(len(ordered) * share), len(ordered) - 1)] * 1000
 
