Keep the link's budget without a broker; write the events that were only named

Cause: an entry that got no answer from the other region's broker chose targets there by itself, past the budget of the link; events 103, 260, 261, 262 and 305 were defined and never written, code 3011 never raised (dropped); an entry took itself as configured by a push that it had ignored; tests with fixed addresses and fleets that start at once could take each other's addresses; a tracer that records nothing still entered the library's contexts five times a request. Change: refused with 3002 then (test first failed: it was granted); the events; the check; addresses by process id; no contexts where nothing is recorded.

--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -147,9 +147,6 @@
 ACCOUNT_LIMITED = _define(
     3010, "account-limited", 429, _NOT, "The account is over its request rate."
 )
-ENTRY_STOPPING = _define(
-    3011, "entry-stopping", 503, _NOT, "The entry is stopping; use another address."
-)
 UPLOAD_CUT_SHORT = _define(
     3012, "upload-cut-short", 400, _MAY, "The caller's body ended before its length."
 )
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -42,6 +42,7 @@
 from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.log_client import HttpLogStore, LogStore
 from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.peer_log import PeerLog
 from citronspan.ops.resource_api import ResourceApi, make_application
 from citronspan.utils.logs import write_event
 
@@ -84,6 +85,7 @@
             find_rank=self._find_snapshot_rank,
         )
         self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
+        self._peer_log = PeerLog()
         self.hosts = HostListReader(url=settings.host_list_url)
         self.lag = LagTracker()
         self.feed = EntryFeed(to=settings.entry_peer_address, link=self.link)
@@ -244,6 +246,7 @@
             self.view.update_own(offset=self.held.state.offset)
             self.link.send_all(self.view.tick())
             self.link.close_idle()
+            self._peer_log.write(self.view)
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
             self.lag.forget_others({node.agent_peer_address for node in nodes})
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -23,7 +23,7 @@
     TargetRequest,
     classify_answer,
 )
-from citronspan.utils.traces import PROPAGATOR
+from citronspan.utils.traces import pass_on_context, start_span
 
 MAXIMUM_ATTEMPTS = 3
 # An idempotent attempt may use this share of the time left, so that another one
@@ -150,7 +150,7 @@
             body_bytes=work.body.length or 0,
             is_retry=bool(tried),
         )
-        with self._tracer.start_as_current_span("broker-wait"):
+        with start_span(self._tracer, "broker-wait"):
             slot = self._slots.acquire(ask)
         if isinstance(slot, Slot):
             return slot
@@ -165,7 +165,7 @@
     def _attempt(self, work: Work, slot: Slot) -> Answered:
         started = time.monotonic()
         try:
-            with self._tracer.start_as_current_span("dispatch") as span:
+            with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
                 answer = self._send(work, slot, started)
                 first_byte = time.monotonic()
@@ -196,7 +196,7 @@
         if work.request.key:
             headers["idempotency-key"] = work.request.key
         headers.update(work.request.trace_headers)
-        PROPAGATOR.inject(headers)
+        pass_on_context(self._tracer, headers)
         request = TargetRequest(
             method=work.request.method,
             uri=work.request.uri,
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -172,7 +172,8 @@
         if self.configuration is not before:
             write_event(_logger, log_events.CONFIGURATION_APPLIED, offset=push.offset)
             self._update_services()
-        if takes_event(self._chart, self.state, "configured"):
+        is_configured = self.configuration.offset > 0
+        if is_configured and takes_event(self._chart, self.state, "configured"):
             self._step("configured")
         self._report()
 
--- a/citronspan/ops/peer_link_test.py
+++ b/citronspan/ops/peer_link_test.py
@@ -1,3 +1,4 @@
+import os
 import queue
 import threading
 import time
@@ -6,6 +7,8 @@
 from citronspan.ops.peer_link import PeerLink
 
 REPORT = EntryReport(name="a", state="serving", offset=3)
+# Two suites may run on one machine at once.
+NETWORK = f"127.{64 + os.getpid() % 128}"
 DEADLINE_SECONDS = 10.0
 
 
@@ -17,8 +20,8 @@
 
 
 def test_a_message_arrives_and_a_closed_peer_is_noticed():
-    first = PeerLink(fleet="f", address="127.0.30.1:7901", incarnation=1)
-    second = PeerLink(fleet="f", address="127.0.30.2:7901", incarnation=2)
+    first = PeerLink(fleet="f", address=f"{NETWORK}.30.1:7901", incarnation=1)
+    second = PeerLink(fleet="f", address=f"{NETWORK}.30.2:7901", incarnation=2)
     received = queue.Queue()
     thread = threading.Thread(target=second.receive_forever, args=[received.put])
     thread.start()
@@ -34,8 +37,8 @@
 
 
 def test_the_first_message_to_a_peer_is_not_refused_for_want_of_a_connection():
-    first = PeerLink(fleet="f", address="127.0.30.3:7901", incarnation=1)
-    second = PeerLink(fleet="f", address="127.0.30.4:7901", incarnation=2)
+    first = PeerLink(fleet="f", address=f"{NETWORK}.30.3:7901", incarnation=1)
+    second = PeerLink(fleet="f", address=f"{NETWORK}.30.4:7901", incarnation=2)
     received = queue.Queue()
     thread = threading.Thread(target=second.receive_forever, args=[received.put])
     thread.start()
@@ -47,13 +50,13 @@
 
 
 def test_a_peer_that_is_heard_again_is_connected_to_at_once():
-    first = PeerLink(fleet="f", address="127.0.30.5:7901", incarnation=1)
+    first = PeerLink(fleet="f", address=f"{NETWORK}.30.5:7901", incarnation=1)
     thread = threading.Thread(target=first.receive_forever, args=[lambda _: None])
     thread.start()
-    first.connect("127.0.30.6:7901")
+    first.connect(f"{NETWORK}.30.6:7901")
     # Long enough for the pauses between two dials to have grown far past the bound.
     time.sleep(3.0)
-    second = PeerLink(fleet="f", address="127.0.30.6:7901", incarnation=2)
+    second = PeerLink(fleet="f", address=f"{NETWORK}.30.6:7901", incarnation=2)
 
     def send_until_connected():
         second.send(first.address, REPORT)
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -40,7 +40,7 @@
 from citronspan.ops.streamed_answer import StreamedAnswer
 from citronspan.ops.target_connection import TargetConnections
 from citronspan.utils.logs import write_event
-from citronspan.utils.traces import PROPAGATOR
+from citronspan.utils.traces import start_span
 
 _logger = logbook.Logger("request")
 _FLEET_HEADERS = frozenset(
@@ -115,13 +115,12 @@
 
     def _handle(self, environ, start_response, received):
         request = read_caller_request(environ)
-        context = PROPAGATOR.extract(request.trace_headers)
-        with self._tracer.start_as_current_span("entry", context=context) as span:
+        with start_span(self._tracer, "entry", request.trace_headers) as span:
             work = self._prepare(request, received)
             span.set_attribute("citronspan.route", work.route.name)
             keyed = None
             if needs_claim(work.spec, request.key):
-                with self._tracer.start_as_current_span("key-claim"):
+                with start_span(self._tracer, "key-claim"):
                     keyed = claim_key(self._keys, work)
             if isinstance(keyed, Replay):
                 return self._replay(keyed, start_response)
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -35,6 +35,7 @@
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
 from citronspan.core.shards import Shard, ShardKey, choose_shard
 from citronspan.core.verdicts import Verdict, VerdictPush, VerdictTable
+from citronspan.ops.broker_log import BrokerLog
 from citronspan.ops.own_choice import OwnChoice
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.pending_answers import PendingAnswers
@@ -81,6 +82,7 @@
         self.heard = VerdictTable()
         self._quarantine = Quarantine()
         self._target_log = TargetLog()
+        self._broker_log = BrokerLog()
         self.own_choice = OwnChoice(heard=self.heard)
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
 
@@ -227,6 +229,7 @@
         """
         outgoing = []
         with self._lock:
+            self._broker_log.write(self.brokers.describe())
             for key, health in self.brokers.list_health():
                 changed = self._target_log.write(key, health)
                 verdicts = health.issue_verdicts()
@@ -313,6 +316,9 @@
                 self._give_up(broker, request)
                 break
             broker = answer.broker
+        if region != self._region:
+            # Only a broker there keeps the budget of the link.
+            return _refuse(result_codes.NO_CAPACITY)
         return self._choose_alone(shard, ask)
 
     def _make_request(self, key, ask):
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -1,8 +1,11 @@
+import dataclasses
+import os
 import threading
 import time
 
 import pytest
 
+from citronspan.core import result_codes
 from citronspan.core.health import KnownTarget
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
@@ -11,6 +14,8 @@
 from citronspan.ops.slot_service import SlotService
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
 
+# Two suites may run on one machine at once.
+NETWORK = f"127.{64 + os.getpid() % 128}"
 WAIT_SECONDS = 0.05
 # A request must be given a slot or a refusal long before its own deadline.
 DEADLINE_SECONDS = 5.0
@@ -18,7 +23,7 @@
 TARGETS = tuple(
     KnownTarget(
         name=f"t{number}",
-        address=f"127.0.31.9:{number + 1}",
+        address=f"{NETWORK}.31.9:{number + 1}",
         region="r",
         data_centre="d",
         slots=1,
@@ -94,7 +99,7 @@
 @pytest.fixture
 def pair():
     """The broker of the only shard, and an entry that asks it."""
-    running = [Running("a", "127.0.31.1"), Running("b", "127.0.31.2")]
+    running = [Running("a", f"{NETWORK}.31.1"), Running("b", f"{NETWORK}.31.2")]
     nodes = tuple(item.node for item in running)
     for item in running:
         item.slots.set_nodes(nodes)
@@ -167,3 +172,12 @@
         slot = asker.ask()
         if isinstance(slot, Slot):
             assert slot.target != "t0"
+
+
+def test_no_request_crosses_the_link_without_a_broker_that_keeps_its_budget(pair):
+    broker, asker = pair
+    far = tuple(dataclasses.replace(target, region="far") for target in TARGETS)
+    asker.slots.set_services({"s": ServiceSpec()}, {"s": far}, frozenset())
+    answer = asker.ask()
+    assert isinstance(answer, SlotRefused)
+    assert answer.code == result_codes.NO_CAPACITY
--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -5,13 +5,17 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import logbook
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.io.inputs.argv_input import ArgvInput
 
+from citronspan.core import log_events
 from citronspan.core.errors import CitronspanError
 from citronspan.core.settings import read_settings
-from citronspan.utils.logs import start_logging
+from citronspan.utils.logs import start_logging, write_event
+
+_logger = logbook.Logger("process")
 
 
 class Process(Protocol):
@@ -38,10 +42,14 @@
     try:
         settings = read_settings(path, settings_type)
         start_logging(settings.log_level)
-        process: Process = make(settings)
     except CitronspanError as error:
         print(error, file=sys.stderr)
         return error.code.http_status
+    try:
+        process: Process = make(settings)
+    except CitronspanError as error:
+        write_event(_logger, log_events.STARTUP_FAILED, reason=str(error))
+        return error.code.http_status
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.request_stop())
     process.run()
--- a/citronspan/utils/traces.py
+++ b/citronspan/utils/traces.py
@@ -1,6 +1,8 @@
 """OpenTelemetry spans: one per hop, the context passed on by ``traceparent``."""
 
+import contextlib
 import os
+from contextlib import AbstractContextManager
 
 from opentelemetry import trace
 from opentelemetry.sdk.resources import Resource
@@ -56,3 +58,29 @@
     )
     provider.add_span_processor(BatchSpanProcessor(span_exporter))
     return provider.get_tracer("citronspan")
+
+
+def start_span(
+    tracer: trace.Tracer, name: str, headers: dict[str, str] | None = None
+) -> AbstractContextManager[trace.Span]:
+    """Begin a span that lasts as long as the returned context.
+
+    Args:
+        tracer: The tracer of the process.
+        name: Name of the hop.
+        headers: Trace headers of the caller, for the first span of a request.
+
+    Returns:
+        The context. Where nothing is recorded it is an empty one, because entering
+        and leaving the library's contexts costs processor time on each hop.
+    """
+    if isinstance(tracer, trace.NoOpTracer):
+        return contextlib.nullcontext(trace.INVALID_SPAN)
+    context = PROPAGATOR.extract(headers) if headers else None
+    return tracer.start_as_current_span(name, context=context)
+
+
+def pass_on_context(tracer: trace.Tracer, headers: dict[str, str]) -> None:
+    """Put the context of the present span into the headers of the next hop."""
+    if not isinstance(tracer, trace.NoOpTracer):
+        PROPAGATOR.inject(headers)
--- a/citronspan_standins/failures_test.py
+++ b/citronspan_standins/failures_test.py
@@ -1,6 +1,7 @@
 """Failures of whole processes: the promises to callers while parts of a fleet fail."""
 
 import hashlib
+import os
 import signal
 import subprocess
 import threading
@@ -35,7 +36,7 @@
     """A fleet whose processes a test may signal by their names."""
 
     def __init__(self, directory):
-        self.fleet = find_free_fleet(directory)
+        self.fleet = find_free_fleet(directory, first=os.getpid())
         write_files(self.fleet)
         self.demo = Demo(fleet=self.fleet)
         self.process_by_name = {}
--- a/citronspan_standins/fleet.py
+++ b/citronspan_standins/fleet.py
@@ -136,16 +136,18 @@
     return True
 
 
-def find_free_fleet(directory: Path) -> Fleet:
+def find_free_fleet(directory: Path, first: int = 0) -> Fleet:
     """Return a fleet in the first network whose addresses are free.
 
     Args:
         directory: Where settings and logs are to be written.
+        first: Number to begin at, so that fleets that start at once differ.
 
     Raises:
         OSError: If no network is free.
     """
-    for network in NETWORKS:
+    for offset in NETWORKS:
+        network = NETWORKS[(first + offset) % len(NETWORKS)]
         fleet = Fleet(network=network, directory=directory)
         if not fleet.find_taken_addresses():
             return fleet
