--- a/bench/hop.py
+++ b/bench/hop.py
@@ -13,8 +13,6 @@
 import http.client
 import math
 import os
-import signal
-import subprocess
 import sys
 import tempfile
 import threading
@@ -39,6 +37,7 @@
     check_ready,
 )
 from citronspan_standins.fleet import Fleet
+from citronspan_standins.fleet_processes import FleetProcesses
 
 RATES_PER_SECOND = (83, 150, 300)
 BLOCK_SECONDS = 1.0
@@ -104,7 +103,7 @@
     """A fleet with the processes that were started for it."""
 
     fleet: Fleet
-    process_by_name: dict[str, subprocess.Popen]
+    processes: FleetProcesses
 
 
 @contextlib.contextmanager
@@ -122,16 +121,17 @@
         fleets.write_files(fleet)
         for host in fleet.hosts:
             write_entry_settings(fleet, host, tracing=tracing)
-        process_by_name = {}
+        processes = FleetProcesses(
+            fleet=fleet, processes=fleets.list_processes(fleet, TARGET_SWITCHES)
+        )
         try:
-            for process in fleets.list_processes(fleet, TARGET_SWITCHES):
-                process_by_name[process.name] = start_process(fleet, process)
+            processes.start_all()
             demo = Demo(fleet=fleet)
             for check in (check_ready, check_apply, check_in_force, check_directory):
                 check(demo)
-            yield RunningFleet(fleet=fleet, process_by_name=process_by_name)
+            yield RunningFleet(fleet=fleet, processes=processes)
         finally:
-            stop_processes(process_by_name.values())
+            processes.end_all()
 
 
 def write_entry_settings(fleet, host, *, tracing):
@@ -142,27 +142,6 @@
     path.write_bytes(msgspec.json.encode(settings))
 
 
-def start_process(fleet, process):
-    with open(fleet.directory / f"{process.name}.log", "wb") as log:
-        return subprocess.Popen(
-            [sys.executable, *process.arguments],
-            cwd=fleets.PROJECT,
-            stdout=log,
-            stderr=subprocess.STDOUT,
-        )
-
-
-def stop_processes(processes):
-    for process in processes:
-        process.send_signal(signal.SIGTERM)
-    for process in processes:
-        try:
-            process.wait(STOP_SECONDS)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
-
-
 class OpenLoop:
     """Sends requests at scheduled times over one kept connection a thread."""
 
@@ -228,7 +207,7 @@
 
 def read_usage(running: RunningFleet, name: str) -> Usage:
     """Read what a process has used from /proc."""
-    pid = running.process_by_name[name].pid
+    pid = running.processes.find_id(name)
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     return Usage(
--- a/bench/keyed_requests.py
+++ b/bench/keyed_requests.py
@@ -8,7 +8,6 @@
 
 import json
 import os
-import subprocess
 import sys
 import tempfile
 import time
@@ -27,39 +26,19 @@
     check_ready,
 )
 from citronspan_standins.fleet import (
-    PROJECT,
     find_free_fleet,
     list_processes,
     write_files,
 )
+from citronspan_standins.fleet_processes import FleetProcesses
 
 PAIRS = 300
 PAIRS_PER_SECOND = 40
 SERVICE_SECONDS = 0.005
-END_SECONDS = 10.0
 PATH = "/pack-uploads/keyed"
 BODY = b"x" * 200
 
 
-def start_fleet(fleet):
-    return [
-        subprocess.Popen(
-            process.format_command(fleet.directory), cwd=PROJECT, shell=True
-        )
-        for process in list_processes(fleet)
-    ]
-
-
-def end_fleet(processes):
-    for process in processes:
-        process.terminate()
-    for process in processes:
-        try:
-            process.wait(END_SECONDS)
-        except subprocess.TimeoutExpired:
-            process.kill()
-
-
 def set_service_seconds(demo):
     for address in demo.fleet.target_address_by_name.values():
         body = json.dumps({"serviceSeconds": SERVICE_SECONDS})
@@ -121,14 +100,15 @@
     with tempfile.TemporaryDirectory(prefix="citronspan-bench-") as directory:
         fleet = find_free_fleet(Path(directory))
         write_files(fleet)
-        processes = start_fleet(fleet)
+        processes = FleetProcesses(fleet=fleet, processes=list_processes(fleet))
+        processes.start_all()
         try:
             demo = Demo(fleet=fleet)
             for check in (check_ready, check_apply, check_in_force, check_membership):
                 check(demo)
             report = measure(demo)
         finally:
-            end_fleet(processes)
+            processes.end_all()
     if "--json" in sys.argv:
         print(json.dumps(report, indent=2))
         return
--- a/citronspan_standins/failures_test.py
+++ b/citronspan_standins/failures_test.py
@@ -3,7 +3,6 @@
 import hashlib
 import os
 import signal
-import subprocess
 import threading
 import time
 import uuid
@@ -22,11 +21,11 @@
     check_ready,
 )
 from citronspan_standins.fleet import (
-    PROJECT,
     find_free_fleet,
     list_processes,
     write_files,
 )
+from citronspan_standins.fleet_processes import FleetProcesses
 
 BOUND_SECONDS = 20.0
 REGION = "svealand"
@@ -39,38 +38,13 @@
         self.fleet = find_free_fleet(directory, first=os.getpid())
         write_files(self.fleet)
         self.demo = Demo(fleet=self.fleet)
-        self.process_by_name = {}
         self.http = urllib3.PoolManager(
             timeout=BOUND_SECONDS, retries=False, maxsize=16
         )
-        self.command_by_name = {
-            process.name: process.format_command(directory)
-            for process in list_processes(self.fleet)
-        }
-
-    def start(self, name):
-        self.process_by_name[name] = subprocess.Popen(
-            self.command_by_name[name], cwd=PROJECT, shell=True
+        self.processes = FleetProcesses(
+            fleet=self.fleet, processes=list_processes(self.fleet)
         )
 
-    def signal(self, name, number):
-        self.process_by_name[name].send_signal(number)
-
-    def kill(self, name):
-        self.signal(name, signal.SIGKILL)
-        self.process_by_name[name].wait(BOUND_SECONDS)
-
-    def end(self):
-        for process in self.process_by_name.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
-        for process in self.process_by_name.values():
-            try:
-                process.wait(BOUND_SECONDS)
-            except subprocess.TimeoutExpired:
-                process.kill()
-
     def find_host(self, name):
         return next(host for host in self.fleet.hosts if host.name == name)
 
@@ -117,15 +91,14 @@
 def running(tmp_path_factory):
     running = RunningFleet(tmp_path_factory.mktemp("fleet"))
     try:
-        for name in running.command_by_name:
-            running.start(name)
+        running.processes.start_all()
         check_ready(running.demo)
         check_apply(running.demo)
         check_in_force(running.demo)
         check_membership(running.demo)
         yield running
     finally:
-        running.end()
+        running.processes.end_all()
 
 
 def browse_all(running, hosts, count=40):
@@ -151,19 +124,19 @@
 
 def test_a_frozen_broker_costs_no_request(running):
     broker, other = find_roles(running)
-    running.signal(f"{broker}-entry", signal.SIGSTOP)
+    running.processes.signal(f"{broker}-entry", signal.SIGSTOP)
     try:
         assert set(browse_all(running, [other])) == {200}
     finally:
-        running.signal(f"{broker}-entry", signal.SIGCONT)
+        running.processes.signal(f"{broker}-entry", signal.SIGCONT)
     wait_until(lambda: set(browse_all(running, [broker, other], 4)) == {200})
 
 
 def test_a_killed_broker_costs_the_others_no_request_and_may_come_back(running):
     broker, other = find_roles(running)
-    running.kill(f"{broker}-entry")
+    running.processes.kill(f"{broker}-entry")
     assert set(browse_all(running, [other])) == {200}
-    running.start(f"{broker}-entry")
+    running.processes.start(f"{broker}-entry")
     wait_until(lambda: running.send(broker, "GET", "/packs/1").status == 200)
     assert set(browse_all(running, [broker, other])) == {200}
 
@@ -187,12 +160,12 @@
     key = make_key(running, "host-1")
     first = purchase(running, "host-1", key)
     assert first.status == 200
-    running.kill("host-1-entry")
+    running.processes.kill("host-1-entry")
     again = purchase(running, "host-2", key)
     assert again.status in (200, 409)
     if again.status != 200:
         assert again.headers["Citronspan-Ran"] == "may-have-run"
-    running.start("host-1-entry")
+    running.processes.start("host-1-entry")
     wait_until(lambda: running.send("host-1", "GET", "/packs/1").status == 200)
     late = purchase(running, "host-1", key)
     assert late.status != 200 or late.data == first.data
@@ -233,13 +206,13 @@
 
 
 def test_entries_serve_and_start_while_the_log_is_away(running):
-    running.kill("log")
+    running.processes.kill("log")
     try:
         assert set(browse_all(running, ["host-1", "host-2", "host-3"])) == {200}
         before = running.ask_agent("host-3", "/status")["offset"]
         for role in ("agent", "entry"):
-            running.kill(f"host-3-{role}")
-            running.start(f"host-3-{role}")
+            running.processes.kill(f"host-3-{role}")
+            running.processes.start(f"host-3-{role}")
         wait_until(lambda: running.send("host-3", "GET", "/packs/1").status == 200)
         assert running.ask_agent("host-3", "/status")["offset"] >= before
         api = running.find_host("host-1").get_address(API_PORT)
@@ -251,7 +224,7 @@
         assert answer.status == 503
         assert b"2004" in answer.data
     finally:
-        running.start("log")
+        running.processes.start("log")
 
 
 def test_a_stop_cuts_no_upload_in_flight(running):
@@ -274,10 +247,10 @@
     thread = threading.Thread(target=upload)
     thread.start()
     assert began.wait(BOUND_SECONDS)
-    running.signal("host-2-entry", signal.SIGTERM)
+    running.processes.signal("host-2-entry", signal.SIGTERM)
     thread.join(BOUND_SECONDS)
     assert answers[0].status == 200
     assert msgspec.json.decode(answers[0].data)["bodyDigest"] == digest
-    assert running.process_by_name["host-2-entry"].wait(BOUND_SECONDS) == 0
+    assert running.processes.wait("host-2-entry") == 0
     addresses = running.ask_agent("host-1", f"/directory?region={REGION}")["addresses"]
     assert running.find_host("host-2").get_address(CALLERS_PORT) not in addresses
