--- a/citronspan/core/shards.py
+++ b/citronspan/core/shards.py
@@ -169,6 +169,11 @@
         self._node_by_name: dict[str, NodeInfo] = {}
         self._names_by_region: dict[str, set[str]] = {}
         self._broker_by_key: dict[ShardKey, str] = {}
+        self._addresses: frozenset[str] = frozenset()
+
+    def has_address(self, address: str) -> bool:
+        """Return whether an entry with a peer address is serving."""
+        return address in self._addresses
 
     def set_nodes(self, nodes: Iterable[NodeInfo]) -> None:
         """Take a new view.
@@ -179,6 +184,9 @@
         serving = {node.name: node for node in nodes if node.entry_state == "serving"}
         before = self._node_by_name
         self._node_by_name = serving
+        self._addresses = frozenset(
+            node.entry_peer_address for node in serving.values()
+        )
         self._names_by_region = {}
         for node in serving.values():
             self._names_by_region.setdefault(node.region, set()).add(node.name)
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -85,7 +85,9 @@
             self._make_handler(),
             threads=settings.worker_threads,
         )
-        self.metrics.registry.register(ShardCollector(describe=self.slots.describe))
+        self.metrics.registry.register(
+            ShardCollector(describe=self.slots.news.describe)
+        )
         self._metrics_server = make_metrics_server(
             settings.metrics_address, self.metrics.registry
         )
@@ -152,10 +154,10 @@
             self._take_view(message)
             return
         if isinstance(message, VerdictPush):
-            self.slots.merge_verdicts(message.verdicts)
+            self.slots.news.merge_verdicts(message.verdicts)
             return
         if isinstance(message, PoisonNotice):
-            self.slots.merge_notice(message)
+            self.slots.news.merge_notice(message)
             return
         if isinstance(message, KeyMessage):
             self.keys.handle(envelope.sender, message)
@@ -212,8 +214,8 @@
         self.keys.advance()
         if now - self._verdicts_at >= VERDICTS_SECONDS:
             self._verdicts_at = now
-            self.link.send_all(self.slots.take_verdicts())
-            self.link.send_all(self.slots.take_notices())
+            self.link.send_all(self.slots.news.take_verdicts())
+            self.link.send_all(self.slots.news.take_notices())
         if now - self._reported_at < REPORT_SECONDS:
             return
         self._report()
@@ -227,8 +229,8 @@
             offset=self.configuration.offset,
             view_sequence=self.view.sequence,
             in_flight=self.metrics.read_in_flight(),
-            shards=self.slots.describe(),
-            sick_targets=self.slots.describe_heard(),
+            shards=self.slots.news.describe(),
+            sick_targets=self.slots.news.describe_heard(),
         )
         self.link.send(self.settings.agent_peer_address, report)
 
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -27,22 +27,19 @@
 from citronspan.core.broker_set import BrokerSet
 from citronspan.core.health import KnownTarget
 from citronspan.core.message_base import Message, Outgoing
-from citronspan.core.node_messages import NodeInfo, ShardReport, TargetReport
+from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome
-from citronspan.core.poison import PoisonNotice
 from citronspan.core.portable_health import ShardHealth
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
 from citronspan.core.shards import Shard, ShardKey, choose_shard
-from citronspan.core.verdicts import Verdict, VerdictPush, VerdictTable
-from citronspan.ops.broker_log import BrokerLog
+from citronspan.core.verdicts import VerdictTable
+from citronspan.ops.health_news import HealthNews
 from citronspan.ops.own_choice import OwnChoice
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.pending_answers import PendingAnswers
 from citronspan.ops.quarantine import Quarantine
-from citronspan.ops.shard_report import make_heard_report, make_shard_report
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
-from citronspan.ops.target_log import TargetLog
 from citronspan.utils.logs import write_event
 
 ATTEMPT_BITS = 63
@@ -81,10 +78,16 @@
         self._target_by_name: dict[str, tuple[str, KnownTarget]] = {}
         self.heard = VerdictTable()
         self._quarantine = Quarantine()
-        self._target_log = TargetLog()
-        self._broker_log = BrokerLog()
         self.own_choice = OwnChoice(heard=self.heard)
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
+        self.news = HealthNews(
+            name=name,
+            lock=self._lock,
+            brokers=self.brokers,
+            heard=self.heard,
+            quarantine=self._quarantine,
+            find_target=lambda target: self._target_by_name.get(target),
+        )
 
     def acquire(self, ask: SlotAsk) -> Slot | SlotRefused:
         """Return a slot, or at once the reason why there is none.
@@ -124,10 +127,9 @@
         """Return the broker that granted, or its successor once that one is gone."""
         with self._lock:
             table = self.brokers.table
-            live = {node.entry_peer_address for node in table.list_nodes()}
-            if slot.broker and (slot.broker in live or not live):
+            if slot.broker and table.has_address(slot.broker):
                 return slot.broker
-            return table.find_address(slot.shard)
+            return table.find_address(slot.shard) or slot.broker
 
     def handle(self, sender: str, message: BrokerMessage | EntryMessage) -> None:
         """Take a message of a broker or to one from the peer link."""
@@ -143,32 +145,6 @@
             outgoing = self.brokers.handle(sender, message)
         self._emit(outgoing)
 
-    def merge_notice(self, notice: PoisonNotice) -> None:
-        """Take another entry's word on a request that crashes targets."""
-        with self._lock:
-            self._quarantine.merge(notice)
-
-    def take_notices(self) -> list[Outgoing]:
-        """Withdraw the blame of quarantined requests from targets and tell others."""
-        with self._lock:
-            for service, fingerprint in self._quarantine.take_quarantined():
-                for key, health in self.brokers.list_health():
-                    if key.service == service:
-                        health.withdraw(fingerprint)
-            table = self.brokers.table
-            brokers_by_service: dict[str, set[str]] = {}
-            for (service, _), shards in self.brokers.shards_by_group.items():
-                found = {table.find_address(shard.key) for shard in shards}
-                brokers_by_service.setdefault(service, set()).update(found)
-            entries = {node.entry_peer_address for node in table.list_nodes()}
-            entries.discard(self._link.address)
-            return self._quarantine.take_notices(brokers_by_service, entries)
-
-    def merge_verdicts(self, verdicts: tuple[Verdict, ...]) -> None:
-        """Take verdicts of another broker."""
-        with self._lock:
-            self.heard.merge(verdicts)
-
     def advance(self) -> None:
         """Let time pass; called by the process's tick."""
         with self._lock:
@@ -221,51 +197,6 @@
             }
         self._emit(outgoing)
 
-    def take_verdicts(self) -> list[Outgoing]:
-        """Return verdicts for the entries that may have to choose by themselves.
-
-        They go to the shard's region when something changed and are renewed while
-        a target is not healthy, so a fleet without sick targets sends none.
-        """
-        outgoing = []
-        with self._lock:
-            self._broker_log.write(self.brokers.describe())
-            for key, health in self.brokers.list_health():
-                changed = self._target_log.write(key, health)
-                verdicts = health.issue_verdicts()
-                is_sick = any(verdict.state != "healthy" for verdict in verdicts)
-                if not changed and not is_sick:
-                    continue
-                message = VerdictPush(service=key.service, verdicts=verdicts)
-                outgoing += [
-                    Outgoing(to=node.entry_peer_address, message=message)
-                    for node in self.brokers.table.list_nodes()
-                    if node.region == key.region and node.name != self._name
-                ]
-        return outgoing
-
-    def describe(self) -> tuple[ShardReport, ...]:
-        """Return what this entry's brokers are doing."""
-        with self._lock:
-            return tuple(
-                make_shard_report(status, health.describe(), broker=self._name)
-                for status, health in self.brokers.describe_with_health()
-            )
-
-    def describe_heard(self) -> tuple[TargetReport, ...]:
-        """Return the targets that other brokers hold as not healthy."""
-        now = time.monotonic()
-        reports = []
-        with self._lock:
-            for held in self.heard.list_sick():
-                found = self._target_by_name.get(held.verdict.target)
-                if found is None or found[1].address != held.verdict.address:
-                    continue
-                service, known = found
-                report = make_heard_report(held, service=service, known=known, now=now)
-                reports.append(report)
-        return tuple(reports)
-
     def hand_over_all(self) -> None:
         """Hand every brokered shard to the entry that is next, before a stop."""
         with self._lock:
