--- a/citronspan_standins/failures_test.py
+++ b/citronspan_standins/failures_test.py
@@ -1,5 +1,6 @@
 """Failures of whole processes: the promises to callers while parts of a fleet fail."""
 
+import contextlib
 import hashlib
 import os
 import signal
@@ -254,3 +255,30 @@
     assert running.processes.wait("host-2-entry") == 0
     addresses = running.ask_agent("host-1", f"/directory?region={REGION}")["addresses"]
     assert running.find_host("host-2").get_address(CALLERS_PORT) not in addresses
+
+
+def test_a_stop_that_reaches_its_bound_says_so_and_ends(running):
+    began = threading.Event()
+    ended = threading.Event()
+
+    def read_parts():
+        yield b"begun"
+        began.set()
+        ended.wait(BOUND_SECONDS)
+        yield b"never in time"
+
+    def upload():
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            running.send("host-4", "PUT", "/pack-uploads/slow", body=read_parts())
+
+    thread = threading.Thread(target=upload)
+    thread.start()
+    assert began.wait(BOUND_SECONDS)
+    running.processes.signal("host-4-entry", signal.SIGTERM)
+    try:
+        assert running.processes.wait("host-4-entry") == 0
+    finally:
+        ended.set()
+        thread.join(BOUND_SECONDS)
+    log = (running.fleet.directory / "host-4-entry.log").read_text()
+    assert '"number":203' in log
