--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -145,6 +145,20 @@
             "rss_mb_max",
         ),
     ),
+    Table(
+        name="resources",
+        file="spread-resources.json",
+        each="costs",
+        columns=(
+            "agents",
+            "resources",
+            "phase",
+            "cpu_percent_mean",
+            "cpu_percent_max",
+            "sent_bytes_per_second_mean",
+            "rss_mb_max",
+        ),
+    ),
     Table(
         name="keys",
         file="keys.json",
