Drop two functions that nothing calls

Cause: the read-through of the whole change found SlotQueue.find_earliest_deadline and KeyService.count_dropped without a caller. Ruled out: readable, has_data and _get_chunk_left, which the libraries call by name. Change: both removed, behaviour as before.

--- a/citronspan/core/slot_queue.py
+++ b/citronspan/core/slot_queue.py
@@ -66,10 +66,6 @@
         """Return the request that is given up first."""
         return self._in_order[-1] if self._in_order else None
 
-    def find_earliest_deadline(self) -> float:
-        """Return the earliest deadline of all, infinity without requests."""
-        return self._by_deadline[0].deadline_at if self._by_deadline else float("inf")
-
     def list_from(self, place: int) -> list[WaitingRequest]:
         """Return the requests from a place on, in order."""
         return list(self._in_order.islice(place))
--- a/citronspan/ops/key_service.py
+++ b/citronspan/ops/key_service.py
@@ -215,10 +215,6 @@
             self._log_changes()
         self._emit(events)
 
-    def count_dropped(self) -> int:
-        """Return how many answers came too late for their worker."""
-        return self._pending.dropped
-
     def is_idle(self) -> bool:
         """Return whether no attempt waits and no report is on its way.
 
