--- a/citronspan/core/config_spread_tree.py
+++ b/citronspan/core/config_spread_tree.py
@@ -103,6 +103,14 @@
     return readers
 
 
+def rank_in_region(own: NodeInfo, nodes: tuple[NodeInfo, ...]) -> list[NodeInfo]:
+    """Return the nodes of a node's region, this one included, readers first."""
+    node_by_name = {node.name: node for node in nodes if node.region == own.region}
+    node_by_name[own.name] = own
+    ranking = _rank_readers(node_by_name, own.region)
+    return [node_by_name[name] for name in ranking]
+
+
 def _rank_readers(names, region):
     return rank_members(names, f"configuration-readers {region}")
 
--- a/citronspan/core/config_start.py
+++ b/citronspan/core/config_start.py
@@ -46,6 +46,10 @@
         """Whether the node may serve what it has."""
         return self._open
 
+    def open(self) -> None:
+        """Open the gate for a reason of the caller's."""
+        self._open = True
+
     def update(self, facts: StartFacts) -> bool:
         """Look at the facts.
 
--- /dev/null
+++ b/citronspan/core/feed_spread.py
@@ -0,0 +1,273 @@
+"""Spreading of the platform's feeds among agents, as messages in and messages out.
+
+A few nodes of each region read the store all the time and pass on what they read,
+with its age, along the trees of ``config_spread_tree``. Whoever hears nothing fresh
+for ``STALE_SECONDS`` reads the store itself, so that neither the loss of all readers
+nor a store that turns some hosts away leaves a node behind. Offsets only grow.
+"""
+
+import math
+import random
+import time
+from collections import deque
+
+from citronspan.core.config_spread import SpreadResult
+from citronspan.core.config_spread_tree import SpreadPlan, make_plan, rank_in_region
+from citronspan.core.config_state import ConfigState
+from citronspan.core.feed_messages import FeedNews, FeedOffsets, FeedPull
+from citronspan.core.feeds import FEEDS, Feed, FeedBatch, FeedFolder
+from citronspan.core.message_base import Message, Outgoing
+from citronspan.core.node_messages import NodeInfo
+
+READERS_PER_REGION = 2
+STALE_SECONDS = 1.4
+"""Age of what a node knows from which on it reads the store itself.
+
+A target that leaves must get no request 2.5 s after the store took the news, so that
+the loss of all readers has to be made up for in less.
+"""
+
+STALE_SPREAD_SECONDS = 0.4
+"""Longest random delay more, so that nodes don't all turn to the store at once."""
+
+FRESHER_SECONDS = 0.3
+"""News that is fresher by this much is passed on though it brings no record."""
+
+COMPARE_SECONDS = 1.0
+PULL_SECONDS = 0.3
+RECENT_RECORDS = 256
+
+
+class FeedSpread:
+    """The feeds of one node and its part in spreading them; a ``Spread``."""
+
+    def __init__(self, *, own: NodeInfo, seed: int | None = None):
+        self._own = own
+        self._random = random.Random(seed)
+        self._nodes: tuple[NodeInfo, ...] = (own,)
+        self._plan_names: tuple = ()
+        self._plan = SpreadPlan(rank=0, receivers=())
+        self._reader_addresses: tuple[str, ...] = ()
+        self._feed_by_name = {name: Feed(name=name) for name in FEEDS}
+        self._folder = FeedFolder()
+        self._recent_by_feed = {name: deque() for name in FEEDS}
+        self._state = ConfigState()
+        self._offset_by_address: dict[str, int] = {}
+        self._read_at_by_feed = dict.fromkeys(FEEDS, -math.inf)
+        self._fresh_at = -math.inf
+        self._compared_at = -math.inf
+        self._pulled_at = -math.inf
+        self._patience = STALE_SECONDS + STALE_SPREAD_SECONDS * self._random.random()
+
+    @property
+    def state(self) -> ConfigState:
+        """The state in force."""
+        return self._state
+
+    @property
+    def plan(self) -> SpreadPlan:
+        """What this node does in spreading."""
+        return self._plan
+
+    @property
+    def offset_by_address(self) -> dict[str, int]:
+        """Sum of the offsets that each peer last said it has."""
+        return dict(self._offset_by_address)
+
+    @property
+    def offsets(self) -> FeedOffsets:
+        """How far this node has got."""
+        return FeedOffsets(
+            **{name: feed.next_offset for name, feed in self._feed_by_name.items()}
+        )
+
+    @property
+    def age_seconds(self) -> float:
+        """Time since the store was known to hold no more than this node."""
+        return time.monotonic() - self._fresh_at
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this node is one that reads the store all the time."""
+        return self._plan.rank < READERS_PER_REGION
+
+    def is_due_to_read(self) -> bool:
+        """Return whether this node is to read the store now."""
+        return self.is_reader or self.age_seconds > self._patience
+
+    def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
+        """Take the nodes that are live now."""
+        self._nodes = nodes
+        names = tuple(
+            (node.name, node.agent_peer_address)
+            for node in nodes
+            if node.region == self._own.region
+        )
+        if names == self._plan_names:
+            return
+        self._plan_names = names
+        self._plan = make_plan(self._own, nodes)
+        self._reader_addresses = tuple(
+            node.agent_peer_address
+            for node in rank_in_region(self._own, nodes)[:READERS_PER_REGION]
+            if node.name != self._own.name
+        )
+
+    def take_read(self, batch: FeedBatch) -> SpreadResult:
+        """Take what this node read from the store, up to its end at that time.
+
+        Args:
+            batch: What was read; empty where there was nothing new.
+
+        Returns:
+            What to send, and the state if it changed.
+        """
+        feed = self._feed_by_name[batch.feed]
+        changed = feed.apply(batch)
+        if changed:
+            self._remember(batch)
+        before = self._fresh_at
+        if feed.next_offset >= batch.next_offset:
+            self._read_at_by_feed[batch.feed] = time.monotonic()
+            self._fresh_at = max(before, min(self._read_at_by_feed.values()))
+        is_fresher = self._fresh_at > before + FRESHER_SECONDS
+        if not changed and not is_fresher:
+            return SpreadResult()
+        return self._spread((batch,) if changed else (), sender="")
+
+    def take_message(self, body: Message, sender: str) -> SpreadResult:
+        """Take a message of another agent.
+
+        Args:
+            body: One of the ``Feed...`` messages.
+            sender: Peer address of the sender.
+
+        Returns:
+            What to send, and the state if it changed.
+        """
+        if isinstance(body, FeedPull):
+            return SpreadResult(outgoing=(self._answer(body.offsets, sender),))
+        if isinstance(body, FeedNews):
+            return self._take_news(body, sender)
+        return SpreadResult()
+
+    def tick(self) -> SpreadResult:
+        """Compare with a peer where that is due, and drop what has lapsed."""
+        adopted = None
+        lapsed = [feed.expire() for feed in self._feed_by_name.values()]
+        if any(lapsed):
+            adopted = self._refold()
+        return SpreadResult(outgoing=self._compare(), adopted=adopted)
+
+    def _take_news(self, news, sender):
+        offsets = news.offsets
+        self._offset_by_address[sender] = offsets.configuration + offsets.targets
+        new = tuple(
+            batch
+            for batch in news.batches
+            if self._feed_by_name[batch.feed].apply(batch)
+        )
+        for batch in new:
+            self._remember(batch)
+        before = self._fresh_at
+        if self._has(offsets):
+            self._fresh_at = max(before, time.monotonic() - news.age_seconds)
+        is_fresher = self._fresh_at > before + FRESHER_SECONDS
+        result = SpreadResult()
+        if new or is_fresher:
+            result = self._spread(new, sender=sender)
+        more = []
+        if not self._has(offsets):
+            more = self._pull(sender)
+        elif news.wants_answer and self._is_ahead(offsets):
+            more = [self._answer(offsets, sender)]
+        return SpreadResult(outgoing=(*result.outgoing, *more), adopted=result.adopted)
+
+    def _has(self, offsets):
+        return all(
+            feed.next_offset >= offsets.find(name)
+            for name, feed in self._feed_by_name.items()
+        )
+
+    def _is_ahead(self, offsets):
+        return any(
+            feed.next_offset > offsets.find(name)
+            for name, feed in self._feed_by_name.items()
+        )
+
+    def _spread(self, batches, *, sender):
+        adopted = self._refold() if batches else None
+        message = self._make_news(batches)
+        receivers = set(self._plan.receivers)
+        if not self.is_reader and not sender:
+            receivers.update(self._reader_addresses)
+        if sender == "":
+            # A reader tells the other region too, whose readers may be turned away.
+            receivers.update(self._choose_far())
+        receivers.discard(sender)
+        outgoing = tuple(Outgoing(to=to, message=message) for to in sorted(receivers))
+        return SpreadResult(outgoing=outgoing, adopted=adopted)
+
+    def _choose_far(self):
+        far = [node for node in self._nodes if node.region != self._own.region]
+        if not far or self._plan.rank != 0:
+            return ()
+        readers = rank_in_region(far[0], tuple(far))[:READERS_PER_REGION]
+        return tuple(node.agent_peer_address for node in readers)
+
+    def _make_news(self, batches, *, wants_answer=False):
+        return FeedNews(
+            offsets=self.offsets,
+            age_seconds=self.age_seconds,
+            batches=tuple(batches),
+            wants_answer=wants_answer,
+        )
+
+    def _refold(self):
+        self._state = self._folder.fold(self._feed_by_name.values(), before=self._state)
+        return self._state
+
+    def _remember(self, batch):
+        recent = self._recent_by_feed[batch.feed]
+        if batch.whole:
+            recent.clear()
+            return
+        recent.append(batch)
+        while sum(len(item.records) for item in recent) > RECENT_RECORDS:
+            recent.popleft()
+
+    def _answer(self, offsets, to):
+        batches = []
+        for name, feed in self._feed_by_name.items():
+            if offsets.find(name) < feed.next_offset:
+                batches.extend(self._find_since(feed, offsets.find(name)))
+        return Outgoing(to=to, message=self._make_news(batches))
+
+    def _find_since(self, feed, offset):
+        recent = self._recent_by_feed[feed.name]
+        if not recent or recent[0].from_offset > offset:
+            return [feed.export()]
+        return [batch for batch in recent if batch.next_offset > offset]
+
+    def _compare(self):
+        now = time.monotonic()
+        if now < self._compared_at + COMPARE_SECONDS:
+            return ()
+        self._compared_at = now
+        near = self._plan.compared
+        others = near or tuple(
+            node.agent_peer_address
+            for node in self._nodes
+            if node.name != self._own.name
+        )
+        if not others:
+            return ()
+        message = self._make_news((), wants_answer=True)
+        return (Outgoing(to=self._random.choice(others), message=message),)
+
+    def _pull(self, to):
+        now = time.monotonic()
+        if now < self._pulled_at + PULL_SECONDS:
+            return []
+        self._pulled_at = now
+        return [Outgoing(to=to, message=FeedPull(offsets=self.offsets))]
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -10,6 +10,7 @@
 
 from citronspan.core.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.config_messages import ConfigMessage
+from citronspan.core.feed_messages import FeedMessage
 from citronspan.core.key_messages import KeyMessage
 from citronspan.core.member_messages import MemberMessage
 from citronspan.core.message_base import Message
@@ -34,6 +35,7 @@
     body: (
         NodeMessage
         | ConfigMessage
+        | FeedMessage
         | KeyMessage
         | BrokerMessage
         | EntryMessage
--- a/citronspan/core/resources.py
+++ b/citronspan/core/resources.py
@@ -44,6 +44,13 @@
     DRAINING = "draining"
 
 
+class Detection(enum.StrEnum):
+    """How gray targets of a service are told from sound ones."""
+
+    SEQUENTIAL_TEST = "sequential-test"
+    SPELLS = "spells"
+
+
 class DetectionCosts(Spec, kw_only=True):
     """What mistakes of detection cost the users of a service.
 
@@ -62,14 +69,22 @@
     Attributes:
         floor: Share of the service's slots that stays in use, 0 to 1.
         costs: Costs that set the thresholds of detection.
+        detection: ``sequential-test`` where faults are rare and last, ``spells``
+            where many targets fail most requests for seconds at a time.
         retry_ratio: Retries allowed per first attempt, 0 to 1.
+        retry_slack: Retries allowed in each window beside those.
+        retry_window_seconds: Length of the window, 0 where entries keep budgets of
+            their own without a window.
         shard_size: Number of targets that one broker serves.
         link_bytes_per_second: Budget towards targets in the other region.
     """
 
     floor: float = 0.5
     costs: DetectionCosts = DetectionCosts()
+    detection: Detection = Detection.SEQUENTIAL_TEST
     retry_ratio: float = 0.1
+    retry_slack: int = 0
+    retry_window_seconds: float = 0.0
     shard_size: int = 12
     link_bytes_per_second: int = 250_000
 
@@ -84,6 +99,8 @@
         data_centre: Data centre of the target.
         slots: Requests that the target runs at once.
         intent: Whether new work may be sent.
+        incarnation: Number of its start; another one is another target.
+        cold: Whether it has just started and is slow.
     """
 
     service: str
@@ -92,6 +109,20 @@
     data_centre: str
     slots: int
     intent: TargetIntent = TargetIntent.ACTIVE
+    incarnation: int = 0
+    cold: bool = False
+
+
+class ServiceShare(Spec, kw_only=True):
+    """Part of a route's requests that goes to one service.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its part, relative to the weights of the others.
+    """
+
+    service: str
+    weight: float
 
 
 class RouteSpec(Spec, kw_only=True):
@@ -101,21 +132,28 @@
         host: Host name of the request, or ``*`` for any.
         path_prefix: Prefix of the path; the longest match wins.
         service: Name of the service.
+        shares: Services among which the requests are divided, if there are several;
+            what one of them has no room for goes to none of the others.
         request_kind: Name under which requests are counted.
         worth: Worth of one request; the least is shed first.
         idempotent: Whether a request may run more than once.
         require_key: Whether a request without an idempotency key is refused.
         deadline_seconds: Time from receipt to the end of the answer.
+        goal_seconds: Time within which an answer is worth most, 0 if all the same.
+        maximum_attempts: Number of targets that a request may be sent to.
     """
 
     host: str = "*"
     path_prefix: str
     service: str
+    shares: tuple[ServiceShare, ...] = ()
     request_kind: str
     worth: float = 1.0
     idempotent: bool = False
     require_key: bool = False
     deadline_seconds: float = 10.0
+    goal_seconds: float = 0.0
+    maximum_attempts: int = 3
 
 
 class AccountSpec(Spec, kw_only=True):
@@ -210,6 +248,8 @@
     if isinstance(spec, ServiceSpec):
         _check_range(spec.floor, 0, 1, "floor")
         _check_range(spec.retry_ratio, 0, 1, "retryRatio")
+        _check_range(spec.retry_slack, 0, 1e9, "retrySlack")
+        _check_range(spec.retry_window_seconds, 0, 3600, "retryWindowSeconds")
         _check_range(spec.shard_size, 1, 256, "shardSize")
         _check_range(spec.costs.late_second, 1e-6, 1e9, "costs.lateSecond")
         _check_range(spec.costs.false_ejection, 1e-6, 1e9, "costs.falseEjection")
@@ -222,6 +262,10 @@
             raise _invalid("$.spec.pathPrefix: must start with '/'")
         _check_range(spec.worth, 0, 1e9, "worth")
         _check_range(spec.deadline_seconds, 0.001, 3600, "deadlineSeconds")
+        _check_range(spec.goal_seconds, 0, 3600, "goalSeconds")
+        _check_range(spec.maximum_attempts, 1, 100, "maximumAttempts")
+        for share in spec.shares:
+            _check_range(share.weight, 0, 1e9, "shares.weight")
     if isinstance(spec, AccountSpec):
         _check_range(spec.requests_per_second, 0, 1e9, "requestsPerSecond")
 
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -100,6 +100,9 @@
 API_REQUEST_INVALID = _define(
     2007, "api-request-invalid", 400, _NA, "The API request is not valid."
 )
+WRITTEN_ELSEWHERE = _define(
+    2008, "written-elsewhere", 409, _NA, "The API shows these resources only."
+)
 TOO_MANY_WATCHES = _define(
     2010,
     "too-many-watches",
--- a/citronspan/core/route_table.py
+++ b/citronspan/core/route_table.py
@@ -66,6 +66,24 @@
     return None
 
 
+def choose_service(spec: RouteSpec, draw: float) -> str:
+    """Choose the service of one request by the shares of its route.
+
+    Args:
+        spec: The route.
+        draw: A random number from 0 to 1.
+
+    Returns:
+        Name of the service.
+    """
+    left = draw * sum(share.weight for share in spec.shares)
+    for share in spec.shares:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return spec.service
+
+
 def _find_longest_prefix(by_prefix, path):
     prefix = path.rstrip("/")
     while True:
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -75,9 +75,12 @@
         peer_address: ``IP:PORT`` for messages from other processes of the fleet.
         agent_peer_address: Peer address of this host's agent.
         metrics_address: ``IP:PORT`` of ``/metrics``.
+        readiness_address: ``IP:PORT`` of ``/readiness``, empty for none.
         worker_threads: Requests that the entry carries at once.
         drain_seconds: Bound on a graceful stop.
         leave_seconds: Time between leaving the directory and refusing connections.
+        reuse_seconds: Longest idle time of a connection to a target that a request
+            which may not run twice still goes over; 0 for a new connection each.
         broker_wait_seconds: Time budget of one question to a broker, queueing apart.
         tracing: How spans are exported.
         log_level: Name of a logbook level.
@@ -88,9 +91,11 @@
     peer_address: str
     agent_peer_address: str
     metrics_address: str
+    readiness_address: str = ""
     worker_threads: int = 64
     drain_seconds: float = 600.0
     leave_seconds: float = 5.0
+    reuse_seconds: float = 0.0
     broker_wait_seconds: float = 0.05
     tracing: Tracing = Tracing()
     log_level: str = "INFO"
@@ -106,6 +111,8 @@
         entry_peer_address: Peer address of this host's entry.
         entry_callers_address: Address of this host's entry for callers.
         metrics_address: ``IP:PORT`` of ``/metrics``.
+        directory_address: ``IP:PORT`` where the API is served once more, for callers
+            who ask for addresses; empty for none.
         log_url: Base URL of the platform's log service.
         host_list_url: URL of the platform's list of hosts, or empty.
         seeds: Peer addresses of agents to ask first.
@@ -122,6 +129,7 @@
     entry_callers_address: str
     metrics_address: str
     log_url: str
+    directory_address: str = ""
     host_list_url: str = ""
     seeds: tuple[str, ...] = ()
     keep_seconds: float = 5.0
@@ -136,12 +144,17 @@
     return CitronspanError(code=result_codes.SETTINGS_INVALID, detail=detail)
 
 
+_OPTIONAL_ADDRESSES = frozenset({"readiness_address", "directory_address"})
+
+
 def _check_addresses(settings, path):
     for name in settings.__struct_fields__:
         if not name.endswith("_address"):
             continue
         camel = msgspec.structs.fields(settings)
         encoded = next(field.encode_name for field in camel if field.name == name)
+        if not getattr(settings, name) and name in _OPTIONAL_ADDRESSES:
+            continue
         parse_address(getattr(settings, name), path=f"{path}: $.{encoded}")
 
 
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -1,22 +1,15 @@
 """The agent of one host: configuration, view of the fleet, API and directory."""
 
-import random
 import threading
 import time
 from collections.abc import Callable
 
 import logbook
+from prometheus_client import CollectorRegistry
 
 from citronspan.core import log_events
 from citronspan.core.config_lag import LagTracker
-from citronspan.core.config_messages import (
-    ConfigOffset,
-    ConfigPull,
-    ConfigRecords,
-    ConfigStatePart,
-)
-from citronspan.core.config_spread_tree import find_readers, rank_in_fleet
-from citronspan.core.config_start import PEERS_ASKED, StartFacts
+from citronspan.core.config_messages import ConfigOffset
 from citronspan.core.config_state import ResourceKey
 from citronspan.core.directory import DirectoryAnswer, choose_addresses
 from citronspan.core.key_token import mint_prefix
@@ -27,7 +20,7 @@
 from citronspan.core.resources import Kind, decode_resource
 from citronspan.core.settings import AgentSettings
 from citronspan.ops.agent_entry import EntryFeed
-from citronspan.ops.agent_metrics import make_registry
+from citronspan.ops.agent_metrics import register_agent
 from citronspan.ops.agent_status import (
     FleetStatus,
     TargetStatus,
@@ -35,12 +28,10 @@
     make_target_status,
 )
 from citronspan.ops.agent_view import MembershipView
-from citronspan.ops.config_tail import ConfigTail
-from citronspan.ops.config_tail_held import HeldConfig
-from citronspan.ops.config_tail_retention import RetentionKeeper
-from citronspan.ops.host_list import HostListReader
+from citronspan.ops.config_source import ConfigSource
 from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.log_client import HttpLogStore, LogStore
+from citronspan.ops.log_source import LogSource
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.peer_log import PeerLog
 from citronspan.ops.resource_api import ResourceApi, make_application
@@ -49,11 +40,11 @@
 TICK_SECONDS = 0.2
 START_TICK_SECONDS = 0.1
 API_THREADS = 24
+DIRECTORY_THREADS = 4
 STOP_SECONDS = 1.0
 # Between tries to reach the entry.
 FEED_PAUSE_SECONDS = 0.5
 ENTRY_SILENT_SECONDS = 3.0
-CONFIG_MESSAGES = (ConfigOffset, ConfigPull, ConfigRecords, ConfigStatePart)
 
 _logger = logbook.Logger("agent")
 
@@ -61,14 +52,20 @@
 class Agent:
     """One agent process."""
 
-    def __init__(self, *, settings: AgentSettings, store: LogStore | None = None):
-        self._settings = settings
+    def __init__(
+        self,
+        *,
+        settings: AgentSettings,
+        store: LogStore | None = None,
+        make_source: Callable[["Agent"], ConfigSource] | None = None,
+    ):
+        self.settings = settings
         self._stop = threading.Event()
         self._report: EntryReport | None = None
         self._reported_at = float("-inf")
         self.incarnation = time.time_ns() // 1_000_000
         own = make_own_node(settings, incarnation=self.incarnation)
-        if store is None:
+        if store is None and settings.log_url:
             store = HttpLogStore(url=settings.log_url)
         self.store = store
         self.link = PeerLink(
@@ -77,55 +74,55 @@
             incarnation=self.incarnation,
         )
         self.view = MembershipView(own=own, seeds=settings.seeds)
-        self.held = HeldConfig(own=own, send_all=self.link.send_all)
-        self.keeper = RetentionKeeper(
-            held=self.held,
-            store=self.store,
-            interval_seconds=settings.snapshot_seconds,
-            find_rank=self._find_snapshot_rank,
-        )
-        self.tail = ConfigTail(held=self.held, store=self.store, keeper=self.keeper)
+        self.source = (make_source or _make_log_source)(self)
+        self.held = self.source.held
         self._peer_log = PeerLog()
-        self.hosts = HostListReader(url=settings.host_list_url)
         self.lag = LagTracker()
         self.feed = EntryFeed(to=settings.entry_peer_address, link=self.link)
         api = ResourceApi(held=self.held, store=self.store, fleet=self)
-        self._server = make_server(
-            settings.api_address, make_application(api), threads=API_THREADS
-        )
-        self._server.shutdown_timeout = STOP_SECONDS
-        self._metrics_server = make_metrics_server(
-            settings.metrics_address, make_registry(self)
-        )
-        self._metrics_server.shutdown_timeout = STOP_SECONDS
+        self._servers = self._make_servers(api)
+
+    def _make_servers(self, api):
+        settings = self.settings
+        application = make_application(api)
+        servers = [make_server(settings.api_address, application, threads=API_THREADS)]
+        if settings.directory_address:
+            servers.append(
+                make_server(
+                    settings.directory_address, application, threads=DIRECTORY_THREADS
+                )
+            )
+        if settings.metrics_address:
+            registry = register_agent(self, CollectorRegistry())
+            servers.append(make_metrics_server(settings.metrics_address, registry))
+        for server in servers:
+            server.shutdown_timeout = STOP_SECONDS
+        return servers
 
     def run(self) -> None:
         """Serve until a stop is asked for, then end cleanly."""
         threads = [
             self._start(lambda: self.link.receive_forever(self._handle), "peers"),
-            self._start(self._keep_running(self.tail.run), "tail"),
-            self._start(self._keep_running(self.keeper.run), "retention"),
             self._start(self._keep_running(self._tick_forever), "tick"),
             self._start(self._keep_running(self._feed_forever), "feed"),
-            self._start(self._keep_running(self._read_hosts), "hosts"),
-            self._start(self._server.serve, "api"),
-            self._start(self._metrics_server.serve, "metrics"),
+            *(self._start(server.serve, "server") for server in self._servers),
+            *(
+                self._start(self._keep_running(task), name)
+                for name, task in self.source.list_tasks()
+            ),
         ]
         write_event(
             _logger,
             log_events.PROCESS_STARTED,
-            name=self._settings.place.name,
-            api=self._settings.api_address,
+            name=self.settings.place.name,
+            api=self.settings.api_address,
         )
         self._stop.wait()
         write_event(_logger, log_events.PROCESS_STOPPING)
         self.link.send_all(self.view.leave())
-        self.tail.stop()
-        self.keeper.stop()
-        self.hosts.stop()
-        self.held.close()
-        self._server.stop()
-        self._metrics_server.stop()
+        self.source.stop()
+        for server in self._servers:
+            server.stop()
         self.link.close()
         end = time.monotonic() + STOP_SECONDS
         for thread in threads:
@@ -139,9 +136,9 @@
     def find_status(self) -> FleetStatus:
         """Return what the fleet is doing; see ``FleetAnswers``."""
         return make_status(
-            name=self._settings.place.name,
+            name=self.settings.place.name,
             held=self.held,
-            sight=self.tail.sight,
+            sight=self.source.sight,
             view=self.view,
             entry=self._report,
             targets=self.find_targets(),
@@ -158,15 +155,17 @@
         heard = [item for item in report.sick_targets if item.name not in names]
         return tuple(make_target_status(target) for target in (*own, *heard))
 
-    def find_directory(self, *, region: str, account: str) -> DirectoryAnswer:
+    def find_directory(
+        self, *, region: str, data_centre: str, account: str
+    ) -> DirectoryAnswer:
         """Return addresses for a caller; see ``FleetAnswers``."""
         place = self._find_account_region(account) or region
-        place = place or self._settings.place.region
+        place = place or self.settings.place.region
         nodes = self.view.live_nodes()
-        addresses = choose_addresses(nodes, region=place)
+        addresses = choose_addresses(nodes, region=place, data_centre=data_centre)
         return DirectoryAnswer(
             addresses=addresses,
-            keep_seconds=self._settings.keep_seconds,
+            keep_seconds=self.settings.keep_seconds,
             key_prefix=self._mint_prefix(nodes, place, addresses),
         )
 
@@ -184,12 +183,12 @@
             return ""
         owner, witness = chosen
         return mint_prefix(
-            fleet=self._settings.place.fleet,
+            fleet=self.settings.place.fleet,
             owner=owner.name,
             owner_incarnation=owner.entry_incarnation,
             witness=witness.name,
             witness_incarnation=witness.entry_incarnation,
-            secret=self._settings.place.secret.encode(),
+            secret=self.settings.place.secret.encode(),
         )
 
     def _find_account_region(self, account):
@@ -217,7 +216,7 @@
     def _handle(self, envelope: Envelope):
         body = envelope.body
         self._note_lag(envelope)
-        if isinstance(body, CONFIG_MESSAGES):
+        if isinstance(body, self.source.messages):
             self.held.take_message(body, envelope.sender)
         elif isinstance(body, EntryReport):
             self._take_report(body, envelope.incarnation)
@@ -233,7 +232,7 @@
             self.lag.note_peer(envelope.sender, body.offset)
 
     def _take_report(self, report: EntryReport, incarnation: int):
-        if report.name != self._settings.place.name:
+        if report.name != self.settings.place.name:
             return
         self._report = report
         self._reported_at = time.monotonic()
@@ -250,43 +249,13 @@
             nodes = self.view.live_nodes()
             self.held.tick(nodes)
             self.lag.forget_others({node.agent_peer_address for node in nodes})
-            self.feed.push_view(self.view.version, nodes, self.hosts.leaving_targets)
+            self.feed.push_view(self.view.version, nodes, self.source.leaving_targets)
             if not self.held.ready:
-                self._look_at_gate(nodes)
-
-    def _read_hosts(self):
-        self.hosts.run(lambda: len(self.view.live_nodes()))
+                self.source.look_at_gate(nodes)
 
     def _find_tick_seconds(self):
         return TICK_SECONDS if self.held.ready else START_TICK_SECONDS
 
-    def _find_snapshot_rank(self):
-        if not self.held.plan.is_reader:
-            return None
-        nodes = self.view.live_nodes()
-        return rank_in_fleet(self.view.own, tuple(find_readers(nodes)))
-
-    def _look_at_gate(self, nodes):
-        own = self._settings.peer_address
-        peers = {node.agent_peer_address for node in nodes} | set(self._settings.seeds)
-        peers.discard(own)
-        sight = self.tail.sight
-        offset_by_address = self.held.offset_by_address
-        opened = self.held.update_gate(
-            StartFacts(
-                offset=self.held.state.offset,
-                log_offset=None if sight.away else sight.next_offset,
-                log_away=sight.away,
-                peers=len(peers),
-                peer_offsets=tuple(offset_by_address.values()),
-            )
-        )
-        if opened:
-            return
-        silent = sorted(peers - set(offset_by_address))
-        random.shuffle(silent)
-        self.held.ask(silent[:PEERS_ASKED])
-
     def _note_silent_entry(self):
         if time.monotonic() < self._reported_at + ENTRY_SILENT_SECONDS:
             return
@@ -302,6 +271,18 @@
                 self._stop.wait(FEED_PAUSE_SECONDS)
 
 
+def _make_log_source(agent: Agent) -> LogSource:
+    settings = agent.settings
+    return LogSource(
+        view=agent.view,
+        seeds=settings.seeds,
+        send_all=agent.link.send_all,
+        store=agent.store,
+        snapshot_seconds=settings.snapshot_seconds,
+        host_list_url=settings.host_list_url,
+    )
+
+
 def make_own_node(settings: AgentSettings, *, incarnation: int) -> NodeInfo:
     """Return what the other nodes are told of this one."""
     return NodeInfo(
--- a/citronspan/ops/agent_metrics.py
+++ b/citronspan/ops/agent_metrics.py
@@ -5,11 +5,15 @@
 from prometheus_client import CollectorRegistry, Gauge
 
 
-def make_registry(agent) -> CollectorRegistry:
-    """Return the metrics of an agent, read when they are asked for.
+def register_agent(agent, registry: CollectorRegistry) -> CollectorRegistry:
+    """Add the metrics of an agent, read when they are asked for.
 
     Args:
         agent: The agent.
+        registry: Where they go.
+
+    Returns:
+        The registry.
     """
     held, link = agent.held, agent.link
     read_by_name: dict[str, Callable[[], float]] = {
@@ -18,14 +22,13 @@
         "configuration_ready": lambda: int(held.ready),
         "configuration_reader": lambda: int(held.plan.is_reader),
         "void_records": lambda: held.void_records,
-        "log_away": lambda: int(agent.tail.sight.away),
+        "log_away": lambda: int(agent.source.sight.away),
         "live_nodes": lambda: len(agent.view.live_nodes()),
         "peer_sent_bytes": lambda: link.sent_bytes,
         "peer_sent_messages": lambda: link.sent_messages,
         "peer_received_bytes": lambda: link.received_bytes,
         "peer_received_messages": lambda: link.received_messages,
     }
-    registry = CollectorRegistry()
     for name, read in read_by_name.items():
         gauge = Gauge(
             f"citronspan_agent_{name}",
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/agent_status.py
@@ -7,7 +7,7 @@
 
 from citronspan.core.config_state import find_warnings
 from citronspan.core.node_messages import EntryReport, NodeInfo, TargetReport
-from citronspan.ops.config_tail import LogSight
+from citronspan.ops.config_source import LogSight
 from citronspan.ops.config_tail_held import HeldConfig
 
 MAXIMUM_WARNINGS = 20
--- a/citronspan/ops/answer_stream.py
+++ b/citronspan/ops/answer_stream.py
@@ -20,6 +20,9 @@
 MAXIMUM_LINE_BYTES = 64 * 1024
 MAXIMUM_HEADER_LINES = 100
 MAXIMUM_CHUNK_SIZE_DIGITS = 15
+MAXIMUM_STRAY_ANSWERS = 2
+"""Answers to earlier requests that are passed over on one connection."""
+
 
 _CRLF = b"\r\n"
 _CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]+")
@@ -73,7 +76,19 @@
 class CheckedResponse(http.client.HTTPResponse):
     """The head and body of one answer, held to the protocol."""
 
-    def __init__(self, sock, debuglevel=0, method=None, url=None, *, deadline):
+    def __init__(
+        self,
+        sock,
+        debuglevel=0,
+        method=None,
+        url=None,
+        *,
+        deadline,
+        id_header="",
+        expected_id="",
+    ):
+        self._id_header = id_header
+        self._expected_id = expected_id
         super().__init__(sock, debuglevel, method, url)
         reader = _DeadlineReader(raw=self.fp.detach(), sock=sock, deadline=deadline)
         self.fp = _LineReader(reader)
@@ -84,8 +99,27 @@
         """Read the head of the final answer and check what frames the body."""
         if self.headers is not None:
             return
-        super().begin()
-        self._check_headers()
+        for _ in range(1 + MAXIMUM_STRAY_ANSWERS):
+            super().begin()
+            self._check_headers()
+            if not self._is_stray():
+                return
+            self._skip_answer()
+        raise AnswerInvalidError("the answers are to other requests")
+
+    def _is_stray(self):
+        """Return whether this is a late answer to an earlier request."""
+        if not self._expected_id:
+            return False
+        answered_id = self.headers.get(self._id_header)
+        return answered_id is not None and answered_id != self._expected_id
+
+    def _skip_answer(self):
+        if self.chunked or self.length is None:
+            raise AnswerInvalidError("an answer to another request without a length")
+        if self.length:
+            self._safe_read(self.length)
+        self.headers = self.msg = None
 
     def _read_status(self):
         for _ in range(MAXIMUM_HEADER_LINES):
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -1,5 +1,6 @@
 """Attempts of one request at targets, and whether another one may follow."""
 
+import math
 import threading
 import time
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 from citronspan.core.retry_budget import RetryBudget, RetryDecision, decide_retry
 from citronspan.core.route_table import Route
 from citronspan.ops.caller_request import CallerBody, CallerRequest
+from citronspan.ops.dialect import Addressee, Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.refusals import Refusal
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotSource
@@ -21,11 +23,9 @@
     TargetAnswer,
     TargetConnections,
     TargetRequest,
-    classify_answer,
 )
 from citronspan.utils.traces import pass_on_context, start_span
 
-MAXIMUM_ATTEMPTS = 3
 # An idempotent attempt may use this share of the time left, so that another one
 # still fits in after a slow target.
 ATTEMPT_SHARE = 0.5
@@ -41,6 +41,7 @@
     request: CallerRequest
     body: CallerBody
     route: Route
+    service_name: str
     service: ServiceSpec
     deadline: float
     fingerprint: int
@@ -84,7 +85,11 @@
         connections: TargetConnections,
         metrics: EntryMetrics,
         tracer: trace.Tracer,
+        dialect: Dialect,
+        reuse_seconds: float,
     ):
+        self._dialect = dialect
+        self._reuse_seconds = reuse_seconds
         self._slots = slots
         self._connections = connections
         self._metrics = metrics
@@ -125,7 +130,7 @@
             if answered is not None:
                 answered.answer.abandon()
                 self.release(work, answered)
-            self._metrics.count_retry(work.spec.service)
+            self._metrics.count_retry(work.service_name)
         if answered is None:
             raise _make_refusal(last_class, has_run)
         return self._accept(work, answered, has_run)
@@ -140,7 +145,7 @@
 
     def _acquire(self, work, tried, has_run) -> Slot:
         ask = SlotAsk(
-            service=work.spec.service,
+            service=work.service_name,
             request_kind=work.spec.request_kind,
             worth=work.spec.worth,
             deadline=work.deadline,
@@ -158,7 +163,7 @@
             raise _make_refusal(OutcomeClass.ANSWER_LOST, has_run)
         raise Refusal(
             code=slot.code,
-            detail=f"service {work.spec.service!r}",
+            detail=f"service {work.service_name!r}",
             retry_after_seconds=slot.retry_after_seconds,
         )
 
@@ -170,7 +175,9 @@
                 answer = self._send(work, slot, started)
                 first_byte = time.monotonic()
                 head, is_whole = _read_ahead(answer)
-                outcome_class = classify_answer(answer)
+                outcome_class = self._dialect.classify(
+                    answer.status, answer.find_header
+                )
         except AttemptFailedError as error:
             self._release_failed(work, slot, started, error.outcome_class)
             raise
@@ -192,7 +199,8 @@
         if work.spec.idempotent and work.body.is_repeatable:
             deadline = started + (work.deadline - started) * ATTEMPT_SHARE
         headers = dict(work.request.headers)
-        headers["deadline-seconds"] = f"{max(deadline - started, 0):.3f}"
+        addressee = Addressee(target=slot.target, seconds=deadline - started)
+        headers.update(self._dialect.make_target_headers(addressee))
         if work.request.key:
             headers["idempotency-key"] = work.request.key
         headers.update(work.request.trace_headers)
@@ -202,11 +210,12 @@
             uri=work.request.uri,
             headers=headers,
             body=work.body,
-            fresh=not work.spec.idempotent,
+            reuse_seconds=math.inf if work.spec.idempotent else self._reuse_seconds,
             deadline=deadline,
+            request_id=work.request.request_id,
         )
         answer = self._connections.send(slot.address, request, work.request.connection)
-        if not answer.is_checkable:
+        if not answer.is_checkable and not self._dialect.takes_unframed:
             answer.abandon()
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.ANSWER_LOST,
@@ -216,14 +225,14 @@
 
     def _find_budget(self, work):
         with self._lock:
-            budget = self._budget_by_service.get(work.spec.service)
+            budget = self._budget_by_service.get(work.service_name)
             if budget is None or budget.ratio != work.service.retry_ratio:
                 budget = RetryBudget(ratio=work.service.retry_ratio)
-                self._budget_by_service[work.spec.service] = budget
+                self._budget_by_service[work.service_name] = budget
         return budget
 
     def _may_retry(self, work, budget, outcome_class, tried) -> bool:
-        if len(tried) >= MAXIMUM_ATTEMPTS or not work.body.is_repeatable:
+        if len(tried) >= work.spec.maximum_attempts or not work.body.is_repeatable:
             return False
         with self._lock:
             decision = decide_retry(
@@ -258,9 +267,9 @@
             deadline_seconds=max(work.deadline - answered.started, 0.0),
             request_kind=work.spec.request_kind,
             fingerprint=work.fingerprint,
-            load=answered.answer.load,
+            load=self._dialect.read_load(answered.answer.find_header),
         )
-        self._metrics.count_attempt(work.spec.service, outcome.outcome_class)
+        self._metrics.count_attempt(work.service_name, outcome.outcome_class)
         self._slots.release(answered.slot, outcome, answer_bytes)
 
     def _release_failed(self, work, slot, started, outcome_class):
@@ -272,7 +281,7 @@
             request_kind=work.spec.request_kind,
             fingerprint=work.fingerprint,
         )
-        self._metrics.count_attempt(work.spec.service, outcome_class)
+        self._metrics.count_attempt(work.service_name, outcome_class)
         self._slots.release(slot, outcome, 0)
 
 
--- a/citronspan/ops/bad_requests_test.py
+++ b/citronspan/ops/bad_requests_test.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from citronspan.core import result_codes
+from citronspan.ops.caller_request import BUFFERED_BODY_BYTES
 from citronspan.ops.conftest import (
     BOUND_SECONDS,
     LINGER_RESET,
@@ -186,10 +187,11 @@
     """A target that answers before it has read must not open a way to smuggle."""
     running.targets.set_scripts("/read/smuggled", ANSWER)
     early = Script(parts=ANSWER.parts, read_body=False, end="hold")
-    filler = b"c" * 200_000
+    # More than the entry buffers, or it would read all before it asks a target.
+    filler = b"c" * (BUFFERED_BODY_BYTES + 200_000)
     for framing, start, end in (
         (b"Transfer-Encoding: chunked", b"%x\r\n" % len(filler), b"\r\n0\r\n\r\n"),
-        (b"Content-Length: 900000", b"", b""),
+        (b"Content-Length: %d" % (2 * len(filler)), b"", b""),
     ):
         path = running.make_path("write")
         running.targets.set_scripts(path, early)
@@ -203,6 +205,21 @@
         assert not running.targets.find_taken("/read/smuggled")
 
 
+def test_a_request_after_a_buffered_body_is_one_of_its_own(running):
+    """A body that was read whole ends where it ends, however the target answered."""
+    running.targets.set_scripts("/read/smuggled", ANSWER)
+    path = running.make_path("write")
+    early = Script(parts=ANSWER.parts, read_body=False, end="hold")
+    running.targets.set_scripts(path, early)
+    body = b"c" * 200_000
+    head = b"PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    first = head % (path.encode(), len(body)) + body
+    seen = running.exchange(first + SMUGGLED, end_sending=True)
+    assert seen.data.count(b"HTTP/1.1 200") == 2, seen
+    (taken,) = running.targets.find_taken("/read/smuggled")
+    assert taken.body == b""
+
+
 def test_callers_that_leave_do_not_wear_out_the_entry(running):
     body = b"c" * 2_000_000
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/caller_request.py
@@ -1,14 +1,17 @@
 """A caller's request as the entry's code sees it, read from a WSGI environment."""
 
-import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
+from citronspan.ops.dialect import Dialect
+
+BUFFERED_BODY_BYTES = 512 * 1024
+"""Bodies up to this size are read whole before a target is asked for, so that a slow
+caller holds no slot, and can be sent again where that is safe."""
 
-BUFFERED_BODY_BYTES = 64 * 1024
 READ_BYTES = 64 * 1024
 
 # Headers that belong to one connection (RFC 9110, section 7.6.1) or to the fleet.
@@ -47,6 +50,7 @@
         length: Bytes of the body, None if it comes in chunks.
         key: Idempotency key, or empty.
         account: Name of the account, or empty.
+        request_id: What identifies the request in logs and answers, or empty.
         timeout_seconds: Time that the caller gives, infinity if it names none.
         trace_headers: The caller's trace context.
         connection: The server's connection, to end it visibly.
@@ -61,6 +65,7 @@
     length: int | None
     key: str
     account: str
+    request_id: str
     timeout_seconds: float
     trace_headers: dict[str, str]
     connection: Any
@@ -79,26 +84,19 @@
     return int(text)
 
 
-def _parse_timeout(environ):
-    text = environ.get("HTTP_REQUEST_TIMEOUT_SECONDS")
-    if text is None:
-        return math.inf
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = math.nan
-    if not (math.isfinite(seconds) and seconds > 0):
-        raise _invalid(f"Request-Timeout-Seconds: {text!r} is not a positive number")
-    return seconds
+def _find_key(header):
+    return f"HTTP_{header.upper().replace('-', '_')}"
 
 
-def _collect_headers(environ):
+def _collect_headers(environ, dialect):
+    dropped = DROPPED_HEADERS | {dialect.timeout_header.lower()}
+    dropped |= _list_connection_headers(environ)
     headers = []
     for name, value in environ.items():
         if not name.startswith("HTTP_"):
             continue
         header = name[5:].replace("_", "-").lower()
-        if header in DROPPED_HEADERS:
+        if header in dropped:
             continue
         headers.append((header, value))
     if environ.get("CONTENT_TYPE"):
@@ -106,16 +104,23 @@
     return tuple(headers)
 
 
+def _list_connection_headers(environ):
+    """Return the headers that ``Connection`` names (RFC 9110, section 7.6.1)."""
+    names = environ.get("HTTP_CONNECTION", "").lower().split(",")
+    return {name.strip() for name in names}
+
+
 def _collect_trace_headers(environ):
     names = {"HTTP_TRACEPARENT": "traceparent", "HTTP_TRACESTATE": "tracestate"}
     return {key: environ[name] for name, key in names.items() if name in environ}
 
 
-def read_caller_request(environ: dict) -> CallerRequest:
+def read_caller_request(environ: dict, dialect: Dialect) -> CallerRequest:
     """Read a request from a WSGI environment.
 
     Args:
         environ: The environment that the server made.
+        dialect: What callers say in headers.
 
     Returns:
         The request; its body is not read yet.
@@ -128,12 +133,15 @@
         host=environ.get("HTTP_HOST", ""),
         path=environ.get("PATH_INFO", "/"),
         uri=environ["REQUEST_URI"],
-        headers=_collect_headers(environ),
+        headers=_collect_headers(environ, dialect),
         body=environ["wsgi.input"],
         length=_parse_length(environ),
         key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
         account=environ.get("HTTP_CITRONSPAN_ACCOUNT", ""),
-        timeout_seconds=_parse_timeout(environ),
+        timeout_seconds=dialect.read_timeout_seconds(
+            environ.get(_find_key(dialect.timeout_header))
+        ),
+        request_id=environ.get(_find_key(dialect.id_header), ""),
         trace_headers=_collect_trace_headers(environ),
         connection=environ.get("citronspan.connection"),
     )
@@ -143,30 +151,31 @@
     """The body of a request, buffered if it is small, else read once.
 
     A small body can be sent again for another attempt; a large one only as long
-    as none of it was read.
+    as none of it was read past the buffer.
     """
 
     def __init__(self, *, request: CallerRequest):
         self._request = request
-        self._buffer: bytes | None = None
+        self._head = b""
+        self._is_whole = False
         self._started = False
-        if request.length is not None and request.length <= BUFFERED_BODY_BYTES:
-            self._buffer = self._read_exactly(request.length)
+        if request.length is None or request.length <= BUFFERED_BODY_BYTES:
+            self._read_ahead()
 
     @property
     def length(self) -> int | None:
-        """Bytes of the body, None if it comes in chunks."""
-        return self._request.length
+        """Bytes of the body, None if it comes in chunks and is long."""
+        return len(self._head) if self._is_whole else self._request.length
 
     @property
     def buffer(self) -> bytes | None:
         """The whole body if it is buffered."""
-        return self._buffer
+        return self._head if self._is_whole else None
 
     @property
     def is_repeatable(self) -> bool:
         """Whether the whole body can still be sent."""
-        return self._buffer is not None or not self._started
+        return self._is_whole or not self._started
 
     def iterate(self) -> Iterator[bytes]:
         """Yield the body.
@@ -175,15 +184,16 @@
             CitronspanError: With code 3012 if the caller ends it too early, 3070
                 if it is not here before the deadline.
         """
-        if self._buffer is not None:
-            if self._buffer:
-                yield self._buffer
+        if self._head:
+            yield self._head
+        if self._is_whole:
             return
         self._started = True
-        if self.length is None:
-            yield from self._iterate_chunked()
+        if self._request.length is None:
+            while data := self._read(READ_BYTES):
+                yield data
             return
-        left = self.length
+        left = self._request.length - len(self._head)
         while left > 0:
             data = self._read(min(READ_BYTES, left))
             if not data:
@@ -191,20 +201,24 @@
             left -= len(data)
             yield data
 
-    def _iterate_chunked(self):
-        while data := self._read(READ_BYTES):
-            yield data
-
-    def _read_exactly(self, length):
+    def _read_ahead(self):
+        """Read the body up to the size of the buffer."""
+        length = self._request.length
+        wanted = BUFFERED_BODY_BYTES if length is None else length
         parts = []
-        left = length
-        while left > 0:
-            data = self._read(left)
+        while wanted > 0:
+            data = self._read(wanted)
             if not data:
-                raise self._cut_short()
+                break
             parts.append(data)
-            left -= len(data)
-        return b"".join(parts)
+            wanted -= len(data)
+        self._head = b"".join(parts)
+        if length is None:
+            self._is_whole = wanted > 0
+            return
+        if wanted > 0:
+            raise self._cut_short()
+        self._is_whole = True
 
     def _read(self, size):
         try:
--- a/citronspan/ops/config_tail.py
+++ b/citronspan/ops/config_tail.py
@@ -1,13 +1,13 @@
 """Tails the platform's log into the configuration that this agent holds."""
 
 import threading
-from dataclasses import dataclass
 
 import logbook
 
 from citronspan.core import log_events
 from citronspan.core.config_record import LogBatch
 from citronspan.core.config_snapshots import KeptLogReader
+from citronspan.ops.config_source import LogSight
 from citronspan.ops.config_tail_held import HeldConfig
 from citronspan.ops.config_tail_retention import RetentionKeeper
 from citronspan.ops.log_client import (
@@ -26,19 +26,6 @@
 _logger = logbook.Logger("log-tail")
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LogSight:
-    """What the last read of the log showed.
-
-    Attributes:
-        away: Whether the log did not answer.
-        next_offset: Offset of its next append when it last answered, or None.
-    """
-
-    away: bool = False
-    next_offset: int | None = None
-
-
 class ConfigTail:
     """One thread that reads the log by long polls, where this node is to read."""
 
--- a/citronspan/ops/config_tail_held.py
+++ b/citronspan/ops/config_tail_held.py
@@ -9,6 +9,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 import logbook
 
@@ -33,14 +34,43 @@
 _logger = logbook.Logger("configuration")
 
 
+class Spread(Protocol):
+    """What one node holds of the configuration and how it spreads it."""
+
+    @property
+    def state(self) -> ConfigState:
+        """The state in force."""
+
+    @property
+    def plan(self) -> SpreadPlan:
+        """What this node does in spreading."""
+
+    @property
+    def offset_by_address(self) -> dict[str, int]:
+        """Offset that each peer last said it has."""
+
+    def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
+        """Take the nodes that are live now."""
+
+    def take_message(self, body: Message, sender: str) -> SpreadResult:
+        """Take a message of another agent."""
+
+    def tick(self) -> SpreadResult:
+        """Do what is due by time."""
+
+
 class HeldConfig:
     """The state in force at this agent, its recent changes and its spreading."""
 
     def __init__(
-        self, *, own: NodeInfo, send_all: Callable[[list[Outgoing]], None] | None = None
+        self,
+        *,
+        own: NodeInfo,
+        send_all: Callable[[list[Outgoing]], None] | None = None,
+        spread: Spread | None = None,
     ):
         self._condition = threading.Condition()
-        self._spread = ConfigSpread(own=own)
+        self._spread = spread or ConfigSpread(own=own)
         self._gate = StartGate()
         self._send_all = send_all or (lambda outgoing: None)
         self._history: deque[AppliedChange] = deque()
@@ -89,27 +119,33 @@
 
     def take_log_batch(self, batch: LogBatch) -> None:
         """Take records that were read from the log."""
-        self._run(lambda: self._spread.take_log_batch(batch))
+        self.run(lambda: self._spread.take_log_batch(batch))
 
     def take_state(self, state: ConfigState) -> None:
         """Take a whole state that was replayed from the log, if it is ahead."""
-        self._run(lambda: self._spread.take_state(state))
+        self.run(lambda: self._spread.take_state(state))
 
     def take_message(self, body: Message, sender: str) -> None:
         """Take a configuration message of another agent."""
-        self._run(lambda: self._spread.take_message(body, sender))
+        self.run(lambda: self._spread.take_message(body, sender))
 
     def tick(self, nodes: tuple[NodeInfo, ...]) -> None:
         """Take the live nodes and do what is due."""
         with self._condition:
             self._spread.set_nodes(nodes)
-        self._run(self._spread.tick)
+        self.run(self._spread.tick)
 
     def ask(self, addresses: list[str]) -> None:
         """Ask peers for their offsets; what is ahead is then pulled."""
         message = ConfigOffset(offset=self.state.offset)
         self._send_all([Outgoing(to=address, message=message) for address in addresses])
 
+    def open_gate(self) -> None:
+        """Serve what is held from now on."""
+        with self._condition:
+            self._gate.open()
+            self._condition.notify_all()
+
     def update_gate(self, facts: StartFacts) -> bool:
         """Let the start gate look at the facts; return whether it is open."""
         with self._condition:
@@ -163,7 +199,8 @@
             self._closed = True
             self._condition.notify_all()
 
-    def _run(self, step: Callable[[], SpreadResult]) -> None:
+    def run(self, step: Callable[[], SpreadResult]) -> None:
+        """Let the spread take a step under the lock, and do what follows from it."""
         with self._condition:
             before = self._spread.state
             result = step()
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -16,10 +16,12 @@
 from citronspan.core.push_parts import PushCollector
 from citronspan.core.settings import EntrySettings
 from citronspan.core.verdicts import VerdictPush
+from citronspan.ops.dialect import Dialect, OwnDialect
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.readiness import make_readiness_server
 from citronspan.ops.request_handler import RequestHandler
 from citronspan.ops.shard_metrics import ShardCollector
 from citronspan.ops.slot_service import SlotService
@@ -49,8 +51,9 @@
 class Entry:
     """One entry: it carries callers' requests and reports to its agent."""
 
-    def __init__(self, *, settings: EntrySettings):
+    def __init__(self, *, settings: EntrySettings, dialect: Dialect | None = None):
         self.settings = settings
+        self._dialect = dialect or OwnDialect()
         self._chart = load_chart("entry")
         self.state = self._chart.initial
         self.configuration = EntryConfiguration()
@@ -63,7 +66,7 @@
             incarnation=make_incarnation(),
         )
         self.metrics.watch_link(self.link)
-        self._connections = TargetConnections()
+        self._connections = TargetConnections(id_header=self._dialect.id_header)
         self.slots = SlotService(
             name=settings.place.name,
             region=settings.place.region,
@@ -88,9 +91,12 @@
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.news.describe)
         )
-        self._metrics_server = make_metrics_server(
-            settings.metrics_address, self.metrics.registry
-        )
+        self._side_servers = [
+            make_metrics_server(settings.metrics_address, self.metrics.registry)
+        ]
+        if settings.readiness_address:
+            server = make_readiness_server(settings.readiness_address, self.is_ready)
+            self._side_servers.append(server)
 
     def run(self) -> None:
         """Serve until a stop is asked for, then drain and return."""
@@ -98,8 +104,9 @@
             threading.Thread(target=self._receive, name="inbox", daemon=True),
             threading.Thread(target=self._tick_forever, name="ticks", daemon=True),
             threading.Thread(target=self._server.serve, name="callers", daemon=True),
-            threading.Thread(
-                target=self._metrics_server.serve, name="metrics", daemon=True
+            *(
+                threading.Thread(target=server.serve, name="side", daemon=True)
+                for server in self._side_servers
             ),
         ]
         for thread in threads:
@@ -110,6 +117,10 @@
         self._stop.wait()
         self._drain()
 
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return self.state == "serving"
+
     def request_stop(self) -> None:
         """Ask for a graceful stop; safe in a signal handler."""
         self._stop.set()
@@ -132,6 +143,8 @@
             ),
             is_stopping=self._stop.is_set,
             mint_prefix=lambda: self.keys.mint_prefix(self.view.nodes),
+            dialect=self._dialect,
+            reuse_seconds=self.settings.reuse_seconds,
         )
 
     def _find_entry_address(self, name):
@@ -254,7 +267,8 @@
         self._wait_for_reports(bound)
         self._server.shutdown_timeout = max(bound - time.monotonic(), 1.0)
         self._server.stop()
-        self._metrics_server.stop()
+        for server in self._side_servers:
+            server.stop()
         self.state = "stopped"
         self._report()
         self._connections.close()
--- /dev/null
+++ b/citronspan/ops/host.py
@@ -0,0 +1,53 @@
+"""One host on a platform: entry and agent in one process."""
+
+import threading
+
+import logbook
+
+from citronspan.core import log_events
+from citronspan.core.host_settings import HostSettings
+from citronspan.ops.agent import Agent
+from citronspan.ops.agent_metrics import register_agent
+from citronspan.ops.dialect import Dialect
+from citronspan.ops.entry import Entry
+from citronspan.ops.feed_source import FeedSource, FeedStore
+from citronspan.utils.logs import write_event
+
+STOP_SECONDS = 1.0
+
+_logger = logbook.Logger("host")
+
+
+class Host:
+    """Entry and agent, which talk over the loopback as two processes would."""
+
+    def __init__(self, *, settings: HostSettings, store: FeedStore, dialect: Dialect):
+        self._settings = settings
+        self._store = store
+        self.entry = Entry(settings=settings.make_entry_settings(), dialect=dialect)
+        self.agent = Agent(
+            settings=settings.make_agent_settings(), make_source=self._make_source
+        )
+        register_agent(self.agent, self.entry.metrics.registry)
+
+    def run(self) -> None:
+        """Serve until a stop is asked for, then drain and return."""
+        agent = threading.Thread(target=self.agent.run, name="agent", daemon=True)
+        agent.start()
+        self.entry.run()
+        # The agent has told others that this entry leaves; now it may go, too.
+        self.agent.request_stop()
+        agent.join(STOP_SECONDS)
+        write_event(_logger, log_events.PROCESS_STOPPED)
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop; safe in a signal handler."""
+        self.entry.request_stop()
+
+    def _make_source(self, agent: Agent) -> FeedSource:
+        return FeedSource(
+            own=agent.view.own,
+            send_all=agent.link.send_all,
+            store=self._store,
+            is_seed=self._settings.agent_peer_address in self._settings.seeds,
+        )
--- /dev/null
+++ b/citronspan/ops/log_source.py
@@ -0,0 +1,100 @@
+"""The configuration as operators write it to the project's own log."""
+
+import random
+from collections.abc import Callable
+
+from citronspan.core.config_spread_tree import find_readers, rank_in_fleet
+from citronspan.core.config_start import PEERS_ASKED, StartFacts
+from citronspan.core.message_base import Outgoing
+from citronspan.core.node_messages import NodeInfo
+from citronspan.ops.agent_view import MembershipView
+from citronspan.ops.config_source import CONFIG_MESSAGES, LogSight
+from citronspan.ops.config_tail import ConfigTail
+from citronspan.ops.config_tail_held import HeldConfig
+from citronspan.ops.config_tail_retention import RetentionKeeper
+from citronspan.ops.host_list import HostListReader
+from citronspan.ops.log_client import LogStore
+
+
+class LogSource:
+    """A ``ConfigSource`` that tails the log, with a list of leaving hosts beside it."""
+
+    messages = CONFIG_MESSAGES
+
+    def __init__(
+        self,
+        *,
+        view: MembershipView,
+        seeds: tuple[str, ...],
+        send_all: Callable[[list[Outgoing]], None],
+        store: LogStore,
+        snapshot_seconds: float,
+        host_list_url: str,
+    ):
+        self._view = view
+        self._seeds = seeds
+        self.held = HeldConfig(own=view.own, send_all=send_all)
+        self._keeper = RetentionKeeper(
+            held=self.held,
+            store=store,
+            interval_seconds=snapshot_seconds,
+            find_rank=self._find_snapshot_rank,
+        )
+        self._tail = ConfigTail(held=self.held, store=store, keeper=self._keeper)
+        self._hosts = HostListReader(url=host_list_url)
+
+    @property
+    def sight(self) -> LogSight:
+        """What was last seen of the log."""
+        return self._tail.sight
+
+    @property
+    def leaving_targets(self) -> tuple[str, ...]:
+        """Addresses of targets that the host list shows as leaving."""
+        return self._hosts.leaving_targets
+
+    def list_tasks(self) -> list[tuple[str, Callable[[], None]]]:
+        """Return name and body of the threads that the source needs."""
+        return [
+            ("tail", self._tail.run),
+            ("retention", self._keeper.run),
+            ("hosts", self._read_hosts),
+        ]
+
+    def stop(self) -> None:
+        """Let the threads end."""
+        self._tail.stop()
+        self._keeper.stop()
+        self._hosts.stop()
+        self.held.close()
+
+    def look_at_gate(self, nodes: tuple[NodeInfo, ...]) -> None:
+        """Open the gate where log and peers allow it, else ask peers."""
+        own = self._view.own.agent_peer_address
+        peers = {node.agent_peer_address for node in nodes} | set(self._seeds)
+        peers.discard(own)
+        sight = self.sight
+        offset_by_address = self.held.offset_by_address
+        opened = self.held.update_gate(
+            StartFacts(
+                offset=self.held.state.offset,
+                log_offset=None if sight.away else sight.next_offset,
+                log_away=sight.away,
+                peers=len(peers),
+                peer_offsets=tuple(offset_by_address.values()),
+            )
+        )
+        if opened:
+            return
+        silent = sorted(peers - set(offset_by_address))
+        random.shuffle(silent)
+        self.held.ask(silent[:PEERS_ASKED])
+
+    def _read_hosts(self):
+        self._hosts.run(lambda: len(self._view.live_nodes()))
+
+    def _find_snapshot_rank(self):
+        if not self.held.plan.is_reader:
+            return None
+        nodes = self._view.live_nodes()
+        return rank_in_fleet(self._view.own, tuple(find_readers(nodes)))
--- a/citronspan/ops/refusals.py
+++ b/citronspan/ops/refusals.py
@@ -1,7 +1,6 @@
 """Answers that the entry gives by itself, with the numbered result."""
 
 import http.client
-import math
 from collections.abc import Callable
 
 from citronspan.core.result_codes import Ran, ResultCode
@@ -36,7 +35,7 @@
     code: ResultCode,
     detail: str,
     ran: Ran | None = None,
-    retry_after_seconds: float | None = None,
+    retry_after: str = "",
     entry: str = "",
     key_prefix: str = "",
 ) -> list[bytes]:
@@ -47,7 +46,7 @@
         code: The result.
         detail: What exactly is wrong.
         ran: Whether the request was run, where that is less than the code says.
-        retry_after_seconds: When coming back helps, None if it does not.
+        retry_after: Value of ``Retry-After``, empty where coming back helps nothing.
         entry: Name of this entry.
         key_prefix: Prefix for a new key, where the caller is to take one.
 
@@ -62,8 +61,8 @@
         (RAN_HEADER, str(ran or code.ran)),
         (ENTRY_HEADER, entry),
     ]
-    if retry_after_seconds is not None:
-        headers.append(("Retry-After", str(max(1, math.ceil(retry_after_seconds)))))
+    if retry_after:
+        headers.append(("Retry-After", retry_after))
     if key_prefix:
         headers.append((KEY_PREFIX_HEADER, key_prefix))
     start_response(format_status(code.http_status), headers)
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -1,5 +1,6 @@
 """The path of one request through an entry, from its receipt to its answer."""
 
+import random
 import time
 from collections.abc import Callable, Iterable
 
@@ -15,7 +16,7 @@
 from citronspan.core.key_token import is_fleet_key
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
-from citronspan.core.route_table import find_route
+from citronspan.core.route_table import choose_service, find_route
 from citronspan.ops.attempts import Answered, AttemptRunner, Work
 from citronspan.ops.caller_request import (
     DROPPED_HEADERS,
@@ -23,6 +24,7 @@
     CallerRequest,
     read_caller_request,
 )
+from citronspan.ops.dialect import Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.keyed_request import KeyedRequest, claim_key
@@ -79,13 +81,21 @@
         tracer: trace.Tracer,
         is_stopping: Callable[[], bool],
         mint_prefix: Callable[[], str],
+        dialect: Dialect,
+        reuse_seconds: float,
     ):
+        self._dialect = dialect
         self._name = name
         self._find_configuration = find_configuration
         self._count_entries = count_entries
         self._keys = keys
         self._attempts = AttemptRunner(
-            slots=slots, connections=connections, metrics=metrics, tracer=tracer
+            slots=slots,
+            connections=connections,
+            metrics=metrics,
+            tracer=tracer,
+            dialect=dialect,
+            reuse_seconds=reuse_seconds,
         )
         self._metrics = metrics
         self._tracer = tracer
@@ -114,7 +124,7 @@
         return body
 
     def _handle(self, environ, start_response, received):
-        request = read_caller_request(environ)
+        request = read_caller_request(environ, self._dialect)
         with start_span(self._tracer, "entry", request.trace_headers) as span:
             work = self._prepare(request, received)
             span.set_attribute("citronspan.route", work.route.name)
@@ -164,7 +174,8 @@
             raise Refusal(
                 code=result_codes.KEY_REQUIRED, detail=f"route {route.name!r}"
             )
-        service = configuration.find(Kind.SERVICE, route.spec.service)
+        service_name = choose_service(route.spec, random.random())
+        service = configuration.find(Kind.SERVICE, service_name)
         if service is None:
             raise Refusal(
                 code=result_codes.NO_ROUTE,
@@ -178,6 +189,7 @@
             request=request,
             body=body,
             route=route,
+            service_name=service_name,
             service=service,
             deadline=received + seconds,
             fingerprint=_compute_fingerprint(request, body),
@@ -255,11 +267,16 @@
             code=refusal.code,
             detail=refusal.detail,
             ran=refusal.ran,
-            retry_after_seconds=refusal.retry_after_seconds,
+            retry_after=self._format_retry_after(refusal),
             entry=self._name,
             key_prefix=self._find_new_prefix(refusal.code),
         )
 
+    def _format_retry_after(self, refusal) -> str:
+        if refusal.retry_after_seconds is None:
+            return ""
+        return self._dialect.format_retry_after(refusal.retry_after_seconds)
+
     def _find_new_prefix(self, code) -> str:
         """Return a prefix for a caller that is told to take a new key, or empty."""
         if code not in NEW_KEY_CODES:
--- a/citronspan/ops/resource_api.py
+++ b/citronspan/ops/resource_api.py
@@ -60,14 +60,18 @@
     def find_targets(self) -> tuple[TargetStatus, ...]:
         """Return what is known of targets."""
 
-    def find_directory(self, *, region: str, account: str) -> msgspec.Struct:
+    def find_directory(
+        self, *, region: str, data_centre: str, account: str
+    ) -> msgspec.Struct:
         """Return the addresses that a caller should use."""
 
 
 class ResourceApi:
     """Maps requests to the configuration and the fleet's answers."""
 
-    def __init__(self, *, held: HeldConfig, store: LogStore, fleet: FleetAnswers):
+    def __init__(
+        self, *, held: HeldConfig, store: LogStore | None, fleet: FleetAnswers
+    ):
         self._held = held
         self._store = store
         self._fleet = fleet
@@ -163,6 +167,11 @@
         )
 
     def _submit(self, record):
+        if self._store is None:
+            raise CitronspanError(
+                code=result_codes.WRITTEN_ELSEWHERE,
+                detail="the platform's store is where these resources are written",
+            )
         state = self._held.state
         if record.change_id not in state.outcome_by_change_id:
             _check_version(record, state)
@@ -190,6 +199,7 @@
     def _directory(self, request):
         answer = self._fleet.find_directory(
             region=request.query.get("region", ""),
+            data_centre=request.query.get("dataCentre", ""),
             account=request.query.get("account", ""),
         )
         return _make_json(answer)
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -26,15 +26,12 @@
 CONNECT_SECONDS = 0.25
 KEPT_CONNECTIONS_PER_TARGET = 4
 KEPT_SECONDS = 4.0
+KEPT_SHARE = 0.7
+"""Part of the time that a target says it keeps idle connections."""
+
 POLL_CALLER_SECONDS = 0.25
-NOT_RUN_HEADER = "Target-Not-Run"
-LOAD_HEADER = "Target-Load"
-
-_NOT_RUN_CLASS_BY_WORD = {
-    "shed": OutcomeClass.SHED,
-    "draining": OutcomeClass.DRAINING,
-    "starting": OutcomeClass.STARTING,
-}
+SEND_BYTES = 64 * 1024
+
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -59,7 +56,8 @@
         uri: Path and query.
         headers: All headers but those that frame the body.
         body: The body.
-        fresh: Whether a new connection is required.
+        request_id: What the answer must name, or empty.
+        reuse_seconds: Longest idle time of a connection that may be used again.
         deadline: Time of ``time.monotonic()`` when the attempt is given up.
     """
 
@@ -67,19 +65,19 @@
     uri: str
     headers: dict[str, str]
     body: CallerBody
-    fresh: bool
+    reuse_seconds: float
     deadline: float
+    request_id: str = ""
 
 
 class TargetAnswer:
     """An answer whose headers are here and whose body is still to be read."""
 
-    def __init__(self, *, response, connection, release, method, deadline):
+    def __init__(self, *, response, connection, release, method):
         self._response = response
         self._connection = connection
         self._release = release
         self._method = method
-        self._deadline = deadline
 
     @property
     def status(self) -> int:
@@ -119,12 +117,6 @@
         """Bytes of the body that are still to come, None if unknown."""
         return self._response.length_remaining
 
-    @property
-    def load(self) -> int:
-        """Slots in use that the target reported, -1 if it did not."""
-        used, _, _ = (self.find_header(LOAD_HEADER) or "").partition("/")
-        return int(used) if used.isascii() and used.isdigit() else -1
-
     def read(self, size: int) -> bytes:
         """Read some of the body.
 
@@ -168,12 +160,14 @@
 class _KeptConnection:
     connection: HTTPConnection
     since: float
+    until: float
 
 
 class TargetConnections:
     """Connections to all targets of one entry."""
 
-    def __init__(self):
+    def __init__(self, *, id_header: str = ""):
+        self._id_header = id_header
         self._lock = threading.Lock()
         self._kept_by_address: dict[str, list[_KeptConnection]] = {}
 
@@ -194,20 +188,22 @@
             AttemptFailedError: With the class that the failure proves.
             CitronspanError: With code 3012 if the caller cuts its body short.
         """
-        connection = None if request.fresh else self._take_kept(address)
+        connection = self._take_kept(address, request.reuse_seconds)
         if connection is None:
             connection = self._connect(address, request.deadline)
         try:
-            response = self._exchange(connection, request, caller)
+            response, is_sent = self._exchange(connection, request, caller)
         except BaseException:
             connection.close()
             raise
+        # A target that answered before the whole request was sent may still read
+        # on, and would take the next request for the rest of this one.
+        seconds = _read_keep_seconds(response) if is_sent else 0.0
         return TargetAnswer(
             response=response,
             connection=connection,
-            release=lambda used: self._keep(address, used),
+            release=lambda used: self._keep(address, used, seconds),
             method=request.method,
-            deadline=request.deadline,
         )
 
     def close(self) -> None:
@@ -236,14 +232,22 @@
         return connection
 
     def _exchange(self, connection, request, caller):
+        """Send a request and read the head of its answer.
+
+        Returns:
+            The response, and whether all of the request was sent before it came.
+        """
         connection.timeout = max(request.deadline - time.monotonic(), 0.001)
         connection.response_class = functools.partial(
-            CheckedResponse, deadline=request.deadline
+            CheckedResponse,
+            deadline=request.deadline,
+            id_header=self._id_header,
+            expected_id=request.request_id if self._id_header else "",
         )
-        send_error = self._send_request(connection, request)
+        send_error, is_sent = self._send_request(connection, request)
         self._await_answer(connection, request.deadline, caller)
         try:
-            return connection.getresponse()
+            return connection.getresponse(), is_sent
         except TimeoutError as error:
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.TIMED_OUT, detail=str(error)
@@ -259,26 +263,35 @@
             ) from error
 
     def _send_request(self, connection, request):
-        """Send all; a target that stops reading may still have answered."""
-        chunked = request.body.length is None
+        """Send all; a target that stops reading may still have answered.
+
+        Returns:
+            The error that ended sending, or None, and whether all was sent.
+        """
         headers = dict(request.headers)
-        if not chunked and (request.body.length or request.method in ("POST", "PUT")):
-            headers["content-length"] = str(request.body.length)
-        body = None
-        if chunked or request.body.length:
-            body = request.body.iterate()
         headers.setdefault("accept-encoding", "identity")
         headers.setdefault("user-agent", "citronspan")
+        buffer = request.body.buffer
+        if buffer is None:
+            return self._send_stream(connection, request, headers)
+        if buffer or request.method in ("POST", "PUT"):
+            headers["content-length"] = str(len(buffer))
         try:
-            connection.request(
-                request.method,
-                request.uri,
-                body=body,
-                headers=headers,
-                chunked=chunked,
-                preload_content=False,
-                decode_content=False,
-            )
+            self._start_request(connection, request, headers, None)
+            return None, _send_buffer(connection.sock, buffer, request.deadline)
+        except TimeoutError as error:
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.TIMED_OUT, detail=str(error)
+            ) from error
+        except OSError as error:
+            return error, False
+
+    def _send_stream(self, connection, request, headers):
+        """Send a body while it arrives from the caller."""
+        if request.body.length is not None:
+            headers["content-length"] = str(request.body.length)
+        try:
+            self._start_request(connection, request, headers, request.body.iterate())
         except TimeoutError as error:
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.TIMED_OUT, detail=str(error)
@@ -286,8 +299,19 @@
         except CitronspanError:
             raise
         except OSError as error:
-            return error
-        return None
+            return error, False
+        return None, True
+
+    def _start_request(self, connection, request, headers, body):
+        connection.request(
+            request.method,
+            request.uri,
+            body=body,
+            headers=headers,
+            chunked=body is not None and request.body.length is None,
+            preload_content=False,
+            decode_content=False,
+        )
 
     def _await_answer(self, connection, deadline, caller):
         """Wait until bytes are here; end early when the caller is gone."""
@@ -307,22 +331,25 @@
                     outcome_class=OutcomeClass.CANCELLED, detail="the caller is gone"
                 )
 
-    def _take_kept(self, address):
-        bound = time.monotonic() - KEPT_SECONDS
+    def _take_kept(self, address, reuse_seconds):
+        now = time.monotonic()
         while True:
             with self._lock:
                 kept = self._kept_by_address.get(address)
                 item = kept.pop() if kept else None
             if item is None:
                 return None
-            if item.since > bound and item.connection.is_connected:
+            is_recent = item.since > now - reuse_seconds and now < item.until
+            if is_recent and item.connection.is_connected:
                 return item.connection
             item.connection.close()
 
-    def _keep(self, address, connection):
-        if connection.sock is None:
+    def _keep(self, address, connection, seconds):
+        if connection.sock is None or seconds <= 0:
+            connection.close()
             return
-        item = _KeptConnection(connection=connection, since=time.monotonic())
+        now = time.monotonic()
+        item = _KeptConnection(connection=connection, since=now, until=now + seconds)
         with self._lock:
             kept = self._kept_by_address.setdefault(address, [])
             if len(kept) < KEPT_CONNECTIONS_PER_TARGET:
@@ -331,13 +358,48 @@
         with contextlib.suppress(OSError):
             connection.close()
 
+    def list_kept(self) -> frozenset[str]:
+        """Return the addresses to which an idle connection stands."""
+        now = time.monotonic()
+        with self._lock:
+            return frozenset(
+                address
+                for address, kept in self._kept_by_address.items()
+                if kept and now < kept[-1].until
+            )
+
+
+def _read_keep_seconds(response) -> float:
+    """Return how long an idle connection may be kept after an answer."""
+    if "close" in (response.headers.get("Connection") or "").lower():
+        return 0.0
+    for part in (response.headers.get("Keep-Alive") or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return int(value) * KEPT_SHARE
+    return KEPT_SECONDS
+
 
-def classify_answer(answer: TargetAnswer) -> OutcomeClass:
-    """Return what the head of an answer says of the attempt."""
-    if answer.status == http.client.SERVICE_UNAVAILABLE:
-        word = (answer.find_header(NOT_RUN_HEADER) or "").strip().lower()
-        if word in _NOT_RUN_CLASS_BY_WORD:
-            return _NOT_RUN_CLASS_BY_WORD[word]
-    if answer.status >= http.client.INTERNAL_SERVER_ERROR:
-        return OutcomeClass.TARGET_ERROR
-    return OutcomeClass.OK
+def _send_buffer(sock, buffer, deadline) -> bool:
+    """Send bytes until all are sent or the target has answered.
+
+    Returns:
+        Whether all were sent.
+
+    Raises:
+        TimeoutError: If the deadline passes.
+        OSError: If the connection ends.
+    """
+    view = memoryview(buffer)
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLOUT)
+    while view:
+        left = deadline - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("the target does not read the body")
+        events = dict(poll.poll(left * 1000)).get(sock.fileno(), 0)
+        if events & ~select.POLLOUT:
+            return False
+        if events:
+            view = view[sock.send(view[:SEND_BYTES]) :]
+    return True
--- /dev/null
+++ b/citronspan/platform/feeds.py
@@ -0,0 +1,104 @@
+"""The platform's records as feeds of the product; a ``FeedStore``."""
+
+import logbook
+import msgspec
+
+from citronspan.core import log_events
+from citronspan.core.errors import CitronspanError
+from citronspan.core.feeds import (
+    CONFIGURATION_FEED,
+    TARGETS_FEED,
+    FeedBatch,
+    FeedRecord,
+    encode_resources,
+)
+from citronspan.core.host_settings import ServiceRules
+from citronspan.platform.records import read_configuration, read_target
+from citronspan.platform.store import KeyedPage, KeyedRecord, StoreClient
+from citronspan.utils.logs import write_event
+
+_TOPIC_BY_FEED = {CONFIGURATION_FEED: "keyed.op", TARGETS_FEED: "keyed.servers"}
+_CONFIGURATION_KEY = "config"
+
+_logger = logbook.Logger("platform")
+
+
+class PlatformFeeds:
+    """Reads the platform's topics and translates their records.
+
+    Attributes:
+        unreadable_records: Records that named nothing, since the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: StoreClient,
+        rules: ServiceRules,
+        region_by_data_centre: dict[str, str],
+    ):
+        self._client = client
+        self._rules = rules
+        self._region_by_data_centre = region_by_data_centre
+        self.unreadable_records = 0
+
+    def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedBatch:
+        """Read what comes after an offset; see ``FeedStore``."""
+        topic = _TOPIC_BY_FEED[feed]
+        page = self._client.read(topic, from_offset, wait_seconds)
+        return FeedBatch(
+            feed=feed,
+            from_offset=from_offset,
+            next_offset=page.next_offset,
+            records=self._translate(feed, page),
+        )
+
+    def read_newest(self, feed: str) -> FeedBatch:
+        """Read the newest record of each key; see ``FeedStore``."""
+        page = self._client.read_newest(_TOPIC_BY_FEED[feed])
+        return FeedBatch(
+            feed=feed,
+            from_offset=0,
+            next_offset=page.next_offset,
+            records=self._translate(feed, page),
+            whole=True,
+        )
+
+    def _translate(self, feed: str, page: KeyedPage) -> tuple[FeedRecord, ...]:
+        if feed == CONFIGURATION_FEED:
+            records = [self._read_configuration(record) for record in page.records]
+        else:
+            records = [self._read_target(record) for record in page.records]
+        return tuple(record for record in records if record is not None)
+
+    def _read_configuration(self, record: KeyedRecord) -> FeedRecord | None:
+        if record.key != _CONFIGURATION_KEY or record.value is None:
+            return None
+        try:
+            resources = read_configuration(record.value, self._rules)
+        except (msgspec.MsgspecError, UnicodeDecodeError, CitronspanError) as error:
+            self._note_unreadable(record, error)
+            return None
+        data = encode_resources(resources)
+        return FeedRecord(offset=record.offset, key=record.key, data=data)
+
+    def _read_target(self, record: KeyedRecord) -> FeedRecord:
+        if record.value is None:
+            return FeedRecord(offset=record.offset, key=record.key)
+        try:
+            target = read_target(record.key, record.value, self._region_by_data_centre)
+        except (msgspec.MsgspecError, UnicodeDecodeError, CitronspanError) as error:
+            self._note_unreadable(record, error)
+            return FeedRecord(offset=record.offset, key=record.key)
+        data = encode_resources([target])
+        return FeedRecord(offset=record.offset, key=record.key, data=data)
+
+    def _note_unreadable(self, record, error):
+        self.unreadable_records += 1
+        write_event(
+            _logger,
+            log_events.RECORD_VOID,
+            key=record.key,
+            offset=record.offset,
+            reason=str(error),
+        )
