Weigh a belief that a target fails against what else it costs, per request

The sequential test takes faults for rare and lasting; here a tenth of the targets fails three of four requests for seconds, and a failing target answers fast, so that the choice by free slots runs to it.

Ruled out: lower thresholds of the test (after an ejection its back-off doubles up to 300 s, with a new spell every ten seconds most targets end up ejected and the floor takes them back blindly).

A request that may not run twice waits a little rather than take a doubted target. An entry tells its broker which targets it has connections to and which it could not reach.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -28,6 +28,7 @@
 from citronspan.core.link_budget import LinkBudget
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.placement import find_patience_seconds
 from citronspan.core.result_codes import ResultCode
 from citronspan.core.shards import ShardKey
 from citronspan.core.slot_queue import SlotQueue, WaitingRequest
@@ -237,13 +238,18 @@
 
     def _grant_if_free(self, sender, request, now):
         self._pool.read_limits(now)
-        use = self._pool.choose(request, now)
+        patient = self._find_patience(request) > 0
+        use = self._pool.choose(request, now, patient=patient)
         if use is None:
             return False
         deadline_at = now + request.deadline_seconds
         self._grant(sender, request, use, now, deadline_at)
         return True
 
+    def _find_patience(self, request):
+        need_seconds = self._hold_times.estimate_need(request.request_kind)
+        return find_patience_seconds(request, need_seconds)
+
     def _grant(self, sender, request, use, now, deadline_at):
         is_trial = self._pool.is_trial(use.known.name)
         hold_seconds = deadline_at - now + RECLAIM_SECONDS
@@ -292,6 +298,7 @@
             sender=sender,
             number=self._arrivals,
             deadline_at=now + request.deadline_seconds,
+            patient_until=now + self._find_patience(request),
         )
         place = self._queue.find_place(waiting)
         if self._is_hopeless(waiting, place, now):
@@ -364,7 +371,8 @@
             if now >= waiting.deadline_at:
                 self._give_up(waiting, result_codes.NO_CAPACITY, now)
                 continue
-            use = self._pool.choose(waiting.request, now)
+            patient = now < waiting.patient_until
+            use = self._pool.choose(waiting.request, now, patient=patient)
             if use is None:
                 continue
             self._queue.remove(waiting.request.attempt_id)
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -43,6 +43,10 @@
         body_bytes: Length of the request's body, as far as it is known.
         insist: Whether to serve it although another broker is thought to serve the
             shard, because the entry cannot reach that one.
+        data_centre: Data centre of the entry.
+        goal_seconds: Time left in which an answer is worth most, 0 if all the same.
+        connected: Names of targets to which the entry has an idle connection.
+        avoided: Names of targets that the entry could not reach lately.
     """
 
     attempt_id: int
@@ -59,6 +63,10 @@
     from_region: str = ""
     body_bytes: int = 0
     insist: bool = False
+    data_centre: str = ""
+    goal_seconds: float = 0.0
+    connected: tuple[str, ...] = ()
+    avoided: tuple[str, ...] = ()
 
 
 class SlotGrant(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -3,6 +3,12 @@
 from citronspan.core.broker_messages import SlotRequest
 from citronspan.core.broker_targets import TargetUse
 from citronspan.core.health import Health, KnownTarget, TargetLimit
+from citronspan.core.placement import (
+    ACCEPTABLE_COST,
+    Candidate,
+    compute_cost,
+    rank_by_share,
+)
 
 
 class TargetPool:
@@ -85,18 +91,18 @@
                 return True
         return False
 
-    def choose(self, request: SlotRequest, now: float) -> TargetUse | None:
+    def choose(
+        self, request: SlotRequest, now: float, *, patient: bool = False
+    ) -> TargetUse | None:
         """Choose a target with a free slot for a request.
 
-        A trial goes first, or it would not come about at low load; only requests
-        that may run twice are used for it, unless none has come for long. Requests
-        that must not run twice avoid targets that are not fully trusted. Then the
-        target goes first of which the largest share is free, and equal ones take
-        turns.
+        Equal ones take turns.
 
         Args:
             request: The request.
             now: Present time.
+            patient: Whether the request rather waits than takes a target that may
+                well fail.
 
         Returns:
             The target's use, or None if there is no free slot for the request.
@@ -112,10 +118,15 @@
             free = use.find_free(limit, now)
             if free <= 0:
                 continue
-            is_limited = limit.slots < use.known.slots and not limit.trial
-            is_doubtful = not request.idempotent and is_limited
+            candidate = Candidate(use=use, limit=limit, free=free)
             turn = (index + request.attempt_id) % count
-            rank = (not limit.trial, is_doubtful, -free / limit.slots, turn)
+            if limit.doubt is None:
+                rank = (*rank_by_share(request, candidate), turn)
+            else:
+                cost = compute_cost(request, candidate)
+                if patient and cost > ACCEPTABLE_COST:
+                    continue
+                rank = (cost, turn)
             if best is not None and rank >= best_rank:
                 continue
             best = use
--- a/citronspan/core/entry_configuration.py
+++ b/citronspan/core/entry_configuration.py
@@ -98,4 +98,6 @@
         data_centre=spec.data_centre,
         slots=spec.slots,
         leaving=spec.intent is TargetIntent.DRAINING,
+        incarnation=spec.incarnation,
+        cold=spec.cold,
     )
--- a/citronspan/core/health.py
+++ b/citronspan/core/health.py
@@ -17,6 +17,8 @@
         data_centre: Data centre of the target.
         slots: Requests that it runs at once.
         leaving: Whether it must get no new work.
+        incarnation: Number of its start; another one is another target.
+        cold: Whether it has just started and is slow.
     """
 
     name: str
@@ -25,6 +27,8 @@
     data_centre: str
     slots: int
     leaving: bool = False
+    incarnation: int = 0
+    cold: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,12 +41,16 @@
         trial: Whether only a trickle of idempotent requests may be sent.
         any_request: Whether a trial may be any request, because no idempotent one
             has come for long.
+        doubt: Probability that the target is failing, None where detection ejects.
+        unused: Whether the target has had no request yet.
     """
 
     target: str
     slots: int
     trial: bool = False
     any_request: bool = False
+    doubt: float | None = None
+    unused: bool = False
 
 
 class Health(Protocol):
--- /dev/null
+++ b/citronspan/core/placement.py
@@ -0,0 +1,103 @@
+"""Which of the targets with a free slot a request is given.
+
+Two ways. Where detection ejects, the target goes first of which the largest share is
+free. Where detection gives a doubt, each target has an expected cost for the request
+at hand, in parts of the request's worth, and the cheapest goes first: the chance that
+it fails, a new connection, the way to its data centre, its fullness. So work gathers
+on targets that are known to be sound and to which connections stand, and doubted ones
+are used when the others are full.
+"""
+
+from dataclasses import dataclass
+
+from citronspan.core.broker_messages import SlotRequest
+from citronspan.core.broker_targets import TargetUse
+from citronspan.core.health import TargetLimit
+
+RETRY_COST = 0.3
+"""Part of its worth that a request loses which fails once and is tried again."""
+
+CONNECT_COST = 0.03
+FULL_COST = 0.05
+"""Cost of the last free slot of a target, which is slow when it is full."""
+
+FAR_BYTES_COST = 3e-6
+"""Cost of a byte of the request's body that goes to another data centre."""
+
+FAR_COST = 0.01
+UNUSED_COST = -0.3
+"""A new target gets one request soon, and so shows whether it is sound."""
+
+AVOIDED_COST = 0.5
+"""Cost of a target to which the entry's own path failed lately."""
+
+ACCEPTABLE_COST = 0.3
+"""A request that must not run twice waits a little for a target that costs less."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """A target with a free slot.
+
+    Attributes:
+        use: Its use.
+        limit: What detection says of it.
+        free: Free slots.
+    """
+
+    use: TargetUse
+    limit: TargetLimit
+    free: int
+
+
+def rank_by_share(request: SlotRequest, candidate: Candidate) -> tuple:
+    """Rank by the share of free slots; a trial goes first.
+
+    Args:
+        request: The request.
+        candidate: The target.
+
+    Returns:
+        A rank, the lowest of which is chosen.
+    """
+    limit = candidate.limit
+    is_limited = limit.slots < candidate.use.known.slots and not limit.trial
+    is_doubtful = not request.idempotent and is_limited
+    return (not limit.trial, is_doubtful, -candidate.free / limit.slots)
+
+
+def compute_cost(request: SlotRequest, candidate: Candidate) -> float:
+    """Return the expected cost of a target for a request.
+
+    Args:
+        request: The request.
+        candidate: The target.
+
+    Returns:
+        The cost in parts of the request's worth.
+    """
+    known = candidate.use.known
+    limit = candidate.limit
+    cost = limit.doubt * (RETRY_COST if request.idempotent else 1.0)
+    cost += FULL_COST * (1 - (candidate.free - 1) / known.slots)
+    if known.name not in request.connected:
+        cost += CONNECT_COST
+    if known.data_centre != request.data_centre:
+        cost += FAR_COST + FAR_BYTES_COST * request.body_bytes
+    if known.name in request.avoided:
+        cost += AVOIDED_COST
+    if limit.unused and not candidate.use.granted:
+        cost += UNUSED_COST
+    return cost
+
+
+def find_patience_seconds(request: SlotRequest, need_seconds: float) -> float:
+    """Return how long a request waits for a target that is not doubted.
+
+    Args:
+        request: The request.
+        need_seconds: Time that it is taken to need at a target.
+    """
+    if request.idempotent or request.goal_seconds <= 0:
+        return 0.0
+    return max(0.0, min(request.goal_seconds - need_seconds, request.goal_seconds / 3))
--- a/citronspan/core/slot_queue.py
+++ b/citronspan/core/slot_queue.py
@@ -18,28 +18,25 @@
         number: Number that grows with each arrival; the earlier goes first where
             all else is equal.
         deadline_at: Deadline of the caller on the broker's clock.
+        patient_until: Until when it waits for a target that is not doubted.
     """
 
     request: SlotRequest
     sender: str
     number: int
     deadline_at: float
+    patient_until: float = 0.0
 
 
 def _find_place(waiting: WaitingRequest):
     return (-waiting.request.worth, waiting.deadline_at, waiting.number)
 
 
-def _find_deadline(waiting: WaitingRequest):
-    return (waiting.deadline_at, waiting.number)
-
-
 class SlotQueue:
     """The waiting requests of one shard."""
 
     def __init__(self):
         self._in_order = SortedKeyList(key=_find_place)
-        self._by_deadline = SortedKeyList(key=_find_deadline)
         self._waiting_by_id: dict[int, WaitingRequest] = {}
 
     def __len__(self):
@@ -73,7 +70,6 @@
     def add(self, waiting: WaitingRequest) -> None:
         """Add a request."""
         self._in_order.add(waiting)
-        self._by_deadline.add(waiting)
         self._waiting_by_id[waiting.request.attempt_id] = waiting
 
     def remove(self, attempt_id: int) -> WaitingRequest | None:
@@ -86,5 +82,4 @@
         if waiting is None:
             return None
         self._in_order.remove(waiting)
-        self._by_deadline.remove(waiting)
         return waiting
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -44,6 +44,7 @@
     service_name: str
     service: ServiceSpec
     deadline: float
+    goal: float
     fingerprint: int
 
     @property
@@ -154,6 +155,7 @@
             fingerprint=work.fingerprint,
             body_bytes=work.body.length or 0,
             is_retry=bool(tried),
+            goal=work.goal,
         )
         with start_span(self._tracer, "broker-wait"):
             slot = self._slots.acquire(ask)
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -72,6 +72,8 @@
             region=settings.place.region,
             link=self.link,
             wait_seconds=settings.broker_wait_seconds,
+            data_centre=settings.place.data_centre,
+            list_connected=self._connections.list_kept,
         )
         self.keys = KeyService(
             name=settings.place.name,
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -183,6 +183,7 @@
             )
         self._check_account(configuration, request)
         seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
+        goal_seconds = route.spec.goal_seconds
         request.connection.bound(received + seconds)
         body = _receive_body(request)
         return Work(
@@ -192,6 +193,7 @@
             service_name=service_name,
             service=service,
             deadline=received + seconds,
+            goal=received + goal_seconds if goal_seconds else 0.0,
             fingerprint=_compute_fingerprint(request, body),
         )
 
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -9,6 +9,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 
 import logbook
 
@@ -28,11 +29,12 @@
 from citronspan.core.health import KnownTarget
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo
-from citronspan.core.outcomes import Outcome
+from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.portable_health import ShardHealth
-from citronspan.core.resources import ServiceSpec
+from citronspan.core.resources import Detection, ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
 from citronspan.core.shards import Shard, ShardKey, choose_shard
+from citronspan.core.spell_health import SpellHealth
 from citronspan.core.verdicts import VerdictTable
 from citronspan.ops.health_news import HealthNews
 from citronspan.ops.own_choice import OwnChoice
@@ -40,6 +42,7 @@
 from citronspan.ops.pending_answers import PendingAnswers
 from citronspan.ops.quarantine import Quarantine
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
+from citronspan.ops.unreachable import UnreachableTargets
 from citronspan.utils.logs import write_event
 
 ATTEMPT_BITS = 63
@@ -63,9 +66,21 @@
 class SlotService:
     """Grants slots through brokers; a ``SlotSource``."""
 
-    def __init__(self, *, name: str, region: str, link: PeerLink, wait_seconds: float):
+    def __init__(
+        self,
+        *,
+        name: str,
+        region: str,
+        link: PeerLink,
+        wait_seconds: float,
+        data_centre: str = "",
+        list_connected: Callable[[], frozenset[str]] = frozenset,
+    ):
         self._name = name
         self._region = region
+        self._data_centre = data_centre
+        self._list_connected = list_connected
+        self._unreachable = UnreachableTargets()
         self._link = link
         self._wait_seconds = wait_seconds
         self._lock = threading.RLock()
@@ -108,6 +123,8 @@
 
     def release(self, slot: Slot, outcome: Outcome, answer_bytes: int) -> None:
         """Tell the shard's broker how the attempt ended."""
+        if outcome.outcome_class is OutcomeClass.CONNECT_FAILED:
+            self._unreachable.add(outcome.target)
         message = SlotRelease(
             attempt_id=slot.attempt_id,
             service=slot.shard.service,
@@ -205,8 +222,11 @@
             outgoing = self.brokers.set_nodes(left) if left else []
         self._emit(outgoing)
 
-    def _make_health(self, key: ShardKey, spec: ServiceSpec) -> ShardHealth:
-        return ShardHealth(
+    def _make_health(
+        self, key: ShardKey, spec: ServiceSpec
+    ) -> ShardHealth | SpellHealth:
+        make = SpellHealth if spec.detection is Detection.SPELLS else ShardHealth
+        return make(
             name=key.format(),
             spec=spec,
             issuer=self._name,
@@ -267,6 +287,25 @@
             is_retry=ask.is_retry,
             from_region=self._region if key.region != self._region else "",
             body_bytes=ask.body_bytes,
+            data_centre=self._data_centre,
+            goal_seconds=max(ask.goal - time.monotonic(), 0.0) if ask.goal else 0.0,
+            connected=self._find_connected(key),
+            avoided=self._unreachable.list_names(),
+        )
+
+    def _find_connected(self, key):
+        """Return the shard's targets to which an idle connection stands."""
+        addresses = self._list_connected()
+        if not addresses:
+            return ()
+        with self._lock:
+            shards = self.brokers.shards_by_group.get((key.service, key.region), ())
+        return tuple(
+            target.name
+            for shard in shards
+            if shard.key == key
+            for target in shard.targets
+            if target.address in addresses
         )
 
     def _ask(self, broker, request, deadline) -> Message | None:
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -22,6 +22,8 @@
         fingerprint: Hash of what the request asks.
         body_bytes: Bytes of the body, 0 if unknown.
         is_retry: Whether an earlier attempt was dispatched.
+        goal: Time of ``time.monotonic()`` until which an answer is worth most, 0 if
+            all the same.
     """
 
     service: str
@@ -33,6 +35,7 @@
     fingerprint: int
     body_bytes: int
     is_retry: bool
+    goal: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
