Read the store from one node; send the callers of a place to few entries

Change: the first node of the first region reads the store; the heads of the trees wait 1.0 and 1.2 s, the others 1.4 to 1.8 s for word that is fresh before they read. A member that comes is put into the round of heartbeats only where it belongs.

--- a/citronspan/core/directory.py
+++ b/citronspan/core/directory.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from citronspan.core.node_messages import NodeInfo
+from citronspan.utils.rendezvous import rank_members
 
-MAXIMUM_ADDRESSES = 16
-NEAR_ADDRESSES = 3
-"""Entries of a data centre that its callers are sent to without others."""
+MAXIMUM_ADDRESSES = 64
+NEAR_ADDRESSES = 4
+"""Entries with room that the callers of one place are sent to."""
 
 
 class DirectoryAnswer(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -30,9 +31,11 @@
 ) -> tuple[str, ...]:
     """Choose the addresses for one caller.
 
-    Serving entries of the caller's data centre are given, in random order so that
-    callers spread; where there are fewer than ``NEAR_ADDRESSES``, those of the region
-    go with them, and entries of another region only where the region has none.
+    Serving entries of the caller's data centre go first, then those of its region,
+    and entries of another region only where the region has none. Only as many are
+    given as it takes to have ``NEAR_ADDRESSES`` that are not busy: callers that share
+    few entries share their connections to targets. The same ones are given to all
+    callers of a place, in random order.
 
     Args:
         nodes: Nodes taken as live.
@@ -45,6 +48,15 @@
     serving = [node for node in nodes if node.entry_state == "serving"]
     in_region = [node for node in serving if node.region == region]
     near = [node for node in in_region if node.data_centre == data_centre]
-    chosen = near if len(near) >= NEAR_ADDRESSES else in_region or serving
+    candidates = near if len(near) >= NEAR_ADDRESSES else in_region or serving
+    node_by_name = {node.name: node for node in candidates}
+    chosen = []
+    idle = 0
+    for name in rank_members(node_by_name, f"directory {region} {data_centre}"):
+        node = node_by_name[name]
+        chosen.append(node.entry_callers_address)
+        idle += not node.entry_busy
+        if idle >= NEAR_ADDRESSES or len(chosen) >= MAXIMUM_ADDRESSES:
+            break
     random.shuffle(chosen)
-    return tuple(node.entry_callers_address for node in chosen[:MAXIMUM_ADDRESSES])
+    return tuple(chosen)
--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -1,9 +1,10 @@
 """Spreading of the platform's feeds among agents, as messages in and messages out.
 
-A few nodes of each region read the store all the time and pass on what they read,
-with its age, along the trees of ``config_spread_tree``. Whoever hears nothing fresh
-for ``STALE_SECONDS`` reads the store itself, so that neither the loss of all readers
-nor a store that turns some hosts away leaves a node behind. Offsets only grow.
+One node reads the store all the time and passes on what it reads, with its age, to
+the other regions and along the trees of ``config_spread_tree``. Whoever hears nothing
+fresh for a while reads the store itself, those at the heads of the trees first, so
+that neither the loss of readers nor a store that turns some hosts away leaves a node
+behind. Offsets only grow.
 """
 
 import math
@@ -19,9 +20,15 @@
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo
 
-READERS_PER_REGION = 2
+HEADS_PER_REGION = 2
+"""Nodes of a region that head its trees, and read in place of a silent reader."""
+
+HEAD_STALE_SECONDS = 1.0
+"""Age of what it knows from which on the first node of a region reads the store."""
+
+HEAD_STEP_SECONDS = 0.2
 STALE_SECONDS = 1.4
-"""Age of what a node knows from which on it reads the store itself.
+"""The same for a node that heads no tree.
 
 A target that leaves must get no request 2.5 s after the store took the news, so that
 the loss of all readers has to be made up for in less.
@@ -47,7 +54,7 @@
         self._nodes: tuple[NodeInfo, ...] = (own,)
         self._plan_names: tuple = ()
         self._plan = SpreadPlan(rank=0, receivers=())
-        self._reader_addresses: tuple[str, ...] = ()
+        self._head_addresses: tuple[str, ...] = ()
         self._feed_by_name = {name: Feed(name=name) for name in FEEDS}
         self._folder = FeedFolder()
         self._recent_by_feed = {name: deque() for name in FEEDS}
@@ -89,11 +96,18 @@
     @property
     def is_reader(self) -> bool:
         """Whether this node is one that reads the store all the time."""
-        return self._plan.rank < READERS_PER_REGION
+        regions = [node.region for node in self._nodes]
+        return self._plan.rank == 0 and self._own.region == min(regions)
 
     def is_due_to_read(self) -> bool:
         """Return whether this node is to read the store now."""
-        return self.is_reader or self.age_seconds > self._patience
+        return self.is_reader or self.age_seconds > self._find_patience()
+
+    def _find_patience(self):
+        rank = self._plan.rank
+        if rank < HEADS_PER_REGION:
+            return HEAD_STALE_SECONDS + rank * HEAD_STEP_SECONDS
+        return self._patience
 
     def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
         """Take the nodes that are live now."""
@@ -107,9 +121,9 @@
             return
         self._plan_names = names
         self._plan = make_plan(self._own, nodes)
-        self._reader_addresses = tuple(
+        self._head_addresses = tuple(
             node.agent_peer_address
-            for node in rank_in_region(self._own, nodes)[:READERS_PER_REGION]
+            for node in rank_in_region(self._own, nodes)[:HEADS_PER_REGION]
             if node.name != self._own.name
         )
 
@@ -199,21 +213,26 @@
         adopted = self._refold() if batches else None
         message = self._make_news(batches)
         receivers = set(self._plan.receivers)
-        if not self.is_reader and not sender:
-            receivers.update(self._reader_addresses)
-        if sender == "":
-            # A reader tells the other region too, whose readers may be turned away.
-            receivers.update(self._choose_far())
+        if not sender:
+            receivers.update(self._head_addresses)
+            receivers.update(self._list_far_heads())
         receivers.discard(sender)
         outgoing = tuple(Outgoing(to=to, message=message) for to in sorted(receivers))
         return SpreadResult(outgoing=outgoing, adopted=adopted)
 
-    def _choose_far(self):
-        far = [node for node in self._nodes if node.region != self._own.region]
-        if not far or self._plan.rank != 0:
-            return ()
-        readers = rank_in_region(far[0], tuple(far))[:READERS_PER_REGION]
-        return tuple(node.agent_peer_address for node in readers)
+    def _list_far_heads(self):
+        """Return the heads of the other regions, whom the first of a region tells."""
+        if self._plan.rank != 0:
+            return []
+        nodes_by_region: dict[str, list[NodeInfo]] = {}
+        for node in self._nodes:
+            if node.region != self._own.region:
+                nodes_by_region.setdefault(node.region, []).append(node)
+        return [
+            node.agent_peer_address
+            for nodes in nodes_by_region.values()
+            for node in rank_in_region(nodes[0], tuple(nodes))[:HEADS_PER_REGION]
+        ]
 
     def _make_news(self, batches, *, wants_answer=False):
         return FeedNews(
--- a/citronspan/core/membership.py
+++ b/citronspan/core/membership.py
@@ -279,7 +279,8 @@
             self._member_by_name[record.node.name] = member
             self._news.add(record)
             self._version += 1
-            self._insert_in_round(record.node.name)
+            if self._is_probed(record.node):
+                self._insert_in_round(record.node.name)
             return
         if record.rank <= member.record.rank:
             return
@@ -321,26 +322,29 @@
         return None
 
     def _list_probed(self):
-        """Return the live members that this node sends heartbeats to.
+        """Return the names of the live members that this node sends heartbeats to."""
+        return [
+            name
+            for name, member in self._member_by_name.items()
+            if member.record.status not in _GONE and self._is_probed(member.record.node)
+        ]
+
+    def _is_probed(self, node):
+        """Return whether this node is to send heartbeats to a member.
 
         A member of another region gets them from one node of each region only, since
         its own region finds out first and bytes between regions are dear.
         """
-        live = [
-            member.record.node
-            for member in self._member_by_name.values()
-            if member.record.status not in _GONE
-        ]
         region = self._own.region
-        near = [node.name for node in live if node.region == region]
-        probers = [*near, self._own.name]
-        far = [
-            node.name
-            for node in live
-            if node.region != region
-            and choose_member(probers, f"probe {node.name}") == self._own.name
+        if node.region == region:
+            return True
+        probers = [
+            member.record.node.name
+            for member in self._member_by_name.values()
+            if member.record.status not in _GONE and member.record.node.region == region
         ]
-        return near + far
+        own = self._own.name
+        return choose_member([*probers, own], f"probe {node.name}") == own
 
     def _join(self, now):
         if now < self._join_at:
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -20,6 +20,8 @@
         entry_state: State of its entry, by the chart ``entry``.
         entry_incarnation: Incarnation of its entry, 0 before the first report.
         offset: Next offset of the log that the node has not applied.
+        entry_busy: Whether its entry carries so much that callers should use more
+            entries.
     """
 
     name: str
@@ -33,6 +35,7 @@
     entry_state: str = "joining"
     entry_incarnation: int = 0
     offset: int = 0
+    entry_busy: bool = False
 
 
 class ConfigurationPush(Message, kw_only=True):
@@ -132,6 +135,7 @@
         offset: Offset of the configuration in force at the entry.
         view_sequence: Sequence of the last view taken.
         in_flight: Requests being carried.
+        busy: Whether callers should use more entries than this one.
         shards: Shards whose broker this entry is; None where they are not told.
         sick_targets: Targets that other brokers of the region hold as not healthy.
     """
@@ -141,6 +145,7 @@
     offset: int
     view_sequence: int = 0
     in_flight: int = 0
+    busy: bool = False
     shards: tuple[ShardReport, ...] | None = None
     sick_targets: tuple[TargetReport, ...] = ()
 
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -236,7 +236,11 @@
             return
         self._report = report
         self._reported_at = time.monotonic()
-        self.view.update_own(entry_state=report.state, entry_incarnation=incarnation)
+        self.view.update_own(
+            entry_state=report.state,
+            entry_incarnation=incarnation,
+            entry_busy=report.busy,
+        )
         self.feed.take_report(report)
 
     def _tick_forever(self):
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -8,6 +8,7 @@
 
 from citronspan.core import log_events
 from citronspan.core.broker_messages import BrokerMessage, EntryMessage
+from citronspan.core.busy_sign import BusySign
 from citronspan.core.entry_configuration import EntryConfiguration, apply_push
 from citronspan.core.key_messages import KeyMessage
 from citronspan.core.messages import Envelope
@@ -83,6 +84,7 @@
             secret=settings.place.secret.encode(),
         )
         self._stop = threading.Event()
+        self._busy = BusySign(threads=settings.worker_threads)
         self._reported_at = 0.0
         self._verdicts_at = 0.0
         self._server = make_server(
@@ -238,12 +240,14 @@
 
     def _report(self):
         self._reported_at = time.monotonic()
+        in_flight = self.metrics.read_in_flight()
         report = EntryReport(
             name=self.settings.place.name,
             state=self.state,
             offset=self.configuration.offset,
             view_sequence=self.view.sequence,
-            in_flight=self.metrics.read_in_flight(),
+            in_flight=in_flight,
+            busy=self._busy.update(in_flight),
             shards=self.slots.news.describe(),
             sick_targets=self.slots.news.describe_heard(),
         )
