Grant retries at the broker within a window; ask a stand-in for a silent broker

And with a broker gone each entry chose alone until membership dropped it, about 6 s.

Change: core/retry_window counts requests and retries over a sliding window; a retry asks its broker, which grants it out of the ratio and its part of the slack, and an answer that failed is kept until the other slot is there, so that a caller gets the target's own answer where there is no retry. Attempts that reached no target count as none. A broker that does not answer is passed over for 1 s and the next of the ranking serves in its place; an entry chooses alone only without any. A body that stops while a target takes it ends with 502 (3073) and no longer with 408, which promises "not run".

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -30,6 +30,7 @@
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.placement import find_patience_seconds
 from citronspan.core.result_codes import ResultCode
+from citronspan.core.retry_window import RetryWindow
 from citronspan.core.shards import ShardKey
 from citronspan.core.slot_queue import SlotQueue, WaitingRequest
 
@@ -73,7 +74,9 @@
         health: Health,
         targets: tuple[KnownTarget, ...] = (),
         link_bytes_per_second: float = 0.0,
+        retries: RetryWindow | None = None,
     ):
+        self._retries = retries
         self.key = key
         self.health = health
         self.successor = ""
@@ -226,6 +229,9 @@
         if not request.worth >= 0:
             self._refuse(sender, request, result_codes.REQUEST_INVALID, now)
             return
+        if not self._count_attempt(request):
+            self._refuse(sender, request, result_codes.RETRIES_SPENT, now)
+            return
         if request.from_region and not self._spend_link(request):
             self._refuse(sender, request, result_codes.LINK_BUDGET_SPENT, now)
             return
@@ -233,6 +239,15 @@
             return
         self._queue_or_refuse(sender, request, now)
 
+    def _count_attempt(self, request) -> bool:
+        """Count an attempt; return whether it may be made."""
+        if self._retries is None:
+            return True
+        if request.is_retry:
+            return self._retries.spend()
+        self._retries.count_request()
+        return True
+
     def _spend_link(self, request):
         return self._link.spend(request.request_kind, request.worth, request.body_bytes)
 
--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -22,6 +22,7 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.result_codes import NO_CAPACITY
+from citronspan.core.retry_window import RetryWindow
 from citronspan.core.shards import BrokerTable, Shard, ShardKey, form_shards
 
 
@@ -206,10 +207,25 @@
             health=self._make_health(key, spec),
             targets=shard.targets,
             link_bytes_per_second=spec.link_bytes_per_second / len(group),
+            retries=self._make_retries(key.service, spec),
         )
         self._broker_by_key[key] = broker
         return broker
 
+    def _make_retries(self, service, spec):
+        if not spec.retry_window_seconds:
+            return None
+        shards = sum(
+            len(shards)
+            for (name, _), shards in self.shards_by_group.items()
+            if name == service
+        )
+        return RetryWindow(
+            ratio=spec.retry_ratio,
+            slack=spec.retry_slack / max(shards, 1),
+            window_seconds=spec.retry_window_seconds,
+        )
+
     def _drop_service(self, service):
         for group in [group for group in self.shards_by_group if group[0] == service]:
             for shard in self.shards_by_group.pop(group):
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -166,6 +166,15 @@
 ATTEMPT_CANCELLED = _define(
     3061, "attempt-cancelled", 503, _NOT, "The entry gave the attempt up itself."
 )
+RETRIES_SPENT = _define(
+    3062, "retries-spent", 503, _NOT, "The service's budget of retries is spent."
+)
+CALLER_GONE = _define(
+    3063, "caller-gone", 503, _NOT, "The caller left while the request waited."
+)
+UPLOAD_LATE = _define(
+    3073, "upload-late", 502, _MAY, "The body stopped while a target was taking it."
+)
 CALLER_TOO_SLOW = _define(
     3070, "caller-too-slow", 408, _MAY, "The caller's request did not come in time."
 )
--- a/citronspan/core/retry_budget.py
+++ b/citronspan/core/retry_budget.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from typing import Protocol
 
 from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, OutcomeClass
 from citronspan.core.result_codes import Ran
@@ -47,6 +48,27 @@
         return True
 
 
+class Budget(Protocol):
+    """What pays for retries."""
+
+    def count_first_attempt(self) -> None:
+        """Earn a share of a retry by a first attempt."""
+
+    def spend(self) -> bool:
+        """Spend one retry; return whether there was one."""
+
+
+class BrokerBudget:
+    """Leaves retries to the budget of the broker, which every retry asks."""
+
+    def count_first_attempt(self) -> None:
+        """Do nothing: the broker counts."""
+
+    def spend(self) -> bool:
+        """Allow the entry to ask."""
+        return True
+
+
 def is_retry_safe(outcome_class: OutcomeClass, *, idempotent: bool) -> bool:
     """Return whether running the request again breaks no promise.
 
@@ -58,7 +80,7 @@
 
 
 def decide_retry(
-    budget: RetryBudget,
+    budget: Budget,
     outcome_class: OutcomeClass,
     *,
     idempotent: bool,
--- a/citronspan/core/shards.py
+++ b/citronspan/core/shards.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -223,3 +223,18 @@
         """Return the peer address of the broker of a shard, or empty."""
         node = self.find_broker(key)
         return "" if node is None else node.entry_peer_address
+
+    def find_stand_in(self, key: ShardKey, silent: Set[str]) -> str:
+        """Return the peer address of the first entry that is not silent, or empty.
+
+        Args:
+            key: The shard.
+            silent: Peer addresses of entries that do not answer.
+        """
+        names = [
+            name
+            for name in self._names_by_region.get(key.region, ())
+            if self._node_by_name[name].entry_peer_address not in silent
+        ]
+        name = choose_member(names, key.format())
+        return "" if name is None else self._node_by_name[name].entry_peer_address
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -1,5 +1,6 @@
 """Attempts of one request at targets, and whether another one may follow."""
 
+import dataclasses
 import math
 import threading
 import time
@@ -11,13 +12,18 @@
 from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, Outcome, OutcomeClass
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
-from citronspan.core.retry_budget import RetryBudget, RetryDecision, decide_retry
+from citronspan.core.retry_budget import (
+    BrokerBudget,
+    RetryBudget,
+    RetryDecision,
+    decide_retry,
+)
 from citronspan.core.route_table import Route
 from citronspan.ops.caller_request import CallerBody, CallerRequest
 from citronspan.ops.dialect import Addressee, Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.refusals import Refusal
-from citronspan.ops.slot_source import Slot, SlotAsk, SlotSource
+from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused, SlotSource
 from citronspan.ops.target_connection import (
     AttemptFailedError,
     TargetAnswer,
@@ -30,6 +36,9 @@
 # still fits in after a slow target.
 ATTEMPT_SHARE = 0.5
 BUFFERED_ANSWER_BYTES = 64 * 1024
+NOT_ARRIVED_CLASSES = frozenset({OutcomeClass.CONNECT_FAILED, OutcomeClass.NOT_USED})
+"""Outcomes of attempts of which the target saw no request."""
+
 # Less time than this is not worth another attempt.
 MINIMUM_ATTEMPT_SECONDS = 0.01
 
@@ -65,6 +74,7 @@
         outcome_class: What the head of the answer says.
         started: When the attempt began.
         first_byte: When the head of the answer was here.
+        is_released: Whether the slot was given back already.
     """
 
     slot: Slot
@@ -74,6 +84,7 @@
     outcome_class: OutcomeClass
     started: float
     first_byte: float
+    is_released: bool = False
 
 
 class AttemptRunner:
@@ -113,11 +124,20 @@
         """
         tried: tuple[str, ...] = ()
         has_run = False
+        has_arrived = False
+        kept: Answered | None = None
         budget = self._find_budget(work)
         with self._lock:
             budget.count_first_attempt()
         while True:
-            slot = self._acquire(work, tried, has_run)
+            slot = self._acquire(work, tried, has_arrived)
+            if isinstance(slot, SlotRefused):
+                if kept is not None:
+                    return self._accept(work, kept, has_run)
+                raise _make_slot_refusal(work, slot, has_run)
+            if kept is not None:
+                kept.answer.abandon()
+                kept = None
             tried = (*tried, slot.target)
             answered = None
             try:
@@ -126,11 +146,14 @@
             except AttemptFailedError as error:
                 last_class = error.outcome_class
             has_run = has_run or RAN_BY_OUTCOME_CLASS[last_class] is not Ran.NOT_RUN
+            has_arrived = has_arrived or last_class not in NOT_ARRIVED_CLASSES
             if not self._may_retry(work, budget, last_class, tried):
                 break
             if answered is not None:
-                answered.answer.abandon()
+                # The broker hears of the failure before it chooses again; the
+                # answer is kept in case there is no other target.
                 self.release(work, answered)
+                kept = dataclasses.replace(answered, is_released=True)
             self._metrics.count_retry(work.service_name)
         if answered is None:
             raise _make_refusal(last_class, has_run)
@@ -144,7 +167,7 @@
         self.release(work, answered)
         raise _make_refusal(answered.outcome_class, has_run)
 
-    def _acquire(self, work, tried, has_run) -> Slot:
+    def _acquire(self, work, tried, has_arrived) -> Slot | SlotRefused:
         ask = SlotAsk(
             service=work.service_name,
             request_kind=work.spec.request_kind,
@@ -154,20 +177,12 @@
             excluded=tried,
             fingerprint=work.fingerprint,
             body_bytes=work.body.length or 0,
-            is_retry=bool(tried),
+            is_retry=has_arrived,
             goal=work.goal,
+            is_gone=work.request.connection.is_gone,
         )
         with start_span(self._tracer, "broker-wait"):
-            slot = self._slots.acquire(ask)
-        if isinstance(slot, Slot):
-            return slot
-        if has_run:
-            raise _make_refusal(OutcomeClass.ANSWER_LOST, has_run)
-        raise Refusal(
-            code=slot.code,
-            detail=f"service {work.service_name!r}",
-            retry_after_seconds=slot.retry_after_seconds,
-        )
+            return self._slots.acquire(ask)
 
     def _attempt(self, work: Work, slot: Slot) -> Answered:
         started = time.monotonic()
@@ -228,6 +243,8 @@
     def _find_budget(self, work):
         with self._lock:
             budget = self._budget_by_service.get(work.service_name)
+            if work.service.retry_window_seconds:
+                return BrokerBudget()
             if budget is None or budget.ratio != work.service.retry_ratio:
                 budget = RetryBudget(ratio=work.service.retry_ratio)
                 self._budget_by_service[work.service_name] = budget
@@ -262,6 +279,8 @@
                 head of the answer said.
             answer_bytes: Bytes of the body.
         """
+        if answered.is_released:
+            return
         outcome = Outcome(
             target=answered.slot.target,
             outcome_class=outcome_class or answered.outcome_class,
@@ -302,6 +321,17 @@
     return head, answer.length == 0
 
 
+def _make_slot_refusal(work, refused: SlotRefused, has_run: bool) -> Refusal:
+    """Return the refusal for a request that gets no slot."""
+    if has_run:
+        return _make_refusal(OutcomeClass.ANSWER_LOST, has_run)
+    return Refusal(
+        code=refused.code,
+        detail=f"service {work.service_name!r}",
+        retry_after_seconds=refused.retry_after_seconds,
+    )
+
+
 def _make_refusal(outcome_class: OutcomeClass, has_run: bool) -> Refusal:
     """Return the refusal for the last outcome of a request that is given up."""
     ran = Ran.MAY_HAVE_RUN if has_run else Ran.NOT_RUN
--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/caller_request.py
@@ -224,9 +224,11 @@
         try:
             return self._request.body.read(size)
         except TimeoutError as error:
-            raise CitronspanError(
-                code=result_codes.CALLER_TOO_SLOW, detail="the body is late"
-            ) from error
+            code = result_codes.CALLER_TOO_SLOW
+            if self._started:
+                # A target has some of it, so that "not run" is no longer sure.
+                code = result_codes.UPLOAD_LATE
+            raise CitronspanError(code=code, detail="the body is late") from error
         except (OSError, ValueError, EOFError) as error:
             raise self._cut_short() from error
 
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 import logbook
+import msgspec
 
 from citronspan.core import log_events, result_codes
 from citronspan.core.broker_messages import (
@@ -41,8 +42,8 @@
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.pending_answers import PendingAnswers
 from citronspan.ops.quarantine import Quarantine
+from citronspan.ops.recent_names import RecentNames
 from citronspan.ops.slot_source import Slot, SlotAsk, SlotRefused
-from citronspan.ops.unreachable import UnreachableTargets
 from citronspan.utils.logs import write_event
 
 ATTEMPT_BITS = 63
@@ -50,6 +51,18 @@
 # A waiting request asks again this often, so that a broker that froze is noticed.
 ASK_AGAIN_SECONDS = 0.25
 MAXIMUM_REDIRECTS = 2
+FAR_WAIT_SECONDS = 0.15
+"""Time more for a broker in another region, for the way there and back."""
+
+SILENT_SECONDS = 1.0
+"""Time for which a broker that did not answer is passed over."""
+
+UNREACHABLE_SECONDS = 3.0
+"""Time for which a target that this entry could not connect to is avoided."""
+
+LARGE_BODY_BYTES = 20_000
+"""Bodies of this size cost more between regions than their request is worth."""
+
 QUARANTINED_SECONDS = 300.0
 
 _FINAL_TYPES = (SlotGrant, SlotRefusal, SlotRedirect)
@@ -80,7 +93,8 @@
         self._region = region
         self._data_centre = data_centre
         self._list_connected = list_connected
-        self._unreachable = UnreachableTargets()
+        self._unreachable = RecentNames(seconds=UNREACHABLE_SECONDS)
+        self._silent = RecentNames(seconds=SILENT_SECONDS)
         self._link = link
         self._wait_seconds = wait_seconds
         self._lock = threading.RLock()
@@ -115,6 +129,8 @@
                 return _refuse(result_codes.REQUEST_QUARANTINED, QUARANTINED_SECONDS)
         refused = None
         for region in self._list_regions(ask.service):
+            if refused is not None and ask.body_bytes >= LARGE_BODY_BYTES:
+                break
             answer = self._acquire_in(region, ask)
             if isinstance(answer, Slot):
                 return answer
@@ -253,9 +269,12 @@
             broker = self.brokers.table.find_address(shard.key)
         request = self._make_request(shard.key, ask)
         for _ in range(1 + MAXIMUM_REDIRECTS):
+            if self._silent.is_remembered(broker):
+                broker = self._find_stand_in(shard.key)
+                request = msgspec.structs.replace(request, insist=True)
             if not broker:
                 break
-            answer = self._ask(broker, request, ask.deadline)
+            answer = self._ask(broker, request, ask)
             if isinstance(answer, SlotGrant):
                 return self._take_grant(answer, shard, broker)
             if isinstance(answer, SlotRefusal):
@@ -265,13 +284,20 @@
                 )
             if answer is None:
                 self._give_up(broker, request)
-                break
+                if ask.is_gone():
+                    return _refuse(result_codes.CALLER_GONE)
+                self._silent.add(broker)
+                continue
             broker = answer.broker
         if region != self._region:
             # Only a broker there keeps the budget of the link.
             return _refuse(result_codes.NO_CAPACITY)
         return self._choose_alone(shard, ask)
 
+    def _find_stand_in(self, key):
+        with self._lock:
+            return self.brokers.table.find_stand_in(key, set(self._silent.list_names()))
+
     def _make_request(self, key, ask):
         return SlotRequest(
             attempt_id=self._random.getrandbits(ATTEMPT_BITS),
@@ -308,8 +334,14 @@
             if target.address in addresses
         )
 
-    def _ask(self, broker, request, deadline) -> Message | None:
-        """Ask a broker; return its final word, or None if it stays silent."""
+    def _ask(self, broker, request, ask) -> Message | None:
+        """Ask a broker; return its final word, or None if it stays silent.
+
+        None, too, if the caller leaves meanwhile or the deadline passes.
+        """
+        wait_seconds = self._wait_seconds
+        if request.from_region:
+            wait_seconds += FAR_WAIT_SECONDS
         wait_id = request.attempt_id.to_bytes(8, "big")
         waiter = self._pending.open(wait_id)
         question = _Question()
@@ -317,14 +349,14 @@
         try:
             asked_at = time.monotonic()
             while self._tell(broker, request):
-                if waiter.wait(self._wait_seconds):
+                if waiter.wait(wait_seconds):
                     return waiter.answer
                 if question.heard_at < asked_at:
                     return None
                 if waiter.wait(ASK_AGAIN_SECONDS):
                     return waiter.answer
                 asked_at = time.monotonic()
-                if asked_at > deadline:
+                if asked_at > ask.deadline or ask.is_gone():
                     return None
             return None
         finally:
@@ -360,6 +392,8 @@
     def _choose_alone(self, shard: Shard, ask: SlotAsk) -> Slot | SlotRefused:
         with self._lock:
             spec = self._spec_by_service[ask.service]
+            if ask.is_retry and spec.retry_window_seconds:
+                return _refuse(result_codes.RETRIES_SPENT)
             target = self.own_choice.choose(shard, spec.floor, frozenset(ask.excluded))
         if target is None:
             return _refuse(result_codes.NO_CAPACITY)
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -1,5 +1,6 @@
 """Where the request path gets a slot of a target from."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -24,6 +25,7 @@
         is_retry: Whether an earlier attempt was dispatched.
         goal: Time of ``time.monotonic()`` until which an answer is worth most, 0 if
             all the same.
+        is_gone: Says whether the caller has left.
     """
 
     service: str
@@ -36,6 +38,7 @@
     body_bytes: int
     is_retry: bool
     goal: float = 0.0
+    is_gone: Callable[[], bool] = lambda: False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -36,7 +36,8 @@
     def classify(self, status: int, find_header: FindHeader) -> OutcomeClass:
         """Believe the target's word that it did not run the request."""
         if status == 421:
-            return OutcomeClass.CONNECT_FAILED
+            # Another target has the address now, so that the one meant is gone.
+            return OutcomeClass.DRAINING
         if find_header(_NOT_EXECUTED) is not None:
             return OutcomeClass.SHED
         if status >= 500 or find_header(_SIGNATURE) is None:
