--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -47,6 +47,12 @@
 BACKGROUND_TASK_FAILED = _define(
     105, "background-task-failed", "ERROR", "A background task raised; it goes on."
 )
+SETTINGS_RELOADED = _define(
+    106, "settings-reloaded", "INFO", "Other settings are in force."
+)
+SETTINGS_REFUSED = _define(
+    107, "settings-refused", "ERROR", "New settings are not valid; the old ones hold."
+)
 
 # 200-299: the entry.
 REQUEST_REFUSED = _define(200, "request-refused", "INFO", "A request was refused.")
--- a/citronspan/core/membership.py
+++ b/citronspan/core/membership.py
@@ -85,7 +85,8 @@
         self._random = random.Random(seed)
         self._own = own
         self._revision = 0
-        self._seeds = tuple(seed for seed in seeds if seed != own.agent_peer_address)
+        self._seeds: tuple[str, ...] = ()
+        self.set_seeds(seeds)
         self._member_by_name: dict[str, _Member] = {}
         self._news = NewsQueue()
         self._probe: _Probe | None = None
@@ -116,6 +117,21 @@
         if is_news:
             self._announce()
 
+    def tell_region(self) -> list[Outgoing]:
+        """Tell every live member of the region what this node says of itself."""
+        message = MemberSync(records=(self._make_own_record(),), wants_answer=False)
+        return [
+            Outgoing(to=member.record.node.agent_peer_address, message=message)
+            for member in self._member_by_name.values()
+            if member.record.status not in _GONE
+            and member.record.node.region == self._own.region
+        ]
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds."""
+        own = self._own.agent_peer_address
+        self._seeds = tuple(seed for seed in seeds if seed != own)
+
     def leave(self) -> list[Outgoing]:
         """Tell some members that this node stops."""
         self._is_leaving = True
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -234,6 +234,7 @@
     def _take_report(self, report: EntryReport, incarnation: int):
         if report.name != self.settings.place.name:
             return
+        before = self._report
         self._report = report
         self._reported_at = time.monotonic()
         self.view.update_own(
@@ -241,8 +242,17 @@
             entry_incarnation=incarnation,
             entry_busy=report.busy,
         )
+        if before is not None and before.state != report.state:
+            # The directory must not name an entry that leaves, and may name one
+            # that serves.
+            self.link.send_all(self.view.tell_region())
         self.feed.take_report(report)
 
+    def reload(self, settings: AgentSettings) -> None:
+        """Take what of other settings can change while the agent runs."""
+        self.settings = settings
+        self.view.set_seeds(settings.seeds)
+
     def _tick_forever(self):
         while not self._stop.wait(self._find_tick_seconds()):
             self._note_silent_entry()
--- a/citronspan/ops/agent_view.py
+++ b/citronspan/ops/agent_view.py
@@ -63,6 +63,16 @@
         with self._lock:
             return self._membership.tick()
 
+    def tell_region(self) -> list[Outgoing]:
+        """Return the messages that tell the region of this node's state."""
+        with self._lock:
+            return self._membership.tell_region()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds."""
+        with self._lock:
+            self._membership.set_seeds(seeds)
+
     def leave(self) -> list[Outgoing]:
         """Return the messages that tell of this node's stop."""
         with self._lock:
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -4,6 +4,7 @@
 import math
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from opentelemetry import trace
@@ -99,8 +100,10 @@
         tracer: trace.Tracer,
         dialect: Dialect,
         reuse_seconds: float,
+        is_stopping: Callable[[], bool],
     ):
         self._dialect = dialect
+        self._is_stopping = is_stopping
         self._reuse_seconds = reuse_seconds
         self._slots = slots
         self._connections = connections
@@ -141,7 +144,7 @@
             tried = (*tried, slot.target)
             answered = None
             try:
-                answered = self._attempt(work, slot)
+                answered = self._attempt(work, slot, is_last=self._is_last(work, tried))
                 last_class = answered.outcome_class
             except AttemptFailedError as error:
                 last_class = error.outcome_class
@@ -184,12 +187,18 @@
         with start_span(self._tracer, "broker-wait"):
             return self._slots.acquire(ask)
 
-    def _attempt(self, work: Work, slot: Slot) -> Answered:
+    def _is_last(self, work, tried) -> bool:
+        """Return whether no attempt follows, whatever this one comes to."""
+        if self._is_stopping() or not work.spec.idempotent:
+            return True
+        return len(tried) >= work.spec.maximum_attempts or not work.body.is_repeatable
+
+    def _attempt(self, work: Work, slot: Slot, *, is_last: bool) -> Answered:
         started = time.monotonic()
         try:
             with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
-                answer = self._send(work, slot, started)
+                answer = self._send(work, slot, started, is_last)
                 first_byte = time.monotonic()
                 head, is_whole = _read_ahead(answer)
                 outcome_class = self._dialect.classify(
@@ -211,9 +220,9 @@
             first_byte=first_byte,
         )
 
-    def _send(self, work, slot, started):
+    def _send(self, work, slot, started, is_last):
         deadline = work.deadline
-        if work.spec.idempotent and work.body.is_repeatable:
+        if not is_last:
             deadline = started + (work.deadline - started) * ATTEMPT_SHARE
         headers = dict(work.request.headers)
         addressee = Addressee(target=slot.target, seconds=deadline - started)
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -16,7 +16,7 @@
 from citronspan.core import log_events
 from citronspan.core.feed_messages import FeedNews, FeedPull
 from citronspan.core.feed_spread import FeedSpread
-from citronspan.core.feeds import FEEDS, LAPSE_SECONDS, FeedBatch
+from citronspan.core.feeds import CONFIGURATION_FEED, FEEDS, LAPSE_SECONDS, FeedBatch
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
 from citronspan.ops.config_source import LogSight
@@ -38,7 +38,7 @@
 AWAY_SECONDS = 1.0
 """An outage of this length may have let the entries of living targets lapse."""
 
-START_WAIT_SECONDS = 1.0
+START_WAIT_SECONDS = 0.25
 """Time that a node which is no seed gives its peers before it reads the store."""
 
 PEER_TRUST_SECONDS = 3.0
@@ -98,6 +98,7 @@
         self.held = HeldConfig(own=own, send_all=send_all, spread=self._spread)
         self._store = store
         self._stop = threading.Event()
+        self._reads_again = threading.Event()
         self._started_at = time.monotonic()
         self._start_wait_seconds = 0.0 if is_seed else START_WAIT_SECONDS
         self._away_since_by_feed: dict[str, float | None] = dict.fromkeys(FEEDS)
@@ -123,6 +124,10 @@
         """Return name and body of the threads that the source needs."""
         return [(f"feed-{feed}", self._make_task(feed)) for feed in FEEDS]
 
+    def read_again(self) -> None:
+        """Read the whole configuration again, since it is to be read otherwise."""
+        self._reads_again.set()
+
     def stop(self) -> None:
         """Let the threads end."""
         self._stop.set()
@@ -160,10 +165,13 @@
         waited = time.monotonic() - self._started_at
         if self.held.state.offset == 0 and waited < self._start_wait_seconds:
             return False
-        return self._spread.is_due_to_read()
+        return self._reads_again.is_set() or self._spread.is_due_to_read()
 
     def _read(self, feed) -> bool:
         from_offset = self._spread.offsets.find(feed)
+        if feed == CONFIGURATION_FEED and self._reads_again.is_set():
+            self._reads_again.clear()
+            return self._read_whole(feed)
         try:
             if from_offset == 0:
                 batch = self._store.read_newest(feed)
--- a/citronspan/ops/host.py
+++ b/citronspan/ops/host.py
@@ -44,6 +44,19 @@
         """Ask for a graceful stop; safe in a signal handler."""
         self.entry.request_stop()
 
+    def reload(self, settings: HostSettings) -> None:
+        """Take what of other settings can change while the host runs.
+
+        Seeds, times and the rules of services do; addresses take a new start.
+        """
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self.agent.reload(settings.make_agent_settings())
+        self._store.set_rules(settings.service_rules)
+        self.agent.source.read_again()
+        write_event(_logger, log_events.SETTINGS_RELOADED)
+
     def _make_source(self, agent: Agent) -> FeedSource:
         return FeedSource(
             own=agent.view.own,
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -55,6 +55,9 @@
         REPLAYED_HEADER,
     )
 )
+CONFIGURATION_SECONDS = 0.3
+"""Time in which an entry that starts mostly comes to have a configuration."""
+
 NEW_KEY_CODES = frozenset(
     {
         result_codes.KEY_CLOSED,
@@ -96,6 +99,7 @@
             tracer=tracer,
             dialect=dialect,
             reuse_seconds=reuse_seconds,
+            is_stopping=is_stopping,
         )
         self._metrics = metrics
         self._tracer = tracer
@@ -163,7 +167,7 @@
             raise Refusal(
                 code=result_codes.CONFIGURATION_MISSING,
                 detail="no configuration yet",
-                retry_after_seconds=1,
+                retry_after_seconds=CONFIGURATION_SECONDS,
             )
         route = find_route(configuration.routes, request.host, request.path)
         if route is None:
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -139,7 +139,7 @@
     slot = asker.ask()
     assert time.monotonic() - began < GIVEN_UP_SECONDS
     assert isinstance(slot, Slot)
-    assert slot.broker == ""
+    assert slot.broker == asker.link.address
     asker.release(slot)
     (asker if side == "request" else broker).link.cut = False
     time.sleep(SILENT_SECONDS)
--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -42,6 +42,10 @@
         self._region_by_data_centre = region_by_data_centre
         self.unreadable_records = 0
 
+    def set_rules(self, rules: ServiceRules) -> None:
+        """Take other rules for what is read from now on."""
+        self._rules = rules
+
     def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedBatch:
         """Read what comes after an offset; see ``FeedStore``."""
         topic = _TOPIC_BY_FEED[feed]
