Log each decision on a request, from a bounded queue that never blocks

Cause: why a request went to the target that failed it could not be told from the logs.

Change: lines go to standard output through a queue of 2,000 and one writing thread; calm lines beyond 50 a second and whatever finds the queue full are left out and counted in a line. One line for each grant and refusal of a broker with what it was decided by (doubt, wait, queue, slots), one for each failed attempt, one for each answer or refusal, all with the request's id.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -22,7 +22,7 @@
     SlotWaiting,
 )
 from citronspan.core.broker_pool import TargetPool
-from citronspan.core.broker_status import BrokerStatus
+from citronspan.core.broker_status import BrokerStatus, SlotDecision
 from citronspan.core.broker_times import HoldTimes
 from citronspan.core.health import Health, KnownTarget
 from citronspan.core.link_budget import LinkBudget
@@ -91,6 +91,13 @@
         self._reclaimed = 0
         self._refusals_by_code: dict[int, int] = {}
         self._outgoing: list[Outgoing] = []
+        self._decisions: list[SlotDecision] = []
+
+    def take_decisions(self) -> list[SlotDecision]:
+        """Return the decisions since the last call, for the log."""
+        decisions = self._decisions
+        self._decisions = []
+        return decisions
 
     def is_idle(self) -> bool:
         """Return whether nothing waits, is granted or is remembered."""
@@ -282,6 +289,7 @@
         if is_trial:
             self.health.note_trial(use.known.name)
         self._grants += 1
+        self._note_decision(request, now, deadline_at, target=use.known.name)
         answer = SlotGrant(
             attempt_id=request.attempt_id,
             target=use.known.name,
@@ -462,9 +470,27 @@
 
     def _give_up(self, waiting, code, now):
         self._queue.remove(waiting.request.attempt_id)
-        self._refuse(waiting.sender, waiting.request, code, now)
+        self._refuse(waiting.sender, waiting.request, code, now, waiting.deadline_at)
+
+    def _note_decision(self, request, now, deadline_at, *, target="", code=0):
+        waited_seconds = now - (deadline_at - request.deadline_seconds)
+        self._decisions.append(
+            SlotDecision(
+                key=self.key,
+                request_id=request.request_id,
+                target=target,
+                code=code,
+                doubt=self._pool.find_doubt(target),
+                waited_seconds=waited_seconds,
+                deadline_seconds=request.deadline_seconds,
+                waiting=len(self._queue),
+                granted=len(self._book),
+                capacity=self._pool.capacity,
+                is_retry=request.is_retry,
+            )
+        )
 
-    def _refuse(self, sender, request, code, now):
+    def _refuse(self, sender, request, code, now, deadline_at=None):
         queue_seconds = len(self._queue) * self._hold_times.mean_seconds
         queue_seconds /= max(1, self._pool.capacity)
         refusal = SlotRefusal(
@@ -472,6 +498,10 @@
             code=code.number,
             retry_after_seconds=max(MINIMUM_RETRY_AFTER_SECONDS, queue_seconds),
         )
+        deadline_at = (
+            now + request.deadline_seconds if deadline_at is None else deadline_at
+        )
+        self._note_decision(request, now, deadline_at, code=code.number)
         before = self._refusals_by_code.get(code.number, 0)
         self._refusals_by_code[code.number] = before + 1
         self._answer(sender, refusal, KEEP_SECONDS, now)
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -47,6 +47,7 @@
         goal_seconds: Time left in which an answer is worth most, 0 if all the same.
         connected: Names of targets to which the entry has an idle connection.
         avoided: Names of targets that the entry could not reach lately.
+        request_id: What identifies the request in logs.
     """
 
     attempt_id: int
@@ -67,6 +68,7 @@
     goal_seconds: float = 0.0
     connected: tuple[str, ...] = ()
     avoided: tuple[str, ...] = ()
+    request_id: str = ""
 
 
 class SlotGrant(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -62,6 +62,13 @@
             limit.trial for use, limit in self._limited if use.known.name == target
         )
 
+    def find_doubt(self, target: str) -> float:
+        """Return the doubt of a target as last read, 0 where there is none."""
+        for use, limit in self._limited:
+            if use.known.name == target:
+                return limit.doubt or 0.0
+        return 0.0
+
     def read_limits(self, now: float) -> None:
         """Ask detection for the limits of this moment."""
         limit_by_target = self.health.find_limits()
--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol, runtime_checkable
 
-from citronspan.core.broker import Broker, BrokerStatus
+from citronspan.core.broker import Broker
 from citronspan.core.broker_messages import (
     BrokerHandover,
     BrokerMessage,
@@ -17,6 +17,7 @@
     SlotRefusal,
     SlotRequest,
 )
+from citronspan.core.broker_status import BrokerStatus, SlotDecision
 from citronspan.core.health import Health, KnownTarget
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
@@ -66,6 +67,14 @@
         """Return what each broker is doing."""
         return [broker.describe() for broker in self._broker_by_key.values()]
 
+    def take_decisions(self) -> list[SlotDecision]:
+        """Return the brokers' decisions since the last call, for the log."""
+        return [
+            decision
+            for broker in self._broker_by_key.values()
+            for decision in broker.take_decisions()
+        ]
+
     def list_health(self) -> list[tuple[ShardKey, Health]]:
         """Return the detection of each shard that this entry is the broker of."""
         return [
--- a/citronspan/core/broker_status.py
+++ b/citronspan/core/broker_status.py
@@ -32,3 +32,34 @@
     mean_hold_seconds: float
     link_bytes_by_kind: dict[str, int]
     successor: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotDecision:
+    """What a broker decided on one question, and by what.
+
+    Attributes:
+        key: The shard.
+        request_id: What identifies the request.
+        target: Name of the target that was granted, or empty.
+        code: Number of the result code of a refusal, 0 for a grant.
+        doubt: Probability that the target fails, as it was taken.
+        waited_seconds: Time that the question waited.
+        deadline_seconds: Time that it had when it came.
+        waiting: Questions that wait now.
+        granted: Slots that are granted now.
+        capacity: Slots that may be used now.
+        is_retry: Whether an earlier attempt had reached a target.
+    """
+
+    key: ShardKey
+    request_id: str
+    target: str
+    code: int
+    doubt: float
+    waited_seconds: float
+    deadline_seconds: float
+    waiting: int
+    granted: int
+    capacity: int
+    is_retry: bool
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -53,9 +53,14 @@
 SETTINGS_REFUSED = _define(
     107, "settings-refused", "ERROR", "New settings are not valid; the old ones hold."
 )
+LINES_LEFT_OUT = _define(
+    108, "lines-left-out", "WARNING", "Lines were not written, to bound the volume."
+)
 
 # 200-299: the entry.
-REQUEST_REFUSED = _define(200, "request-refused", "INFO", "A request was refused.")
+REQUEST_REFUSED = _define(
+    200, "request-refused", "NOTICE", "The entry answered a request by itself."
+)
 TARGET_STATE_CHANGED = _define(
     201, "target-state-changed", "NOTICE", "A target's state changed."
 )
@@ -71,6 +76,27 @@
 REQUEST_QUARANTINED = _define(
     205, "request-quarantined", "WARNING", "A request coincided with target crashes."
 )
+REQUEST_ANSWERED = _define(
+    206, "request-answered", "INFO", "A target's answer was passed on."
+)
+REQUEST_FAILED = _define(
+    207,
+    "request-failed",
+    "NOTICE",
+    "A target's own failure was passed on.",
+)
+ATTEMPT_FAILED = _define(
+    208, "attempt-failed", "NOTICE", "An attempt at a target did not go well."
+)
+SLOT_GRANTED = _define(
+    209, "slot-granted", "INFO", "A broker gave a request a slot of a target."
+)
+SLOT_REFUSED = _define(
+    210, "slot-refused", "NOTICE", "A broker refused a request a slot."
+)
+ANSWER_CUT = _define(
+    211, "answer-cut", "NOTICE", "An answer ended before its end; its caller was reset."
+)
 BROKER_HANDED_OVER = _define(
     260, "broker-handed-over", "NOTICE", "Another entry is the broker of a shard now."
 )
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import logbook
 from opentelemetry import trace
 
-from citronspan.core import result_codes
+from citronspan.core import log_events, result_codes
 from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, Outcome, OutcomeClass
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
@@ -31,12 +32,15 @@
     TargetConnections,
     TargetRequest,
 )
+from citronspan.utils.logs import write_event
 from citronspan.utils.traces import pass_on_context, start_span
 
 # An idempotent attempt may use this share of the time left, so that another one
 # still fits in after a slow target.
 ATTEMPT_SHARE = 0.5
 BUFFERED_ANSWER_BYTES = 64 * 1024
+_logger = logbook.Logger("attempts")
+
 NOT_ARRIVED_CLASSES = frozenset({OutcomeClass.CONNECT_FAILED, OutcomeClass.NOT_USED})
 """Outcomes of attempts of which the target saw no request."""
 
@@ -183,6 +187,7 @@
             is_retry=has_arrived,
             goal=work.goal,
             is_gone=work.request.connection.is_gone,
+            request_id=work.request.request_id,
         )
         with start_span(self._tracer, "broker-wait"):
             return self._slots.acquire(ask)
@@ -299,9 +304,27 @@
             fingerprint=work.fingerprint,
             load=self._dialect.read_load(answered.answer.find_header),
         )
-        self._metrics.count_attempt(work.service_name, outcome.outcome_class)
+        self._report(work, answered.slot, outcome, answered.answer.status)
         self._slots.release(answered.slot, outcome, answer_bytes)
 
+    def _report(self, work, slot, outcome, status):
+        """Count an attempt, and log one that did not go well."""
+        self._metrics.count_attempt(work.service_name, outcome.outcome_class)
+        if outcome.outcome_class is OutcomeClass.OK:
+            return
+        write_event(
+            _logger,
+            log_events.ATTEMPT_FAILED,
+            id=work.request.request_id,
+            service=work.service_name,
+            target=slot.target,
+            broker=slot.broker,
+            outcome=outcome.outcome_class,
+            status=status,
+            seconds=round(outcome.latency_seconds, 4),
+            left=round(work.deadline - time.monotonic(), 3),
+        )
+
     def _release_failed(self, work, slot, started, outcome_class):
         outcome = Outcome(
             target=slot.target,
@@ -311,7 +334,7 @@
             request_kind=work.spec.request_kind,
             fingerprint=work.fingerprint,
         )
-        self._metrics.count_attempt(work.service_name, outcome_class)
+        self._report(work, slot, outcome, 0)
         self._slots.release(slot, outcome, 0)
 
 
--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/caller_request.py
@@ -84,7 +84,8 @@
     return int(text)
 
 
-def _find_key(header):
+def find_environ_key(header: str) -> str:
+    """Return where a WSGI environment holds a header."""
     return f"HTTP_{header.upper().replace('-', '_')}"
 
 
@@ -139,9 +140,9 @@
         key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
         account=environ.get("HTTP_CITRONSPAN_ACCOUNT", ""),
         timeout_seconds=dialect.read_timeout_seconds(
-            environ.get(_find_key(dialect.timeout_header))
+            environ.get(find_environ_key(dialect.timeout_header))
         ),
-        request_id=environ.get(_find_key(dialect.id_header), ""),
+        request_id=environ.get(find_environ_key(dialect.id_header), ""),
         trace_headers=_collect_trace_headers(environ),
         connection=environ.get("citronspan.connection"),
     )
--- a/citronspan/ops/conftest.py
+++ b/citronspan/ops/conftest.py
@@ -290,6 +290,7 @@
     resources = [
         Resource(kind=Kind.SERVICE, name="s", spec=ServiceSpec(retry_ratio=1.0)),
         route("read", idempotent=True, deadline_seconds=DEADLINE_SECONDS),
+        route("once", idempotent=True, deadline_seconds=1.0, maximum_attempts=1),
         route("write", deadline_seconds=DEADLINE_SECONDS),
         route("quick", deadline_seconds=SHORT_DEADLINE_SECONDS),
     ]
--- /dev/null
+++ b/citronspan/ops/decision_log.py
@@ -0,0 +1,32 @@
+"""Logs what brokers decide on requests for slots."""
+
+from collections.abc import Iterable
+
+import logbook
+
+from citronspan.core import log_events
+from citronspan.core.broker_status import SlotDecision
+from citronspan.utils.logs import write_event
+
+_logger = logbook.Logger("broker")
+
+
+def log_decisions(decisions: Iterable[SlotDecision]) -> None:
+    """Write one line for each decision."""
+    for decision in decisions:
+        event = log_events.SLOT_REFUSED if decision.code else log_events.SLOT_GRANTED
+        write_event(
+            _logger,
+            event,
+            id=decision.request_id,
+            shard=decision.key.format(),
+            target=decision.target,
+            code=decision.code,
+            doubt=round(decision.doubt, 3),
+            waited=round(decision.waited_seconds, 4),
+            deadline=round(decision.deadline_seconds, 3),
+            waiting=decision.waiting,
+            granted=decision.granted,
+            capacity=decision.capacity,
+            retry=decision.is_retry,
+        )
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -14,6 +14,7 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.key_protocol_results import Replay
 from citronspan.core.key_token import is_fleet_key
+from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
 from citronspan.core.route_table import choose_service, find_route
@@ -22,6 +23,7 @@
     DROPPED_HEADERS,
     CallerBody,
     CallerRequest,
+    find_environ_key,
     read_caller_request,
 )
 from citronspan.ops.dialect import Dialect
@@ -118,10 +120,10 @@
         try:
             body = self._handle(environ, start_response, received)
         except Refusal as refusal:
-            body = self._refuse(start_response, connection, refusal)
+            body = self._refuse(start_response, environ, refusal, received)
         except CitronspanError as error:
             refusal = Refusal(code=error.code, detail=error.detail)
-            body = self._refuse(start_response, connection, refusal)
+            body = self._refuse(start_response, environ, refusal, received)
         finally:
             if not isinstance(body, StreamedAnswer):
                 self._metrics.end_request()
@@ -234,6 +236,7 @@
         if keyed is not None:
             keyed.report_whole(status, tuple(headers), answered.head)
         self._metrics.observe_answer(work.spec, status, received)
+        log_answer(work, answered, received)
         start_response(f"{status} {reason}", headers)
         return [answered.head] if answered.head else []
 
@@ -258,15 +261,22 @@
         headers.append((ENTRY_HEADER, self._name))
         return headers
 
-    def _refuse(self, start_response, connection, refusal: Refusal):
+    def _refuse(self, start_response, environ, refusal: Refusal, received):
         # What is left of the body must not be read as the next request.
-        connection.close_after_answer()
+        environ["citronspan.connection"].close_after_answer()
         self._metrics.count_refusal(refusal.code)
         write_event(
             _logger,
             log_events.REQUEST_REFUSED,
+            id=environ.get(find_environ_key(self._dialect.id_header), ""),
+            path=environ.get("PATH_INFO", ""),
             code=refusal.code.number,
+            status=refusal.code.http_status,
+            ran=refusal.ran or refusal.code.ran,
             detail=refusal.detail,
+            retry_after=refusal.retry_after_seconds,
+            seconds=round(time.monotonic() - received, 4),
+            configuration=self._find_configuration().offset,
         )
         return answer_refusal(
             start_response,
@@ -290,6 +300,23 @@
         return self._mint_prefix()
 
 
+def log_answer(work: Work, answered: Answered, received: float) -> None:
+    """Log that a target's answer was passed on whole."""
+    is_good = answered.outcome_class is OutcomeClass.OK
+    event = log_events.REQUEST_ANSWERED if is_good else log_events.REQUEST_FAILED
+    write_event(
+        _logger,
+        event,
+        id=work.request.request_id,
+        route=work.route.name,
+        service=work.service_name,
+        target=answered.slot.target,
+        broker=answered.slot.broker,
+        status=answered.answer.status,
+        seconds=round(time.monotonic() - received, 4),
+    )
+
+
 def _receive_body(request: CallerRequest) -> CallerBody:
     """Read a small body; what fails here was sent to no target yet."""
     try:
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -37,6 +37,7 @@
 from citronspan.core.shards import Shard, ShardKey, choose_shard
 from citronspan.core.spell_health import SpellHealth
 from citronspan.core.verdicts import VerdictTable
+from citronspan.ops.decision_log import log_decisions
 from citronspan.ops.health_news import HealthNews
 from citronspan.ops.own_choice import OwnChoice
 from citronspan.ops.peer_link import PeerLink
@@ -176,14 +177,18 @@
             if isinstance(message, SlotRelease):
                 self._quarantine.observe(message.service, message.outcome)
             outgoing = self.brokers.handle(sender, message)
+            decisions = self.brokers.take_decisions()
         self._emit(outgoing)
+        log_decisions(decisions)
 
     def advance(self) -> None:
         """Let time pass; called by the process's tick."""
         with self._lock:
             outgoing = self.brokers.advance()
+            decisions = self.brokers.take_decisions()
             self.heard.drop_old()
         self._emit(outgoing)
+        log_decisions(decisions)
 
     def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
         """Take a new view; shards that have another broker now are handed over."""
@@ -317,6 +322,7 @@
             goal_seconds=max(ask.goal - time.monotonic(), 0.0) if ask.goal else 0.0,
             connected=self._find_connected(key),
             avoided=self._unreachable.list_names(),
+            request_id=ask.request_id,
         )
 
     def _find_connected(self, key):
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -26,6 +26,7 @@
         goal: Time of ``time.monotonic()`` until which an answer is worth most, 0 if
             all the same.
         is_gone: Says whether the caller has left.
+        request_id: What identifies the request in logs.
     """
 
     service: str
@@ -39,6 +40,7 @@
     is_retry: bool
     goal: float = 0.0
     is_gone: Callable[[], bool] = lambda: False
+    request_id: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -242,3 +242,12 @@
         return
     assert found in (b"", b"castl", b"castlcastl") or found in data
     assert seen.status in (200, 500)
+
+
+def test_the_last_attempt_has_all_the_time_that_is_left(running):
+    """Its target was cut off at half of the time, though none could follow."""
+    path = running.make_path("once")
+    late = Script(parts=(make_answer(BODY, chunked=False),), delay_seconds=0.7)
+    running.targets.set_scripts(path, late)
+    seen = running.request("GET", path)
+    assert (seen.status, seen.find_whole_body()) == (200, BODY)
--- /dev/null
+++ b/citronspan/scripts/process_test.py
@@ -0,0 +1,102 @@
+"""A process takes other settings on SIGHUP and without it, and refuses faulty ones."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from citronspan.core.host_settings import HostSettings
+from citronspan.scripts import process
+
+BOUND_SECONDS = 10.0
+
+SETTINGS = {
+    "place": {"name": "host-1", "region": "r", "dataCentre": "r-1"},
+    "address": "127.0.0.1",
+    "callersAddress": "127.0.0.1:1",
+    "readinessAddress": "127.0.0.1:2",
+    "directoryAddress": "127.0.0.1:3",
+    "apiAddress": "127.0.0.1:4",
+    "peerPorts": [7540, 7555],
+    "storeAddress": "127.0.0.1:5",
+}
+
+PROGRAM = """
+import signal, sys, time
+from citronspan.core.host_settings import HostSettings
+from citronspan.scripts import process
+
+class Fake:
+    def __init__(self, settings):
+        self.stopped = False
+    def run(self):
+        print("runs", flush=True)
+        while not self.stopped:
+            time.sleep(0.01)
+    def request_stop(self):
+        self.stopped = True
+    def reload(self, settings):
+        print(f"keeps {settings.keep_seconds}", flush=True)
+
+process.LOOK_SECONDS = float(sys.argv[2])
+sys.exit(process.run_process(sys.argv[1], HostSettings, Fake))
+"""
+
+
+def write_settings(path: Path, **changes):
+    path.write_bytes(msgspec.json.encode({**SETTINGS, **changes}))
+
+
+def start(path, look_seconds):
+    return subprocess.Popen(
+        [sys.executable, "-c", PROGRAM, str(path), str(look_seconds)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+@pytest.mark.parametrize("by_signal", [True, False])
+def test_new_settings_are_taken_and_nothing_ends(tmp_path, by_signal):
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    running = start(path, 60.0 if by_signal else 0.05)
+    try:
+        assert running.stdout.readline() == "runs\n"
+        write_settings(path, keepSeconds=3.0)
+        if by_signal:
+            os.kill(running.pid, signal.SIGHUP)
+        assert running.stdout.readline() == "keeps 3.0\n"
+    finally:
+        running.terminate()
+    assert running.wait(BOUND_SECONDS) == 0
+
+
+def test_faulty_settings_are_refused_with_a_line(tmp_path, monkeypatch):
+    events = []
+    monkeypatch.setattr(
+        process, "write_event", lambda logger, event, **fields: events.append(event)
+    )
+
+    class Fake:
+        taken = None
+
+        def reload(self, settings):
+            self.taken = settings
+
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    fake = Fake()
+    watch = process.SettingsWatch(path=path, settings_type=HostSettings, process=fake)
+    monkeypatch.setattr(process, "LOOK_SECONDS", 0.01)
+    watch.start()
+    path.write_bytes(b"{")
+    until = time.monotonic() + BOUND_SECONDS
+    while not events and time.monotonic() < until:
+        time.sleep(0.01)
+    assert [event.name for event in events] == ["settings-refused"]
+    assert fake.taken is None
--- a/citronspan/utils/logs.py
+++ b/citronspan/utils/logs.py
@@ -1,12 +1,28 @@
-"""Structured log lines by logbook: one JSON object a line, one numbered event each."""
+"""Structured log lines by logbook: one JSON object a line, one numbered event each.
 
+Whoever logs only puts a record into a bounded queue; one thread writes. A reader that
+has stopped reading so holds up nothing but that thread. What finds the queue full is
+left out and counted, and so are calm lines beyond a rate, before any line on a failure
+is.
+"""
+
+import atexit
 import sys
+import threading
+import time
+from collections import deque
 from datetime import UTC, datetime
 from typing import Protocol
 
 import logbook
 import msgspec
 
+QUEUE_LINES = 2000
+CALM_LINES_PER_SECOND = 50.0
+CALM_BURST_LINES = 500.0
+END_SECONDS = 0.3
+"""Longest wait at the end of a process for what is still to be written."""
+
 
 class NumberedEvent(Protocol):
     """What a numbered event must have."""
@@ -38,8 +54,13 @@
     Returns:
         The line without its end.
     """
+    return _format_line(time.time(), record)
+
+
+def _format_line(at: float, record) -> str:
+    moment = datetime.fromtimestamp(at, UTC)
     line = {
-        "at": datetime.now(UTC).isoformat(timespec="milliseconds"),
+        "at": moment.isoformat(timespec="milliseconds"),
         "level": record.level_name,
         "channel": record.channel,
         "event": record.message,
@@ -50,8 +71,99 @@
     return msgspec.json.encode(line, enc_hook=str).decode()
 
 
-def start_logging(level: str) -> None:
-    """Send log lines of a level and above to standard error."""
-    handler = logbook.StreamHandler(sys.stderr, level=level)
-    handler.formatter = format_record
+class _CalmRate:
+    """Lets through a bounded rate of calm lines."""
+
+    def __init__(self):
+        self._lines = CALM_BURST_LINES
+        self._at = time.monotonic()
+
+    def take(self) -> bool:
+        now = time.monotonic()
+        earned = (now - self._at) * CALM_LINES_PER_SECOND
+        self._lines = min(CALM_BURST_LINES, self._lines + earned)
+        self._at = now
+        if self._lines < 1:
+            return False
+        self._lines -= 1
+        return True
+
+
+class BoundedHandler(logbook.Handler):
+    """Writes lines from one thread; never blocks whoever logs."""
+
+    def __init__(self, *, stream, level: str):
+        super().__init__(level=level)
+        self._stream = stream
+        self._calm = _CalmRate()
+        self._queue: deque = deque()
+        self._news = threading.Condition()
+        self._left_out = 0
+        self._is_writing = False
+        threading.Thread(target=self._write_forever, name="log", daemon=True).start()
+
+    @property
+    def left_out(self) -> int:
+        """Lines left out and not yet told of."""
+        return self._left_out
+
+    def emit(self, record) -> None:
+        """Queue a record."""
+        if record.exc_info:
+            record.pull_information()
+        with self._news:
+            is_calm = record.level <= logbook.INFO and not self._calm.take()
+            if is_calm or len(self._queue) >= QUEUE_LINES:
+                self._left_out += 1
+                return
+            self._queue.append((time.time(), record))
+            self._news.notify()
+
+    def flush(self, seconds: float = END_SECONDS) -> None:
+        """Wait for a bounded time until all is written."""
+        until = time.monotonic() + seconds
+        while (self._queue or self._is_writing) and time.monotonic() < until:
+            time.sleep(0.01)
+
+    def _write_forever(self):
+        while True:
+            with self._news:
+                self._is_writing = False
+                self._news.wait_for(lambda: self._queue)
+                self._is_writing = True
+                waiting = list(self._queue)
+                self._queue.clear()
+                left_out, self._left_out = self._left_out, 0
+            lines = [_format_line(at, record) for at, record in waiting]
+            if left_out:
+                lines.append(_format_left_out(left_out))
+            self._write("".join(f"{line}\n" for line in lines))
+
+    def _write(self, text):
+        try:
+            self._stream.write(text)
+            self._stream.flush()
+        except (OSError, ValueError):
+            # Nobody can be told: the stream is where one would say so.
+            with self._news:
+                self._left_out += text.count("\n")
+
+
+def _format_left_out(lines: int) -> str:
+    line = {
+        "at": datetime.now(UTC).isoformat(timespec="milliseconds"),
+        "level": "WARNING",
+        "channel": "log",
+        "event": "lines-left-out",
+        "number": 108,
+        "lines": lines,
+    }
+    return msgspec.json.encode(line).decode()
+
+
+def start_logging(level: str) -> BoundedHandler:
+    """Send log lines of a level and above to standard output."""
+    handler = BoundedHandler(stream=sys.stdout, level=level)
     handler.push_application()
+    atexit.register(handler.flush)
+    return handler
