Wait for a sound target or ask the other region; a stopping entry takes nothing late

Cause 1: requests took a doubted target at once when sound ones were full for a moment (113 grants of 2,498 at a doubt over 0.85, 90 % failed). Change: every request waits up to a third of the time to its goal for a target that is acceptable, a tenth where another region may have one; that region is asked then, and the doubted target last. Spells are taken as 4 s long (at a doubt of 0.2, 43 % failed), an overdue answer multiplies the odds by 6 in place of 30, since some requests are long by themselves.

Cause 2: a stopping entry took requests from kept and new connections until it was killed, and the last were cut.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -261,7 +261,8 @@
     def _grant_if_free(self, sender, request, now):
         self._pool.read_limits(now)
         patient = self._find_patience(request) > 0
-        use = self._pool.choose(request, now, patient=patient)
+        picky = patient or request.elsewhere or bool(request.from_region)
+        use = self._pool.choose(request, now, picky=picky)
         if use is None:
             return False
         deadline_at = now + request.deadline_seconds
@@ -394,8 +395,12 @@
             if now >= waiting.deadline_at:
                 self._give_up(waiting, result_codes.NO_CAPACITY, now)
                 continue
-            patient = now < waiting.patient_until
-            use = self._pool.choose(waiting.request, now, patient=patient)
+            is_patient = now < waiting.patient_until
+            elsewhere = waiting.request.elsewhere
+            picky = is_patient or elsewhere
+            use = self._pool.choose(waiting.request, now, picky=picky)
+            if use is None and elsewhere and not is_patient:
+                self._give_up(waiting, result_codes.NO_CAPACITY, now)
             if use is None:
                 continue
             self._queue.remove(waiting.request.attempt_id)
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -48,6 +48,8 @@
         connected: Names of targets to which the entry has an idle connection.
         avoided: Names of targets that the entry could not reach lately.
         request_id: What identifies the request in logs.
+        elsewhere: Whether another region is asked if only doubted targets have room
+            here; these are then not granted.
     """
 
     attempt_id: int
@@ -69,6 +71,7 @@
     connected: tuple[str, ...] = ()
     avoided: tuple[str, ...] = ()
     request_id: str = ""
+    elsewhere: bool = False
 
 
 class SlotGrant(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -99,7 +99,7 @@
         return False
 
     def choose(
-        self, request: SlotRequest, now: float, *, patient: bool = False
+        self, request: SlotRequest, now: float, *, picky: bool = False
     ) -> TargetUse | None:
         """Choose a target with a free slot for a request.
 
@@ -108,8 +108,7 @@
         Args:
             request: The request.
             now: Present time.
-            patient: Whether the request rather waits than takes a target that may
-                well fail.
+            picky: Whether the request rather gets none than one that may well fail.
 
         Returns:
             The target's use, or None if there is no free slot for the request.
@@ -131,7 +130,7 @@
                 rank = (*rank_by_share(request, candidate), turn)
             else:
                 cost = compute_cost(request, candidate)
-                if patient and cost > ACCEPTABLE_COST:
+                if picky and cost > ACCEPTABLE_COST:
                     continue
                 rank = (cost, turn)
             if best is not None and rank >= best_rank:
--- a/citronspan/core/placement.py
+++ b/citronspan/core/placement.py
@@ -14,7 +14,7 @@
 from citronspan.core.broker_targets import TargetUse
 from citronspan.core.health import TargetLimit
 
-RETRY_COST = 0.3
+RETRY_COST = 0.7
 """Part of its worth that a request loses which fails once and is tried again."""
 
 CONNECT_COST = 0.03
@@ -32,7 +32,14 @@
 """Cost of a target to which the entry's own path failed lately."""
 
 ACCEPTABLE_COST = 0.3
-"""A request that must not run twice waits a little for a target that costs less."""
+"""A request waits a little for a target that costs less."""
+
+
+PATIENCE_SHARE = 1 / 3
+"""Part of the time to its goal for which a request waits for such a target."""
+
+ELSEWHERE_SHARE = 1 / 10
+"""The same where another region may have one."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -98,6 +105,8 @@
         request: The request.
         need_seconds: Time that it is taken to need at a target.
     """
-    if request.idempotent or request.goal_seconds <= 0:
+    if request.goal_seconds <= 0:
         return 0.0
-    return max(0.0, min(request.goal_seconds - need_seconds, request.goal_seconds / 3))
+    share = ELSEWHERE_SHARE if request.elsewhere else PATIENCE_SHARE
+    spare_seconds = request.goal_seconds - need_seconds
+    return max(0.0, min(spare_seconds, share * request.goal_seconds))
--- a/citronspan/core/spell_health.py
+++ b/citronspan/core/spell_health.py
@@ -164,7 +164,10 @@
                 return
         record.failed_at = now
         record.failures.append(outcome.fingerprint)
-        record.belief = self._model.note_failure(record.belief)
+        if is_timeout:
+            record.belief = weigh(record.belief, spells.OVERDUE_RATIO)
+        else:
+            record.belief = self._model.note_failure(record.belief)
         self._judge(record, f"a request ended {outcome.outcome_class}")
 
     def find_overdue_seconds(self, kind: str) -> float:
--- a/citronspan/core/spells.py
+++ b/citronspan/core/spells.py
@@ -11,7 +11,7 @@
 import time
 from dataclasses import dataclass
 
-SPELL_SECONDS = 2.5
+SPELL_SECONDS = 4.0
 """Mean length of a bad spell."""
 
 FIRST_SHARE = 0.1
@@ -41,8 +41,8 @@
 SHED_RATIO = 4.0
 """How much likelier it is that a bad target sheds although slots are free."""
 
-OVERDUE_RATIO = 30.0
-"""How much likelier a missing answer is at a bad target than at a sound one."""
+OVERDUE_RATIO = 6.0
+"""How much likelier a missing answer is at a bad target: some requests are long."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -265,6 +265,8 @@
             self._report()
             self.slots.hand_over_all()
             self._wait_while_known(bound)
+        # What were taken from now on might not end before the bound.
+        self._server.stop_taking()
         self._wait_until_idle(bound)
         # Counted before the server ends them, which makes them end as cut.
         left = self.metrics.read_in_flight()
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -40,6 +40,29 @@
             return
         super().process_conn(conn)
 
+    def stop_taking(self) -> None:
+        """Take no connection and no request any more; what is carried goes on.
+
+        An idle connection is closed, and so is each other one after its answer.
+        """
+        if not self.ready:
+            return
+        self.ready = False
+        self._connections.stop()
+        self.socket.close()
+        self.socket = None
+        selector = self._connections._selector
+        for descriptor, conn in list(selector.connections):
+            selector.unregister(descriptor)
+            if conn is not self:
+                conn.close()
+
+    def stop(self) -> None:
+        """End all, after the requests that are carried or the bound on them."""
+        # The base class takes a server that is not ready for one that has stopped.
+        self.ready = True
+        super().stop()
+
 
 def make_server(
     address: str, app: Callable, *, threads: int, idle_seconds: float = 30.0
