--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -46,9 +46,12 @@
 MINIMUM_WAITING = 8
 """Requests that may wait however few slots there are."""
 
-MINIMUM_RETRY_AFTER_SECONDS = 1.0
+MINIMUM_RETRY_AFTER_SECONDS = 0.15
 """Least time that a refused caller is asked to stay away."""
 
+RETRY_AFTER_SPREAD = 0.5
+"""Part by which that time differs among callers, so that they don't return at once."""
+
 _UNSAMPLED_CLASSES = {
     OutcomeClass.SHED,
     OutcomeClass.DRAINING,
@@ -501,7 +504,7 @@
         refusal = SlotRefusal(
             attempt_id=request.attempt_id,
             code=code.number,
-            retry_after_seconds=max(MINIMUM_RETRY_AFTER_SECONDS, queue_seconds),
+            retry_after_seconds=_spread_seconds(request.attempt_id, queue_seconds),
         )
         deadline_at = (
             now + request.deadline_seconds if deadline_at is None else deadline_at
@@ -526,3 +529,9 @@
         outgoing = self._outgoing
         self._outgoing = []
         return outgoing
+
+
+def _spread_seconds(attempt_id: int, seconds: float) -> float:
+    """Return a time to stay away of about so many seconds, by the attempt."""
+    share = attempt_id % 1024 / 1024
+    return max(MINIMUM_RETRY_AFTER_SECONDS, seconds) * (1 + RETRY_AFTER_SPREAD * share)
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -6,7 +6,11 @@
 import pytest
 
 from citronspan.core import result_codes
-from citronspan.core.broker import Broker
+from citronspan.core.broker import (
+    MINIMUM_RETRY_AFTER_SECONDS,
+    RETRY_AFTER_SPREAD,
+    Broker,
+)
 from citronspan.core.broker_messages import (
     BrokerHandover,
     HeldGrant,
@@ -140,7 +144,8 @@
     refusal, waiting = ask(broker, 10, worth=5.0)
     assert waiting == SlotWaiting(attempt_id=10)
     assert (refusal.attempt_id, refusal.code) == (9, result_codes.OVERLOADED.number)
-    assert refusal.retry_after_seconds >= 1
+    least = MINIMUM_RETRY_AFTER_SECONDS
+    assert least <= refusal.retry_after_seconds <= least * (1 + RETRY_AFTER_SPREAD)
     (refusal,) = ask(broker, 11, worth=1.0)
     assert (refusal.attempt_id, refusal.code) == (11, result_codes.OVERLOADED.number)
 
--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -40,6 +40,9 @@
 FRESHER_SECONDS = 0.3
 """News that is fresher by this much is passed on though it brings no record."""
 
+TRANSIT_SECONDS = 0.1
+"""Taken as the time that a message was under way, or age would be lost at each hop."""
+
 COMPARE_SECONDS = 1.0
 PULL_SECONDS = 0.3
 RECENT_RECORDS = 256
@@ -62,6 +65,7 @@
         self._offset_by_address: dict[str, int] = {}
         self._read_at_by_feed = dict.fromkeys(FEEDS, -math.inf)
         self._fresh_at = -math.inf
+        self._told_at = -math.inf
         self._compared_at = -math.inf
         self._pulled_at = -math.inf
         self._patience = STALE_SECONDS + STALE_SPREAD_SECONDS * self._random.random()
@@ -140,12 +144,11 @@
         changed = feed.apply(batch)
         if changed:
             self._remember(batch)
-        before = self._fresh_at
         if feed.next_offset >= batch.next_offset:
             self._read_at_by_feed[batch.feed] = time.monotonic()
-            self._fresh_at = max(before, min(self._read_at_by_feed.values()))
-        is_fresher = self._fresh_at > before + FRESHER_SECONDS
-        if not changed and not is_fresher:
+            read_at = min(self._read_at_by_feed.values())
+            self._fresh_at = max(self._fresh_at, read_at)
+        if not changed and not self._is_fresher():
             return SpreadResult()
         return self._spread((batch,) if changed else (), sender="")
 
@@ -183,12 +186,11 @@
         )
         for batch in new:
             self._remember(batch)
-        before = self._fresh_at
         if self._has(offsets):
-            self._fresh_at = max(before, time.monotonic() - news.age_seconds)
-        is_fresher = self._fresh_at > before + FRESHER_SECONDS
+            fresh_at = time.monotonic() - news.age_seconds - TRANSIT_SECONDS
+            self._fresh_at = max(self._fresh_at, fresh_at)
         result = SpreadResult()
-        if new or is_fresher:
+        if new or self._is_fresher():
             result = self._spread(new, sender=sender)
         more = []
         if not self._has(offsets):
@@ -197,6 +199,10 @@
             more = [self._answer(offsets, sender)]
         return SpreadResult(outgoing=(*result.outgoing, *more), adopted=result.adopted)
 
+    def _is_fresher(self):
+        """Return whether what this node knows is fresher than what it last told."""
+        return self._fresh_at > self._told_at + FRESHER_SECONDS
+
     def _has(self, offsets):
         return all(
             feed.next_offset >= offsets.find(name)
@@ -210,12 +216,15 @@
         )
 
     def _spread(self, batches, *, sender):
+        self._told_at = self._fresh_at
         adopted = self._refold() if batches else None
         message = self._make_news(batches)
         receivers = set(self._plan.receivers)
         if not sender:
             receivers.update(self._head_addresses)
-            receivers.update(self._list_far_heads())
+        far_heads = self._list_far_heads()
+        if sender not in far_heads:
+            receivers.update(far_heads)
         receivers.discard(sender)
         outgoing = tuple(Outgoing(to=to, message=message) for to in sorted(receivers))
         return SpreadResult(outgoing=outgoing, adopted=adopted)
--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -6,9 +6,6 @@
 
 from citronspan.core.settings import AgentSettings, EntrySettings, Place, Section
 
-METRICS_PORT = 9464
-"""Port of ``/metrics``, the same on every host."""
-
 STOP_MARGIN_SECONDS = 0.4
 """Time before a kill at which a stopping host has ended by itself."""
 
@@ -57,6 +54,7 @@
         stop_seconds: Time from SIGTERM to SIGKILL.
         service_rules: Rules that hold for every service.
         worker_threads: Requests that the host carries at once.
+        metrics_port: Port of ``/metrics``, the same on every host.
         log_level: Name of a logbook level.
     """
 
@@ -74,6 +72,7 @@
     stop_seconds: float = 6.0
     service_rules: ServiceRules = ServiceRules()
     worker_threads: int = 64
+    metrics_port: int = 9464
     log_level: str = "INFO"
 
     @property
@@ -100,7 +99,7 @@
             callers_address=self.callers_address,
             peer_address=self.entry_peer_address,
             agent_peer_address=self.agent_peer_address,
-            metrics_address=f"{self.address}:{METRICS_PORT}",
+            metrics_address=f"{self.address}:{self.metrics_port}",
             readiness_address=self.readiness_address,
             worker_threads=self.worker_threads,
             drain_seconds=stop_seconds,
--- /dev/null
+++ b/citronspan/core/spell_health_test.py
@@ -0,0 +1,234 @@
+"""Beliefs on targets that fail most of their requests for some seconds at a time."""
+
+import random
+
+import freezegun
+import pytest
+from hypothesis import given, strategies as st
+
+from citronspan.core.broker import Broker
+from citronspan.core.broker_messages import SlotGrant, SlotRelease, SlotRequest
+from citronspan.core.health import KnownTarget
+from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.resources import Detection, ServiceSpec
+from citronspan.core.shards import ShardKey
+from citronspan.core.spell_health import SpellHealth
+from citronspan.core.spells import SpellModel, weigh
+from citronspan.core.verdicts import VerdictTable
+
+KEY = ShardKey(service="s", region="r", number=0)
+OUTCOMES = st.sampled_from(list(OutcomeClass))
+
+
+def make_targets(count=5, slots=6):
+    return tuple(
+        KnownTarget(
+            name=f"t-{number}",
+            address=f"10.0.0.{number}:80",
+            region="r",
+            data_centre="r-1",
+            slots=slots,
+        )
+        for number in range(count)
+    )
+
+
+def make_health():
+    health = SpellHealth(
+        name=KEY.format(),
+        spec=ServiceSpec(detection=Detection.SPELLS),
+        issuer="host-1",
+        incarnation=1,
+        heard=VerdictTable(),
+    )
+    health.set_targets(make_targets())
+    return health
+
+
+def observe(health, target, outcome_class, seconds=0.2):
+    health.observe(
+        Outcome(
+            target=target,
+            outcome_class=outcome_class,
+            latency_seconds=seconds,
+            deadline_seconds=3.0,
+        )
+    )
+
+
+def find_doubt(health, target):
+    return health.find_limits()[target].doubt
+
+
+def test_one_failure_is_enough_and_grows_old():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        health = make_health()
+        observe(health, "t-0", OutcomeClass.TARGET_ERROR, 0.001)
+        assert find_doubt(health, "t-0") > 0.7
+        assert find_doubt(health, "t-1") < 0.15
+        clock.tick(15)
+        assert find_doubt(health, "t-0") < 0.25
+
+
+def test_two_good_answers_bring_a_target_back():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        health = make_health()
+        observe(health, "t-0", OutcomeClass.TARGET_ERROR, 0.001)
+        clock.tick(1.0)
+        observe(health, "t-0", OutcomeClass.OK)
+        observe(health, "t-0", OutcomeClass.OK)
+        assert find_doubt(health, "t-0") < 0.4
+
+
+def test_an_answer_that_was_under_way_at_a_failure_clears_nothing():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        health = make_health()
+        observe(health, "t-0", OutcomeClass.TARGET_ERROR, 0.001)
+        clock.tick(0.1)
+        doubt = find_doubt(health, "t-0")
+        observe(health, "t-0", OutcomeClass.OK, seconds=0.5)
+        assert find_doubt(health, "t-0") == pytest.approx(doubt)
+
+
+def test_another_start_of_a_target_is_another_target():
+    health = make_health()
+    observe(health, "t-0", OutcomeClass.TARGET_ERROR, 0.001)
+    targets = make_targets()
+    again = KnownTarget(
+        name="t-0",
+        address=targets[0].address,
+        region="r",
+        data_centre="r-1",
+        slots=6,
+        incarnation=7,
+    )
+    health.set_targets((again, *targets[1:]))
+    assert find_doubt(health, "t-0") < 0.15
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), OUTCOMES, st.floats(0, 3)), max_size=60))
+def test_a_belief_is_a_probability_whatever_happens(steps):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        health = make_health()
+        for number, outcome_class, seconds in steps:
+            clock.tick(seconds)
+            observe(health, f"t-{number}", outcome_class, seconds)
+            health.note_overdue(f"t-{number}")
+            assert all(0 < limit.doubt < 1 for limit in health.find_limits().values())
+            assert all(limit.slots == 6 for limit in health.find_limits().values())
+
+
+def test_evidence_goes_along_with_a_handover():
+    before, after = make_health(), make_health()
+    observe(before, "t-0", OutcomeClass.TARGET_ERROR, 0.001)
+    after.import_evidence(before.export_evidence())
+    assert find_doubt(after, "t-0") > 0.7
+    assert find_doubt(after, "t-1") < 0.15
+
+
+def test_relaxing_goes_to_the_share_of_bad_time_and_keeps_order():
+    with freezegun.freeze_time("2026-01-01"):
+        model = SpellModel()
+        bad = weigh(model.begin(), 50.0)
+        values = [model.relax(bad, bad.at + seconds).bad for seconds in range(60)]
+        assert values == sorted(values, reverse=True)
+        assert values[-1] == pytest.approx(model.bad_share, abs=0.01)
+
+
+class Spells:
+    """Targets a third of which fail three of four requests for 3 s of every 9."""
+
+    def __init__(self, *, seed):
+        self._offset = {t.name: random.Random(seed).random() for t in make_targets()}
+        self._random = random.Random(seed)
+        for number, name in enumerate(sorted(self._offset)):
+            self._offset[name] = number * 1.8
+
+    def is_failing(self, name, now):
+        in_spell = (now + self._offset[name]) % 9.0 < 3.0
+        return self._random.random() < (0.75 if in_spell else 0.012)
+
+
+def run_orders(choose, release, *, seconds=60.0, per_second=20, clock, seed=1):
+    """Send orders that take 0.3 s, or fail at once; return the share that failed."""
+    spells = Spells(seed=seed)
+    under_way = []
+    failed = sent = 0
+    now = 0.0
+    while now < seconds:
+        clock.tick(1 / per_second)
+        now += 1 / per_second
+        for item in [item for item in under_way if item[0] <= now]:
+            under_way.remove(item)
+            release(item[1], OutcomeClass.OK, 0.3)
+        slot = choose()
+        sent += 1
+        if spells.is_failing(slot.target, now):
+            failed += 1
+            release(slot, OutcomeClass.TARGET_ERROR, 0.001)
+            continue
+        under_way.append((now + 0.3, slot))
+    return failed / sent
+
+
+def test_orders_meet_far_fewer_failures_than_by_the_least_loaded_target():
+    """Load: 20 orders a second on 30 slots, a third of the targets in a spell."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        broker = Broker(key=KEY, health=make_health(), targets=make_targets())
+        numbers = iter(range(1, 1_000_000))
+
+        def choose():
+            request = SlotRequest(
+                attempt_id=next(numbers),
+                service="s",
+                region="r",
+                shard=0,
+                deadline_seconds=3.0,
+                goal_seconds=1.0,
+            )
+            answers = broker.handle("e", request)
+            while not isinstance(answers[-1].message, SlotGrant):
+                clock.tick(0.02)
+                answers = broker.advance() or answers
+            return answers[-1].message
+
+        def release(grant, outcome_class, seconds):
+            outcome = Outcome(
+                target=grant.target,
+                outcome_class=outcome_class,
+                latency_seconds=seconds,
+                deadline_seconds=3.0,
+            )
+            broker.handle(
+                "e",
+                SlotRelease(
+                    attempt_id=grant.attempt_id,
+                    service="s",
+                    region="r",
+                    shard=0,
+                    outcome=outcome,
+                ),
+            )
+
+        ours = run_orders(choose, release, clock=clock)
+        naive = run_orders(*make_least_loaded(), clock=clock)
+    assert ours < 0.08
+    assert ours < naive / 2.5
+
+
+def make_least_loaded():
+    """Return the naive baseline: the target with the fewest requests."""
+    granted_by_target = dict.fromkeys((t.name for t in make_targets()), 0)
+    draw = random.Random(2)
+
+    def choose():
+        least = min(granted_by_target.values())
+        names = [name for name, count in granted_by_target.items() if count == least]
+        name = draw.choice(names)
+        granted_by_target[name] += 1
+        return SlotGrant(attempt_id=0, target=name, address="", hold_seconds=1)
+
+    def release(grant, outcome_class, seconds):
+        granted_by_target[grant.target] -= 1
+
+    return choose, release
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -38,6 +38,9 @@
 # An idempotent attempt may use this share of the time left, so that another one
 # still fits in after a slow target.
 ATTEMPT_SHARE = 0.5
+REFUSED_SECONDS = 0.3
+"""Time after which a request that every target refused may find one with room."""
+
 BUFFERED_ANSWER_BYTES = 64 * 1024
 _logger = logbook.Logger("attempts")
 
@@ -377,5 +380,5 @@
         code=code,
         detail=f"last attempt: {outcome_class}",
         ran=ran,
-        retry_after_seconds=1,
+        retry_after_seconds=None if has_run else REFUSED_SECONDS,
     )
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -122,8 +122,8 @@
         self._drain()
 
     def is_ready(self) -> bool:
-        """Return whether callers may be sent here."""
-        return self.state == "serving"
+        """Return whether callers may be sent here: it serves, and knows a broker."""
+        return self.state == "serving" and self.slots.knows_entries()
 
     def request_stop(self) -> None:
         """Ask for a graceful stop; safe in a signal handler."""
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -102,6 +102,7 @@
         self._started_at = time.monotonic()
         self._start_wait_seconds = 0.0 if is_seed else START_WAIT_SECONDS
         self._away_since_by_feed: dict[str, float | None] = dict.fromkeys(FEEDS)
+        self._read_at_by_feed = dict.fromkeys(FEEDS, time.monotonic())
         self._returned_at_by_feed = dict.fromkeys(FEEDS, float("-inf"))
 
     @property
@@ -212,12 +213,15 @@
         write_event(_logger, log_events.LOG_SERVICE_AWAY, feed=feed, reason=str(error))
 
     def _note_back(self, feed):
+        now = time.monotonic()
+        read_at = self._read_at_by_feed[feed]
+        self._read_at_by_feed[feed] = now
         since = self._away_since_by_feed[feed]
         if since is None:
             return
         self._away_since_by_feed[feed] = None
-        now = time.monotonic()
-        if now - since >= AWAY_SECONDS:
+        # The first failure may come long after the store went away.
+        if now - read_at >= AWAY_SECONDS:
             self._returned_at_by_feed[feed] = now
         write_event(
             _logger,
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -48,7 +48,7 @@
 from citronspan.utils.logs import write_event
 
 ATTEMPT_BITS = 63
-RETRY_AFTER_SECONDS = 1.0
+RETRY_AFTER_SECONDS = 0.3
 # A waiting request asks again this often, so that a broker that froze is noticed.
 ASK_AGAIN_SECONDS = 0.25
 MAXIMUM_REDIRECTS = 2
@@ -240,6 +240,11 @@
             }
         self._emit(outgoing)
 
+    def knows_entries(self) -> bool:
+        """Return whether any entry is known to serve, and so to be a broker."""
+        with self._lock:
+            return bool(self.brokers.table.list_nodes())
+
     def hand_over_all(self) -> None:
         """Hand every brokered shard to the entry that is next, before a stop."""
         with self._lock:
--- /dev/null
+++ b/citronspan/platform/records_test.py
@@ -0,0 +1,140 @@
+"""Records of the platform become resources, or name nothing."""
+
+import json
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from citronspan.core.errors import CitronspanError
+from citronspan.core.feeds import CONFIGURATION_FEED, TARGETS_FEED
+from citronspan.core.host_settings import ServiceRules
+from citronspan.core.resources import Detection, Kind, TargetIntent
+from citronspan.platform.feeds import PlatformFeeds
+from citronspan.platform.records import read_configuration, read_target
+from citronspan.platform.store import KeyedPage, KeyedRecord
+
+RULES = ServiceRules(floor=0.7, retry_ratio=0.2, retry_slack=58)
+REGIONS = {"a": "east"}
+TARGET = {
+    "address": "10.0.0.1:8080",
+    "info": {"service": "shop", "version": "v1", "dataCentre": "a", "slots": 6},
+    "status": {"state": "ready", "sequence": 4, "warmUpSeconds": 1.5},
+    "born": 1_790_000_000_000,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "shop.example",
+    "pathPrefix": "/a/",
+    "kind": "upload",
+    "timeoutSeconds": 6,
+    "latencyGoalSeconds": 3,
+    "priority": 1,
+    "service": "shop",
+    "maximumAttempts": 2,
+}
+
+
+def encode_configuration(*routes):
+    services = [{"name": "shop", "healthPath": "/healthz"}, {"name": "mill"}]
+    value = {"version": 7, "routes": routes, "services": services, "limits": {}}
+    return json.dumps(value).encode()
+
+
+def test_a_route_and_its_service():
+    resources = read_configuration(encode_configuration(ROUTE), RULES)
+    spec_by_name = {resource.name: resource.spec for resource in resources}
+    assert spec_by_name["shop"].detection is Detection.SPELLS
+    assert (spec_by_name["shop"].floor, spec_by_name["shop"].retry_slack) == (0.7, 58)
+    route = spec_by_name["r-1"]
+    assert (route.idempotent, route.maximum_attempts) == (False, 2)
+    assert (route.deadline_seconds, route.goal_seconds) == (6, 3)
+
+
+def test_what_may_be_repeated_follows_from_the_kind_alone():
+    for kind, idempotent in (
+        ("idempotent", True),
+        ("non_idempotent", False),
+        ("upload", False),
+    ):
+        data = encode_configuration({**ROUTE, "kind": kind, "name": "stock-lookup"})
+        route = read_configuration(data, RULES)[-1]
+        assert route.spec.idempotent is idempotent
+
+
+def test_a_split_names_its_heaviest_service_and_all_shares():
+    split = [{"service": "mill", "weight": 10}, {"service": "shop", "weight": 90}]
+    data = encode_configuration({**ROUTE, "service": "", "trafficSplit": split})
+    spec = read_configuration(data, RULES)[-1].spec
+    assert spec.service == "shop"
+    assert [(share.service, share.weight) for share in spec.shares] == [
+        ("mill", 10),
+        ("shop", 90),
+    ]
+
+
+def test_a_target_says_where_it_is_and_whether_it_leaves():
+    spec = read_target("i-1", json.dumps(TARGET).encode(), REGIONS).spec
+    assert (spec.region, spec.data_centre, spec.slots) == ("east", "a", 6)
+    assert (spec.intent, spec.cold) == (TargetIntent.ACTIVE, True)
+    leaving = {**TARGET, "status": {**TARGET["status"], "state": "draining"}}
+    spec = read_target("i-1", json.dumps(leaving).encode(), REGIONS).spec
+    assert spec.intent is TargetIntent.DRAINING
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": 7},
+        {"address": "nowhere"},
+        {"info": {"service": "shop"}},
+        {"info": {**TARGET["info"], "slots": "6"}},
+        {"status": {"state": "sleeping"}},
+        {"born": "today"},
+    ],
+)
+def test_foreign_entries_are_refused(change):
+    data = json.dumps({**TARGET, **change}).encode()
+    with pytest.raises((msgspec.MsgspecError, CitronspanError)):
+        read_target("i-1", data, REGIONS)
+
+
+class Pages:
+    """A client that gives what a test put there."""
+
+    def __init__(self, *values):
+        self.values = values
+
+    def read_newest(self, topic):
+        records = tuple(
+            KeyedRecord(offset=number, key=f"i-{number}", value=value)
+            for number, value in enumerate(self.values)
+        )
+        return KeyedPage(next_offset=len(records), records=records)
+
+
+def make_feeds(*values):
+    return PlatformFeeds(
+        client=Pages(*values), rules=RULES, region_by_data_centre=REGIONS
+    )
+
+
+@given(st.lists(st.one_of(st.none(), st.binary(max_size=40)), max_size=8))
+def test_unreadable_entries_name_no_target_and_the_others_hold(values):
+    good = json.dumps(TARGET).encode()
+    feeds = make_feeds(*values, good)
+    batch = feeds.read_newest(TARGETS_FEED)
+    named = [record for record in batch.records if record.data is not None]
+    assert batch.next_offset == len(values) + 1
+    assert [record.offset for record in named] == [len(values)]
+    assert feeds.unreadable_records == sum(value is not None for value in values)
+
+
+def test_an_unreadable_configuration_leaves_the_one_before_in_force():
+    feeds = make_feeds(b"{")
+    assert feeds.read_newest(CONFIGURATION_FEED).records == ()
+
+
+def test_kinds_of_resources_are_the_products_own():
+    resources = read_configuration(encode_configuration(ROUTE), RULES)
+    assert {resource.kind for resource in resources} == {Kind.SERVICE, Kind.ROUTE}
--- /dev/null
+++ b/citronspan_standins/platform_test.py
@@ -0,0 +1,318 @@
+"""One host on the platform: store, targets and callers are small stand-ins."""
+
+import json
+import os
+import threading
+import time
+import urllib.error
+import urllib.request
+from contextlib import contextmanager
+from http.client import HTTPConnection
+
+import msgspec
+import pytest
+
+from citronspan.core.host_settings import HostSettings
+from citronspan.core.settings import decode_settings
+from citronspan.ops import feed_source
+from citronspan.scripts.host import make_host
+from citronspan_standins.http_service import Service
+from citronspan_standins.store_service import StoreService, StoreSwitches, wait_until
+
+OPERATOR = "keyed.op"
+TARGETS = "keyed.servers"
+# Suites that run side by side use ports of their own.
+FIRST_PORT = 10_000 + os.getpid() % 40 * 1000
+REQUEST_ID = "X-Citronspan-Request-Id"
+
+
+class PlatformTarget:
+    """A target that speaks the platform's headers."""
+
+    def __init__(self, *, name, port):
+        self.name = name
+        self.ran: list[str] = []
+        self.deadlines: list[str] = []
+        self.mode = "well"
+        self.service = Service(
+            address=f"127.0.0.1:{port}", handler=self.handle, threads=8
+        )
+        self.service.start()
+
+    def handle(self, exchange):
+        request_id = exchange.get_header(REQUEST_ID)
+        body = b"".join(exchange.read_body())
+        expected = exchange.get_header("X-Citronspan-Expected-Instance")
+        if expected != self.name:
+            exchange.answer(421)
+            return
+        if self.mode == "sheds":
+            exchange.answer(503, b"", (("X-Citronspan-Not-Executed", "1"),))
+            return
+        self.ran.append(request_id)
+        self.deadlines.append(exchange.get_header("X-Citronspan-Deadline-Ms"))
+        headers = (("X-Citronspan-Backend-Signature", "s"), (REQUEST_ID, request_id))
+        if self.mode == "stray":
+            headers = ((REQUEST_ID, "another"), headers[0])
+        if self.mode == "fails":
+            exchange.answer(500, b"", headers)
+            return
+        exchange.answer(200, b"done " + body, headers)
+
+    def register(self, store, *, state="ready"):
+        value = {
+            "address": self.service.address,
+            "info": {"service": "shop", "version": "v1", "dataCentre": "a", "slots": 4},
+            "status": {"state": state, "sequence": 1, "warmUpSeconds": 0},
+            "born": 1_790_000_000_000,
+        }
+        store.put(TARGETS, self.name, json.dumps(value).encode())
+
+
+def make_configuration(version=1, **changes):
+    def route(name, kind):
+        return {
+            "name": name,
+            "host": "shop.example",
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "timeoutSeconds": 3,
+            "latencyGoalSeconds": 1,
+            "priority": 1,
+            "service": "shop",
+            "maximumAttempts": 2,
+            **changes,
+        }
+
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [route("read", "idempotent"), route("order", "non_idempotent")],
+            "services": [{"name": "shop", "healthPath": "/healthz"}],
+            "limits": {"headerBytes": 16384},
+        }
+    ).encode()
+
+
+class Running:
+    """A host with its store and two targets."""
+
+    def __init__(self, *, store, targets, settings, host):
+        self.store = store
+        self.targets = targets
+        self.settings = settings
+        self.host = host
+        self.numbers = iter(range(1_000_000))
+
+    def send(self, path, *, method="GET", body=b""):
+        """Send a request as a caller; return id, status, headers and body."""
+        request_id = f"id-{next(self.numbers)}"
+        host, _, port = self.settings.callers_address.rpartition(":")
+        connection = HTTPConnection(host, int(port), timeout=10)
+        headers = {
+            "Host": "shop.example",
+            REQUEST_ID: request_id,
+            "X-Citronspan-Deadline-Ms": "2500",
+        }
+        connection.request(method, path, body=body or None, headers=headers)
+        answer = connection.getresponse()
+        seen = request_id, answer.status, dict(answer.getheaders()), answer.read()
+        connection.close()
+        return seen
+
+    def is_ready(self):
+        try:
+            url = f"http://{self.settings.readiness_address}/readiness"
+            return urllib.request.urlopen(url, timeout=5).status == 200
+        except OSError:
+            return False
+
+    def count_ran(self, request_id):
+        return sum(target.ran.count(request_id) for target in self.targets)
+
+
+@contextmanager
+def run_host(number, *, configured=True):
+    first_port = FIRST_PORT + 100 * number
+    store = StoreService()
+    store_service = Service(
+        address=f"127.0.0.1:{first_port}", handler=store.handle, threads=8
+    )
+    store_service.start()
+    targets = [
+        PlatformTarget(name=f"i-{number}", port=first_port + 1 + number)
+        for number in range(2)
+    ]
+    if configured:
+        store.put(OPERATOR, "config", make_configuration())
+    for target in targets:
+        target.register(store)
+    addresses = [f"127.0.0.1:{first_port + 10 + number}" for number in range(4)]
+    names = ("callersAddress", "readinessAddress", "directoryAddress", "apiAddress")
+    data = {
+        "place": {"name": "host-1", "region": "r", "dataCentre": "a"},
+        "address": "127.0.0.1",
+        "peerPorts": [first_port + 20, first_port + 30],
+        "regionByDataCentre": {"a": "r"},
+        "storeAddress": store_service.address,
+        "stopSeconds": 2.0,
+        "serviceRules": {"retrySlack": 20, "retryRatio": 0.2},
+        "workerThreads": 8,
+        "metricsPort": first_port + 40,
+        **dict(zip(names, addresses, strict=True)),
+    }
+    settings = decode_settings(msgspec.json.encode(data), HostSettings, path="test")
+    host = make_host(settings)
+    thread = threading.Thread(target=host.run)
+    thread.start()
+    running = Running(store=store, targets=targets, settings=settings, host=host)
+    try:
+        if configured:
+            assert wait_until(running.is_ready)
+        yield running
+    finally:
+        host.request_stop()
+        thread.join(10)
+        assert not thread.is_alive()
+        for target in targets:
+            target.service.stop()
+        store_service.stop()
+
+
+@pytest.fixture(scope="module")
+def running():
+    with run_host(1) as running:
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def make_well(request):
+    yield
+    if "running" in request.fixturenames:
+        for target in request.getfixturevalue("running").targets:
+            target.mode = "well"
+
+
+def test_a_request_goes_through_with_what_the_target_needs(running):
+    request_id, status, headers, body = running.send("/order/1", method="POST")
+    assert (status, body) == (200, b"done ")
+    assert headers["X-Citronspan-Backend-Signature"] == "s"
+    assert running.count_ran(request_id) == 1
+    deadline = next(t.deadlines[-1] for t in running.targets if request_id in t.ran)
+    assert 1500 < int(deadline) <= 2500
+
+
+def test_a_failed_order_is_not_run_again_and_a_failed_read_is(running):
+    for target in running.targets:
+        target.mode = "fails"
+    request_id, status, headers, _ = running.send("/order/1", method="POST", body=b"x")
+    assert (status, headers["X-Citronspan-Backend-Signature"]) == (500, "s")
+    assert running.count_ran(request_id) == 1
+    request_id, status, _, _ = running.send("/read/1")
+    assert status == 500
+    assert running.count_ran(request_id) == 2
+
+
+def test_a_shed_request_is_refused_as_not_run_with_a_time_in_parts_of_seconds(running):
+    for target in running.targets:
+        target.mode = "sheds"
+    request_id, status, headers, _ = running.send("/order/1", method="POST")
+    assert status == 503
+    assert 0 < float(headers["Retry-After"]) < 2.5
+    assert running.count_ran(request_id) == 0
+
+
+def test_an_answer_to_another_request_is_not_passed_on(running):
+    for target in running.targets:
+        target.mode = "stray"
+    _, status, headers, _ = running.send("/order/1", method="POST")
+    assert status in (502, 504)
+    assert "X-Citronspan-Backend-Signature" not in headers
+
+
+def test_a_route_that_is_not_there_is_not_found(running):
+    assert running.send("/nowhere/1")[1] == 404
+
+
+def test_the_directory_names_the_entry(running):
+    query = "name=shop.example&region=r&dataCentre=a"
+    url = f"http://{running.settings.directory_address}/directory?{query}"
+    answer = json.load(urllib.request.urlopen(url, timeout=5))
+    assert answer["addresses"] == [running.settings.callers_address]
+    assert answer["keepSeconds"] == running.settings.keep_seconds
+
+
+def test_the_api_shows_the_platforms_resources_and_takes_none(running):
+    url = f"http://{running.settings.api_address}/resources/Route"
+    names = [item["name"] for item in json.load(urllib.request.urlopen(url))["items"]]
+    assert names == ["order", "read"]
+    request = urllib.request.Request(f"{url}/order?version=1", method="DELETE")
+    with pytest.raises(urllib.error.HTTPError) as error:
+        urllib.request.urlopen(request)
+    assert error.value.headers["Citronspan-Result"].startswith("2008")
+
+
+def test_a_leaving_target_gets_no_work_and_foreign_entries_change_nothing():
+    with run_host(2) as running:
+        running.store.put(TARGETS, "i-9", b'{"address": 7}')
+        running.store.put(TARGETS, "i-8", b"\xff\x00")
+        leaving, other = running.targets
+        leaving.register(running.store, state="draining")
+        assert wait_until(lambda: _is_leaving(running, leaving.name), 2.5)
+        for _ in range(20):
+            assert running.send("/order/1", method="POST")[1] == 200
+        before = len(leaving.ran)
+        for _ in range(20):
+            assert running.send("/order/1", method="POST")[1] == 200
+        assert len(leaving.ran) == before
+        assert len(other.ran) >= 20
+
+
+def _is_leaving(running, name):
+    targets = running.host.entry.configuration.targets_by_service["shop"]
+    return any(target.leaving for target in targets if target.name == name)
+
+
+def test_a_configuration_is_in_force_in_time_and_outlives_the_store():
+    with run_host(3) as running:
+        running.store.put(OPERATOR, "config", make_configuration(2, host="new.example"))
+        assert wait_until(lambda: running.send("/order/1", method="POST")[1] == 404, 2)
+        running.store.put(OPERATOR, "config", make_configuration(3))
+        assert wait_until(lambda: running.send("/order/1", method="POST")[1] == 200, 2)
+        running.store.replace_switches(StoreSwitches(down=True))
+        time.sleep(2.0)
+        assert running.send("/order/1", method="POST")[1] == 200
+        running.store.forget_history()
+        running.store.put(OPERATOR, "config", make_configuration(4, host="new.example"))
+        running.store.replace_switches(StoreSwitches())
+        assert wait_until(lambda: running.send("/order/1", method="POST")[1] == 404, 4)
+
+
+def test_entries_that_lapsed_while_the_store_was_away_have_two_seconds():
+    with run_host(4) as running:
+        running.store.replace_switches(StoreSwitches(busy=True))
+        # A read that has begun still ends well.
+        time.sleep(feed_source.READ_WAIT_SECONDS + feed_source.AWAY_SECONDS + 0.5)
+        for target in running.targets:
+            running.store.put(TARGETS, target.name, b"")
+        running.store.replace_switches(StoreSwitches())
+        assert wait_until(lambda: not running.host.agent.source.sight.away, 3)
+        assert running.send("/order/1", method="POST")[1] == 200
+        running.targets[0].register(running.store)
+        assert wait_until(lambda: len(_list_targets(running)) == 1, 4)
+        assert [target.name for target in _list_targets(running)] == ["i-0"]
+
+
+def _list_targets(running):
+    return running.host.entry.configuration.targets_by_service.get("shop", ())
+
+
+def test_without_a_configuration_requests_are_refused_as_not_run():
+    with run_host(5, configured=False) as running:
+        assert not running.is_ready()
+        _, status, headers, _ = running.send("/order/1", method="POST")
+        assert status == 503
+        assert float(headers["Retry-After"]) < 1
+        running.store.put(OPERATOR, "config", make_configuration())
+        assert wait_until(running.is_ready)
+        assert running.send("/order/1", method="POST")[1] == 200
--- /dev/null
+++ b/citronspan_standins/store_service_test.py
@@ -0,0 +1,75 @@
+"""The platform's client against the stand-in of its store."""
+
+import os
+import time
+
+import pytest
+
+from citronspan.ops.feed_source import FeedTruncatedError, StoreAwayError
+from citronspan.platform.store import StoreClient
+from citronspan_standins.http_service import Service
+from citronspan_standins.store_service import StoreService, StoreSwitches
+
+PORT = 9_000 + os.getpid() % 900
+
+
+@pytest.fixture
+def store():
+    store = StoreService()
+    service = Service(address=f"127.0.0.1:{PORT}", handler=store.handle, threads=4)
+    service.start()
+    store.client = StoreClient(address=service.address)
+    yield store
+    service.stop()
+
+
+def test_records_come_in_order_with_their_keys(store):
+    store.put("keyed.t", "a", b"1")
+    store.put("keyed.t", "b", b"2")
+    store.put("keyed.t", "a", b"")
+    page = store.client.read("keyed.t", 1, 0.0)
+    assert page.next_offset == 3
+    found = [(record.offset, record.key, record.value) for record in page.records]
+    assert found == [(1, "b", b"2"), (2, "a", None)]
+
+
+def test_the_newest_of_each_key_over_several_pages(store):
+    store.replace_switches(StoreSwitches(page_items=2))
+    for number in range(5):
+        store.put("keyed.t", f"k{number}", b"old")
+        store.put("keyed.t", f"k{number}", f"v{number}".encode())
+    page = store.client.read_newest("keyed.t")
+    assert page.next_offset == 10
+    assert [r.value for r in page.records] == [f"v{n}".encode() for n in range(5)]
+
+
+def test_a_read_waits_for_news_and_no_longer(store):
+    store.put("keyed.t", "a", b"1")
+    began = time.monotonic()
+    page = store.client.read("keyed.t", 1, 0.3)
+    assert (page.records, page.next_offset) == ((), 1)
+    assert 0.25 < time.monotonic() - began < 2.0
+
+
+def test_history_that_is_gone_is_told_apart_from_a_store_that_is(store):
+    store.put("keyed.t", "a", b"1")
+    store.forget_history()
+    with pytest.raises(FeedTruncatedError):
+        store.client.read("keyed.t", 0, 0.0)
+    assert [r.value for r in store.client.read_newest("keyed.t").records] == [b"1"]
+    for switches in (
+        StoreSwitches(down=True),
+        StoreSwitches(busy=True),
+        StoreSwitches(delay_seconds=3.0),
+    ):
+        store.replace_switches(switches)
+        began = time.monotonic()
+        with pytest.raises(StoreAwayError):
+            store.client.read_newest("keyed.t")
+        assert time.monotonic() - began < 2.0
+
+
+def test_what_is_appended_is_read(store):
+    store.client.append("keyed.t", "host-1", b"here")
+    (record,) = store.client.read("keyed.t", 0, 0.0).records
+    assert (record.key, record.value) == ("host-1", b"here")
