Count only requests that stay unserved before idle targets are given work

Change: such an attempt counts neither way; the share has to be over 12 % of at least 12 requests, decayed over 1.5 s.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -288,6 +288,7 @@
             granted_at=now,
             hold_seconds=hold_seconds,
             crosses_link=bool(request.from_region),
+            may_be_repeated=request.idempotent and not request.is_retry,
         )
         self._book.add(request.attempt_id, grant, now)
         overdue_seconds = self.health.find_overdue_seconds(request.request_kind)
@@ -435,7 +436,7 @@
         if outcome.outcome_class is OutcomeClass.NOT_USED:
             return
         self.health.observe(outcome)
-        self._unserved.add(outcome.outcome_class is not OutcomeClass.OK, now)
+        self._count_served(outcome, grant, now)
         use = self._pool.find_use(outcome.target)
         load_age_seconds = 0.0
         if grant is not None:
@@ -448,6 +449,13 @@
         if use is not None:
             use.learn(outcome, load_age_seconds, now)
 
+    def _count_served(self, outcome, grant, now):
+        """Count a request as served or not; one that is tried again is neither yet."""
+        is_unserved = outcome.outcome_class is not OutcomeClass.OK
+        if is_unserved and grant is not None and grant.may_be_repeated:
+            return
+        self._unserved.add(is_unserved, now)
+
     def _handle_cancel(self, cancel, now):
         attempt_id = cancel.attempt_id
         if self._memory.has_ended(attempt_id):
--- a/citronspan/core/broker_grants.py
+++ b/citronspan/core/broker_grants.py
@@ -17,6 +17,7 @@
         granted_at: When it was granted.
         hold_seconds: Time after which it is taken back.
         crosses_link: Whether the link budget was spent on it.
+        may_be_repeated: Whether another attempt may follow if this one fails.
     """
 
     use: TargetUse
@@ -24,6 +25,7 @@
     granted_at: float
     hold_seconds: float
     crosses_link: bool = False
+    may_be_repeated: bool = False
 
 
 class GrantBook:
--- a/citronspan/core/unserved_share.py
+++ b/citronspan/core/unserved_share.py
@@ -1,15 +1,15 @@
-"""The share of a shard's attempts that lately came to nothing."""
+"""The share of a shard's requests that lately went unserved."""
 
 import math
 
 DECAY_SECONDS = 1.5
-HIGH_SHARE = 0.09
-LEAST_WEIGHT = 4.0
-"""Attempts, decayed, below which the share says nothing."""
+HIGH_SHARE = 0.12
+LEAST_WEIGHT = 12.0
+"""Requests, decayed, below which the share says nothing."""
 
 
 class UnservedShare:
-    """Decayed counts of attempts and of those that failed or were refused."""
+    """Decayed counts of requests and of those that failed or were refused."""
 
     def __init__(self, *, now: float):
         self._at = now
@@ -17,7 +17,7 @@
         self._unserved = 0.0
 
     def add(self, unserved: bool, now: float) -> None:
-        """Count one attempt."""
+        """Count one request."""
         self._decay(now)
         self._all += 1
         self._unserved += unserved
