Count a request once for the window of retries, and a retry where it is granted

Cause: a request that is asked for at home, in the other region and at home again counted as a first attempt at each question, and a retry that got no slot had spent one. The window was too wide for some services and too narrow for others. Found by reading.

Ruled out: counting at the grant only; requests that are refused count for the users' bound, too.

Change: SlotRequest says whether another question was asked before; the broker counts the first alone, checks the window when a retry asks and again when one that waited is served, and spends at the grant.

Figures: three tests of broker_test.py and one of slot_service_test.py, which failed before.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -241,7 +241,8 @@
         if not request.worth >= 0:
             self._refuse(sender, request, result_codes.REQUEST_INVALID, now)
             return
-        if not self._count_attempt(request):
+        self._count_request(request)
+        if not self._may_retry(request):
             self._refuse(sender, request, result_codes.RETRIES_SPENT, now)
             return
         if request.from_region and not self._spend_link(request):
@@ -251,14 +252,17 @@
             return
         self._queue_or_refuse(sender, request, now)
 
-    def _count_attempt(self, request) -> bool:
-        """Count an attempt; return whether it may be made."""
-        if self._retries is None:
-            return True
-        if request.is_retry:
-            return self._retries.spend()
+    def _count_request(self, request):
+        """Count a request for the window of retries, at its first question only."""
+        if self._retries is None or request.is_retry or request.asked_before:
+            return
         self._retries.count_request()
-        return True
+
+    def _may_retry(self, request) -> bool:
+        """Return whether a request that was dispatched before may be once more."""
+        if self._retries is None or not request.is_retry:
+            return True
+        return self._retries.has_left()
 
     def _spend_link(self, request):
         return self._link.spend(request.request_kind, request.worth, request.body_bytes)
@@ -297,6 +301,8 @@
         if is_trial:
             self.health.note_trial(use.known.name)
         self._grants += 1
+        if self._retries is not None and request.is_retry:
+            self._retries.spend()
         self._note_decision(request, now, deadline_at, target=use.known.name)
         answer = SlotGrant(
             attempt_id=request.attempt_id,
@@ -403,6 +409,9 @@
             if now >= waiting.deadline_at:
                 self._give_up(waiting, result_codes.NO_CAPACITY, now)
                 continue
+            if not self._may_retry(waiting.request):
+                self._give_up(waiting, result_codes.RETRIES_SPENT, now)
+                continue
             is_patient = now < waiting.patient_until
             elsewhere = waiting.request.elsewhere
             picky = is_patient or elsewhere
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -50,6 +50,8 @@
         request_id: What identifies the request in logs.
         elsewhere: Whether another region is asked if only doubted targets have room
             here; these are then not granted.
+        asked_before: Whether another question was asked for the same attempt of the
+            request, of this shard or another.
     """
 
     attempt_id: int
@@ -72,6 +74,7 @@
     avoided: tuple[str, ...] = ()
     request_id: str = ""
     elsewhere: bool = False
+    asked_before: bool = False
 
 
 class SlotGrant(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -24,6 +24,7 @@
 )
 from citronspan.core.health import KnownTarget, TargetLimit
 from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.retry_window import RATIO_SHARE, SLACK_SHARE, RetryWindow
 from citronspan.core.shards import ShardKey
 
 KEY = ShardKey(service="shop", region="svea", number=0)
@@ -292,3 +293,44 @@
     handover = BrokerHandover(service="shop", region="svea", shard=0, grants=held)
     broker.handle("entry-9", handover)
     assert broker.describe().granted_by_target == {"a": 1}
+
+
+def make_retries(ratio=0.5, slack=0.0):
+    return RetryWindow(
+        ratio=ratio / RATIO_SHARE, slack=slack / SLACK_SHARE, window_seconds=10.0
+    )
+
+
+def test_a_request_that_is_asked_for_three_times_counts_once_for_the_retries(clock):
+    target = make_target("a", slots=8)
+    broker = make_broker(clock, target, retries=make_retries(ratio=0.5))
+    ask(broker, 1)
+    ask(broker, 2, asked_before=True)
+    ask(broker, 3, asked_before=True)
+    (refusal,) = ask(broker, 4, is_retry=True)
+    assert refusal.code == result_codes.RETRIES_SPENT.number
+    ask(broker, 5)
+    (grant,) = ask(broker, 6, is_retry=True)
+    assert isinstance(grant, SlotGrant)
+
+
+def test_a_retry_that_gets_no_slot_spends_nothing(clock):
+    broker = make_broker(clock, make_target("a"), retries=make_retries(slack=1.0))
+    for attempt_id in range(1, 4):
+        (refusal,) = ask(broker, attempt_id, is_retry=True, excluded=("a",))
+        assert refusal.code == result_codes.NO_CAPACITY.number
+    (grant,) = ask(broker, 4, is_retry=True)
+    assert isinstance(grant, SlotGrant)
+    (refusal,) = ask(broker, 5, is_retry=True)
+    assert refusal.code == result_codes.RETRIES_SPENT.number
+
+
+def test_retries_that_wait_are_granted_only_within_the_window(clock):
+    target = make_target("a", slots=1)
+    broker = make_broker(clock, target, retries=make_retries(slack=1.0))
+    ask(broker, 1)
+    assert ask(broker, 2, is_retry=True) == [SlotWaiting(attempt_id=2)]
+    assert ask(broker, 3, is_retry=True) == [SlotWaiting(attempt_id=3)]
+    broker.handle("entry-1", make_release(1, "a"))
+    sent = broker.handle("entry-1", make_release(2, "a"))
+    assert [item.message.code for item in sent] == [result_codes.RETRIES_SPENT.number]
--- a/citronspan/core/retry_window.py
+++ b/citronspan/core/retry_window.py
@@ -40,14 +40,18 @@
         """Count the first attempt of a request."""
         self._find_bucket()[1] += 1
 
-    def spend(self) -> bool:
-        """Spend one retry; return whether the window had one left."""
-        bucket = self._find_bucket()
+    def has_left(self) -> bool:
+        """Return whether the window allows one retry more."""
+        self._find_bucket()
         requests = sum(item[1] for item in self._buckets)
         retries = sum(item[2] for item in self._buckets)
-        if retries + 1 > self._ratio * requests + self._slack:
+        return retries + 1 <= self._ratio * requests + self._slack
+
+    def spend(self) -> bool:
+        """Spend one retry; return whether the window had one left."""
+        if not self.has_left():
             return False
-        bucket[2] += 1
+        self._find_bucket()[2] += 1
         return True
 
     def _find_bucket(self):
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -131,16 +131,18 @@
         regions = self._list_regions(ask.service)
         if ask.body_bytes >= LARGE_BODY_BYTES:
             regions = regions[:1]
+        # A region that has only doubted targets free is asked again for one of those
+        # when no other has a better.
+        order = list(regions)
+        if len(regions) > 1 and regions[0] == self._region:
+            order.append(self._region)
         refused = None
-        for region in regions:
-            # A region that has only doubted targets free is asked again for one of
-            # those when no other has a better.
-            answer = self._acquire_in(region, ask, elsewhere=len(regions) > 1)
+        for number, region in enumerate(order):
+            elsewhere = number < len(order) - 1
+            answer = self._acquire_in(region, ask, elsewhere, asked_before=number > 0)
             if isinstance(answer, Slot):
                 return answer
-            refused = refused or answer
-        if len(regions) > 1 and regions[0] == self._region:
-            refused = self._acquire_in(self._region, ask, elsewhere=False)
+            refused = answer
         return refused or _refuse(result_codes.NO_CAPACITY)
 
     def release(self, slot: Slot, outcome: Outcome, answer_bytes: int) -> None:
@@ -275,14 +277,16 @@
             ]
         return sorted(regions, key=lambda region: (region != self._region, region))
 
-    def _acquire_in(self, region, ask, *, elsewhere) -> Slot | SlotRefused:
+    def _acquire_in(
+        self, region, ask, elsewhere, *, asked_before
+    ) -> Slot | SlotRefused:
         with self._lock:
             shards = self.brokers.shards_by_group.get((ask.service, region), ())
             shard = choose_shard(shards, self._free_by_key, self._random)
             if shard is None:
                 return _refuse(result_codes.NO_CAPACITY)
             broker = self.brokers.table.find_address(shard.key)
-        request = self._make_request(shard.key, ask, elsewhere)
+        request = self._make_request(shard.key, ask, elsewhere, asked_before)
         for _ in range(1 + MAXIMUM_REDIRECTS):
             if self._silent.is_remembered(broker):
                 broker = self._find_stand_in(shard.key)
@@ -313,7 +317,7 @@
         with self._lock:
             return self.brokers.table.find_stand_in(key, set(self._silent.list_names()))
 
-    def _make_request(self, key, ask, elsewhere):
+    def _make_request(self, key, ask, elsewhere, asked_before):
         return SlotRequest(
             attempt_id=self._random.getrandbits(ATTEMPT_BITS),
             service=key.service,
@@ -334,6 +338,7 @@
             avoided=self._unreachable.list_names(),
             request_id=ask.request_id,
             elsewhere=elsewhere and key.region == self._region,
+            asked_before=asked_before,
         )
 
     def _find_connected(self, key):
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from citronspan.core import result_codes
+from citronspan.core.broker_messages import SlotRequest
 from citronspan.core.health import KnownTarget
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
@@ -182,3 +183,21 @@
     answer = asker.ask()
     assert isinstance(answer, SlotRefused)
     assert answer.code == result_codes.NO_CAPACITY
+
+
+def test_only_the_first_question_for_an_attempt_counts_as_a_request(pair):
+    broker, _ = pair
+    near = tuple(dataclasses.replace(target, slots=0) for target in TARGETS[:1])
+    far = tuple(dataclasses.replace(target, region="far") for target in TARGETS[1:])
+    broker.slots.set_services({"s": ServiceSpec()}, {"s": near + far}, frozenset())
+    asked = []
+    handle = broker.slots.handle
+
+    def note(sender, message):
+        if isinstance(message, SlotRequest):
+            asked.append((message.region, message.asked_before))
+        handle(sender, message)
+
+    broker.slots.handle = note
+    assert isinstance(broker.ask(), SlotRefused)
+    assert asked == [("r", False), ("r", True)]
