Hand verdicts over as typed messages; one token bucket; the store client reads only

Cause: both kinds of detection coded evidence into bytes by the same lines, and passed over bytes that they could not read without a word. The log handler had a bucket of its own. StoreClient.append was used by a test of the stand-in alone.

The stand-in's test posts by itself.

Tests of core, utils, platform, ops and the stand-ins green.

--- a/citronspan/core/account_limits.py
+++ b/citronspan/core/account_limits.py
@@ -6,7 +6,7 @@
 """
 
 from citronspan.core.resources import AccountSpec
-from citronspan.core.token_bucket import TokenBucket
+from citronspan.utils.token_bucket import TokenBucket
 
 EXCESS = 2.0
 BURST_SECONDS = 2.0
--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -34,6 +34,7 @@
 from citronspan.core.shards import ShardKey
 from citronspan.core.slot_queue import SlotQueue, WaitingRequest
 from citronspan.core.unserved_share import UnservedShare
+from citronspan.core.verdicts import Verdict
 
 RECLAIM_SECONDS = 0.5
 """Time after a request's deadline when its slot is taken back."""
@@ -179,12 +180,14 @@
         self._refuse_hopeless(0, now)
         return self._take_outgoing()
 
-    def hand_over(self, successor: str, evidence: bytes = b"") -> list[Outgoing]:
+    def hand_over(
+        self, successor: str, verdicts: tuple[Verdict, ...] = ()
+    ) -> list[Outgoing]:
         """Stop serving the shard in favour of another broker.
 
         Args:
             successor: Peer address of the new broker.
-            evidence: What detection knows, in detection's own encoding.
+            verdicts: What detection holds of each target.
 
         Returns:
             The handover, and redirects for the requests that wait.
@@ -197,7 +200,7 @@
             shard=self.key.number,
             grants=self._book.export(now),
             mean_seconds_by_kind=self._hold_times.export(),
-            evidence=evidence,
+            verdicts=verdicts,
         )
         self._send(successor, handover)
         for waiting in self._queue.list_from(0):
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -14,6 +14,7 @@
 
 from citronspan.core.message_base import Message
 from citronspan.core.outcomes import Outcome
+from citronspan.core.verdicts import Verdict
 
 
 def shorten_name(name: str) -> str:
@@ -199,7 +200,7 @@
         shard: Number of the shard.
         grants: Grants that are not released yet.
         mean_seconds_by_kind: Mean time that a slot is held, by request kind.
-        evidence: What detection knows, in detection's own encoding.
+        verdicts: What detection holds of each target.
     """
 
     service: str
@@ -207,7 +208,7 @@
     shard: int
     grants: tuple[HeldGrant, ...] = ()
     mean_seconds_by_kind: dict[str, float] = {}
-    evidence: bytes = b""
+    verdicts: tuple[Verdict, ...] = ()
 
 
 BrokerMessage = SlotRequest | SlotRelease | SlotCancel | BrokerHandover
--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -25,17 +25,18 @@
 from citronspan.core.result_codes import NO_CAPACITY
 from citronspan.core.retry_window import RetryWindow
 from citronspan.core.shards import BrokerTable, Shard, ShardKey, form_shards
+from citronspan.core.verdicts import Verdict, VerdictTable
 
 
 @runtime_checkable
 class PortableHealth(Protocol):
     """Detection whose evidence goes with a shard to its next broker."""
 
-    def export_evidence(self) -> bytes:
-        """Return the evidence in detection's own encoding."""
+    def issue_verdicts(self) -> tuple[Verdict, ...]:
+        """Return one verdict of this broker for each target."""
 
-    def import_evidence(self, evidence: bytes) -> None:
-        """Merge the evidence of an earlier broker."""
+    def import_verdicts(self, table: VerdictTable) -> None:
+        """Begin with what other brokers held; own evidence goes first."""
 
 
 class BrokerSet:
@@ -145,7 +146,7 @@
                 continue
             if not address or broker.successor == address:
                 continue
-            outgoing += broker.hand_over(address, _export_evidence(broker.health))
+            outgoing += broker.hand_over(address, _issue_verdicts(broker.health))
         return outgoing
 
     def handle(self, sender: str, message: BrokerMessage) -> list[Outgoing]:
@@ -167,7 +168,7 @@
                 return self._answer_without_broker(sender, key, message)
             broker = self._make_broker(key)
         if isinstance(message, BrokerHandover):
-            _import_evidence(broker.health, message.evidence)
+            _import_verdicts(broker.health, message.verdicts)
         return broker.handle(sender, message)
 
     def advance(self) -> list[Outgoing]:
@@ -250,10 +251,13 @@
         return outgoing
 
 
-def _export_evidence(health: Health) -> bytes:
-    return health.export_evidence() if isinstance(health, PortableHealth) else b""
+def _issue_verdicts(health: Health) -> tuple[Verdict, ...]:
+    return health.issue_verdicts() if isinstance(health, PortableHealth) else ()
 
 
-def _import_evidence(health: Health, evidence: bytes) -> None:
-    if evidence and isinstance(health, PortableHealth):
-        health.import_evidence(evidence)
+def _import_verdicts(health: Health, verdicts: tuple[Verdict, ...]) -> None:
+    if not verdicts or not isinstance(health, PortableHealth):
+        return
+    table = VerdictTable()
+    table.merge(verdicts)
+    health.import_verdicts(table)
--- a/citronspan/core/broker_set_test.py
+++ b/citronspan/core/broker_set_test.py
@@ -22,8 +22,18 @@
 from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.shards_test import make_node
+from citronspan.core.verdicts import Verdict
 from citronspan.utils.rendezvous import rank_members
 
+VERDICT = Verdict(
+    target="a",
+    address="127.0.2.1:9000",
+    issuer="n-1",
+    issuer_incarnation=1,
+    sequence=1,
+    state="ejected",
+    evidence=5.0,
+)
 FIRST, SECOND = rank_members(["n-1", "n-2"], KEY.format())
 
 
@@ -34,13 +44,13 @@
 
 
 class PortableFake(FakeHealth):
-    imported = b""
+    imported = None
 
-    def export_evidence(self):
-        return b"evidence"
+    def issue_verdicts(self):
+        return (VERDICT,)
 
-    def import_evidence(self, evidence):
-        self.imported = evidence
+    def import_verdicts(self, table):
+        self.imported = [held.verdict for held in table.held_by_key.values()]
 
 
 def make_set(name, *, nodes=("n-1", "n-2"), slots=2):
@@ -85,7 +95,7 @@
     assert isinstance(outgoing[0].message, BrokerHandover)
     assert get_messages(outgoing)[1] == SlotRedirect(attempt_id=3, broker=f"{SECOND}:2")
     new.handle(f"{FIRST}:2", outgoing[0].message)
-    assert new.find_health(KEY).imported == b"evidence"
+    assert new.find_health(KEY).imported == [VERDICT]
     (answer,) = get_messages(new.handle("entry", make_request(3)))
     assert answer == SlotWaiting(attempt_id=3)
     forwarded = old.handle("entry", make_release(1, "a"))
@@ -157,7 +167,7 @@
         SlotGrant(attempt_id=1, target="a", address="127.0.0.1:1", hold_seconds=1.0),
         SlotRefusal(attempt_id=1, code=3002, retry_after_seconds=1.5),
         SlotRedirect(attempt_id=1),
-        BrokerHandover(service="s", region="r", shard=0, evidence=b"\x00"),
+        BrokerHandover(service="s", region="r", shard=0, verdicts=(VERDICT,)),
     ],
 )
 def test_messages_survive_the_codec(message):
--- a/citronspan/core/portable_health.py
+++ b/citronspan/core/portable_health.py
@@ -4,16 +4,11 @@
 before it became broker serve where the last one ended without a word.
 """
 
-import msgspec
-
 from citronspan.core.health import KnownTarget
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.service_health import ServiceHealth
 from citronspan.core.verdicts import Verdict, VerdictTable
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(tuple[Verdict, ...])
-
 
 class ShardHealth(ServiceHealth):
     """Detection of one shard at the entry that is its broker."""
@@ -47,17 +42,3 @@
     def list_kept_by_floor(self) -> frozenset[str]:
         """Return the targets whose ejection the floor leaves without effect."""
         return frozenset(self._plan.floor.ignored)
-
-    def export_evidence(self) -> bytes:
-        """Return the evidence for the next broker."""
-        return _ENCODER.encode(self.issue_verdicts())
-
-    def import_evidence(self, evidence: bytes) -> None:
-        """Merge the evidence of the broker before; faulty bytes are passed over."""
-        try:
-            verdicts = _DECODER.decode(evidence)
-        except msgspec.MsgspecError:
-            return
-        table = VerdictTable()
-        table.merge(verdicts)
-        self.import_verdicts(table)
--- a/citronspan/core/spell_health.py
+++ b/citronspan/core/spell_health.py
@@ -10,8 +10,6 @@
 import time
 from collections import deque
 
-import msgspec
-
 from citronspan.core import spells
 from citronspan.core.health import KnownTarget, TargetLimit
 from citronspan.core.outcomes import Outcome, OutcomeClass
@@ -35,8 +33,6 @@
 _FAILURES = frozenset(
     {OutcomeClass.TARGET_ERROR, OutcomeClass.ANSWER_LOST, OutcomeClass.TIMED_OUT}
 )
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(tuple[Verdict, ...])
 
 
 class _Record:
@@ -117,7 +113,7 @@
                 self._step(record, "returned", "it is no longer leaving")
         self._record_by_target = record_by_target
         if self._heard is not None and targets:
-            self._import(self._heard)
+            self.import_verdicts(self._heard)
             self._heard = None
 
     def observe(self, outcome: Outcome) -> None:
@@ -257,19 +253,19 @@
             for name, record in self._record_by_target.items()
         )
 
-    def export_evidence(self) -> bytes:
-        """Return the evidence for the next broker."""
-        return _ENCODER.encode(self.issue_verdicts())
-
-    def import_evidence(self, evidence: bytes) -> None:
-        """Merge the evidence of the broker before; faulty bytes are passed over."""
-        try:
-            verdicts = _DECODER.decode(evidence)
-        except msgspec.MsgspecError:
-            return
-        table = VerdictTable()
-        table.merge(verdicts)
-        self._import(table)
+    def import_verdicts(self, table: VerdictTable) -> None:
+        """Begin with what other brokers held; own evidence goes first."""
+        now = time.monotonic()
+        combined = table.combine(
+            {name: r.known.address for name, r in self._record_by_target.items()}
+        )
+        for name, held in combined.held_by_target.items():
+            record = self._record_by_target.get(name)
+            if record is None or record.state != CHART.initial:
+                continue
+            told = Belief(bad=_find_belief(held.verdict.evidence), at=now)
+            record.belief = told
+            self._judge(record, "the broker before held it as failing")
 
     def describe(self) -> HealthStatus:
         """Return what operators see."""
@@ -325,20 +321,6 @@
             )
         )
 
-    def _import(self, table):
-        """Begin with what other brokers held; own evidence goes first."""
-        now = time.monotonic()
-        combined = table.combine(
-            {name: r.known.address for name, r in self._record_by_target.items()}
-        )
-        for name, held in combined.held_by_target.items():
-            record = self._record_by_target.get(name)
-            if record is None or record.state != CHART.initial:
-                continue
-            told = Belief(bad=_find_belief(held.verdict.evidence), at=now)
-            record.belief = told
-            self._judge(record, "the broker before held it as failing")
-
 
 def _find_nats(belief: Belief) -> float:
     """Return the evidence for the bad state, in nats."""
--- a/citronspan/core/spell_health_test.py
+++ b/citronspan/core/spell_health_test.py
@@ -122,7 +122,9 @@
 def test_evidence_goes_along_with_a_handover():
     before, after = make_health(), make_health()
     observe(before, "t-0", OutcomeClass.TARGET_ERROR, 0.001)
-    after.import_evidence(before.export_evidence())
+    table = VerdictTable()
+    table.merge(before.issue_verdicts())
+    after.import_verdicts(table)
     assert find_doubt(after, "t-0") > 0.7
     assert find_doubt(after, "t-1") < 0.15
 
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -92,7 +92,7 @@
             "maxKb": MAXIMUM_READ_KB,
             "waitMs": int(wait_seconds * 1000),
         }
-        answer = self._request("GET", "/log-read", fields, wait_seconds)
+        answer = self._request("/log-read", fields, wait_seconds)
         if answer.status == 410:
             raise FeedTruncatedError(f"{topic} from {from_offset}")
         if answer.status != 200:
@@ -112,7 +112,7 @@
         next_offset = None
         fields = {"topic": topic, "part": PARTITION}
         while True:
-            answer = self._request("GET", "/log-newest", fields, 0.0)
+            answer = self._request("/log-newest", fields, 0.0)
             if answer.status != 200:
                 raise StoreAwayError(f"status {answer.status}")
             page = _decode_newest(answer.data)
@@ -125,22 +125,7 @@
         records.sort(key=lambda record: record.offset)
         return KeyedPage(next_offset=next_offset, records=tuple(records))
 
-    def append(self, topic: str, key: str, value: bytes) -> None:
-        """Append a record with a key.
-
-        Raises:
-            StoreAwayError: If there is no answer; the record may be there or come
-                to be there later.
-        """
-        name = key.encode()
-        content = bytes([len(name)]) + name + value
-        fields = {"topic": topic, "part": PARTITION}
-        body = _LENGTH.pack(len(content)) + content
-        answer = self._request("POST", "/log-append", fields, 0.0, body=body)
-        if answer.status != 200:
-            raise StoreAwayError(f"status {answer.status}")
-
-    def _request(self, method, path, fields, wait_seconds, body=None):
+    def _request(self, path, fields, wait_seconds):
         timeout = urllib3.Timeout(
             connect=CONNECT_SECONDS, read=ANSWER_SECONDS + wait_seconds
         )
@@ -149,7 +134,7 @@
         self.calls += 1
         try:
             return self._pool.request(
-                method, f"{self._url}{path}?{query}", body=body, timeout=timeout
+                "GET", f"{self._url}{path}?{query}", timeout=timeout
             )
         except urllib3.exceptions.HTTPError as error:
             seconds = time.monotonic() - began_at
--- a/citronspan/utils/logs.py
+++ b/citronspan/utils/logs.py
@@ -17,6 +17,8 @@
 import logbook
 import msgspec
 
+from citronspan.utils.token_bucket import TokenBucket
+
 QUEUE_LINES = 2000
 CALM_LINES_PER_SECOND = 50.0
 CALM_BURST_LINES = 500.0
@@ -71,31 +73,13 @@
     return msgspec.json.encode(line, enc_hook=str).decode()
 
 
-class _CalmRate:
-    """Lets through a bounded rate of calm lines."""
-
-    def __init__(self):
-        self._lines = CALM_BURST_LINES
-        self._at = time.monotonic()
-
-    def take(self) -> bool:
-        now = time.monotonic()
-        earned = (now - self._at) * CALM_LINES_PER_SECOND
-        self._lines = min(CALM_BURST_LINES, self._lines + earned)
-        self._at = now
-        if self._lines < 1:
-            return False
-        self._lines -= 1
-        return True
-
-
 class BoundedHandler(logbook.Handler):
     """Writes lines from one thread; never blocks whoever logs."""
 
     def __init__(self, *, stream, level: str):
         super().__init__(level=level)
         self._stream = stream
-        self._calm = _CalmRate()
+        self._calm = TokenBucket(rate=CALM_LINES_PER_SECOND, burst=CALM_BURST_LINES)
         self._queue: deque = deque()
         self._news = threading.Condition()
         self._left_out = 0
--- a/citronspan_standins/store_service_test.py
+++ b/citronspan_standins/store_service_test.py
@@ -1,9 +1,11 @@
 """The platform's client against the stand-in of its store."""
 
 import os
+import struct
 import time
 
 import pytest
+import urllib3
 
 from citronspan.ops.feed_source import FeedTruncatedError, StoreAwayError
 from citronspan.platform.store import StoreClient
@@ -70,6 +72,12 @@
 
 
 def test_what_is_appended_is_read(store):
-    store.client.append("keyed.t", "host-1", b"here")
+    content = b"\x06host-1here"
+    answer = urllib3.request(
+        "POST",
+        f"http://127.0.0.1:{PORT}/log-append?topic=keyed.t&part=0",
+        body=struct.pack(">I", len(content)) + content,
+    )
+    assert answer.status == 200
     (record,) = store.client.read("keyed.t", 0, 0.0).records
     assert (record.key, record.value) == ("host-1", b"here")
