Give a doubted target to who cannot wait for a better one, rather than refuse

Ruled out: use by others as told by load reports, which was the guess before; the refusals name capacity and grants, and none followed a load report.

Change: before such a refusal the broker takes any free slot; not where another region is still to be asked.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -342,7 +342,8 @@
         )
         place = self._queue.find_place(waiting)
         if self._is_hopeless(waiting, place, now):
-            self._refuse(sender, request, self._find_reason(request, place), now)
+            if not self._grant_doubted(waiting, now):
+                self._refuse(sender, request, self._find_reason(request, place), now)
             return
         if len(self._queue) >= self._find_queue_bound():
             last = self._queue.find_last()
@@ -354,6 +355,24 @@
         self._send(sender, SlotWaiting(attempt_id=request.attempt_id))
         self._refuse_hopeless(place + 1, now)
 
+    def _grant_doubted(self, waiting, now):
+        """Grant any free slot to a request that waited, or would, for a better one.
+
+        It cannot wait, so that a target which may fail is all that is left.
+
+        Returns:
+            Whether there was one.
+        """
+        request = waiting.request
+        if request.elsewhere or request.from_region:
+            return False
+        use = self._pool.choose(request, now, troubled=self._unserved.is_high(now))
+        if use is None or not self._may_retry(request):
+            return False
+        self._queue.remove(request.attempt_id)
+        self._grant(waiting.sender, request, use, now, waiting.deadline_at)
+        return True
+
     def _find_queue_bound(self):
         return max(MINIMUM_WAITING, WAITING_PER_SLOT * self._pool.capacity)
 
@@ -396,6 +415,8 @@
                 self._give_up(waiting, result_codes.NO_CAPACITY, now)
                 continue
             if now + (place + 1) * turn_seconds + need >= waiting.deadline_at:
+                if self._grant_doubted(waiting, now):
+                    continue
                 self._give_up(waiting, self._find_reason(request, place), now)
                 continue
             place += 1
--- a/citronspan/core/spell_health_test.py
+++ b/citronspan/core/spell_health_test.py
@@ -8,7 +8,13 @@
 from hypothesis import given, strategies as st
 
 from citronspan.core.broker import Broker
-from citronspan.core.broker_messages import SlotGrant, SlotRelease, SlotRequest
+from citronspan.core.broker_messages import (
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotWaiting,
+)
 from citronspan.core.health import KnownTarget
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.resources import Detection, ServiceSpec
@@ -261,3 +267,69 @@
             times = [at for at, name in granted if name == target.name and at > begin]
             gaps = [later - at for at, later in zip(times, times[1:], strict=False)]
             assert max(gaps) < 2.0, target.name
+
+
+def ask_late(broker, attempt_id, *, deadline_seconds=0.4, **fields):
+    request = SlotRequest(
+        attempt_id=attempt_id,
+        service="s",
+        region="r",
+        shard=0,
+        deadline_seconds=deadline_seconds,
+        goal_seconds=deadline_seconds,
+        **fields,
+    )
+    return [item.message for item in broker.handle("e", request)]
+
+
+def make_half_doubted(clock):
+    """Return a broker whose only sound target is full; requests take 0.3 s."""
+    health = make_health()
+    broker = Broker(key=KEY, health=health, targets=make_targets(2, slots=1))
+    clock.tick(1.0)
+    (grant,) = ask_late(broker, 1, deadline_seconds=3.0)
+    clock.tick(0.3)
+    outcome = Outcome(
+        target=grant.target,
+        outcome_class=OutcomeClass.OK,
+        latency_seconds=0.3,
+        deadline_seconds=3.0,
+    )
+    broker.handle(
+        "e",
+        SlotRelease(attempt_id=1, service="s", region="r", shard=0, outcome=outcome),
+    )
+    sound = grant.target
+    doubted = next(t.name for t in make_targets(2) if t.name != sound)
+    observe(health, doubted, OutcomeClass.TARGET_ERROR, 0.001)
+    (grant,) = ask_late(broker, 2, deadline_seconds=3.0)
+    assert grant.target == sound
+    return broker, doubted
+
+
+def test_who_cannot_wait_for_a_better_target_gets_one_that_may_fail():
+    """Load: trouble-1 of Turret & Tab; 33 requests were refused beside free slots."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        broker, doubted = make_half_doubted(clock)
+        (grant,) = ask_late(broker, 3)
+        assert isinstance(grant, SlotGrant)
+        assert grant.target == doubted
+
+
+def test_who_waits_in_vain_for_a_better_target_gets_one_that_may_fail():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        broker, doubted = make_half_doubted(clock)
+        (waiting,) = ask_late(broker, 3, deadline_seconds=0.6)
+        assert isinstance(waiting, SlotWaiting)
+        answers = []
+        for _ in range(8):
+            clock.tick(0.02)
+            answers += [item.message for item in broker.advance()]
+        assert [answer.target for answer in answers] == [doubted]
+
+
+def test_another_region_is_asked_before_a_target_that_may_fail_is_given():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        broker, _ = make_half_doubted(clock)
+        (refusal,) = ask_late(broker, 3, elsewhere=True)
+        assert isinstance(refusal, SlotRefusal)
