--- a/citronspan/core/config_snapshots.py
+++ b/citronspan/core/config_snapshots.py
@@ -9,9 +9,11 @@
 import zlib
 from types import MappingProxyType
 
+import logbook
 import msgspec
 import xxhash
 
+from citronspan.core import log_events
 from citronspan.core.config_record import (
     LogBatch,
     LogRecord,
@@ -26,6 +28,7 @@
     apply_batch,
 )
 from citronspan.core.errors import CitronspanError
+from citronspan.utils.logs import write_event
 
 # Base64 in JSON makes a record of a third more than this.
 SNAPSHOT_PART_BYTES = 96 << 10
@@ -34,6 +37,8 @@
 MAXIMUM_SNAPSHOT_BYTES = 64 << 20
 COMPRESSION_LEVEL = 6
 
+_logger = logbook.Logger("snapshots")
+
 
 class SnapshotError(Exception):
     """A snapshot whose bytes are not what its digest says."""
@@ -115,6 +120,20 @@
     )
 
 
+def load_or_log(snapshot: SnapshotRecord) -> ConfigState | None:
+    """Return the state that a snapshot holds; None, with a log line, if it is bad."""
+    try:
+        return load_snapshot(snapshot)
+    except SnapshotError as error:
+        write_event(
+            _logger,
+            log_events.RECORD_VOID,
+            offset=snapshot.at_offset,
+            reason=str(error),
+        )
+        return None
+
+
 def split_snapshot(snapshot: Snapshot, *, at_seconds: int) -> list[SnapshotRecord]:
     """Split a snapshot into records of bounded size."""
     pieces = [
@@ -210,10 +229,7 @@
         snapshot = self._collector.add(record)
         if snapshot is None:
             return
-        try:
-            self._state = load_snapshot(snapshot)
-        except SnapshotError:
-            return
+        self._state = load_or_log(snapshot)
 
     def _replay_held(self):
         if self._state is None or self.next_offset <= self._state.offset:
@@ -231,6 +247,7 @@
     try:
         return decode_record(log_record.data)
     except CitronspanError:
+        # Not told: replay counts it as void and says so.
         return None
 
 
--- a/citronspan/core/config_spread.py
+++ b/citronspan/core/config_spread.py
@@ -22,8 +22,7 @@
 from citronspan.core.config_record import LogBatch, SnapshotRecord
 from citronspan.core.config_snapshots import (
     SnapshotCollector,
-    SnapshotError,
-    load_snapshot,
+    load_or_log,
     make_snapshot,
     remove_snapshots,
     split_snapshot,
@@ -243,9 +242,8 @@
         snapshot = self._collector.add(record)
         if snapshot is None:
             return SpreadResult()
-        try:
-            state = load_snapshot(snapshot)
-        except SnapshotError:
+        state = load_or_log(snapshot)
+        if state is None:
             return SpreadResult()
         return SpreadResult(adopted=self._adopt(state))
 
--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -97,6 +97,11 @@
         """Time since the store was known to hold no more than this node."""
         return time.monotonic() - self._fresh_at
 
+    @property
+    def refused_resources(self) -> int:
+        """Resources that were left out since they are not valid."""
+        return self._folder.refused_resources
+
     @property
     def is_reader(self) -> bool:
         """Whether this node is one that reads the store all the time."""
--- a/citronspan/core/feeds.py
+++ b/citronspan/core/feeds.py
@@ -11,11 +11,14 @@
 from collections.abc import Iterable
 from types import MappingProxyType
 
+import logbook
 import msgspec
 
+from citronspan.core import log_events
 from citronspan.core.config_state import ConfigState, ResourceKey, StoredResource
 from citronspan.core.errors import CitronspanError
 from citronspan.core.resources import Resource, decode_resource, encode_resource
+from citronspan.utils.logs import write_event
 
 CONFIGURATION_FEED = "configuration"
 TARGETS_FEED = "targets"
@@ -31,6 +34,8 @@
 LAPSE_SECONDS = 2.0
 """Time after the store's return in which an entry that lapsed may come back."""
 
+_logger = logbook.Logger("feeds")
+
 
 class FeedRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The newest word of a feed on one key.
@@ -203,10 +208,17 @@
         for raw in raws:
             try:
                 resources.append(decode_resource(bytes(raw)))
-            except CitronspanError:
+            except CitronspanError as error:
                 # The reader has checked it; another version of this program may
                 # know a field that this one does not.
                 self.refused_resources += 1
+                write_event(
+                    _logger,
+                    log_events.RECORD_VOID,
+                    key=record.key,
+                    offset=record.offset,
+                    reason=str(error),
+                )
         self._resources_by_key[feed, record.key] = (record.data, tuple(resources))
         return tuple(resources)
 
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -144,6 +144,16 @@
     305, "peer-state-changed", "NOTICE", "The view of a peer changed."
 )
 
+HOST_LIST_AWAY = _define(
+    306,
+    "host-list-away",
+    "WARNING",
+    "The host list gives no answer; the last one holds.",
+)
+HOST_LIST_BACK = _define(
+    307, "host-list-back", "NOTICE", "The host list answers again."
+)
+
 # 310-349: the agent's configuration.
 ENTRY_CONFIGURED = _define(
     310, "entry-configured", "INFO", "The entry was sent a whole configuration."
--- a/citronspan/ops/agent_metrics.py
+++ b/citronspan/ops/agent_metrics.py
@@ -21,7 +21,7 @@
         "configuration_resources": lambda: len(held.state.resource_by_key),
         "configuration_ready": lambda: int(held.ready),
         "configuration_reader": lambda: int(held.plan.is_reader),
-        "void_records": lambda: held.void_records,
+        "void_records": lambda: agent.source.void_records,
         "log_away": lambda: int(agent.source.sight.away),
         "live_nodes": lambda: len(agent.view.live_nodes()),
         "peer_sent_bytes": lambda: link.sent_bytes,
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -56,7 +56,13 @@
 
 
 class FeedStore(Protocol):
-    """Where the feeds come from."""
+    """Where the feeds come from.
+
+    Attributes:
+        unreadable_records: Records that named nothing, since the start.
+    """
+
+    unreadable_records: int
 
     def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedBatch:
         """Return the records from an offset on, after a wait if there are none yet.
@@ -111,6 +117,11 @@
         away = any(since is not None for since in self._away_since_by_feed.values())
         return LogSight(next_offset=None, away=away)
 
+    @property
+    def void_records(self) -> int:
+        """Records and resources that named nothing, since the start."""
+        return self._spread.refused_resources + self._store.unreadable_records
+
     @property
     def is_reader(self) -> bool:
         """Whether this node reads the store all the time."""
@@ -179,6 +190,7 @@
             else:
                 batch = self._store.read(feed, from_offset, self._find_wait())
         except FeedTruncatedError:
+            # Not told: nothing is lost, the newest of each key is read instead.
             return self._read_whole(feed)
         except StoreAwayError as error:
             self._note_away(feed, error)
--- a/citronspan/ops/host_list.py
+++ b/citronspan/ops/host_list.py
@@ -7,14 +7,20 @@
 import threading
 from enum import StrEnum
 
+import logbook
 import msgspec
 import urllib3
 
+from citronspan.core import log_events
+from citronspan.utils.logs import write_event
+
 POLL_SECONDS = 2.0
 # Above this number of nodes each asks less often, so that the list is not flooded.
 NODES_AT_FULL_RATE = 40
 REQUEST_SECONDS = 1.0
 
+_logger = logbook.Logger("hosts")
+
 
 class HostRole(StrEnum):
     """Roles in the list."""
@@ -54,6 +60,7 @@
         self._stopped = threading.Event()
         self.leaving_targets: tuple[str, ...] = ()
         self.failures = 0
+        self._is_away = False
 
     def run(self, count_nodes) -> None:
         """Poll until stopped.
@@ -76,12 +83,15 @@
                 "GET", self._url, timeout=REQUEST_SECONDS, retries=False
             )
             listed = msgspec.json.decode(answer.data, type=HostListAnswer)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError, OSError):
-            self.failures += 1
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError, OSError) as error:
+            self._note_failure(str(error))
             return
         if answer.status != 200:
-            self.failures += 1
+            self._note_failure(f"status {answer.status}")
             return
+        if self._is_away:
+            self._is_away = False
+            write_event(_logger, log_events.HOST_LIST_BACK)
         self.leaving_targets = tuple(
             sorted(
                 host.address
@@ -90,6 +100,13 @@
             )
         )
 
+    def _note_failure(self, reason):
+        self.failures += 1
+        if self._is_away:
+            return
+        self._is_away = True
+        write_event(_logger, log_events.HOST_LIST_AWAY, reason=reason)
+
     def stop(self) -> None:
         """Let ``run`` return."""
         self._stopped.set()
--- a/citronspan/ops/log_source.py
+++ b/citronspan/ops/log_source.py
@@ -48,6 +48,11 @@
         """What was last seen of the log."""
         return self._tail.sight
 
+    @property
+    def void_records(self) -> int:
+        """Records that had no effect, since the start."""
+        return self.held.void_records
+
     @property
     def leaving_targets(self) -> tuple[str, ...]:
         """Addresses of targets that the host list shows as leaving."""
--- a/citronspan/scripts/cli.py
+++ b/citronspan/scripts/cli.py
@@ -42,6 +42,7 @@
                 print(f"citronspan: {error}", file=sys.stderr)
             return FAILED
         except (BrokenPipeError, KeyboardInterrupt):
+            # Not told: whoever reads has ended it.
             return FAILED
         return 0
 
--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -113,7 +113,7 @@
     try:
         return Path(path).read_bytes()
     except OSError:
-        # It may be in the middle of being replaced; it is looked at again soon.
+        # Not told: it may be in the middle of being replaced, and is looked at soon.
         return None
 
 
