End with status 2 for faulty input, whatever program finds it

Cause: citronspan check ended with 1 for a fault for which the processes end with 2.

Change: codes 1001 to 1003 and 2001, and groups of them, end the commands with 2; other failures with 1, as before.

--- a/citronspan/scripts/cli.py
+++ b/citronspan/scripts/cli.py
@@ -19,6 +19,17 @@
 
 API_VARIABLE = "CITRONSPAN_API"
 FAILED = 1
+INVALID = 2
+"""Exit status for faulty settings or resources, as that of the processes."""
+
+_INVALID_CODES = frozenset(
+    {
+        result_codes.SETTINGS_UNREADABLE,
+        result_codes.SETTINGS_INVALID,
+        result_codes.ADDRESS_INVALID,
+        result_codes.RESOURCE_INVALID,
+    }
+)
 _API_OPTION = option(
     "api", None, f"IP:PORT of any agent's API, else ${API_VARIABLE}.", flag=False
 )
@@ -26,7 +37,7 @@
 
 
 class ApiCommand(Command):
-    """Base of the commands: numbered errors on standard error, exit status 1."""
+    """Base of the commands: numbered errors on standard error, exit status 1 or 2."""
 
     options = [_API_OPTION]
 
@@ -36,11 +47,11 @@
             self.act()
         except CitronspanError as error:
             print(f"citronspan: {error}", file=sys.stderr)
-            return FAILED
+            return INVALID if error.code in _INVALID_CODES else FAILED
         except InvalidInputGroup as group:
             for error in group.exceptions:
                 print(f"citronspan: {error}", file=sys.stderr)
-            return FAILED
+            return INVALID
         except (BrokenPipeError, KeyboardInterrupt):
             # Not told: whoever reads has ended it.
             return FAILED
--- a/citronspan/scripts/cli_test.py
+++ b/citronspan/scripts/cli_test.py
@@ -37,3 +37,14 @@
     assert (done.returncode, "2013" in done.stderr) == (1, True)
     done = run("r-1", str(tmp_path / "none.log"))
     assert (done.returncode, "2014" in done.stderr) == (1, True)
+
+
+def test_faulty_input_ends_with_the_status_that_the_processes_end_with(tmp_path):
+    path = tmp_path / "services.json"
+    path.write_text('{"kind": "Service", "name": "s", "spec": {"noSuch": 1}}')
+    command = [sys.executable, "-m", "citronspan.scripts.cli", "check", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert (done.returncode, "noSuch" in done.stderr) == (2, True)
+    command[-1] = str(tmp_path / "none.json")
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert (done.returncode, "1001" in done.stderr) == (2, True)
