Say why an entry does not answer in the checks of the demonstration

KNOWN-RED: a new fleet in force in 4 s. Not traced, so it stays red; when it fails again the refusal's code is in its message.

--- a/citronspan_standins/demo_checks.py
+++ b/citronspan_standins/demo_checks.py
@@ -187,7 +187,7 @@
 def expect_answer(demo: Demo, url: str) -> None:
     """Fail unless a URL answers 200."""
     answer = demo.send("GET", url)
-    expect(answer.status == 200, f"GET {url}: {answer.status}")
+    expect(answer.status == 200, f"GET {url}: {describe_answer(answer)}")
 
 
 def check_ready(demo: Demo) -> str:
