Search the attempts of a request for a false refusal or a second run

Change: attempts_test.py draws what becomes of each attempt (answers signed or not, not executed, 421, connections lost or late, no slot) and holds the caller's answer against what targets ran: once at most, not run means so, 408, 421, 429 and 503 mean not run, attempts within the route's bound, slots given back once, retries counted as such.

--- /dev/null
+++ b/citronspan/ops/attempts_test.py
@@ -0,0 +1,213 @@
+"""Properties of the attempts of one request, whatever its targets do.
+
+A target's record of what it ran stands against what the caller is told.
+"""
+
+import dataclasses
+import time
+from types import SimpleNamespace
+
+from hypothesis import given, strategies as st
+from opentelemetry import trace
+
+from citronspan.core import result_codes
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.resources import RouteSpec, ServiceSpec
+from citronspan.core.result_codes import Ran
+from citronspan.core.shards import ShardKey
+from citronspan.ops.attempts import AttemptRunner, Work
+from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.refusals import Refusal
+from citronspan.ops.slot_source import Slot, SlotRefused
+from citronspan.ops.target_connection import AttemptFailedError
+from citronspan.platform.headers import PlatformDialect
+
+SIGNED = {"X-Citronspan-Backend-Signature": "s"}
+NOT_RUN = {"X-Citronspan-Not-Executed": "busy"}
+DEADLINE_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """What becomes of one attempt: an answer, or a failure of its connection."""
+
+    status: int = 0
+    headers: tuple = ()
+    failure: OutcomeClass | None = None
+    ran: bool = False
+    no_slot: bool = False
+
+
+def answer(status, headers, *, ran):
+    return Step(status=status, headers=tuple(headers.items()), ran=ran)
+
+
+STEPS = st.sampled_from(
+    [
+        Step(no_slot=True),
+        answer(200, SIGNED, ran=True),
+        answer(200, {}, ran=True),
+        answer(404, SIGNED, ran=True),
+        answer(500, SIGNED, ran=True),
+        answer(503, SIGNED, ran=True),
+        answer(503, NOT_RUN, ran=False),
+        answer(200, NOT_RUN, ran=False),
+        answer(421, SIGNED, ran=False),
+        Step(failure=OutcomeClass.CONNECT_FAILED, ran=False),
+        Step(failure=OutcomeClass.NOT_USED, ran=False),
+        Step(failure=OutcomeClass.ANSWER_LOST, ran=True),
+        Step(failure=OutcomeClass.ANSWER_LOST, ran=False),
+        Step(failure=OutcomeClass.TIMED_OUT, ran=True),
+        Step(failure=OutcomeClass.CANCELLED, ran=True),
+    ]
+)
+
+
+class FakeAnswer:
+    """The head of an answer without a body."""
+
+    is_bodyless = True
+    is_checkable = True
+
+    def __init__(self, step):
+        self.status = step.status
+        self.is_abandoned = False
+        self._headers = dict(step.headers)
+
+    def find_header(self, name):
+        return self._headers.get(name)
+
+    def abandon(self):
+        self.is_abandoned = True
+
+
+class FakeTargets:
+    """Slots and connections that follow a list of steps, and what they saw."""
+
+    def __init__(self, steps):
+        self.steps = list(steps)
+        self.asks = []
+        self.sent = []
+        self.released = []
+
+    def acquire(self, ask):
+        self.asks.append(ask)
+        if not self.steps or self.steps[0].no_slot:
+            return SlotRefused(code=result_codes.NO_CAPACITY, retry_after_seconds=0.5)
+        number = len(self.sent)
+        key = ShardKey(service="s", region="r", number=0)
+        return Slot(
+            attempt_id=number, target=f"t-{number}", address="a", shard=key, broker="b"
+        )
+
+    def release(self, slot, outcome, answer_bytes):
+        self.released.append((slot.target, outcome.outcome_class))
+
+    def send(self, address, request, caller):
+        step = self.steps.pop(0)
+        self.sent.append(step)
+        if step.failure is not None:
+            raise AttemptFailedError(outcome_class=step.failure, detail="")
+        return FakeAnswer(step)
+
+    def count_runs(self):
+        return sum(step.ran for step in self.sent)
+
+
+def make_work(*, idempotent, is_repeatable, attempts):
+    connection = SimpleNamespace(is_gone=lambda: False)
+    request = SimpleNamespace(
+        connection=connection,
+        request_id="r-1",
+        method="POST",
+        uri="/",
+        headers={},
+        key="",
+        trace_headers={},
+    )
+    spec = RouteSpec(
+        path_prefix="/",
+        service="s",
+        request_kind="k",
+        idempotent=idempotent,
+        maximum_attempts=attempts,
+    )
+    deadline = time.monotonic() + DEADLINE_SECONDS
+    return Work(
+        request=request,
+        body=SimpleNamespace(length=0, is_repeatable=is_repeatable),
+        route=SimpleNamespace(spec=spec),
+        service_name="s",
+        service=ServiceSpec(retry_window_seconds=10.0),
+        deadline=deadline,
+        goal=deadline,
+        fingerprint=1,
+    )
+
+
+def run(targets, work):
+    runner = AttemptRunner(
+        slots=targets,
+        connections=targets,
+        metrics=EntryMetrics(),
+        tracer=trace.get_tracer("test"),
+        dialect=PlatformDialect(),
+        reuse_seconds=5.0,
+        is_stopping=lambda: False,
+    )
+    try:
+        return runner.run(work), None
+    except Refusal as refusal:
+        return None, refusal
+
+
+@given(
+    steps=st.lists(STEPS, max_size=6),
+    idempotent=st.booleans(),
+    is_repeatable=st.booleans(),
+    attempts=st.integers(1, 4),
+)
+def test_what_the_caller_is_told_holds(steps, idempotent, is_repeatable, attempts):
+    targets = FakeTargets(steps)
+    work = make_work(
+        idempotent=idempotent, is_repeatable=is_repeatable, attempts=attempts
+    )
+    answered, refusal = run(targets, work)
+    if not idempotent:
+        assert targets.count_runs() <= 1
+    if not is_repeatable:
+        assert len(targets.sent) <= 1
+    assert len(targets.sent) <= attempts
+    if refusal is not None:
+        ran = refusal.ran or refusal.code.ran
+        if ran is Ran.NOT_RUN:
+            assert targets.count_runs() == 0
+        if refusal.code.http_status in {408, 421, 429, 503}:
+            assert ran is Ran.NOT_RUN
+        return
+    # What is passed on is the last answer of a target that ran the request.
+    assert answered.answer.status == targets.sent[-1].status
+    assert targets.sent[-1].ran
+    assert not answered.answer.is_abandoned
+
+
+@given(steps=st.lists(STEPS, max_size=6), idempotent=st.booleans())
+def test_each_slot_is_given_back_once_and_no_target_is_tried_twice(steps, idempotent):
+    targets = FakeTargets(steps)
+    work = make_work(idempotent=idempotent, is_repeatable=True, attempts=4)
+    answered, _ = run(targets, work)
+    names = [target for target, _ in targets.released]
+    held = [] if answered is None or answered.is_released else [answered.slot.target]
+    assert sorted(names + held) == [f"t-{n}" for n in range(len(targets.sent))]
+    for number, ask in enumerate(targets.asks):
+        assert ask.excluded == tuple(f"t-{n}" for n in range(number))
+
+
+@given(steps=st.lists(STEPS, max_size=6))
+def test_only_what_reached_a_target_counts_as_a_retry(steps):
+    targets = FakeTargets(steps)
+    run(targets, make_work(idempotent=True, is_repeatable=True, attempts=4))
+    not_arrived = {OutcomeClass.CONNECT_FAILED, OutcomeClass.NOT_USED}
+    for number, ask in enumerate(targets.asks):
+        before = targets.sent[:number]
+        assert ask.is_retry == any(step.failure not in not_arrived for step in before)
