--- a/citronspan/ops/agent_test.py
+++ b/citronspan/ops/agent_test.py
@@ -313,7 +313,6 @@
     log = FakeLog()
     with (
         mock.patch.object(config_retention, "PAUSE_SECONDS", 0.0),
-        mock.patch.object(config_retention, "UNKNOWN_SECONDS", 0.2),
         mock.patch.object(config_tail_retention, "CHECK_SECONDS", 0.1),
     ):
         first = fleet(1, log)
@@ -323,8 +322,11 @@
                 kind=Kind.SERVICE, name=f"s-{number}", spec=ServiceSpec()
             )
             connect(1).put_resource(resource, version=-1)
+        # No snapshot falls due before all three are in the log.
         before = len(log)
-        wait_until(lambda: log.count_snapshots(from_offset=before) == 1)
+        assert log.count_snapshots(from_offset=0) == 0
+        with mock.patch.object(config_retention, "UNKNOWN_SECONDS", 0.2):
+            wait_until(lambda: log.count_snapshots(from_offset=before) == 1)
         connect(1).put_resource(SERVICE, version=-1)
     # The time to the next snapshot is the interval now, so no further one came.
     assert log.count_snapshots(from_offset=0) <= 3
