--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 measure: venv
 	$(BIN)/python -m bench.membership bench/results/membership.json
 	$(BIN)/python -m bench.detection bench/results/detection-cost.json cost
+	$(BIN)/python -m bench.spells bench/results/spells.json
 	$(BIN)/python -m bench.choice_costs --json > bench/results/choice-costs.json
 	$(BIN)/python -m bench.keys --json > bench/results/keys.json
 	$(BIN)/python -m bench.hop --json > bench/results/hop.json
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -75,6 +75,19 @@
         ),
         slopes=("recomputeMicroseconds",),
     ),
+    Table(
+        name="spells",
+        file="spells.json",
+        path=(),
+        columns=(
+            "service",
+            "load",
+            "served",
+            "worth",
+            "failedAttempts",
+            "failedAttemptsPerSpell",
+        ),
+    ),
     Table(
         name="decisions",
         file="choice-costs.json",
