--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -400,6 +400,7 @@
         write_event(
             _logger,
             log_events.BROKER_UNREACHABLE,
+            id=request.request_id,
             broker=broker,
             service=request.service,
         )
