Make one record of a question at the broker and pass that on

Cause: a question's sender, deadline and age went through the broker as separate arguments, the deadline and the time waited were each worked out from the other, and the patience of a request that came to wait was found twice. Doubts and trials were looked up by running over all targets for each decision.

Change: WaitingRequest is made once, before the first refusal; its deadline is derived. TargetPool keeps the limits by name as it read them. No decision changes.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -229,8 +229,16 @@
         if attempt_id in self._queue:
             self._send(sender, SlotWaiting(attempt_id=attempt_id))
             return
+        self._arrivals += 1
+        waiting = WaitingRequest(
+            request=request,
+            sender=sender,
+            number=self._arrivals,
+            asked_at=now,
+            patience_seconds=self._find_patience(request),
+        )
         if self._memory.has_ended(attempt_id):
-            self._refuse(sender, request, result_codes.ATTEMPT_CANCELLED, now)
+            self._refuse(waiting, result_codes.ATTEMPT_CANCELLED, now)
             return
         if self.successor and not request.insist:
             self._redirect(sender, request)
@@ -239,21 +247,21 @@
         self._refuse_hopeless(0, now)
         # Written so that it holds for what is no number, too.
         if not 0 < request.deadline_seconds <= MAXIMUM_DEADLINE_SECONDS:
-            self._refuse(sender, request, result_codes.DEADLINE_TOO_SHORT, now)
+            self._refuse(waiting, result_codes.DEADLINE_TOO_SHORT, now)
             return
         if not request.worth >= 0:
-            self._refuse(sender, request, result_codes.REQUEST_INVALID, now)
+            self._refuse(waiting, result_codes.REQUEST_INVALID, now)
             return
         self._count_request(request)
         if not self._may_retry(request):
-            self._refuse(sender, request, result_codes.RETRIES_SPENT, now)
+            self._refuse(waiting, result_codes.RETRIES_SPENT, now)
             return
         if request.from_region and not self._spend_link(request):
-            self._refuse(sender, request, result_codes.LINK_BUDGET_SPENT, now)
+            self._refuse(waiting, result_codes.LINK_BUDGET_SPENT, now)
             return
-        if self._grant_if_free(sender, request, now):
+        if self._grant_if_free(waiting, now):
             return
-        self._queue_or_refuse(sender, request, now)
+        self._queue_or_refuse(waiting, now)
 
     def _count_request(self, request):
         """Count a request for the window of retries, at its first question only."""
@@ -270,21 +278,20 @@
     def _spend_link(self, request):
         return self._link.spend(request.request_kind, request.worth, request.body_bytes)
 
-    def _grant_if_free(self, sender, request, now):
+    def _grant_if_free(self, waiting, now):
         self._pool.read_limits(now)
-        use = self._choose(request, now, 0.0, self._find_patience(request))
+        use = self._choose(waiting, now, waiting.patience_seconds)
         if use is None:
             return False
-        deadline_at = now + request.deadline_seconds
-        self._grant(sender, request, use, now, deadline_at)
+        self._grant(waiting, use, now)
         return True
 
-    def _choose(self, request, now, waited_seconds, patience_seconds):
+    def _choose(self, waiting, now, patience_seconds):
         return self._pool.choose(
-            request,
+            waiting.request,
             now,
             acceptable_cost=find_acceptable_cost(
-                request, waited_seconds, patience_seconds
+                waiting.request, now - waiting.asked_at, patience_seconds
             ),
             troubled=self._unserved.is_high(now),
         )
@@ -302,9 +309,10 @@
             return self._hold_times.estimate_mean(request.request_kind)
         return self._hold_times.estimate_need(request.request_kind)
 
-    def _grant(self, sender, request, use, now, deadline_at):
+    def _grant(self, waiting, use, now):
+        request = waiting.request
         is_trial = self._pool.is_trial(use.known.name)
-        hold_seconds = deadline_at - now + RECLAIM_SECONDS
+        hold_seconds = waiting.deadline_at - now + RECLAIM_SECONDS
         grant = Grant(
             use=use,
             request_kind=request.request_kind,
@@ -322,7 +330,7 @@
         self._grants += 1
         if self._retries is not None and request.is_retry:
             self._retries.spend()
-        self._note_decision(request, now, deadline_at, target=use.known.name)
+        self._note_decision(waiting, now, target=use.known.name)
         answer = SlotGrant(
             attempt_id=request.attempt_id,
             target=use.known.name,
@@ -331,7 +339,7 @@
             trial=is_trial,
             free_slots=max(0, self._pool.capacity - len(self._book)),
         )
-        self._answer(sender, answer, hold_seconds + KEEP_SECONDS, now)
+        self._answer(waiting.sender, answer, hold_seconds + KEEP_SECONDS, now)
 
     def _repeat_grant(self, sender, attempt_id, now):
         grant = self._book.find(attempt_id)
@@ -344,32 +352,24 @@
         )
         self._answer(sender, answer, remaining + KEEP_SECONDS, now)
 
-    def _queue_or_refuse(self, sender, request, now):
+    def _queue_or_refuse(self, waiting, now):
+        request = waiting.request
         if request.from_region or not self._pool.has_usable(request, now):
-            self._refuse(sender, request, result_codes.NO_CAPACITY, now)
+            self._refuse(waiting, result_codes.NO_CAPACITY, now)
             return
-        self._arrivals += 1
-        waiting = WaitingRequest(
-            request=request,
-            sender=sender,
-            number=self._arrivals,
-            deadline_at=now + request.deadline_seconds,
-            asked_at=now,
-            patience_seconds=self._find_patience(request),
-        )
         place = self._queue.find_place(waiting)
         if self._is_hopeless(waiting, place, now):
             if not self._grant_doubted(waiting, now):
-                self._refuse(sender, request, self._find_reason(request, place), now)
+                self._refuse(waiting, self._find_reason(request, place), now)
             return
         if len(self._queue) >= self._find_queue_bound():
             last = self._queue.find_last()
             if last.request.worth >= request.worth:
-                self._refuse(sender, request, result_codes.OVERLOADED, now)
+                self._refuse(waiting, result_codes.OVERLOADED, now)
                 return
             self._give_up(last, result_codes.OVERLOADED, now)
         self._queue.add(waiting)
-        self._send(sender, SlotWaiting(attempt_id=request.attempt_id))
+        self._send(waiting.sender, SlotWaiting(attempt_id=request.attempt_id))
         self._refuse_hopeless(place + 1, now)
 
     def _grant_doubted(self, waiting, now):
@@ -383,11 +383,11 @@
         request = waiting.request
         if request.elsewhere or request.from_region:
             return False
-        use = self._choose(request, now, 0.0, 0.0)
+        use = self._choose(waiting, now, 0.0)
         if use is None or not self._may_retry(request):
             return False
         self._queue.remove(request.attempt_id)
-        self._grant(waiting.sender, request, use, now, waiting.deadline_at)
+        self._grant(waiting, use, now)
         return True
 
     def _find_queue_bound(self):
@@ -452,15 +452,14 @@
             if not self._may_retry(waiting.request):
                 self._give_up(waiting, result_codes.RETRIES_SPENT, now)
                 continue
-            waited = now - waiting.asked_at
-            use = self._choose(waiting.request, now, waited, waiting.patience_seconds)
-            is_over = waited >= waiting.patience_seconds
+            use = self._choose(waiting, now, waiting.patience_seconds)
+            is_over = now - waiting.asked_at >= waiting.patience_seconds
             if use is None and waiting.request.elsewhere and is_over:
                 self._give_up(waiting, result_codes.NO_CAPACITY, now)
             if use is None:
                 continue
             self._queue.remove(waiting.request.attempt_id)
-            self._grant(waiting.sender, waiting.request, use, now, waiting.deadline_at)
+            self._grant(waiting, use, now)
             free -= 1
             if free <= 0:
                 return
@@ -539,10 +538,10 @@
 
     def _give_up(self, waiting, code, now):
         self._queue.remove(waiting.request.attempt_id)
-        self._refuse(waiting.sender, waiting.request, code, now, waiting.deadline_at)
+        self._refuse(waiting, code, now)
 
-    def _note_decision(self, request, now, deadline_at, *, target="", code=0):
-        waited_seconds = now - (deadline_at - request.deadline_seconds)
+    def _note_decision(self, waiting, now, *, target="", code=0):
+        request = waiting.request
         self._decisions.append(
             SlotDecision(
                 key=self.key,
@@ -550,7 +549,7 @@
                 target=target,
                 code=code,
                 doubt=self._pool.find_doubt(target),
-                waited_seconds=waited_seconds,
+                waited_seconds=now - waiting.asked_at,
                 deadline_seconds=request.deadline_seconds,
                 waiting=len(self._queue),
                 granted=len(self._book),
@@ -559,7 +558,8 @@
             )
         )
 
-    def _refuse(self, sender, request, code, now, deadline_at=None):
+    def _refuse(self, waiting, code, now):
+        request = waiting.request
         queue_seconds = len(self._queue) * self._hold_times.mean_seconds
         queue_seconds /= max(1, self._pool.capacity)
         refusal = SlotRefusal(
@@ -567,15 +567,12 @@
             code=code.number,
             retry_after_seconds=_spread_seconds(request.attempt_id, queue_seconds),
         )
-        deadline_at = (
-            now + request.deadline_seconds if deadline_at is None else deadline_at
-        )
-        self._note_decision(request, now, deadline_at, code=code.number)
+        self._note_decision(waiting, now, code=code.number)
         if not request.elsewhere and not request.from_region:
             self._unserved.add(True, now)
         before = self._refusals_by_code.get(code.number, 0)
         self._refusals_by_code[code.number] = before + 1
-        self._answer(sender, refusal, KEEP_SECONDS, now)
+        self._answer(waiting.sender, refusal, KEEP_SECONDS, now)
 
     def _redirect(self, sender, request):
         redirect = SlotRedirect(attempt_id=request.attempt_id, broker=self.successor)
--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -30,6 +30,7 @@
         self._use_by_target: dict[str, TargetUse] = {}
         self._gone_by_target: dict[str, TargetUse] = {}
         self._limited: list[tuple[TargetUse, TargetLimit]] = []
+        self._limit_by_target: dict[str, TargetLimit] = {}
         self.set_targets(targets, now)
 
     def set_targets(self, targets: tuple[KnownTarget, ...], now: float) -> None:
@@ -63,26 +64,23 @@
 
     def is_trial(self, target: str) -> bool:
         """Return whether a target is being tried, as last read."""
-        return any(
-            limit.trial for use, limit in self._limited if use.known.name == target
-        )
+        limit = self._limit_by_target.get(target)
+        return limit is not None and limit.trial
 
     def find_doubt(self, target: str) -> float:
         """Return the doubt of a target as last read, 0 where there is none."""
-        for use, limit in self._limited:
-            if use.known.name == target:
-                return limit.doubt or 0.0
-        return 0.0
+        limit = self._limit_by_target.get(target)
+        return 0.0 if limit is None else limit.doubt or 0.0
 
     def read_limits(self, now: float) -> None:
         """Ask detection for the limits of this moment."""
-        limit_by_target = self.health.find_limits()
+        self._limit_by_target = self.health.find_limits()
         self._limited = []
         capacity = 0
         sound_capacity = 0.0
         has_doubts = False
         for name, use in self._use_by_target.items():
-            limit = limit_by_target.get(name)
+            limit = self._limit_by_target.get(name)
             if limit is None:
                 continue
             self._limited.append((use, limit))
--- a/citronspan/core/slot_queue.py
+++ b/citronspan/core/slot_queue.py
@@ -10,25 +10,28 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingRequest:
-    """A request that waits.
+    """A request that waits, or would.
 
     Attributes:
         request: What was asked.
         sender: Peer address of the entry.
         number: Number that grows with each arrival; the earlier goes first where
             all else is equal.
-        deadline_at: Deadline of the caller on the broker's clock.
-        asked_at: When it was asked.
+        asked_at: When it was asked, on the broker's clock.
         patience_seconds: Time for which it waits for a target that is not doubted.
     """
 
     request: SlotRequest
     sender: str
     number: int
-    deadline_at: float
-    asked_at: float = 0.0
+    asked_at: float
     patience_seconds: float = 0.0
 
+    @property
+    def deadline_at(self) -> float:
+        """Deadline of the caller."""
+        return self.asked_at + self.request.deadline_seconds
+
 
 def _find_place(waiting: WaitingRequest):
     return (-waiting.request.worth, waiting.deadline_at, waiting.number)
