Hear that the store is away in one place

Reading since an offset and reading everything caught the same failure by the same lines; now one function fetches, and its caller notes the failure or takes the batch. No change of behaviour; tests of the stand-ins' platform and of the platform green.

--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -180,32 +180,27 @@
         return self._reads_again.is_set() or self._spread.is_due_to_read()
 
     def _read(self, feed) -> bool:
-        from_offset = self._spread.offsets.find(feed)
-        if feed == CONFIGURATION_FEED and self._reads_again.is_set():
-            self._reads_again.clear()
-            return self._read_whole(feed)
+        """Read a feed; return whether the store answered."""
         try:
-            if from_offset == 0:
-                batch = self._store.read_newest(feed)
-            else:
-                batch = self._store.read(feed, from_offset, self._find_wait())
-        except FeedTruncatedError:
-            # Not told: nothing is lost, the newest of each key is read instead.
-            return self._read_whole(feed)
+            batch = self._fetch(feed)
         except StoreAwayError as error:
             self._note_away(feed, error)
             return False
         self._take(feed, batch)
         return True
 
-    def _read_whole(self, feed):
+    def _fetch(self, feed) -> FeedBatch:
+        from_offset = self._spread.offsets.find(feed)
+        if feed == CONFIGURATION_FEED and self._reads_again.is_set():
+            self._reads_again.clear()
+            return self._store.read_newest(feed)
+        if from_offset == 0:
+            return self._store.read_newest(feed)
         try:
-            batch = self._store.read_newest(feed)
-        except StoreAwayError as error:
-            self._note_away(feed, error)
-            return False
-        self._take(feed, batch)
-        return True
+            return self._store.read(feed, from_offset, self._find_wait())
+        except FeedTruncatedError:
+            # Not told: nothing is lost, the newest of each key is read instead.
+            return self._store.read_newest(feed)
 
     def _find_wait(self):
         # Who is no reader asks for what there is and goes back to listening.
