Hold a node's neighbours and plan in one class for both ways of spreading

FeedSpread and ConfigSpread decided by the same lines whether the region has other nodes and planned anew. SpreadNeighbours does it for both. No change of behaviour: the tests of both, of the feeds and of the agent are green, none changed. FeedSpread still keeps the offsets of nodes that are gone, which ConfigSpread drops.

--- a/citronspan/core/config_spread.py
+++ b/citronspan/core/config_spread.py
@@ -27,7 +27,11 @@
     remove_snapshots,
     split_snapshot,
 )
-from citronspan.core.config_spread_tree import SpreadPlan, find_readers, make_plan
+from citronspan.core.config_spread_tree import (
+    SpreadNeighbours,
+    SpreadPlan,
+    find_readers,
+)
 from citronspan.core.config_state import Applied, ConfigState, apply_batch
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo
@@ -61,9 +65,7 @@
 
     def __init__(self, *, own: NodeInfo):
         self._own = own
-        self._nodes: tuple[NodeInfo, ...] = (own,)
-        self._plan_names: tuple = ()
-        self._plan = SpreadPlan(rank=0, receivers=())
+        self._neighbours = SpreadNeighbours(own=own)
         self._state = ConfigState()
         self._recent: deque[LogBatch] = deque()
         self._recent_bytes = 0
@@ -82,7 +84,7 @@
     @property
     def plan(self) -> SpreadPlan:
         """What this node does in spreading."""
-        return self._plan
+        return self._neighbours.plan
 
     @property
     def offset_by_address(self) -> dict[str, int]:
@@ -91,16 +93,8 @@
 
     def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
         """Take the nodes that are live now."""
-        self._nodes = nodes
-        names = tuple(
-            (node.name, node.agent_peer_address)
-            for node in nodes
-            if node.region == self._own.region
-        )
-        if names == self._plan_names:
+        if not self._neighbours.set_nodes(nodes):
             return
-        self._plan_names = names
-        self._plan = make_plan(self._own, nodes)
         addresses = {node.agent_peer_address for node in nodes}
         self._offset_by_address = {
             address: offset
@@ -153,7 +147,7 @@
         message = ConfigRecords(batch=batch, offset=self._state.offset)
         outgoing = [
             Outgoing(to=to, message=message)
-            for to in self._plan.receivers
+            for to in self._neighbours.plan.receivers
             if to != sender
         ]
         if sender is not None and self._offset_by_address[sender] > self._state.offset:
@@ -270,11 +264,15 @@
         return (Outgoing(to=to, message=ConfigOffset(offset=self._state.offset)),)
 
     def _choose_peer(self) -> str | None:
-        near = self._plan.compared
-        look_far = self._plan.is_reader and self._comparisons % FAR_EVERY == 0
+        near = self._neighbours.plan.compared
+        look_far = (
+            self._neighbours.plan.is_reader and self._comparisons % FAR_EVERY == 0
+        )
         if near and not look_far:
             return random.choice(near)
-        far = [node for node in self._nodes if node.region != self._own.region]
+        far = [
+            node for node in self._neighbours.nodes if node.region != self._own.region
+        ]
         if far:
             return random.choice(find_readers(tuple(far))).agent_peer_address
         return random.choice(near) if near else None
--- a/citronspan/core/config_spread_tree.py
+++ b/citronspan/core/config_spread_tree.py
@@ -82,6 +82,39 @@
     )
 
 
+class SpreadNeighbours:
+    """The live nodes as one node sees them, and its plan among them.
+
+    Attributes:
+        nodes: Nodes taken as live, as last told.
+        plan: What the node does in spreading.
+    """
+
+    def __init__(self, *, own: NodeInfo):
+        self._own = own
+        self._region: tuple[tuple[str, str], ...] = ()
+        self.nodes: tuple[NodeInfo, ...] = (own,)
+        self.plan = SpreadPlan(rank=0, receivers=())
+
+    def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> bool:
+        """Take the nodes that are live now.
+
+        Returns:
+            Whether the plan was made anew, since the region has other nodes.
+        """
+        self.nodes = nodes
+        region = tuple(
+            (node.name, node.agent_peer_address)
+            for node in nodes
+            if node.region == self._own.region
+        )
+        if region == self._region:
+            return False
+        self._region = region
+        self.plan = make_plan(self._own, nodes)
+        return True
+
+
 def _find_children(order: list[str], place: int | None, *, leads: bool) -> list[str]:
     if leads:
         return order[:FAN_OUT]
--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -13,7 +13,11 @@
 from collections import deque
 
 from citronspan.core.config_spread import SpreadResult
-from citronspan.core.config_spread_tree import SpreadPlan, make_plan, rank_in_region
+from citronspan.core.config_spread_tree import (
+    SpreadNeighbours,
+    SpreadPlan,
+    rank_in_region,
+)
 from citronspan.core.config_state import ConfigState
 from citronspan.core.feed_messages import FeedNews, FeedOffsets, FeedPull
 from citronspan.core.feeds import FEEDS, Feed, FeedBatch, FeedFolder, keep_newest
@@ -54,9 +58,7 @@
     def __init__(self, *, own: NodeInfo, seed: int | None = None):
         self._own = own
         self._random = random.Random(seed)
-        self._nodes: tuple[NodeInfo, ...] = (own,)
-        self._plan_names: tuple = ()
-        self._plan = SpreadPlan(rank=0, receivers=())
+        self._neighbours = SpreadNeighbours(own=own)
         self._head_addresses: tuple[str, ...] = ()
         self._feed_by_name = {name: Feed(name=name) for name in FEEDS}
         self._folder = FeedFolder()
@@ -78,7 +80,7 @@
     @property
     def plan(self) -> SpreadPlan:
         """What this node does in spreading."""
-        return self._plan
+        return self._neighbours.plan
 
     @property
     def offset_by_address(self) -> dict[str, int]:
@@ -105,31 +107,23 @@
     @property
     def is_reader(self) -> bool:
         """Whether this node is one that reads the store all the time."""
-        regions = [node.region for node in self._nodes]
-        return self._plan.rank == 0 and self._own.region == min(regions)
+        regions = [node.region for node in self._neighbours.nodes]
+        return self._neighbours.plan.rank == 0 and self._own.region == min(regions)
 
     def is_due_to_read(self) -> bool:
         """Return whether this node is to read the store now."""
         return self.is_reader or self.age_seconds > self._find_patience()
 
     def _find_patience(self):
-        rank = self._plan.rank
+        rank = self._neighbours.plan.rank
         if rank < HEADS_PER_REGION:
             return HEAD_STALE_SECONDS + rank * HEAD_STEP_SECONDS
         return self._patience
 
     def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
         """Take the nodes that are live now."""
-        self._nodes = nodes
-        names = tuple(
-            (node.name, node.agent_peer_address)
-            for node in nodes
-            if node.region == self._own.region
-        )
-        if names == self._plan_names:
+        if not self._neighbours.set_nodes(nodes):
             return
-        self._plan_names = names
-        self._plan = make_plan(self._own, nodes)
         self._head_addresses = tuple(
             node.agent_peer_address
             for node in rank_in_region(self._own, nodes)[:HEADS_PER_REGION]
@@ -225,7 +219,7 @@
         self._told_at = self._fresh_at
         adopted = self._refold() if batches else None
         message = self._make_news(batches)
-        receivers = set(self._plan.receivers)
+        receivers = set(self._neighbours.plan.receivers)
         if not sender:
             receivers.update(self._head_addresses)
         far_heads = self._list_far_heads()
@@ -237,10 +231,10 @@
 
     def _list_far_heads(self):
         """Return the heads of the other regions, whom the first of a region tells."""
-        if self._plan.rank != 0:
+        if self._neighbours.plan.rank != 0:
             return []
         nodes_by_region: dict[str, list[NodeInfo]] = {}
-        for node in self._nodes:
+        for node in self._neighbours.nodes:
             if node.region != self._own.region:
                 nodes_by_region.setdefault(node.region, []).append(node)
         return [
@@ -288,10 +282,10 @@
         if now < self._compared_at + COMPARE_SECONDS:
             return ()
         self._compared_at = now
-        near = self._plan.compared
+        near = self._neighbours.plan.compared
         others = near or tuple(
             node.agent_peer_address
-            for node in self._nodes
+            for node in self._neighbours.nodes
             if node.name != self._own.name
         )
         if not others:
