Run both simulations on one event loop

bench/spells.py had written the clock and the queue of events of bench/choice_model.py again. Both use bench/event_loop.py.

--- a/bench/choice_model.py
+++ b/bench/choice_model.py
@@ -5,14 +5,12 @@
 request is served when its whole answer is at the entry by the deadline.
 """
 
-import heapq
-import itertools
 import math
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bench.event_loop import EventLoop
 from citronspan.core.health import KnownTarget
 
 MEAN_SERVICE_SECONDS = 0.05
@@ -56,12 +54,12 @@
     idempotent: bool
 
 
-class Model:
+class Model(EventLoop):
     """Clock, events, targets and counts of one run."""
 
     def __init__(self, *, case: Case):
+        super().__init__()
         self.case = case
-        self.now = 0.0
         self.is_arriving = True
         self.targets = tuple(
             KnownTarget(
@@ -81,13 +79,6 @@
         self.offered_worth = 0.0
         self.latencies: list[float] = []
         self.refusal_delays: list[float] = []
-        self._events = []
-        self._order = itertools.count()
-
-    def at(self, seconds: float, call: Callable, *args) -> None:
-        """Call a function after a time."""
-        event = (self.now + seconds, next(self._order), call, args)
-        heapq.heappush(self._events, event)
 
     def run(self, make: Callable) -> None:
         """Run all arrivals and what follows from them.
@@ -96,16 +87,8 @@
             make: Makes the way to choose; its ``start`` takes each request when it
                 arrives at its entry.
         """
-        real_clock = time.monotonic
-        time.monotonic = lambda: self.now
-        try:
-            arrivals = draw_arrivals(self.case)
-            self._arrive(arrivals, make(self).start)
-            while self._events:
-                self.now, _, call, args = heapq.heappop(self._events)
-                call(*args)
-        finally:
-            time.monotonic = real_clock
+        arrivals = draw_arrivals(self.case)
+        self.run_events(lambda: self._arrive(arrivals, make(self).start))
 
     def _arrive(self, arrivals, start):
         arrival = next(arrivals, None)
--- a/bench/spells.py
+++ b/bench/spells.py
@@ -7,16 +7,15 @@
 """
 
 import dataclasses
-import heapq
 import itertools
 import json
 import math
 import multiprocessing
 import random
 import sys
-import time
 from dataclasses import dataclass
 
+from bench.event_loop import EventLoop
 from citronspan.core.broker import Broker
 from citronspan.core.broker_messages import SlotGrant, SlotRelease, SlotRequest
 from citronspan.core.health import KnownTarget
@@ -126,46 +125,34 @@
     spells: int = 0
 
 
-class Model:
+class Model(EventLoop):
     """Clock, events, targets and brokers of one run."""
 
     def __init__(self, *, case: Case, seed: int):
+        super().__init__()
         self.case = case
         self._seed = seed
         # Draws of their own, so that a change of choosing alters as little as may be.
         self.random = random.Random(seed)
         self._arrivals = random.Random(seed + 1000)
         self._random_by_target = {}
-        self.now = 0.0
         self.counts = Counts()
-        self._events = []
-        self._order = itertools.count()
         self._ids = itertools.count(1)
         self._asker_by_attempt = {}
         self._is_bad_by_target = {}
         self._broker_by_region = {}
 
-    def at(self, seconds: float, call, *args) -> None:
-        """Call a function after a time."""
-        event = (self.now + seconds, next(self._order), call, args)
-        heapq.heappush(self._events, event)
-
     def run(self) -> Counts:
         """Run the model; return what came of the requests."""
-        real_clock = time.monotonic
-        time.monotonic = lambda: self.now
-        try:
-            for region in REGIONS:
-                self._broker_by_region[region] = self._make_broker(region)
-            self._arrive()
-            self._advance()
-            while self._events:
-                self.now, _, call, args = heapq.heappop(self._events)
-                call(*args)
-        finally:
-            time.monotonic = real_clock
+        self.run_events(self._begin)
         return self.counts
 
+    def _begin(self):
+        for region in REGIONS:
+            self._broker_by_region[region] = self._make_broker(region)
+        self._arrive()
+        self._advance()
+
     def _make_broker(self, region):
         targets = tuple(
             KnownTarget(
