Add a test of a starting host that knows targets and no configuration

The test fails: a host whose reads of the configuration feed fail serves its targets alone 3 s after its start, and so answers 404 on every route. Only a method of FeedSource is renamed (read_feed) so that the test can call it; no logic changes.

--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -154,6 +154,23 @@
         """Return the name and the function of each thread that the source needs."""
         return [(f"feed-{feed}", self._make_task(feed)) for feed in FEEDS]
 
+    def read_feed(self, feed: str) -> bool:
+        """Read a feed once and apply what was read.
+
+        Args:
+            feed: Name of the feed.
+
+        Returns:
+            Whether the store answered.
+        """
+        try:
+            batch = self._fetch(feed)
+        except StoreUnavailableError as error:
+            self._record_unavailable(feed, error)
+            return False
+        self._apply_batch(feed, batch)
+        return True
+
     def request_reload(self) -> None:
         """Request a reload of the configuration because its decoding has changed."""
         self._reload_requested.set()
@@ -188,7 +205,7 @@
                     self._stop.wait(IDLE_CHECK_SECONDS)
                     continue
                 started_at = time.monotonic()
-                if self._read(feed):
+                if self.read_feed(feed):
                     backoff_seconds = INITIAL_BACKOFF_SECONDS
                     is_empty = self._spread.offsets.get_offset(feed) == 0
                     minimum_seconds = (
@@ -213,16 +230,6 @@
             return False
         return self._reload_requested.is_set() or self._spread.is_due_to_read()
 
-    def _read(self, feed) -> bool:
-        """Read a feed and return whether the store answered."""
-        try:
-            batch = self._fetch(feed)
-        except StoreUnavailableError as error:
-            self._record_unavailable(feed, error)
-            return False
-        self._apply_batch(feed, batch)
-        return True
-
     def _fetch(self, feed) -> FeedBatch:
         from_offset = self._spread.offsets.get_offset(feed)
         if feed == CONFIGURATION_FEED and self._reload_requested.is_set():
--- /dev/null
+++ b/citronspan/ops/feed_source_test.py
@@ -0,0 +1,74 @@
+"""Tests of when a starting host serves what it read from the platform's feeds."""
+
+import freezegun
+
+from citronspan.core.feeds import (
+    CONFIGURATION_FEED,
+    FEEDS,
+    TARGETS_FEED,
+    FeedBatch,
+    FeedRecord,
+)
+from citronspan.core.node_messages import NodeInfo
+from citronspan.ops.feed_source import (
+    PEER_FALLBACK_SECONDS,
+    FeedSource,
+    StoreUnavailableError,
+)
+
+OWN = NodeInfo(
+    name="host-1",
+    incarnation=1,
+    region="r",
+    data_centre="r-1",
+    agent_peer_address="127.0.0.1:1",
+    entry_peer_address="127.0.0.1:2",
+    entry_callers_address="127.0.0.1:3",
+    api_address="127.0.0.1:4",
+)
+
+
+class PartialStore:
+    """A store that answers only reads of some feeds, each with one empty record."""
+
+    unreadable_records = 0
+
+    def __init__(self, *, answered_feeds):
+        self.answered_feeds = answered_feeds
+
+    def read_newest(self, feed):
+        if feed not in self.answered_feeds:
+            raise StoreUnavailableError("status 503")
+        record = FeedRecord(offset=0, key="k", data=b"[]")
+        return FeedBatch(
+            feed=feed, from_offset=0, next_offset=1, records=(record,), whole=True
+        )
+
+
+def make_source(*, answered_feeds):
+    """Return a source that has read each feed once."""
+    source = FeedSource(
+        own=OWN,
+        send_all=lambda items: None,
+        store=PartialStore(answered_feeds=answered_feeds),
+        is_seed=True,
+    )
+    for feed in FEEDS:
+        source.read_feed(feed)
+    return source
+
+
+def test_host_without_configuration_does_not_serve_its_targets():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        source = make_source(answered_feeds={TARGETS_FEED})
+        clock.tick(PEER_FALLBACK_SECONDS + 0.1)
+        source.check_startup_gate((OWN,))
+    assert not source.active_config.ready
+
+
+def test_host_with_configuration_serves_it_while_targets_are_unread():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        source = make_source(answered_feeds={CONFIGURATION_FEED})
+        clock.tick(PEER_FALLBACK_SECONDS + 0.1)
+        source.check_startup_gate((OWN,))
+    assert source.active_config.ready
