--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -72,7 +72,7 @@
     def handle_envelope(self, envelope):
         self.slots.handle(envelope.sender, envelope.body)
 
-    def acquire(self, seconds=DEADLINE_SECONDS):
+    def acquire(self, seconds=DEADLINE_SECONDS, excluded=()):
         return self.slots.acquire(
             SlotQuery(
                 service="s",
@@ -80,7 +80,7 @@
                 worth=1.0,
                 deadline=time.monotonic() + seconds,
                 idempotent=True,
-                excluded=(),
+                excluded=excluded,
                 fingerprint=1,
                 body_bytes=0,
                 is_retry=False,
@@ -188,19 +188,42 @@
     assert answer.code == result_codes.NO_CAPACITY
 
 
+def record_slot_requests(slots, messages):
+    handle = slots.handle
+
+    def record(sender, message):
+        if isinstance(message, SlotRequest):
+            messages.append(message)
+        handle(sender, message)
+
+    slots.handle = record
+
+
 def test_second_slot_request_for_an_attempt_sets_asked_before(pair):
     broker, _ = pair
     near = tuple(dataclasses.replace(target, slots=0) for target in TARGETS[:1])
     far = tuple(dataclasses.replace(target, region="far") for target in TARGETS[1:])
     broker.slots.set_services({"s": ServiceSpec()}, {"s": near + far}, frozenset())
-    requests = []
-    handle = broker.slots.handle
-
-    def record_request(sender, message):
-        if isinstance(message, SlotRequest):
-            requests.append((message.region, message.asked_before))
-        handle(sender, message)
-
-    broker.slots.handle = record_request
+    messages = []
+    record_slot_requests(broker.slots, messages)
     assert isinstance(broker.acquire(), SlotRefused)
+    requests = [(message.region, message.asked_before) for message in messages]
     assert requests == [("r", False), ("r", True)]
+
+
+def test_slot_request_to_fallback_broker_is_not_counted_again(pair):
+    broker, requester = pair
+    messages = []
+    record_slot_requests(broker.slots, messages)
+    record_slot_requests(requester.slots, messages)
+    broker.link.cut = True
+    requester.release(requester.acquire())
+    assert [message.asked_before for message in messages] == [False, True]
+
+
+def test_slot_request_after_failed_connect_is_not_counted_again(pair):
+    broker, _ = pair
+    messages = []
+    record_slot_requests(broker.slots, messages)
+    broker.acquire(excluded=("t0",))
+    assert [message.asked_before for message in messages] == [True]
