Log what a starting host knows when it begins to serve

Line 314 gives the offset of each feed, the age of the copy if it is fresh, and the time since the start. Before, no line told a host that had read both feeds from one that had read its targets only, nor a fresh copy from one taken from peers during an outage. No logic changes.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -221,3 +221,9 @@
     "ERROR",
     "A snapshot in the log differs from the replayed state.",
 )
+STARTUP_GATE_OPENED = _define(
+    314,
+    "startup-gate-opened",
+    "NOTICE",
+    "A starting host has recovered its configuration and serves it from now on.",
+)
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -194,8 +194,19 @@
         may_use_peer_state = (
             waited_seconds >= PEER_FALLBACK_SECONDS and self.read_status.is_unavailable
         )
-        if self.active_config.state.offset and (is_fresh or may_use_peer_state):
-            self.active_config.open_startup_gate()
+        if not self.active_config.state.offset or not (is_fresh or may_use_peer_state):
+            return
+        offsets = self._spread.offsets
+        write_event(
+            _logger,
+            log_events.STARTUP_GATE_OPENED,
+            configuration=offsets.configuration,
+            targets=offsets.targets,
+            is_fresh=is_fresh,
+            age_seconds=round(self._spread.age_seconds, 3) if is_fresh else None,
+            waited_seconds=round(waited_seconds, 3),
+        )
+        self.active_config.open_startup_gate()
 
     def _make_task(self, feed):
         def run():
