Publish the requests and retries that each retry budget has counted

Two counters by shard, so that retries of all brokers of a service can be summed and compared with its requests. Before, only log lines of single grants showed retries. No logic changes.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -116,6 +116,7 @@
 
     def describe(self) -> BrokerStatus:
         """Return the broker's state and counters."""
+        window = self._retry_window
         return BrokerStatus(
             key=self.key,
             granted_by_target={
@@ -130,6 +131,8 @@
             mean_hold_seconds=self._hold_times.mean_seconds,
             link_bytes_by_kind=dict(self._link_budget.spent_bytes_by_kind),
             successor=self.successor,
+            counted_requests=window.total_requests if window else 0,
+            retries=window.total_retries if window else 0,
         )
 
     def set_targets(self, targets: tuple[TargetInfo, ...]) -> list[Outgoing]:
--- a/citronspan/core/broker_status.py
+++ b/citronspan/core/broker_status.py
@@ -21,6 +21,8 @@
         link_bytes_by_kind: Bytes charged to the budget of the region link so far, by
             request kind.
         successor: Peer address of the broker that the shard was handed to, or empty.
+        counted_requests: Number of requests that the retry window has counted so far.
+        retries: Number of retries that it has granted so far.
     """
 
     key: ShardKey
@@ -33,6 +35,8 @@
     mean_hold_seconds: float
     link_bytes_by_kind: dict[str, int]
     successor: str
+    counted_requests: int = 0
+    retries: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -115,6 +115,8 @@
         floor_slots: Number of slots that the floor requires.
         floor_broken_by_leaving: Whether leaving targets alone violate the floor.
         targets: The shard's targets.
+        counted_requests: Requests that the retry budget has counted so far.
+        retries: Retries granted from the budget so far.
     """
 
     name: str
@@ -125,6 +127,8 @@
     floor_slots: float = 0.0
     floor_broken_by_leaving: bool = False
     targets: tuple[TargetReport, ...] = ()
+    counted_requests: int = 0
+    retries: int = 0
 
 
 class EntryReport(Message, kw_only=True):
--- a/citronspan/core/retry_window.py
+++ b/citronspan/core/retry_window.py
@@ -21,7 +21,12 @@
 
 
 class RetryWindow:
-    """Requests and retries of one broker, counted over a sliding window."""
+    """Requests and retries of one broker, counted over a sliding window.
+
+    Attributes:
+        total_requests: Number of requests counted since the start.
+        total_retries: Number of retries spent since the start.
+    """
 
     def __init__(self, *, ratio: float, slack: float, window_seconds: float):
         """Start with empty counts.
@@ -35,10 +40,13 @@
         self._slack = slack * SLACK_SHARE
         self._window_seconds = window_seconds
         self._buckets: deque[list[float]] = deque()
+        self.total_requests = 0
+        self.total_retries = 0
 
     def count_request(self) -> None:
         """Count the first attempt of a request."""
         self._get_current_bucket()[1] += 1
+        self.total_requests += 1
 
     def allows_retry(self) -> bool:
         """Return whether the window allows one more retry."""
@@ -52,6 +60,7 @@
         if not self.allows_retry():
             return False
         self._get_current_bucket()[2] += 1
+        self.total_retries += 1
         return True
 
     def _get_current_bucket(self):
--- a/citronspan/ops/shard_metrics.py
+++ b/citronspan/ops/shard_metrics.py
@@ -40,6 +40,15 @@
         yield _make_counter(
             "refusals", "Requests refused by the broker.", shards, lambda s: s.refusals
         )
+        yield _make_counter(
+            "counted_requests",
+            "Requests that the retry budget has counted.",
+            shards,
+            lambda s: s.counted_requests,
+        )
+        yield _make_counter(
+            "retries", "Retries granted from the budget.", shards, lambda s: s.retries
+        )
         yield _make_state_gauge(shards)
 
 
--- a/citronspan/ops/shard_report.py
+++ b/citronspan/ops/shard_report.py
@@ -45,6 +45,8 @@
         floor_slots=health.floor_slots,
         floor_broken_by_leaving=health.floor_broken_by_leaving,
         targets=targets,
+        counted_requests=status.counted_requests,
+        retries=status.retries,
     )
 
 
