--- /dev/null
+++ b/citronspan/core/broker_floor_test.py
@@ -0,0 +1,166 @@
+"""Tests that the floor share of a shard's targets gets requests at all times."""
+
+import math
+import random
+import time
+
+import freezegun
+import pytest
+from hypothesis import Phase, given, settings, strategies as st
+
+from citronspan.core.broker_messages import SlotGrant, SlotRelease, SlotRequest
+from citronspan.core.broker_set import BrokerSet
+from citronspan.core.episode_health import EpisodeHealth
+from citronspan.core.health import TargetInfo
+from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.resources import Detection, ServiceSpec
+from citronspan.core.shards_test import make_node
+from citronspan.core.verdicts import VerdictTable
+
+FLOOR = 0.7
+SPEC = ServiceSpec(detection=Detection.FAILURE_EPISODES, floor=FLOOR)
+WINDOW_SECONDS = 2.0
+REQUEST_INTERVAL_SECONDS = 0.05
+REQUEST_SECONDS = 0.2
+WARM_UP_SECONDS = 3.0
+
+
+def make_health(key, spec):
+    return EpisodeHealth(
+        name=key.format(),
+        spec=spec,
+        issuer="host-1",
+        incarnation=1,
+        received_verdicts=VerdictTable(),
+    )
+
+
+class BrokerUnderLoad:
+    """A broker with real detection, and a steady load of requests.
+
+    Attributes:
+        targets: Names of the targets.
+        granted: Time and target of each grant.
+        failing: Names of the targets that fail each request now.
+    """
+
+    def __init__(self, clock, *, targets):
+        self.targets = tuple(f"t-{number}" for number in range(targets))
+        self.granted = []
+        self.failing = set()
+        self._clock = clock
+        self._attempt_id = 0
+        self._running = []
+        infos = [
+            TargetInfo(name=name, address=name, region="r", data_centre="r-1", slots=6)
+            for name in self.targets
+        ]
+        self._brokers = BrokerSet(address="host-1:2", make_health=make_health)
+        self._brokers.set_nodes([make_node("host-1", region="r")])
+        self._brokers.set_service("s", SPEC, infos)
+
+    def run(self, seconds, *, connected=()):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self._clock.tick(REQUEST_INTERVAL_SECONDS)
+            self._release_finished()
+            self._attempt_id += 1
+            request = SlotRequest(
+                attempt_id=self._attempt_id,
+                service="s",
+                region="r",
+                shard=0,
+                deadline_seconds=5.0,
+                goal_seconds=2.0,
+                connected=connected,
+                data_centre="r-1",
+            )
+            self._record_grants(self._brokers.handle("e", request))
+            self._record_grants(self._brokers.advance())
+
+    def find_smallest_share(self, start):
+        """Return the smallest share of the targets that had a request in a window."""
+        shares = []
+        end = self.granted[-1][0] - WINDOW_SECONDS
+        while start < end:
+            used = {
+                name
+                for at, name in self.granted
+                if start < at <= start + WINDOW_SECONDS
+            }
+            shares.append(len(used) / len(self.targets))
+            start += 2 * REQUEST_INTERVAL_SECONDS
+        return min(shares)
+
+    def _record_grants(self, outgoing):
+        now = time.monotonic()
+        for item in outgoing:
+            if not isinstance(item.message, SlotGrant):
+                continue
+            name = item.message.target
+            self.granted.append((now, name))
+            failed = name in self.failing
+            seconds = 0.01 if failed else REQUEST_SECONDS
+            self._running.append((now + seconds, item.message, failed, seconds))
+
+    def _release_finished(self):
+        now = time.monotonic()
+        finished = [item for item in self._running if item[0] <= now]
+        self._running = [item for item in self._running if item[0] > now]
+        for _, grant, failed, seconds in finished:
+            outcome = Outcome(
+                target=grant.target,
+                outcome_class=OutcomeClass.TARGET_ERROR if failed else OutcomeClass.OK,
+                latency_seconds=seconds,
+                deadline_seconds=5.0,
+            )
+            release = SlotRelease(
+                attempt_id=grant.attempt_id,
+                service="s",
+                region="r",
+                shard=0,
+                outcome=outcome,
+            )
+            self._record_grants(self._brokers.handle("e", release))
+
+
+@pytest.mark.parametrize("targets", [4, 7, 9])
+def test_targets_get_requests_again_after_failures_that_have_ended(targets):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=targets)
+        load.run(WARM_UP_SECONDS)
+        load.failing = set(load.targets[: targets // 2])
+        load.run(1.0)
+        load.failing = set()
+        start = time.monotonic()
+        load.run(8.0)
+        assert load.find_smallest_share(start) >= FLOOR
+
+
+def test_targets_without_open_connection_get_requests_at_low_load():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=8)
+        load.run(WARM_UP_SECONDS)
+        start = time.monotonic()
+        load.run(6.0, connected=load.targets[:4])
+        assert load.find_smallest_share(start) >= FLOOR
+
+
+@settings(max_examples=25, phases=(Phase.explicit, Phase.generate))
+@given(
+    targets=st.integers(2, 10),
+    seed=st.integers(0, 1000),
+    failing_share=st.floats(0.0, 0.6),
+)
+def test_floor_share_gets_requests_whichever_targets_fail(targets, seed, failing_share):
+    rng = random.Random(seed)
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=targets)
+        load.run(WARM_UP_SECONDS)
+        start = time.monotonic()
+        for _ in range(6):
+            count = math.floor(failing_share * targets)
+            load.failing = set(rng.sample(load.targets, count))
+            load.run(rng.uniform(0.3, 3.0))
+        load.run(2 * WINDOW_SECONDS)
+        assert load.find_smallest_share(start) >= FLOOR
