Open the startup gate only once a configuration is known

Cause: the gate asked for an offset that is not zero. On a platform that offset is the sum of the offsets of two feeds, so a host that had read its targets and not the configuration passed the gate 3 s after its start if a read failed meanwhile, and served no route. It is the fault of a value that stands for two things: 'something was read' was taken for 'the configuration was read'.

The gate now asks the spread for a configuration. The same question stood in the wait of a starting host for its peers; it is answered likewise. The log source has one log, there an offset does stand for the configuration.

--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -21,6 +21,7 @@
 from citronspan.core.config_state import ConfigState
 from citronspan.core.feed_messages import FeedOffsets, FeedPull, FeedUpdate
 from citronspan.core.feeds import (
+    CONFIGURATION_FEED,
     FEEDS,
     Feed,
     FeedBatch,
@@ -113,6 +114,11 @@
             **{name: feed.next_offset for name, feed in self._feed_by_name.items()}
         )
 
+    @property
+    def has_configuration(self) -> bool:
+        """Whether a configuration is known, and not only targets."""
+        return bool(self._feed_by_name[CONFIGURATION_FEED].record_by_key)
+
     @property
     def age_seconds(self) -> float:
         """Time since this node was known to be up to date with the store.
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -181,7 +181,7 @@
         self.active_config.close()
 
     def check_startup_gate(self, nodes: tuple[NodeInfo, ...]) -> None:
-        """Open the startup gate if the state is fresh or is the best available.
+        """Open the startup gate if the configuration is fresh or the best available.
 
         A state from peers is used while the store is unavailable, after
         ``PEER_FALLBACK_SECONDS``.
@@ -194,7 +194,9 @@
         may_use_peer_state = (
             waited_seconds >= PEER_FALLBACK_SECONDS and self.read_status.is_unavailable
         )
-        if not self.active_config.state.offset or not (is_fresh or may_use_peer_state):
+        if not self._spread.has_configuration:
+            return
+        if not is_fresh and not may_use_peer_state:
             return
         offsets = self._spread.offsets
         write_event(
@@ -235,7 +237,7 @@
     def _is_read_due(self):
         waited_seconds = time.monotonic() - self._started_at
         if (
-            self.active_config.state.offset == 0
+            not self._spread.has_configuration
             and waited_seconds < self._startup_wait_seconds
         ):
             return False
