Bound the retries of all brokers of a service, not of each broker

Cause: the budget is one for all brokers, and was kept by each. A new broker began with a full share of the slack, whatever its predecessors had granted; a fallback broker, of which each entry may choose another, did as well; and a request was counted again by every broker it was sent to, and after every target it could not connect to, each time earning its part of a retry.

Ruled out: arrivals that no broker granted (an entry without a broker makes no retry).

A window now has no slack until its broker has had the shard for a whole window, and grants to requests that were forced on a fallback broker use none. A request is counted where it was sent first only. Whatever starts, fails or disagrees, the sum then stays within ratio and slack; during such a time fewer retries are made than allowed.

The tests of the window that took its slack at once now wait for one window first; the new bound is stricter. The property of a single window is unchanged.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -285,7 +285,8 @@
         """Return whether the retry window allows a request, if it is a retry."""
         if self._retry_window is None or not request.is_retry:
             return True
-        return self._retry_window.allows_retry()
+        is_fallback = request.force or bool(self.successor)
+        return self._retry_window.allows_retry(with_slack=not is_fallback)
 
     def _spend_link_budget(self, request):
         return self._link_budget.spend(
@@ -346,7 +347,7 @@
             self.health.record_trial(usage.target_info.name)
         self._grant_count += 1
         if self._retry_window is not None and request.is_retry:
-            self._retry_window.spend()
+            self._retry_window.count_retry()
         self._record_decision(waiting, now, target=usage.target_info.name)
         answer = SlotGrant(
             attempt_id=request.attempt_id,
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -52,8 +52,8 @@
         has_other_region: Whether the entry asks another region if this shard has no
             free slot of acceptable cost. Targets with a high failure probability are
             then not granted.
-        asked_before: Whether the entry already requested a slot for the same attempt
-            of the request, from this shard or another.
+        asked_before: Whether the entry already requested a slot for the same request,
+            from this broker or another.
     """
 
     attempt_id: int
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -301,15 +301,20 @@
     assert broker.describe().granted_by_target == {"a": 1}
 
 
-def make_retry_window(ratio=0.5, slack=0.0):
-    return RetryWindow(
+def make_retry_window(clock, ratio=0.5, slack=0.0):
+    """Return a window that is old enough to have its slack."""
+    window = RetryWindow(
         ratio=ratio / RATIO_SHARE, slack=slack / SLACK_SHARE, window_seconds=10.0
     )
+    clock.tick(10.0)
+    return window
 
 
 def test_repeated_slot_requests_count_once_in_retry_window(clock):
     target = make_target("a", slots=8)
-    broker = make_broker(clock, target, retry_window=make_retry_window(ratio=0.5))
+    broker = make_broker(
+        clock, target, retry_window=make_retry_window(clock, ratio=0.5)
+    )
     request_slot(broker, 1)
     request_slot(broker, 2, asked_before=True)
     request_slot(broker, 3, asked_before=True)
@@ -322,7 +327,7 @@
 
 def test_refused_retry_spends_no_retry(clock):
     broker = make_broker(
-        clock, make_target("a"), retry_window=make_retry_window(slack=1.0)
+        clock, make_target("a"), retry_window=make_retry_window(clock, slack=1.0)
     )
     for attempt_id in range(1, 4):
         (refusal,) = request_slot(broker, attempt_id, is_retry=True, excluded=("a",))
@@ -335,7 +340,9 @@
 
 def test_queued_retries_are_granted_only_within_retry_window(clock):
     target = make_target("a", slots=1)
-    broker = make_broker(clock, target, retry_window=make_retry_window(slack=1.0))
+    broker = make_broker(
+        clock, target, retry_window=make_retry_window(clock, slack=1.0)
+    )
     request_slot(broker, 1)
     assert request_slot(broker, 2, is_retry=True) == [SlotWaiting(attempt_id=2)]
     assert request_slot(broker, 3, is_retry=True) == [SlotWaiting(attempt_id=3)]
--- a/citronspan/core/retry_window.py
+++ b/citronspan/core/retry_window.py
@@ -1,9 +1,10 @@
 """Limit on the retries that one broker grants in any time window.
 
 In any window, all brokers of a service together grant at most ``ratio`` times its
-requests plus a slack, because each broker counts its own requests and has its share
-of the slack. A new broker does not know what its predecessor granted, so a broker uses
-only a part of its slack.
+requests plus a slack, because each request is counted by one broker only and each
+broker has its share of the slack. A new broker does not know what its predecessor
+granted, so it has no slack until it has been the broker for a whole window. A fallback
+broker, of which several may serve a shard at once, never uses slack.
 """
 
 import math
@@ -11,7 +12,8 @@
 from collections import deque
 
 SLACK_SHARE = 0.4
-"""Usable share of the slack, so that the broker may change within a window."""
+"""Usable share of the slack, because entries whose views differ may consider two
+entries the broker."""
 
 RATIO_SHARE = 0.8
 """Usable share of the ratio, because windows of other brokers begin at other times."""
@@ -25,11 +27,11 @@
 
     Attributes:
         total_requests: Number of requests counted since the start.
-        total_retries: Number of retries spent since the start.
+        total_retries: Number of retries counted since the start.
     """
 
     def __init__(self, *, ratio: float, slack: float, window_seconds: float):
-        """Start with empty counts.
+        """Start with empty counts and, for one window, without slack.
 
         Args:
             ratio: Retries allowed per request.
@@ -39,6 +41,7 @@
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
         self._window_seconds = window_seconds
+        self._slack_from = time.monotonic() + window_seconds
         self._buckets: deque[list[float]] = deque()
         self.total_requests = 0
         self.total_retries = 0
@@ -48,20 +51,23 @@
         self._get_current_bucket()[1] += 1
         self.total_requests += 1
 
-    def allows_retry(self) -> bool:
-        """Return whether the window allows one more retry."""
+    def allows_retry(self, *, with_slack: bool = True) -> bool:
+        """Return whether the window allows one more retry.
+
+        Args:
+            with_slack: Whether the retry may use the slack.
+        """
         self._get_current_bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
         retries = sum(bucket[2] for bucket in self._buckets)
-        return retries + 1 <= self._ratio * requests + self._slack
+        may_use_slack = with_slack and time.monotonic() >= self._slack_from
+        slack = self._slack if may_use_slack else 0.0
+        return retries + 1 <= self._ratio * requests + slack
 
-    def spend(self) -> bool:
-        """Spend one retry; return whether the window allowed it."""
-        if not self.allows_retry():
-            return False
+    def count_retry(self) -> None:
+        """Count a granted retry."""
         self._get_current_bucket()[2] += 1
         self.total_retries += 1
-        return True
 
     def _get_current_bucket(self):
         now = time.monotonic()
--- a/citronspan/core/retry_window_test.py
+++ b/citronspan/core/retry_window_test.py
@@ -26,7 +26,8 @@
                 window.count_request()
                 request_times.append(now)
                 continue
-            if window.spend():
+            if window.allows_retry():
+                window.count_retry()
                 retry_times.append(now)
         for end in retry_times:
             start = end - 9.4
@@ -35,9 +36,19 @@
             assert retry_count <= 0.2 * request_count + 20
 
 
+def count_allowed_retries(window):
+    count = 0
+    while window.allows_retry():
+        window.count_retry()
+        count += 1
+    return count
+
+
 def test_part_of_slack_is_usable_and_is_restored_after_the_window():
     with freezegun.freeze_time("2026-01-01") as clock:
         window = RetryWindow(ratio=0.2, slack=20, window_seconds=10.0)
-        assert sum(window.spend() for _ in range(50)) == 8
+        assert count_allowed_retries(window) == 0
+        clock.tick(10.0)
+        assert count_allowed_retries(window) == 8
         clock.tick(10.6)
-        assert window.spend()
+        assert count_allowed_retries(window) == 8
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -163,7 +163,10 @@
         for number, region in enumerate(order):
             has_other_region = number < len(order) - 1
             result = self._acquire_in_region(
-                region, query, has_other_region, asked_before=number > 0
+                region,
+                query,
+                has_other_region,
+                asked_before=number > 0 or bool(query.excluded),
             )
             if isinstance(result, Slot):
                 return result
@@ -346,6 +349,7 @@
                 if query.is_disconnected():
                     return _make_refusal(result_codes.CALLER_GONE)
                 self._unresponsive_brokers.add(broker)
+                request = msgspec.structs.replace(request, asked_before=True)
                 continue
             broker = response.broker
         if region != self._region:
