Give a new broker its part of the retry slack at once

The slack of a broker that is new, or that is asked as a fallback, is now its share divided by the number of entries of the region, since each of them may become the broker. The sum over all of them is the share of one broker, so the bound of the service holds: the tests of brokers that are lost, restart or are bypassed pass as before. A single host has its slack from the start.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -286,7 +286,7 @@
         if self._retry_window is None or not request.is_retry:
             return True
         is_fallback = request.force or bool(self.successor)
-        return self._retry_window.allows_retry(with_slack=not is_fallback)
+        return self._retry_window.allows_retry(is_fallback=is_fallback)
 
     def _spend_link_budget(self, request):
         return self._link_budget.spend(
--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -221,23 +221,24 @@
             health=self._make_health(key, spec),
             targets=shard.targets,
             link_bytes_per_second=spec.link_bytes_per_second / len(group),
-            retry_window=self._make_retry_window(key.service, spec),
+            retry_window=self._make_retry_window(key, spec),
         )
         self._broker_by_key[key] = broker
         return broker
 
-    def _make_retry_window(self, service, spec):
+    def _make_retry_window(self, key, spec):
         if not spec.retry_window_seconds:
             return None
         shard_count = sum(
             len(shards)
             for (name, _), shards in self.shards_by_group.items()
-            if name == service
+            if name == key.service
         )
         return RetryWindow(
             ratio=spec.retry_ratio,
             slack=spec.retry_slack / max(shard_count, 1),
             window_seconds=spec.retry_window_seconds,
+            possible_brokers=self.table.count_nodes(key.region),
         )
 
     def _remove_shards(self, service):
--- a/citronspan/core/retry_window.py
+++ b/citronspan/core/retry_window.py
@@ -3,8 +3,9 @@
 In any window, all brokers of a service together grant at most ``ratio`` times its
 requests plus a slack, because each request is counted by one broker only and each
 broker has its share of the slack. A new broker does not know what its predecessor
-granted, so it has no slack until it has been the broker for a whole window. A fallback
-broker, of which several may serve a shard at once, never uses slack.
+granted, so until it has been the broker for a whole window its slack is divided by the
+number of possible brokers. The same applies to requests that it serves as a fallback
+broker, because several may serve a shard at once.
 """
 
 import math
@@ -30,18 +31,27 @@
         total_retries: Number of retries counted since the start.
     """
 
-    def __init__(self, *, ratio: float, slack: float, window_seconds: float):
-        """Start with empty counts and, for one window, without slack.
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_seconds: float,
+        possible_brokers: int,
+    ):
+        """Start with empty counts.
 
         Args:
             ratio: Retries allowed per request.
             slack: This broker's share of the additional retries per window.
             window_seconds: Length of the window in seconds.
+            possible_brokers: Number of entries that may become the shard's broker.
         """
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
+        self._fallback_slack = self._slack / max(possible_brokers, 1)
         self._window_seconds = window_seconds
-        self._slack_from = time.monotonic() + window_seconds
+        self._full_slack_from = time.monotonic() + window_seconds
         self._buckets: deque[list[float]] = deque()
         self.total_requests = 0
         self.total_retries = 0
@@ -51,17 +61,17 @@
         self._get_current_bucket()[1] += 1
         self.total_requests += 1
 
-    def allows_retry(self, *, with_slack: bool = True) -> bool:
+    def allows_retry(self, *, is_fallback: bool = False) -> bool:
         """Return whether the window allows one more retry.
 
         Args:
-            with_slack: Whether the retry may use the slack.
+            is_fallback: Whether the broker serves the request as a fallback broker.
         """
         self._get_current_bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
         retries = sum(bucket[2] for bucket in self._buckets)
-        may_use_slack = with_slack and time.monotonic() >= self._slack_from
-        slack = self._slack if may_use_slack else 0.0
+        has_full_slack = not is_fallback and time.monotonic() >= self._full_slack_from
+        slack = self._slack if has_full_slack else self._fallback_slack
         return retries + 1 <= self._ratio * requests + slack
 
     def count_retry(self) -> None:
--- a/citronspan/core/shards.py
+++ b/citronspan/core/shards.py
@@ -215,6 +215,10 @@
         """Return the nodes whose entry is serving."""
         return tuple(self._node_by_name.values())
 
+    def count_nodes(self, region: str) -> int:
+        """Return the number of nodes of a region whose entry is serving."""
+        return len(self._names_by_region.get(region, ()))
+
     def find_broker(self, key: ShardKey) -> NodeInfo | None:
         """Return the node whose entry is the broker of a shard, or None."""
         name = self._broker_by_key.get(key)
