Cut answers without end at a bound, and skip long stale ones in parts

Targets in trouble may send bytes without end, in a head or a body, until the caller closes. A head was bounded by its lines only (6.4 MB, and as much for each of a hundred interim answers); a body was carried until the deadline; the body of an answer to another request was read into memory by its declared length, whatever that was.

The reader of an answer now has a limit of bytes, 256 KB for the head with its interim answers and 64 MB for the body, beside its deadline. Beyond it the attempt fails as answer-lost, which closes the connection and counts against the target. A stale answer is skipped in parts of 64 KB.

--- a/citronspan/ops/answer_stream.py
+++ b/citronspan/ops/answer_stream.py
@@ -4,8 +4,8 @@
 within a chunk size line or after the last chunk as the end of that part. It restarts
 its timeout with each byte and returns interim (1xx) answers as final. It could
 therefore accept a truncated or late answer, or the answer to another request, as
-complete. This module applies one deadline to all reads of an answer and enforces RFC
-9112, sections 2 to 7.
+complete. This module applies one deadline to all reads of an answer, bounds the size
+of its head and of its body, and enforces RFC 9112, sections 2 to 7.
 
 HTTP/1.1 cannot reveal one case: an unsolicited answer that a target sends after a
 reused connection was assigned to the next request is taken for the answer to that
@@ -20,6 +20,11 @@
 import time
 
 MAXIMUM_LINE_BYTES = 64 * 1024
+MAXIMUM_HEAD_BYTES = 256 * 1024
+"""Longest head of an answer, with the interim answers before it."""
+
+MAXIMUM_BODY_BYTES = 64 << 20
+SKIP_BYTES = 64 * 1024
 MAXIMUM_HEADER_LINES = 100
 MAXIMUM_CHUNK_SIZE_DIGITS = 15
 MAXIMUM_STALE_RESPONSES = 2
@@ -34,14 +39,15 @@
     """Signals an answer that is truncated or violates the protocol."""
 
 
-class _DeadlineReader(io.RawIOBase):
-    """Reads from a socket with one deadline for all reads together."""
+class _BoundedReader(io.RawIOBase):
+    """Reads from a socket with one deadline and one byte limit for many reads."""
 
     def __init__(self, *, raw: io.RawIOBase, sock: socket.socket, deadline: float):
         super().__init__()
         self._raw = raw
         self._sock = sock
         self._deadline: float | None = deadline
+        self._remaining_bytes = 0
 
     def readable(self) -> bool:
         return True
@@ -52,8 +58,16 @@
         remaining_seconds = self._deadline - time.monotonic()
         if remaining_seconds <= 0:
             raise TimeoutError("the deadline passed while the answer was being read")
+        if self._remaining_bytes <= 0:
+            raise AnswerInvalidError("the answer is longer than allowed")
         self._sock.settimeout(remaining_seconds)
-        return self._raw.readinto(buffer)
+        count = self._raw.readinto(buffer)
+        self._remaining_bytes -= count or 0
+        return count
+
+    def set_byte_limit(self, limit: int) -> None:
+        """Set the number of bytes from here on after which reads fail."""
+        self._remaining_bytes = limit
 
     def disable_reads(self) -> None:
         """Return no more data, so that peeking into the buffer does not block."""
@@ -91,7 +105,7 @@
         self._id_header = id_header
         self._expected_id = expected_id
         super().__init__(sock, debuglevel, method, url)
-        reader = _DeadlineReader(raw=self.fp.detach(), sock=sock, deadline=deadline)
+        reader = _BoundedReader(raw=self.fp.detach(), sock=sock, deadline=deadline)
         self.fp = _StrictLineReader(reader)
         self._reader = reader
         self._sock = sock
@@ -101,8 +115,10 @@
         if self.headers is not None:
             return
         for _ in range(1 + MAXIMUM_STALE_RESPONSES):
+            self._reader.set_byte_limit(MAXIMUM_HEAD_BYTES)
             super().begin()
             self._check_headers()
+            self._reader.set_byte_limit(MAXIMUM_BODY_BYTES)
             if not self._is_stale_response():
                 return
             self._skip_stale_response()
@@ -121,8 +137,9 @@
     def _skip_stale_response(self):
         if self.chunked or self.length is None:
             raise AnswerInvalidError("an answer to another request has no length")
-        if self.length:
-            self._safe_read(self.length)
+        while self.length:
+            # Read in parts, since the declared length may exceed the memory.
+            self.length -= len(self._safe_read(min(self.length, SKIP_BYTES)))
         self.headers = self.msg = None
 
     def _read_status(self):
--- a/citronspan/ops/conftest.py
+++ b/citronspan/ops/conftest.py
@@ -45,6 +45,8 @@
         runs: Whether the request counts as run.
         pause_seconds: Pause before each part except the first.
         delay_seconds: Delay before the first part.
+        endless_part: Bytes to send again and again after the last part, until the
+            entry closes the connection.
     """
 
     parts: tuple[bytes, ...]
@@ -53,6 +55,7 @@
     runs: bool = True
     pause_seconds: float = 0.0
     delay_seconds: float = 0.0
+    endless_part: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -77,10 +80,17 @@
 
 
 class ScriptedTargets:
-    """Runs targets that answer each path by the scripts that a test set for it."""
+    """Runs targets that answer each path by the scripts that a test set for it.
+
+    Attributes:
+        received: Requests that the targets received.
+        endless_bytes: Bytes sent so far as endless parts.
+        address_by_name: Address of each target.
+    """
 
     def __init__(self):
         self.received: list[ReceivedRequest] = []
+        self.endless_bytes = 0
         self._scripts_by_path: dict[str, list[TargetScript]] = {}
         self._run_count_by_path: dict[str, int] = {}
         self._lock = threading.Lock()
@@ -160,6 +170,9 @@
             if number:
                 time.sleep(script.pause_seconds)
             connection.sendall(part)
+        while script.endless_part:
+            connection.sendall(script.endless_part)
+            self.endless_bytes += len(script.endless_part)
         if script.end == "hold":
             connection.recv(1)
         if script.end == "reset":
