--- /dev/null
+++ b/citronspan/ops/broker_client.py
@@ -0,0 +1,99 @@
+"""Sends slot requests to brokers and waits for their responses."""
+
+import time
+from collections.abc import Callable
+
+from citronspan.core.broker_messages import (
+    EntryMessage,
+    SlotGrant,
+    SlotRedirect,
+    SlotRefusal,
+    SlotRequest,
+    SlotWaiting,
+)
+from citronspan.core.message_base import Message
+from citronspan.ops.pending_answers import PendingAnswers
+from citronspan.ops.slot_source import SlotQuery
+
+# A queued request is sent again at this interval to detect a broker that froze.
+SLOT_RETRY_SECONDS = 0.25
+CROSS_REGION_WAIT_SECONDS = 0.15
+"""Additional wait for a broker in another region, for the round trip."""
+
+SlotAnswer = SlotGrant | SlotRefusal | SlotRedirect
+
+
+class _PendingRequest:
+    """State of a slot request that has no final response yet.
+
+    Attributes:
+        waiting_at: Monotonic time of the last ``SlotWaiting``, -inf if none arrived.
+    """
+
+    def __init__(self):
+        self.waiting_at = float("-inf")
+
+
+class BrokerClient:
+    """Matches the responses of brokers to the requests that wait; safe for threads."""
+
+    def __init__(self, *, send: Callable[[str, Message], bool], wait_seconds: float):
+        """Create a client without pending requests.
+
+        Args:
+            send: Sends a message to a peer address; returns whether it was sent.
+            wait_seconds: Longest wait for the first response of a broker.
+        """
+        self._send = send
+        self._wait_seconds = wait_seconds
+        self._pending: PendingAnswers[SlotAnswer] = PendingAnswers()
+        self._pending_request_by_id: dict[int, _PendingRequest] = {}
+
+    def request_slot(
+        self, broker: str, request: SlotRequest, query: SlotQuery
+    ) -> SlotAnswer | None:
+        """Send a slot request to a broker and wait for its final response.
+
+        Args:
+            broker: Peer address of the broker.
+            request: The slot request.
+            query: The query that the request is for.
+
+        Returns:
+            The response, or None if the broker is unreachable or does not respond, if
+            the caller disconnects, or if the deadline passes.
+        """
+        wait_seconds = self._wait_seconds
+        if request.from_region:
+            wait_seconds += CROSS_REGION_WAIT_SECONDS
+        wait_id = request.attempt_id.to_bytes(8, "big")
+        waiter = self._pending.open(wait_id)
+        pending_request = _PendingRequest()
+        self._pending_request_by_id[request.attempt_id] = pending_request
+        try:
+            sent_at = time.monotonic()
+            while self._send(broker, request):
+                if waiter.wait(wait_seconds):
+                    return waiter.answer
+                if pending_request.waiting_at < sent_at:
+                    return None
+                if waiter.wait(SLOT_RETRY_SECONDS):
+                    return waiter.answer
+                sent_at = time.monotonic()
+                if sent_at > query.deadline or query.is_disconnected():
+                    return None
+            return None
+        finally:
+            self._pending.close(wait_id)
+            self._pending_request_by_id.pop(request.attempt_id, None)
+
+    def handle(self, message: EntryMessage) -> None:
+        """Handle a response of a broker."""
+        if not isinstance(message, SlotWaiting):
+            # A grant whose worker no longer waits is dropped here; the cancel message
+            # that the worker sent when it stopped waiting releases the slot.
+            self._pending.resolve(message.attempt_id.to_bytes(8, "big"), message)
+            return
+        pending_request = self._pending_request_by_id.get(message.attempt_id)
+        if pending_request is not None:
+            pending_request.waiting_at = time.monotonic()
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -21,11 +21,9 @@
     EntryMessage,
     SlotCancel,
     SlotGrant,
-    SlotRedirect,
     SlotRefusal,
     SlotRelease,
     SlotRequest,
-    SlotWaiting,
 )
 from citronspan.core.broker_set import BrokerSet
 from citronspan.core.episode_health import EpisodeHealth
@@ -38,11 +36,11 @@
 from citronspan.core.shard_health import ShardHealth
 from citronspan.core.shards import Shard, ShardKey, choose_shard
 from citronspan.core.verdicts import VerdictTable
+from citronspan.ops.broker_client import BrokerClient
 from citronspan.ops.decision_log import log_decisions
 from citronspan.ops.health_gossip import HealthGossip
 from citronspan.ops.local_chooser import LocalChooser
 from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.pending_answers import PendingAnswers
 from citronspan.ops.quarantine import Quarantine
 from citronspan.ops.recent_names import RecentNames
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
@@ -50,12 +48,7 @@
 
 ATTEMPT_BITS = 63
 DEFAULT_RETRY_AFTER_SECONDS = 0.3
-# A queued request is sent again at this interval to detect a broker that froze.
-SLOT_RETRY_SECONDS = 0.25
 MAXIMUM_REDIRECTS = 2
-CROSS_REGION_WAIT_SECONDS = 0.15
-"""Additional wait for a broker in another region, for the round trip."""
-
 BROKER_SKIP_SECONDS = 1.0
 """Time for which a broker that did not respond is skipped."""
 
@@ -70,21 +63,9 @@
 
 QUARANTINE_RETRY_AFTER_SECONDS = 300.0
 
-_FINAL_RESPONSES = (SlotGrant, SlotRefusal, SlotRedirect)
 _logger = logbook.Logger("slots")
 
 
-class _PendingRequest:
-    """State of a slot request that has no final response yet.
-
-    Attributes:
-        waiting_at: Monotonic time of the last ``SlotWaiting``, -inf if none arrived.
-    """
-
-    def __init__(self):
-        self.waiting_at = float("-inf")
-
-
 class SlotService:
     """Implements ``SlotSource`` with the brokers of this entry and its peers.
 
@@ -112,11 +93,9 @@
         self._unreachable_targets = RecentNames(seconds=UNREACHABLE_TARGET_SECONDS)
         self._unresponsive_brokers = RecentNames(seconds=BROKER_SKIP_SECONDS)
         self._link = link
-        self._wait_seconds = wait_seconds
         self._lock = threading.RLock()
         self._random = random.Random()
-        self._pending: PendingAnswers[Message] = PendingAnswers()
-        self._pending_request_by_id: dict[int, _PendingRequest] = {}
+        self._broker_client = BrokerClient(send=self._send, wait_seconds=wait_seconds)
         self._free_slots_by_key: dict[ShardKey, int] = {}
         self._spec_by_service: dict[str, ServiceSpec] = {}
         self._targets_by_service: dict[str, tuple[TargetInfo, ...]] = {}
@@ -213,11 +192,8 @@
             sender: Peer address of the sender.
             message: The message.
         """
-        if isinstance(message, SlotWaiting):
-            self._record_waiting(message)
-            return
-        if isinstance(message, _FINAL_RESPONSES):
-            self._resolve_request(message)
+        if isinstance(message, EntryMessage):
+            self._broker_client.handle(message)
             return
         with self._lock:
             if isinstance(message, SlotRelease):
@@ -336,7 +312,7 @@
                 request = msgspec.structs.replace(request, force=True)
             if not broker:
                 break
-            response = self._request_slot(broker, request, query)
+            response = self._broker_client.request_slot(broker, request, query)
             if isinstance(response, SlotGrant):
                 return self._make_slot(response, shard, broker)
             if isinstance(response, SlotRefusal):
@@ -404,37 +380,6 @@
             if target.address in addresses
         )
 
-    def _request_slot(self, broker, request, query) -> Message | None:
-        """Send a slot request to a broker and wait for its final response.
-
-        Returns:
-            The response, or None if the broker is unreachable or does not respond, if
-            the caller disconnects, or if the deadline passes.
-        """
-        wait_seconds = self._wait_seconds
-        if request.from_region:
-            wait_seconds += CROSS_REGION_WAIT_SECONDS
-        wait_id = request.attempt_id.to_bytes(8, "big")
-        waiter = self._pending.open(wait_id)
-        pending_request = _PendingRequest()
-        self._pending_request_by_id[request.attempt_id] = pending_request
-        try:
-            sent_at = time.monotonic()
-            while self._send(broker, request):
-                if waiter.wait(wait_seconds):
-                    return waiter.answer
-                if pending_request.waiting_at < sent_at:
-                    return None
-                if waiter.wait(SLOT_RETRY_SECONDS):
-                    return waiter.answer
-                sent_at = time.monotonic()
-                if sent_at > query.deadline or query.is_disconnected():
-                    return None
-            return None
-        finally:
-            self._pending.close(wait_id)
-            self._pending_request_by_id.pop(request.attempt_id, None)
-
     def _make_slot(self, grant, shard, broker):
         with self._lock:
             self._free_slots_by_key[shard.key] = grant.free_slots
@@ -480,16 +425,6 @@
             broker="",
         )
 
-    def _record_waiting(self, message):
-        pending_request = self._pending_request_by_id.get(message.attempt_id)
-        if pending_request is not None:
-            pending_request.waiting_at = time.monotonic()
-
-    def _resolve_request(self, message):
-        # A grant whose worker no longer waits is dropped here; the cancel message
-        # that the worker sent when it stopped waiting releases the slot.
-        self._pending.resolve(message.attempt_id.to_bytes(8, "big"), message)
-
     def _send(self, to: str, message: Message) -> bool:
         if to != self._link.address:
             return self._link.send(to, message)
