--- a/bench/membership.py
+++ b/bench/membership.py
@@ -21,7 +21,6 @@
 MEASURED_SECONDS = 20
 # In each replacement, one node leaves and one joins.
 REPLACEMENTS_PER_DAY = 570
-MEMBER_BYTES_SAMPLE = 470
 
 
 def make_node(number):
--- a/citronspan/core/feeds.py
+++ b/citronspan/core/feeds.py
@@ -281,6 +281,3 @@
         return batch
     records = sorted(newest_by_key.values(), key=lambda record: record.offset)
     return msgspec.structs.replace(batch, records=tuple(records))
-
-
-_RAW_LIST_DECODER = msgspec.json.Decoder(tuple[msgspec.Raw, ...])
--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -8,7 +8,6 @@
 from citronspan.ops.conftest import TargetScript
 
 BODY = b"castle" * 5
-REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nTarget-Not-Run: shed\r\n\r\n"
 
 
 def make_answer(body, *, chunked, chunk_bytes=7, status=b"200 OK"):
