--- a/citronspan/core/feed_spread_test.py
+++ b/citronspan/core/feed_spread_test.py
@@ -31,6 +31,8 @@
         for spread in self.spread_by_name.values():
             spread.set_nodes(tuple(infos))
         self.in_flight = []
+        self.held_up_name = ""
+        self.held_up = []
 
     def write(self, feed, data):
         self.log_by_feed[feed].append(data)
@@ -42,6 +44,9 @@
             name = self.name_by_address[item.to]
             if name in self.stopped:
                 continue
+            if name == self.held_up_name:
+                self.held_up.append((sender, item))
+                continue
             spread = self.spread_by_name[name]
             address = self.info_by_name[sender].agent_peer_address
             self._send(name, spread.handle_message(item.message, address))
@@ -150,6 +155,22 @@
     assert fleet.list_lagging_nodes() == []
 
 
+def test_update_held_up_on_its_way_does_not_make_a_copy_fresh(fleet):
+    reader = next(name for name, s in fleet.spread_by_name.items() if s.is_reader)
+    name = next(name for name in fleet.spread_by_name if name != reader)
+    fleet.rejected_by_store = {name}
+    fleet.held_up_name = name
+    fleet.run(1.0)
+    held_up, fleet.held_up = fleet.held_up, []
+    fleet.run(5.0)
+    spread = fleet.spread_by_name[name]
+    assert spread.age_seconds > 5.0
+    for sender, item in held_up:
+        address = fleet.info_by_name[sender].agent_peer_address
+        spread.handle_message(item.message, address)
+    assert spread.age_seconds > 4.0
+
+
 def get_reading_order(fleet, name):
     spread = fleet.spread_by_name[name]
     return (not spread.is_reader, spread.plan.rank, name)
