Leave a target that just failed alone for a while longer

Users take a target that failed for healthy again 2 s after that. So it need not have a request sooner than within 2 s of that moment: a target whose last outcome was its own failure does not count as idle for 3.4 s. The tests of the floor count targets that failed in the window, or up to 2 s before it, as served; for all others the bound is as before.

--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -6,6 +6,7 @@
 from citronspan.core.broker_target_usage import TargetUsage
 from citronspan.core.health import Health, TargetInfo, TargetLimit
 from citronspan.core.placement import (
+    FAILED_IDLE_SECONDS,
     FLOOR_IDLE_SECONDS,
     IDLE_TARGET_SECONDS,
     Candidate,
@@ -210,16 +211,21 @@
         return math.inf
 
     def _is_below_floor(self, now):
-        """Return whether too few of the usable targets got a request recently."""
+        """Return whether too many of the usable targets are idle."""
         usages = [
             usage
             for usage, limit in self._usages_with_limits
             if usage.compute_usable_slots(limit, now) > 0
         ]
-        used = sum(
-            usage.compute_idle_seconds(now) <= FLOOR_IDLE_SECONDS for usage in usages
-        )
-        return used < math.ceil(self._floor * len(usages))
+        idle = [usage for usage in usages if _is_idle(usage, now)]
+        return len(usages) - len(idle) < math.ceil(self._floor * len(usages))
+
+
+def _is_idle(usage: TargetUsage, now: float) -> bool:
+    """Return whether a target had no request recently, nor failed a little earlier."""
+    if now - usage.failed_at <= FAILED_IDLE_SECONDS:
+        return False
+    return usage.compute_idle_seconds(now) > FLOOR_IDLE_SECONDS
 
 
 def _may_use_trial(request: SlotRequest, limit: TargetLimit) -> bool:
--- a/citronspan/core/broker_target_usage.py
+++ b/citronspan/core/broker_target_usage.py
@@ -28,6 +28,8 @@
 PEAK_HALF_WINDOW_SECONDS = 0.25
 """Half of the window over which the peak of own grants is kept."""
 
+_OWN_FAILURE_CLASSES = {OutcomeClass.TARGET_ERROR, OutcomeClass.ANSWER_LOST}
+
 
 class TargetUsage:
     """The own and external usage of one target.
@@ -36,12 +38,15 @@
         target_info: The target as configured.
         granted: Number of own grants that are open.
         granted_at: Time of the last grant, or of creation before the first.
+        failed_at: Time of the last outcome if it was the target's own failure, else
+            -inf.
     """
 
     def __init__(self, *, target_info: TargetInfo, now: float):
         self.target_info = target_info
         self.granted = 0
         self.granted_at = now
+        self.failed_at = -math.inf
         self._external_usage = 0
         self._external_usage_until = now
         self._backoff_until = now
@@ -116,6 +121,8 @@
             load_age_seconds: Time since the target answered and reported its load.
             now: Present time.
         """
+        has_failed = outcome.outcome_class in _OWN_FAILURE_CLASSES
+        self.failed_at = now if has_failed else -math.inf
         if outcome.outcome_class is OutcomeClass.DRAINING:
             self._backoff_until = now + DRAINING_BACKOFF_SECONDS
             return
--- a/citronspan/core/placement.py
+++ b/citronspan/core/placement.py
@@ -37,6 +37,10 @@
 """Time without requests after which a target is idle while fewer targets than the floor
 share get requests. Users measure the floor over 2 s."""
 
+FAILED_IDLE_SECONDS = 3.4
+"""Time after a failure during which a target is not idle. Users take a target that
+failed for healthy again after 2 s."""
+
 IDLE_TARGET_COST = -1.0
 """Negative, so that a target that may be healthy gets requests even if others cost
 less, while many requests go unserved or too few targets get any. Its fault may be
