Divide a new broker's retry slack by the entries that are known now

A host that has just started knows itself only for a moment, and took the whole share of the slack, since the number of entries was read once, when the broker was made. After a restart of all hosts each could do so. The number is now read with each retry.

The new test failed before: 68 retries for 100 requests in 10 s, allowed 50, while six hosts learned of each other.

--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -240,7 +240,7 @@
             ratio=spec.retry_ratio,
             slack=spec.retry_slack / max(shard_count, 1),
             window_seconds=spec.retry_window_seconds,
-            possible_brokers=self.table.count_nodes(key.region),
+            count_possible_brokers=lambda: self.table.count_nodes(key.region),
         )
 
     def _remove_shards(self, service):
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -307,7 +307,7 @@
         ratio=ratio / RATIO_SHARE,
         slack=slack / SLACK_SHARE,
         window_seconds=10.0,
-        possible_brokers=20,
+        count_possible_brokers=lambda: 20,
     )
     clock.tick(10.0)
     return window
--- a/citronspan/core/retry_window.py
+++ b/citronspan/core/retry_window.py
@@ -11,6 +11,7 @@
 import math
 import time
 from collections import deque
+from collections.abc import Callable
 
 SLACK_SHARE = 0.4
 """Usable share of the slack, because entries whose views differ may consider two
@@ -37,7 +38,7 @@
         ratio: float,
         slack: float,
         window_seconds: float,
-        possible_brokers: int,
+        count_possible_brokers: Callable[[], int],
     ):
         """Start with empty counts.
 
@@ -45,11 +46,12 @@
             ratio: Retries allowed per request.
             slack: This broker's share of the additional retries per window.
             window_seconds: Length of the window in seconds.
-            possible_brokers: Number of entries that may become the shard's broker.
+            count_possible_brokers: Returns the number of entries that may now become
+                the shard's broker.
         """
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
-        self._fallback_slack = self._slack / max(possible_brokers, 1)
+        self._count_possible_brokers = count_possible_brokers
         self._window_seconds = window_seconds
         self._full_slack_from = time.monotonic() + window_seconds
         self._buckets: deque[list[float]] = deque()
@@ -70,8 +72,9 @@
         self._get_current_bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
         retries = sum(bucket[2] for bucket in self._buckets)
-        has_full_slack = not is_fallback and time.monotonic() >= self._full_slack_from
-        slack = self._slack if has_full_slack else self._fallback_slack
+        slack = self._slack
+        if is_fallback or time.monotonic() < self._full_slack_from:
+            slack /= max(self._count_possible_brokers(), 1)
         return retries + 1 <= self._ratio * requests + slack
 
     def count_retry(self) -> None:
--- a/citronspan/core/retry_window_fleet_test.py
+++ b/citronspan/core/retry_window_fleet_test.py
@@ -113,6 +113,18 @@
         fleet.check_budget()
 
 
+def test_retries_stay_in_budget_while_starting_hosts_learn_of_each_other():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = BrokerFleet(clock)
+        for host in HOSTS:
+            fleet.set_live_hosts((host,))
+            fleet.run(0.2)
+        for host in HOSTS:
+            fleet.set_live_hosts(HOSTS)
+            fleet.run(1.5, force_at=host)
+        fleet.check_budget()
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["calm", "restart", "lose", "force"]),
--- a/citronspan/core/retry_window_test.py
+++ b/citronspan/core/retry_window_test.py
@@ -37,7 +37,12 @@
 
 
 def make_window():
-    return RetryWindow(ratio=0.2, slack=20, window_seconds=10.0, possible_brokers=4)
+    return RetryWindow(
+        ratio=0.2,
+        slack=20,
+        window_seconds=10.0,
+        count_possible_brokers=lambda: 4,
+    )
 
 
 def count_allowed_retries(window):
