Add a test of a reload that changes how records are decoded

New rules of services are in force only after the next change in the store. Found by reading, while looking for further places where an offset stands for more than it says.

--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/feed_source_test.py
@@ -8,8 +8,10 @@
     TARGETS_FEED,
     FeedBatch,
     FeedRecord,
+    encode_resources,
 )
 from citronspan.core.node_messages import NodeInfo
+from citronspan.core.resources import Kind, Resource, ServiceSpec
 from citronspan.ops.feed_source import (
     PEER_FALLBACK_SECONDS,
     FeedSource,
@@ -35,22 +37,23 @@
 
     def __init__(self, *, answered_feeds):
         self.answered_feeds = answered_feeds
+        self.data = b"[]"
 
     def read_newest(self, feed):
         if feed not in self.answered_feeds:
             raise StoreUnavailableError("status 503")
-        record = FeedRecord(offset=0, key="k", data=b"[]")
+        record = FeedRecord(offset=0, key="k", data=self.data)
         return FeedBatch(
             feed=feed, from_offset=0, next_offset=1, records=(record,), whole=True
         )
 
 
-def make_source(*, answered_feeds):
+def make_source(*, store):
     """Return a source that has read each feed once."""
     source = FeedSource(
         own=OWN,
         send_all=lambda items: None,
-        store=PartialStore(answered_feeds=answered_feeds),
+        store=store,
         is_seed=True,
     )
     for feed in FEEDS:
@@ -60,7 +63,7 @@
 
 def test_host_without_configuration_does_not_serve_its_targets():
     with freezegun.freeze_time("2026-01-01") as clock:
-        source = make_source(answered_feeds={TARGETS_FEED})
+        source = make_source(store=PartialStore(answered_feeds={TARGETS_FEED}))
         clock.tick(PEER_FALLBACK_SECONDS + 0.1)
         source.check_startup_gate((OWN,))
     assert not source.active_config.ready
@@ -68,7 +71,21 @@
 
 def test_host_with_configuration_serves_it_while_targets_are_unread():
     with freezegun.freeze_time("2026-01-01") as clock:
-        source = make_source(answered_feeds={CONFIGURATION_FEED})
+        source = make_source(store=PartialStore(answered_feeds={CONFIGURATION_FEED}))
         clock.tick(PEER_FALLBACK_SECONDS + 0.1)
         source.check_startup_gate((OWN,))
     assert source.active_config.ready
+
+
+def test_reload_applies_records_that_are_decoded_differently_now():
+    with freezegun.freeze_time("2026-01-01"):
+        store = PartialStore(answered_feeds=set(FEEDS))
+        source = make_source(store=store)
+        assert not source.active_config.state.resource_by_key
+        spec = ServiceSpec(floor=0.9)
+        store.data = encode_resources(
+            [Resource(kind=Kind.SERVICE, name="s", spec=spec)]
+        )
+        source.request_reload()
+        source.read_feed(CONFIGURATION_FEED)
+    assert source.active_config.state.resource_by_key
