Let only half as many targets idle as the floor leaves

Cause: users measure the floor over the targets that were undisturbed for 8 s, here 8 of 15; a broker measures it over all that it may use. Of 15 targets 4 could idle, and 3 of the 8 did. A broker cannot know who counts, so it keeps a reserve: half of what the floor leaves may idle, in a shard of less than seven targets none.

--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -14,6 +14,10 @@
     rank_by_free_share,
 )
 
+IDLE_SHARE = 0.5
+"""Share of the targets above the floor that may idle, because users measure the floor
+over fewer targets: those that were not disturbed for some time."""
+
 
 class TargetPool:
     """The targets of a shard with their limits and their usage.
@@ -218,7 +222,8 @@
             if usage.compute_usable_slots(limit, now) > 0
         ]
         idle = [usage for usage in usages if _is_idle(usage, now)]
-        return len(usages) - len(idle) < math.ceil(self._floor * len(usages))
+        allowed_idle = math.floor((1 - self._floor) * IDLE_SHARE * len(usages))
+        return len(idle) > allowed_idle
 
 
 def _is_idle(usage: TargetUsage, now: float) -> bool:
