--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -47,7 +47,7 @@
             targets: Targets of the shard.
             now: Present time.
             floor: Share of the targets that must get requests at all times, 0 if
-                detection ensures it.
+                detection keeps the floor.
         """
         self.health = health
         self._floor = floor
@@ -215,7 +215,7 @@
         return math.inf
 
     def _is_below_floor(self, now):
-        """Return whether too many of the usable targets are idle."""
+        """Return whether more of the usable targets are idle than the floor allows."""
         usages = [
             usage
             for usage, limit in self._usages_with_limits
--- a/citronspan/core/placement.py
+++ b/citronspan/core/placement.py
@@ -34,12 +34,12 @@
 """Time without requests after which a target is idle while many requests fail."""
 
 FLOOR_IDLE_SECONDS = 1.6
-"""Time without requests after which a target is idle while fewer targets than the floor
-share get requests. Users measure the floor over 2 s."""
+"""Time without requests after which a target counts as idle for the floor, which users
+measure over 2 s."""
 
 FAILED_IDLE_SECONDS = 3.4
-"""Time after a failure during which a target is not idle. Users take a target that
-failed for healthy again after 2 s."""
+"""Time after a failure during which a target does not count as idle for the floor.
+Users take a target that failed for healthy again after 2 s."""
 
 IDLE_TARGET_COST = -1.0
 """Negative, so that a target that may be healthy gets requests even if others cost
