Log what targets state about their request rate, and count the targets

A target may state in its answers how many requests a second it takes from the whole fleet.

An entry now keeps the newest statement of each target (core/rate_limits.py), line 213 gives each change and citronspan_rate_limited_targets the targets with a limit. The header is Target-Rate-Limit by the project's own interface; the adapter reads the platform's name. Nothing is decided by it yet: choice of targets is unchanged.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -133,6 +133,12 @@
     "INFO",
     "A target became suspected or is no longer suspected.",
 )
+TARGET_RATE_LIMIT_CHANGED = _define(
+    213,
+    "target-rate-limit-changed",
+    "NOTICE",
+    "A target stated another limit on its request rate, or none any more.",
+)
 BROKER_HANDED_OVER = _define(
     260,
     "broker-handed-over",
--- a/citronspan/core/outcomes.py
+++ b/citronspan/core/outcomes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from citronspan.core.rate_limits import RateLimit
 from citronspan.core.result_codes import Ran
 
 
@@ -49,6 +50,8 @@
         fingerprint: Hash of the content of the request, equal for its retries; 0 for
             none.
         load: Number of slots in use as reported by the target, -1 if not reported.
+        rate_limit: What the target stated about its request rate, None without an
+            answer of the target.
     """
 
     target: str
@@ -58,3 +61,4 @@
     request_kind: str = ""
     fingerprint: int = 0
     load: int = -1
+    rate_limit: RateLimit | None = None
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -12,6 +12,7 @@
 
 from citronspan.core import log_events, result_codes
 from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, Outcome, OutcomeClass
+from citronspan.core.rate_limits import RateLimit
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
 from citronspan.core.retry_budget import (
@@ -360,6 +361,7 @@
             request_kind=request_context.spec.request_kind,
             fingerprint=request_context.fingerprint,
             load=self._dialect.read_load(attempt_response.answer.find_header),
+            rate_limit=self._read_rate_limit(attempt_response),
         )
         self._record_attempt(
             request_context,
@@ -369,6 +371,16 @@
         )
         self._slots.release(attempt_response.slot, outcome, answer_bytes)
 
+    def _read_rate_limit(self, attempt_response) -> RateLimit | None:
+        if attempt_response.outcome_class is OutcomeClass.DRAINING:
+            # The answer may be that of another target with the same address.
+            return None
+        find_header = attempt_response.answer.find_header
+        return RateLimit(
+            requests_per_second=self._dialect.read_rate_limit(find_header),
+            age_seconds=time.monotonic() - attempt_response.first_byte_at,
+        )
+
     def _record_attempt(self, request_context, slot, outcome, status):
         """Count an attempt, and log it unless its outcome is OK."""
         self._metrics.count_attempt(request_context.service_name, outcome.outcome_class)
--- a/citronspan/ops/dialect.py
+++ b/citronspan/ops/dialect.py
@@ -20,6 +20,7 @@
 TIMEOUT_HEADER = "Request-Timeout-Seconds"
 NOT_RUN_HEADER = "Target-Not-Run"
 LOAD_HEADER = "Target-Load"
+RATE_LIMIT_HEADER = "Target-Rate-Limit"
 
 _CLASS_BY_NOT_RUN_REASON = {
     "shed": OutcomeClass.SHED,
@@ -77,6 +78,9 @@
     def read_load(self, find_header: FindHeader) -> int:
         """Return the number of slots in use that a target reported, -1 if none."""
 
+    def read_rate_limit(self, find_header: FindHeader) -> float | None:
+        """Return the requests per second that a target takes, None for no limit."""
+
     def format_retry_after(self, seconds: float) -> str:
         """Return the value of ``Retry-After``."""
 
@@ -111,6 +115,10 @@
         used, _, _ = (find_header(LOAD_HEADER) or "").partition("/")
         return int(used) if used.isascii() and used.isdigit() else -1
 
+    def read_rate_limit(self, find_header: FindHeader) -> float | None:
+        """Read ``Target-Rate-Limit``."""
+        return parse_rate(find_header(RATE_LIMIT_HEADER))
+
     def format_retry_after(self, seconds: float) -> str:
         """Return whole seconds, as RFC 9110 requires, and at least 1."""
         return str(max(1, math.ceil(seconds)))
@@ -137,3 +145,20 @@
         code=result_codes.REQUEST_INVALID,
         detail=f"{header}: {text!r} is not a positive number",
     )
+
+
+def parse_rate(text: str | None) -> float | None:
+    """Parse the value of a header as a rate of requests per second.
+
+    Args:
+        text: Value of the header, or None.
+
+    Returns:
+        The rate, None if it is missing or not a finite number of at least 0.
+    """
+    try:
+        value = float(text or "nan")
+    except ValueError:
+        # Ignored: NaN is rejected below.
+        value = math.nan
+    return value if math.isfinite(value) and value >= 0 else None
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -106,6 +106,7 @@
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.health_gossip.describe)
         )
+        self.metrics.watch_rate_limits(self.slots.rate_limits)
         self._side_servers = [
             make_metrics_server(settings.metrics_address, self.metrics.registry)
         ]
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
 from citronspan.ops.peer_link import PeerLink
@@ -59,6 +60,15 @@
             registry=self.registry,
         )
 
+    def watch_rate_limits(self, rate_limits: RateLimitTable) -> None:
+        """Register a gauge for the targets that limit their request rate."""
+        gauge = Gauge(
+            "citronspan_rate_limited_targets",
+            "Targets that limit their request rate, as far as this entry knows.",
+            registry=self.registry,
+        )
+        gauge.set_function(rate_limits.count_limited)
+
     def watch_link(self, link: PeerLink) -> None:
         """Register gauges for the traffic that the peer link has sent and received."""
         read_by_name = {
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -31,6 +31,7 @@
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import Detection, ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
 from citronspan.core.shard_health import ShardHealth
@@ -71,6 +72,8 @@
 
     Attributes:
         received_verdicts: Verdicts that other brokers sent.
+        rate_limits: What targets stated about their request rate in answers that this
+            entry received.
         local_chooser: Chooses targets while no broker responds.
         brokers: Brokers that run in this entry.
         health_gossip: Exchange of health state with other entries.
@@ -101,6 +104,7 @@
         self._targets_by_service: dict[str, tuple[TargetInfo, ...]] = {}
         self._target_by_name: dict[str, tuple[str, TargetInfo]] = {}
         self.received_verdicts = VerdictTable()
+        self.rate_limits = RateLimitTable()
         self._quarantine = Quarantine()
         self.local_chooser = LocalChooser(received_verdicts=self.received_verdicts)
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
@@ -170,6 +174,7 @@
             outcome=outcome,
             answer_bytes=answer_bytes,
         )
+        self._observe_rate_limit(slot, outcome)
         self.local_chooser.record_outcome(outcome)
         if not slot.broker:
             self.local_chooser.release(slot.target)
@@ -177,6 +182,22 @@
         if broker:
             self._send(broker, message)
 
+    def _observe_rate_limit(self, slot, outcome):
+        if outcome.rate_limit is None:
+            return
+        change = self.rate_limits.observe(outcome.target, outcome.rate_limit)
+        if change is None:
+            return
+        write_event(
+            _logger,
+            log_events.TARGET_RATE_LIMIT_CHANGED,
+            service=slot.shard.service,
+            target=change.target,
+            broker=slot.broker,
+            before=change.before,
+            after=change.after,
+        )
+
     def _find_release_address(self, slot: Slot) -> str:
         """Return the granting broker, or the shard's present one if it has left."""
         with self._lock:
@@ -255,6 +276,7 @@
                 for service, targets in marked_by_service.items()
                 for target in targets
             }
+            self.rate_limits.retain(self._target_by_name.keys())
         self._send_all(outgoing)
 
     def has_entries(self) -> bool:
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -3,7 +3,12 @@
 import math
 
 from citronspan.core.outcomes import OutcomeClass
-from citronspan.ops.dialect import FindHeader, TargetAttempt, parse_positive
+from citronspan.ops.dialect import (
+    FindHeader,
+    TargetAttempt,
+    parse_positive,
+    parse_rate,
+)
 
 _DEADLINE = "X-Citronspan-Deadline-Ms"
 _EXPECTED_INSTANCE = "x-citronspan-expected-instance"
@@ -11,6 +16,7 @@
 _SIGNATURE = "X-Citronspan-Backend-Signature"
 # Running requests, queued requests and slots, separated by commas.
 _LOAD = "X-Citronspan-Backend-Load"
+_RATE_LIMIT = "Server-Limit"
 
 
 class PlatformDialect:
@@ -54,6 +60,10 @@
         running, _, _ = (find_header(_LOAD) or "").partition(",")
         return int(running) if running.isascii() and running.isdigit() else -1
 
+    def read_rate_limit(self, find_header: FindHeader) -> float | None:
+        """Return the requests per second that a target takes, None for no limit."""
+        return parse_rate(find_header(_RATE_LIMIT))
+
     def format_retry_after(self, seconds: float) -> str:
         """Format seconds with a fraction, which the platform's callers accept."""
         return f"{max(seconds, 0.05):.2f}"
