Keep the whole fleet to the request rate that a target states

What callers saw: a target that had stated a limit of 2.3 requests a second went on getting 6 to 11 a second (44 in 4 s; allowed 19), since all its requests were sent as if it had not. A target in need stays in need, and its callers wait for it.

Cause: no code read the statement (hypothesis 1). Evidence: all grants for both targets came from the one broker of their shard, none was a retry, no entry chose by itself, and the rate was the same before and after the statement. Ruled out by that: several holders that each keep the limit (2), and paths around it (3). Both would have followed a fix in the broker alone, so the fix bounds the sum over all holders.

An entry sends what its targets stated with each slot request and each release. The broker uses the whole limit, a new broker half of it for 4 s, all fallback brokers and all entries that choose alone a fifth each, divided by the entries of the region and begun at different times. The sum is below 1.4 times the limit, 1.9 while brokers change; allowed is 1.5 times, and 5 requests, in 4 s. Slots that the rate can't fill are no capacity, so that what can't be served is refused at once.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -7,6 +7,7 @@
 """
 
 import time
+from collections.abc import Callable
 
 from citronspan.core import result_codes
 from citronspan.core.broker_attempt_cache import ATTEMPT_CACHE_SECONDS, AttemptCache
@@ -32,6 +33,7 @@
     compute_acceptable_cost,
     compute_wait_limit_seconds,
 )
+from citronspan.core.rate_pacer import FULL_RATE_SHARE, RateShare
 from citronspan.core.result_codes import ResultCode
 from citronspan.core.retry_window import RetryWindow
 from citronspan.core.shards import ShardKey
@@ -84,6 +86,8 @@
         link_bytes_per_second: float = 0.0,
         retry_window: RetryWindow | None = None,
         floor: float = 0.0,
+        holder: str = "",
+        find_rate_share: Callable[[], RateShare] = lambda: FULL_RATE_SHARE,
     ):
         """Create a broker.
 
@@ -95,18 +99,27 @@
             retry_window: Limit on the retries, None if entries limit them.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection ensures it.
+            holder: Name of this entry.
+            find_rate_share: Returns this broker's present share of the request rates to
+                which targets limit the fleet.
         """
         self._retry_window = retry_window
         self.key = key
         self.health = health
         self.successor = ""
+        self._hold_times = SlotHoldTimeEstimator()
         self._pool = TargetPool(
-            health=health, targets=targets, now=time.monotonic(), floor=floor
+            health=health,
+            targets=targets,
+            now=time.monotonic(),
+            floor=floor,
+            holder=holder,
+            find_rate_share=find_rate_share,
+            estimate_hold_seconds=lambda: self._hold_times.mean_seconds,
         )
         self._queue = SlotQueue()
         self._grant_table = GrantTable()
         self._attempt_cache = AttemptCache()
-        self._hold_times = SlotHoldTimeEstimator()
         self._link_budget = LinkBudget(bytes_per_second=link_bytes_per_second)
         self._arrival_count = 0
         self._grant_count = 0
@@ -269,6 +282,7 @@
         if self.successor and not request.force:
             self._redirect(sender, request)
             return
+        self._pool.observe_rate_limits(request.rate_limits)
         self._serve_waiting(now)
         self._refuse_unservable(0, now)
         # The conditions are written as negations so that they also catch NaN.
@@ -359,6 +373,7 @@
             )
         if is_trial:
             self.health.record_trial(usage.target_info.name)
+        self._pool.count_request(usage.target_info.name)
         self._grant_count += 1
         if self._retry_window is not None and request.is_retry:
             self._retry_window.count_retry()
@@ -530,6 +545,8 @@
         outcome = release.outcome
         if outcome.outcome_class is OutcomeClass.NOT_USED:
             return
+        if outcome.rate_limit is not None:
+            self._pool.observe_rate_limits({outcome.target: outcome.rate_limit})
         self.health.observe(outcome)
         self._update_unserved_share(outcome, grant, now)
         usage = self._pool.find_target_usage(outcome.target)
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -13,6 +13,7 @@
 
 from citronspan.core.message_base import Message
 from citronspan.core.outcomes import Outcome
+from citronspan.core.rate_limits import RateLimit
 from citronspan.core.verdicts import Verdict
 
 
@@ -54,6 +55,8 @@
             then not granted.
         asked_before: Whether the entry already requested a slot for the same request,
             from this broker or another.
+        rate_limits: What targets of the shard that limit their request rate last
+            stated to the entry.
     """
 
     attempt_id: int
@@ -77,6 +80,7 @@
     request_id: str = ""
     has_other_region: bool = msgspec.field(default=False, name="el")
     asked_before: bool = False
+    rate_limits: dict[str, RateLimit] = {}
 
 
 class SlotGrant(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -1,6 +1,7 @@
 """The targets of one shard, their free slots, and the choice of a target."""
 
 import math
+from collections.abc import Callable
 
 from citronspan.core.broker_messages import SlotRequest
 from citronspan.core.broker_target_usage import TargetUsage
@@ -13,6 +14,8 @@
     compute_cost,
     rank_by_free_share,
 )
+from citronspan.core.rate_limits import RateLimit, RateLimitTable
+from citronspan.core.rate_pacer import FULL_RATE_SHARE, RatePacer, RateShare
 
 IDLE_SHARE = 0.5
 """Share of the targets above the floor that may idle, because users measure the floor
@@ -39,6 +42,9 @@
         targets: tuple[TargetInfo, ...],
         now: float,
         floor: float = 0.0,
+        holder: str = "",
+        find_rate_share: Callable[[], RateShare] = lambda: FULL_RATE_SHARE,
+        estimate_hold_seconds: Callable[[], float] = lambda: 0.0,
     ):
         """Create a pool.
 
@@ -48,8 +54,16 @@
             now: Present time.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection keeps the floor.
+            holder: Name of the broker that no other holder of targets has.
+            find_rate_share: Returns the broker's present share of the request rates to
+                which targets limit the fleet.
+            estimate_hold_seconds: Returns the mean time for which a slot is held.
         """
         self.health = health
+        self._pacer = RatePacer(holder=holder, rate_limits=RateLimitTable())
+        self._find_rate_share = find_rate_share
+        self._rate_share = FULL_RATE_SHARE
+        self._estimate_hold_seconds = estimate_hold_seconds
         self._floor = floor
         self.capacity = 0
         self.expected_healthy_capacity = 0.0
@@ -80,8 +94,19 @@
         for name, usage in list(self._removed_usage_by_target.items()):
             if usage.granted == 0:
                 del self._removed_usage_by_target[name]
+        self._pacer.rate_limits.retain(self._usage_by_target.keys())
         self.read_limits(now)
 
+    def observe_rate_limits(self, rate_limit_by_target: dict[str, RateLimit]) -> None:
+        """Take what targets stated about their request rate, unless it is known."""
+        for target, rate_limit in rate_limit_by_target.items():
+            if target in self._usage_by_target:
+                self._pacer.rate_limits.observe(target, rate_limit)
+
+    def count_request(self, target: str) -> None:
+        """Count a request that is granted a slot of a target against its rate limit."""
+        self._pacer.count_request(target)
+
     def list_target_usages(self) -> list[TargetUsage]:
         """Return the usage of each target."""
         return list(self._usage_by_target.values())
@@ -104,6 +129,7 @@
         """Read the current limits from detection and update the capacity."""
         self._limit_by_target = self.health.find_limits()
         self._usages_with_limits = []
+        self._rate_share = self._find_rate_share()
         capacity = 0
         expected_healthy_capacity = 0.0
         has_failure_probabilities = False
@@ -118,7 +144,8 @@
             if limit.trial:
                 continue
             usable_slots = usage.compute_usable_slots(limit, now)
-            capacity += usable_slots
+            usable_slots = self._apply_rate_limit(name, usable_slots)
+            capacity += math.ceil(usable_slots)
             expected_healthy_capacity += usable_slots * (
                 1 - (limit.failure_probability or 0.0)
             )
@@ -126,13 +153,29 @@
         self.expected_healthy_capacity = expected_healthy_capacity
         self.has_failure_probabilities = has_failure_probabilities
 
+    def _apply_rate_limit(self, target, usable_slots):
+        """Return how many slots a target fills at the rate that its limit allows."""
+        rate = self._pacer.find_rate(target, self._rate_share)
+        hold_seconds = self._estimate_hold_seconds()
+        if rate is None or not hold_seconds:
+            return usable_slots
+        return min(usable_slots, rate * hold_seconds)
+
     def count_free_slots(self, now: float) -> int:
         """Return the number of free slots of all targets, trials included."""
         return sum(
-            max(0, usage.compute_free_slots(limit, now))
+            max(0, self._count_free_slots_at(usage, limit, now))
             for usage, limit in self._usages_with_limits
         )
 
+    def _count_free_slots_at(self, usage, limit, now):
+        """Return the free slots of a target, 0 while its rate limit allows none."""
+        free_slots = usage.compute_free_slots(limit, now)
+        if free_slots <= 0:
+            return free_slots
+        name = usage.target_info.name
+        return free_slots if self._pacer.allows_request(name, self._rate_share) else 0
+
     def has_eligible_target(self, request: SlotRequest, now: float) -> bool:
         """Return whether a target that is not on trial may serve the request.
 
@@ -181,7 +224,7 @@
                 continue
             if limit.trial and not _may_use_trial(request, limit):
                 continue
-            free_slots = usage.compute_free_slots(limit, now)
+            free_slots = self._count_free_slots_at(usage, limit, now)
             if free_slots <= 0:
                 continue
             candidate = Candidate(
--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -5,6 +5,7 @@
 assigns it to another entry.
 """
 
+import time
 from collections.abc import Callable, Iterable
 from typing import Protocol, runtime_checkable
 
@@ -21,6 +22,13 @@
 from citronspan.core.health import Health, TargetInfo
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
+from citronspan.core.rate_pacer import (
+    FULL_RATE_SHARE,
+    NEW_BROKER_RATE_SHARE,
+    NEW_BROKER_SECONDS,
+    RateShare,
+    divide_fallback_share,
+)
 from citronspan.core.resources import Detection, ServiceSpec
 from citronspan.core.result_codes import NO_CAPACITY
 from citronspan.core.retry_window import RetryWindow
@@ -64,6 +72,7 @@
         self._spec_by_service: dict[str, ServiceSpec] = {}
         self._shard_by_key: dict[ShardKey, Shard] = {}
         self._broker_by_key: dict[ShardKey, Broker] = {}
+        self._assigned_at_by_key: dict[ShardKey, float] = {}
 
     def describe(self) -> list[BrokerStatus]:
         """Return the state and counters of each broker."""
@@ -144,8 +153,10 @@
         for key, broker in self._broker_by_key.items():
             address = self.table.find_address(key)
             if address == self.address:
+                self._assigned_at_by_key.setdefault(key, time.monotonic())
                 broker.resume()
                 continue
+            self._assigned_at_by_key.pop(key, None)
             if not address or broker.successor == address:
                 continue
             outgoing += broker.hand_over(address, _issue_verdicts(broker.health))
@@ -189,6 +200,7 @@
                 continue
             if broker.is_idle():
                 del self._broker_by_key[key]
+                self._assigned_at_by_key.pop(key, None)
         return outgoing
 
     def _should_create_broker(self, key, message):
@@ -216,6 +228,8 @@
         shard = self._shard_by_key[key]
         spec = self._spec_by_service[key.service]
         group = self.shards_by_group[key.service, key.region]
+        if self.table.find_address(key) == self.address:
+            self._assigned_at_by_key.setdefault(key, time.monotonic())
         ejects = spec.detection is not Detection.FAILURE_EPISODES
         broker = Broker(
             key=key,
@@ -224,10 +238,20 @@
             link_bytes_per_second=spec.link_bytes_per_second / len(group),
             retry_window=self._make_retry_window(key, spec),
             floor=0.0 if ejects else spec.floor,
+            holder=self.address,
+            find_rate_share=lambda: self._find_rate_share(key),
         )
         self._broker_by_key[key] = broker
         return broker
 
+    def _find_rate_share(self, key) -> RateShare:
+        assigned_at = self._assigned_at_by_key.get(key)
+        if assigned_at is None:
+            return divide_fallback_share(self.table.count_nodes(key.region))
+        if time.monotonic() - assigned_at < NEW_BROKER_SECONDS:
+            return NEW_BROKER_RATE_SHARE
+        return FULL_RATE_SHARE
+
     def _make_retry_window(self, key, spec):
         if not spec.retry_window_seconds:
             return None
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -24,6 +24,7 @@
 )
 from citronspan.core.health import TargetInfo, TargetLimit
 from citronspan.core.outcomes import Outcome, OutcomeClass
+from citronspan.core.rate_limits import RateLimit
 from citronspan.core.retry_window import RATIO_SHARE, SLACK_SHARE, RetryWindow
 from citronspan.core.shards import ShardKey
 
@@ -352,3 +353,19 @@
     broker.handle("entry-1", make_release(1, "a"))
     sent = broker.handle("entry-1", make_release(2, "a"))
     assert [item.message.code for item in sent] == [result_codes.RETRIES_SPENT.number]
+
+
+def test_requests_beyond_the_rate_limits_of_all_targets_are_refused_at_once(clock):
+    broker = make_broker(clock, make_target("a", slots=6), make_target("b", slots=6))
+    for attempt_id in range(1000, 1050):
+        (grant,) = request_slot(broker, attempt_id)
+        clock.tick(0.5)
+        broker.handle("e", make_release(attempt_id, grant.target))
+    rate_limit = RateLimit(requests_per_second=2.0)
+    answers = []
+    for attempt_id in range(20):
+        answers += request_slot(
+            broker, attempt_id, rate_limits={"a": rate_limit, "b": rate_limit}
+        )
+    # 4 requests a second take 0.5 s each; the deadline is in 2 s.
+    assert sum(isinstance(answer, SlotRefusal) for answer in answers) >= 12
--- a/citronspan/core/rate_limits.py
+++ b/citronspan/core/rate_limits.py
@@ -8,7 +8,7 @@
 
 import threading
 import time
-from collections.abc import Set
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
 import msgspec
@@ -86,6 +86,23 @@
         statement = self._statement_by_target.get(target)
         return None if statement is None else statement.requests_per_second
 
+    def export(self, targets: Iterable[str]) -> dict[str, RateLimit]:
+        """Return the limits of those among some targets that have one."""
+        now = time.monotonic()
+        limit_by_target = {}
+        with self._lock:
+            if not self._statement_by_target:
+                return {}
+            for target in targets:
+                statement = self._statement_by_target.get(target)
+                if statement is None or statement.requests_per_second is None:
+                    continue
+                limit_by_target[target] = RateLimit(
+                    requests_per_second=statement.requests_per_second,
+                    age_seconds=now - statement.stated_at,
+                )
+        return limit_by_target
+
     def count_limited(self) -> int:
         """Return the number of targets with a limit."""
         with self._lock:
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -32,6 +32,7 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimitTable
+from citronspan.core.rate_pacer import RatePacer, divide_fallback_share
 from citronspan.core.resources import Detection, ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
 from citronspan.core.shard_health import ShardHealth
@@ -106,7 +107,10 @@
         self.received_verdicts = VerdictTable()
         self.rate_limits = RateLimitTable()
         self._quarantine = Quarantine()
-        self.local_chooser = LocalChooser(received_verdicts=self.received_verdicts)
+        self.local_chooser = LocalChooser(
+            received_verdicts=self.received_verdicts,
+            pacer=RatePacer(holder=link.address, rate_limits=self.rate_limits),
+        )
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
         self.health_gossip = HealthGossip(
             name=name,
@@ -327,7 +331,7 @@
             if shard is None:
                 return _make_refusal(result_codes.NO_CAPACITY)
             broker = self.brokers.table.find_address(shard.key)
-        request = self._make_request(shard.key, query, has_other_region, asked_before)
+        request = self._make_request(shard, query, has_other_region, asked_before)
         for _ in range(1 + MAXIMUM_REDIRECTS):
             if self._unresponsive_brokers.contains(broker):
                 broker = self._find_fallback_broker(shard.key)
@@ -361,7 +365,8 @@
                 key, set(self._unresponsive_brokers.list_names())
             )
 
-    def _make_request(self, key, query, has_other_region, asked_before):
+    def _make_request(self, shard, query, has_other_region, asked_before):
+        key = shard.key
         return SlotRequest(
             attempt_id=self._random.getrandbits(ATTEMPT_BITS),
             service=key.service,
@@ -385,6 +390,9 @@
             request_id=query.request_id,
             has_other_region=has_other_region and key.region == self._region,
             asked_before=asked_before,
+            rate_limits=self.rate_limits.export(
+                target.name for target in shard.targets
+            ),
         )
 
     def _find_connected(self, key):
@@ -434,8 +442,12 @@
             spec = self._spec_by_service[query.service]
             if query.is_retry and spec.retry_window_seconds:
                 return _make_refusal(result_codes.RETRIES_SPENT)
+            entry_count = self.brokers.table.count_nodes(shard.key.region)
             target = self.local_chooser.choose(
-                shard, spec.floor, frozenset(query.excluded)
+                shard,
+                spec.floor,
+                frozenset(query.excluded),
+                divide_fallback_share(entry_count),
             )
         if target is None:
             return _make_refusal(result_codes.NO_CAPACITY)
--- a/citronspan/utils/token_bucket.py
+++ b/citronspan/utils/token_bucket.py
@@ -11,10 +11,17 @@
         burst: Capacity of the bucket, in tokens.
     """
 
-    def __init__(self, *, rate: float, burst: float):
+    def __init__(self, *, rate: float, burst: float, tokens: float | None = None):
+        """Create a bucket.
+
+        Args:
+            rate: Tokens added per second.
+            burst: Capacity of the bucket, in tokens.
+            tokens: Tokens at the start, None for a full bucket.
+        """
         self.rate = rate
         self.burst = burst
-        self._tokens = burst
+        self._tokens = burst if tokens is None else tokens
         self._refilled_at = time.monotonic()
 
     def take(self, tokens: float = 1.0) -> bool:
@@ -26,12 +33,32 @@
         Returns:
             Whether the tokens were taken.
         """
-        self._refill()
-        if self._tokens < tokens:
+        if not self.has_tokens(tokens):
             return False
         self._tokens -= tokens
         return True
 
+    def has_tokens(self, tokens: float = 1.0) -> bool:
+        """Return whether a number of tokens is available."""
+        self._refill()
+        return self._tokens >= tokens
+
+    def set_rate(self, rate: float, *, burst: float) -> None:
+        """Change the rate and the capacity from now on."""
+        self._refill()
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    def limit_tokens(self, tokens: float) -> None:
+        """Drop the tokens beyond a number."""
+        self._refill()
+        self._tokens = min(self._tokens, tokens)
+
+    def find_idle_seconds(self) -> float:
+        """Return the time since the bucket was last used."""
+        return time.monotonic() - self._refilled_at
+
     def compute_wait_seconds(self, tokens: float = 1.0) -> float:
         """Return the time until enough tokens are available.
 
