Tell in logs and metrics that a host reaches no target

Lines 214 and 215 and the gauge citronspan_targets_unreachable now say so: connects to three targets (or all, where there are fewer) failed and none succeeded since.

Opening a connection moves to ops/target_connector.py behind a protocol, so that tests can cut hosts off. No decision depends on any of it yet.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -139,6 +139,15 @@
     "NOTICE",
     "A target stated another limit on its request rate, or none any more.",
 )
+TARGETS_UNREACHABLE = _define(
+    214,
+    "targets-unreachable",
+    "WARNING",
+    "The host fails to connect to any target; its peers may still reach them.",
+)
+TARGETS_REACHABLE = _define(
+    215, "targets-reachable", "NOTICE", "The host connects to targets again."
+)
 BROKER_HANDED_OVER = _define(
     260,
     "broker-handed-over",
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -27,6 +27,8 @@
 from citronspan.ops.shard_metrics import ShardCollector
 from citronspan.ops.slot_service import SlotService
 from citronspan.ops.target_connection import TargetConnections
+from citronspan.ops.target_connector import TargetConnector
+from citronspan.ops.target_reachability import TargetReachability
 from citronspan.utils.logs import write_event
 from citronspan.utils.statecharts import accepts_event, load_chart, step_chart
 from citronspan.utils.traces import start_tracing
@@ -63,7 +65,20 @@
         keys: Runs the key protocol.
     """
 
-    def __init__(self, *, settings: EntrySettings, dialect: Dialect | None = None):
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        dialect: Dialect | None = None,
+        connector: TargetConnector | None = None,
+    ):
+        """Create an entry.
+
+        Args:
+            settings: Settings of the process.
+            dialect: Headers of callers and targets.
+            connector: Opens connections to targets.
+        """
         self.settings = settings
         self._dialect = dialect or DefaultDialect()
         self._chart = load_chart("entry")
@@ -78,7 +93,14 @@
             incarnation=make_incarnation(),
         )
         self.metrics.watch_link(self.link)
-        self._connections = TargetConnections(id_header=self._dialect.id_header)
+        self._reachability = TargetReachability(
+            count_targets=lambda: self.slots.count_targets()
+        )
+        self._connections = TargetConnections(
+            id_header=self._dialect.id_header,
+            connector=connector,
+            reachability=self._reachability,
+        )
         self.slots = SlotService(
             name=settings.place.name,
             region=settings.place.region,
@@ -106,6 +128,7 @@
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.health_gossip.describe)
         )
+        self.metrics.watch_reachability(self._reachability)
         self.metrics.watch_rate_limits(self.slots.rate_limits)
         self._side_servers = [
             make_metrics_server(settings.metrics_address, self.metrics.registry)
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -8,6 +8,7 @@
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
 from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.target_reachability import TargetReachability
 
 LATENCY_BUCKETS_SECONDS = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
@@ -60,6 +61,15 @@
             registry=self.registry,
         )
 
+    def watch_reachability(self, reachability: TargetReachability) -> None:
+        """Register a gauge that tells whether the host reaches no target."""
+        gauge = Gauge(
+            "citronspan_targets_unreachable",
+            "1 while the host connects to no target, else 0.",
+            registry=self.registry,
+        )
+        gauge.set_function(lambda: int(reachability.is_cut_off))
+
     def watch_rate_limits(self, rate_limits: RateLimitTable) -> None:
         """Register a gauge for the targets that limit their request rate."""
         gauge = Gauge(
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -288,6 +288,10 @@
         with self._lock:
             return bool(self.brokers.table.list_nodes())
 
+    def count_targets(self) -> int:
+        """Return the number of targets of all services."""
+        return len(self._target_by_name)
+
     def hand_over_all(self) -> None:
         """Hand all shards of this entry over to the remaining entries before a stop."""
         with self._lock:
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -22,7 +22,8 @@
 from citronspan.ops.answer_stream import CheckedResponse
 from citronspan.ops.caller_connection import CallerConnection
 from citronspan.ops.caller_request import CallerBody
-from citronspan.utils.addresses import split_address
+from citronspan.ops.target_connector import DirectConnector, TargetConnector
+from citronspan.ops.target_reachability import TargetReachability
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 MAXIMUM_IDLE_CONNECTIONS_PER_TARGET = 4
@@ -169,8 +170,16 @@
 class TargetConnections:
     """Pools the connections of one entry to its targets; safe for threads."""
 
-    def __init__(self, *, id_header: str = ""):
+    def __init__(
+        self,
+        *,
+        id_header: str = "",
+        connector: TargetConnector | None = None,
+        reachability: TargetReachability | None = None,
+    ):
         self._id_header = id_header
+        self._connector = connector or DirectConnector()
+        self._reachability = reachability or TargetReachability()
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, list[_IdleConnection]] = {}
 
@@ -224,21 +233,20 @@
             item.connection.close()
 
     def _connect(self, address, deadline):
-        host, port = split_address(address)
         remaining_seconds = min(CONNECT_TIMEOUT_SECONDS, deadline - time.monotonic())
         if remaining_seconds <= 0:
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.NOT_USED,
                 detail="the deadline passed before connecting",
             )
-        connection = HTTPConnection(host, port, timeout=remaining_seconds)
         try:
-            connection.connect()
+            connection = self._connector.connect(address, remaining_seconds)
         except (OSError, urllib3.exceptions.HTTPError) as error:
-            connection.close()
+            self._reachability.record_failed(address)
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.CONNECT_FAILED, detail=str(error)
             ) from error
+        self._reachability.record_connected()
         return connection
 
     def _exchange(self, connection, request, caller):
