--- a/citronspan/ops/rate_limit_fleet_test.py
+++ b/citronspan/ops/rate_limit_fleet_test.py
@@ -35,7 +35,7 @@
     detection=Detection.FAILURE_EPISODES,
     floor=0.7,
     retry_ratio=0.2,
-    retry_slack=58.0,
+    retry_slack=58,
     retry_window_seconds=10.0,
 )
 
