Connect to targets through a peer while a host reaches none itself

What callers saw: eight or more hosts were partitioned from all targets for 13 s, while callers, store and other hosts reached them. They answered 503 to most first tries (160 of 298 served, then 20 of 127), the other hosts served 95 %.

Each attempt connected anew, failed within 2 ms, and after two the request was refused, although every peer could have reached the target. Evidence: at these hosts attempts ended connect-failed nearly alone, requests were refused with 3005 from the beginning of the cut.

A host that failed to connect to three targets and to none since connects through a tunnel at a peer, and leaves that way once a direct probe succeeds. Routes, slots, deadlines and proofs stay its own, since a tunnel passes on ends as ends and resets as resets. Failed tunnels are no evidence against a target, peers open them to known targets only, and a stopping peer lets requests under way end.

--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -85,6 +85,12 @@
         """Peer address at which the agent receives messages."""
         return self._make_agent_address(self.address)
 
+    @property
+    def relay_address(self) -> str:
+        """Address at which the entry relays connections for peers, empty for none."""
+        port = self.peer_ports[0] + 2
+        return f"{self.address}:{port}" if port <= self.peer_ports[1] else ""
+
     @property
     def seeds(self) -> tuple[str, ...]:
         """Peer addresses of the agents of the seed hosts."""
@@ -101,6 +107,7 @@
             agent_peer_address=self.agent_peer_address,
             metrics_address=f"{self.address}:{self.metrics_port}",
             readiness_address=self.readiness_address,
+            relay_address=self.relay_address,
             worker_threads=self.worker_threads,
             drain_seconds=stop_seconds,
             reuse_seconds=REUSE_SECONDS,
@@ -121,6 +128,7 @@
             directory_address=self.directory_address,
             entry_peer_address=self.entry_peer_address,
             entry_callers_address=self.callers_address,
+            entry_relay_address=self.relay_address,
             seeds=self.seeds,
             keep_seconds=self.keep_seconds,
             log_level=self.log_level,
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -148,6 +148,12 @@
 TARGETS_REACHABLE = _define(
     215, "targets-reachable", "NOTICE", "The host connects to targets again."
 )
+RELAY_FAILED = _define(
+    216,
+    "relay-failed",
+    "INFO",
+    "A peer asked for a connection to a target that this host could not reach.",
+)
 BROKER_HANDED_OVER = _define(
     260,
     "broker-handed-over",
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -22,6 +22,8 @@
         offset: First offset of the log that the node has not applied.
         entry_busy: Whether the load of its entry is so high that callers should use
             more entries.
+        entry_relay_address: Address at which its entry relays connections to targets
+            for peers, empty if it does not.
     """
 
     name: str
@@ -36,6 +38,7 @@
     entry_incarnation: int = 0
     offset: int = 0
     entry_busy: bool = False
+    entry_relay_address: str = ""
 
 
 class ConfigurationPush(Message, kw_only=True):
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -78,6 +78,7 @@
         agent_peer_address: Peer address of this host's agent.
         metrics_address: ``IP:PORT`` of ``/metrics``.
         readiness_address: ``IP:PORT`` of ``/readiness``, empty for none.
+        relay_address: ``IP:PORT`` for peers that reach no target, empty for none.
         worker_threads: Maximum number of concurrent requests.
         drain_seconds: Timeout of a graceful stop.
         leave_seconds: Time between removal from the directory and refusal of new
@@ -96,6 +97,7 @@
     agent_peer_address: str
     metrics_address: str
     readiness_address: str = ""
+    relay_address: str = ""
     worker_threads: int = 64
     drain_seconds: float = 600.0
     leave_seconds: float = 5.0
@@ -115,6 +117,8 @@
         entry_peer_address: Peer address of this host's entry.
         entry_callers_address: Address of this host's entry for callers.
         metrics_address: ``IP:PORT`` of ``/metrics``.
+        entry_relay_address: Address at which this host's entry relays connections to
+            targets for peers, empty for none.
         directory_address: ``IP:PORT`` of a second listener of the API, for callers that
             query addresses; empty for none.
         log_url: Base URL of the platform's log service.
@@ -133,6 +137,7 @@
     entry_callers_address: str
     metrics_address: str
     log_url: str
+    entry_relay_address: str = ""
     directory_address: str = ""
     host_list_url: str = ""
     seeds: tuple[str, ...] = ()
@@ -148,7 +153,14 @@
     return CitronspanError(code=result_codes.SETTINGS_INVALID, detail=detail)
 
 
-_OPTIONAL_ADDRESSES = frozenset({"readiness_address", "directory_address"})
+_OPTIONAL_ADDRESSES = frozenset(
+    {
+        "readiness_address",
+        "directory_address",
+        "relay_address",
+        "entry_relay_address",
+    }
+)
 
 
 def _check_addresses(settings, path):
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -337,4 +337,5 @@
         entry_peer_address=settings.entry_peer_address,
         entry_callers_address=settings.entry_callers_address,
         api_address=settings.api_address,
+        entry_relay_address=settings.entry_relay_address,
     )
--- a/citronspan/ops/cut_hosts_test.py
+++ b/citronspan/ops/cut_hosts_test.py
@@ -266,6 +266,7 @@
         peer_address=f"{address}:7002",
         agent_peer_address=f"{NETWORK}.99.1:7000",
         metrics_address=f"{address}:7003",
+        relay_address=f"{address}:7004",
         worker_threads=8,
         leave_seconds=0.0,
         drain_seconds=1.0,
@@ -286,6 +287,7 @@
         api_address="127.0.0.1:1",
         entry_state="serving",
         offset=1,
+        entry_relay_address=settings.relay_address,
     )
 
 
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -23,11 +23,14 @@
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.readiness import make_readiness_server
+from citronspan.ops.relay_connector import RelayConnector
+from citronspan.ops.relay_server import RelayServer
 from citronspan.ops.request_handler import RequestHandler
 from citronspan.ops.shard_metrics import ShardCollector
 from citronspan.ops.slot_service import SlotService
 from citronspan.ops.target_connection import TargetConnections
-from citronspan.ops.target_connector import TargetConnector
+from citronspan.ops.target_connector import DirectConnector, TargetConnector
+from citronspan.ops.target_paths import TargetPaths
 from citronspan.ops.target_reachability import TargetReachability
 from citronspan.utils.logs import write_event
 from citronspan.utils.statecharts import accepts_event, load_chart, step_chart
@@ -77,7 +80,7 @@
         Args:
             settings: Settings of the process.
             dialect: Headers of callers and targets.
-            connector: Opens connections to targets.
+            connector: Connects to targets directly.
         """
         self.settings = settings
         self._dialect = dialect or DefaultDialect()
@@ -96,11 +99,22 @@
         self._reachability = TargetReachability(
             count_targets=lambda: self.slots.count_targets()
         )
-        self._connections = TargetConnections(
-            id_header=self._dialect.id_header,
-            connector=connector,
+        self._connector = connector or DirectConnector()
+        self._relay_connector = RelayConnector(
+            name=settings.place.name,
+            region=settings.place.region,
+            data_centre=settings.place.data_centre,
+            list_nodes=lambda: self.view.nodes,
+        )
+        self._paths = TargetPaths(
+            direct=self._connector,
             reachability=self._reachability,
+            relay=self._relay_connector,
         )
+        self._connections = TargetConnections(
+            id_header=self._dialect.id_header, paths=self._paths
+        )
+        self._relay_server = self._make_relay_server()
         self.slots = SlotService(
             name=settings.place.name,
             region=settings.place.region,
@@ -129,6 +143,7 @@
             ShardCollector(describe=self.slots.health_gossip.describe)
         )
         self.metrics.watch_reachability(self._reachability)
+        self.metrics.watch_relay(self._relay_connector, self._relay_server)
         self.metrics.watch_rate_limits(self.slots.rate_limits)
         self._side_servers = [
             make_metrics_server(settings.metrics_address, self.metrics.registry)
@@ -147,7 +162,11 @@
                 threading.Thread(target=server.serve, name="side", daemon=True)
                 for server in self._side_servers
             ),
+            threading.Thread(target=self._probe, name="probe", daemon=True),
         ]
+        if self._relay_server is not None:
+            serve = self._relay_server.serve
+            threads.append(threading.Thread(target=serve, name="relay", daemon=True))
         for thread in threads:
             thread.start()
         write_event(
@@ -186,6 +205,16 @@
             reuse_seconds=self.settings.reuse_seconds,
         )
 
+    def _make_relay_server(self):
+        if not self.settings.relay_address:
+            return None
+        return RelayServer(
+            address=self.settings.relay_address,
+            connector=self._connector,
+            reachability=self._reachability,
+            is_target=lambda address: address in self.slots.list_target_addresses(),
+        )
+
     def _find_entry_address(self, name):
         for node in self.view.nodes:
             # The entry's state in the view is not checked, since the view lags. A send
@@ -194,6 +223,9 @@
                 return node.entry_peer_address
         return None
 
+    def _probe(self):
+        self._paths.probe_forever(self.slots.list_target_addresses, self._stop)
+
     def _receive(self):
         self.link.receive_forever(self._handle_envelope)
 
@@ -308,6 +340,8 @@
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
         self._wait_for_reports(drain_deadline)
+        if self._relay_server is not None:
+            self._relay_server.stop(drain_deadline)
         self._server.shutdown_timeout = max(drain_deadline - time.monotonic(), 1.0)
         self._server.stop()
         for server in self._side_servers:
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -8,6 +8,8 @@
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
 from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.relay_connector import RelayConnector
+from citronspan.ops.relay_server import RelayServer
 from citronspan.ops.target_reachability import TargetReachability
 
 LATENCY_BUCKETS_SECONDS = (
@@ -70,6 +72,23 @@
         )
         gauge.set_function(lambda: int(reachability.is_cut_off))
 
+    def watch_relay(
+        self, connector: RelayConnector, server: RelayServer | None
+    ) -> None:
+        """Register gauges for connections to targets that go through peers."""
+        opened = Gauge(
+            "citronspan_relayed_connections",
+            "Connections to targets opened through peers since the start.",
+            registry=self.registry,
+        )
+        opened.set_function(lambda: connector.opened_count)
+        tunnels = Gauge(
+            "citronspan_relay_tunnels",
+            "Open connections to targets that this host relays for peers.",
+            registry=self.registry,
+        )
+        tunnels.set_function(lambda: server.count_tunnels() if server else 0)
+
     def watch_rate_limits(self, rate_limits: RateLimitTable) -> None:
         """Register a gauge for the targets that limit their request rate."""
         gauge = Gauge(
--- /dev/null
+++ b/citronspan/ops/relay_connector.py
@@ -0,0 +1,124 @@
+"""Connects to targets through peers, for a host that reaches no target itself."""
+
+import http
+import http.client
+from collections.abc import Callable, Iterable
+
+import urllib3.exceptions
+from urllib3.connection import HTTPConnection
+
+from citronspan.core.node_messages import NodeInfo
+from citronspan.ops.recent_names import RecentNames
+from citronspan.utils.addresses import split_address
+from citronspan.utils.rendezvous import compute_score
+
+MAXIMUM_PEERS = 3
+"""Peers that are asked for one connection."""
+
+PEER_SKIP_SECONDS = 2.0
+"""Time for which a peer that relayed nothing is not asked."""
+
+
+class RelayError(OSError):
+    """Signals that no peer opened a connection to the target."""
+
+
+class RelayedConnection(HTTPConnection):
+    """A connection to a target through a peer."""
+
+
+class RelayConnector:
+    """Opens tunnels at peers; see ``TargetConnector``."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        region: str,
+        data_centre: str,
+        list_nodes: Callable[[], Iterable[NodeInfo]],
+    ):
+        """Create a connector.
+
+        Args:
+            name: Name of this host.
+            region: Region of this host.
+            data_centre: Data centre of this host.
+            list_nodes: Returns the live hosts.
+        """
+        self._name = name
+        self._region = region
+        self._data_centre = data_centre
+        self._list_nodes = list_nodes
+        self._skipped_peers = RecentNames(seconds=PEER_SKIP_SECONDS)
+        self.opened_count = 0
+
+    def connect(self, address: str, timeout_seconds: float) -> HTTPConnection:
+        """Open a connection to a target through one of the peers.
+
+        Args:
+            address: ``IP:PORT`` of the target.
+            timeout_seconds: Longest time to wait for each peer.
+
+        Raises:
+            RelayError: If none of the peers that were asked opened it.
+        """
+        for peer in self._rank_peers()[:MAXIMUM_PEERS]:
+            connection, status = _open_tunnel(peer, address, timeout_seconds)
+            if connection is not None:
+                self.opened_count += 1
+                return connection
+            if status == http.HTTPStatus.BAD_GATEWAY:
+                # The peer reaches other targets, so another peer would hardly help.
+                break
+            self._skipped_peers.add(peer)
+        raise RelayError(f"no peer opened a connection to {address}")
+
+    def _rank_peers(self):
+        """Return the relay addresses of the peers in the order in which to ask them.
+
+        Other data centres of the region come first, since a cut often takes a data
+        centre, and other regions last.
+        """
+        ranked = []
+        for node in self._list_nodes():
+            address = node.entry_relay_address
+            if not address or node.name == self._name:
+                continue
+            if node.entry_state != "serving" or self._skipped_peers.contains(address):
+                continue
+            rank = (
+                node.region != self._region,
+                node.data_centre == self._data_centre,
+                compute_score(node.name, self._name),
+            )
+            ranked.append((rank, address))
+        return [address for _, address in sorted(ranked)]
+
+
+def _open_tunnel(peer, address, timeout_seconds):
+    """Ask a peer for a tunnel.
+
+    Returns:
+        The connection, None if there is none, and the peer's status, 0 without an
+        answer.
+    """
+    host, port = split_address(peer)
+    connection = RelayedConnection(host, port, timeout=timeout_seconds)
+    try:
+        connection.connect()
+        connection.sock.sendall(
+            f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+        )
+        response = http.client.HTTPResponse(connection.sock, method="CONNECT")
+        response.begin()
+        status = response.status
+        response.close()
+    except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError):
+        # Ignored: the caller asks the next peer.
+        connection.close()
+        return None, 0
+    if status == http.HTTPStatus.OK:
+        return connection, status
+    connection.close()
+    return None, status
--- /dev/null
+++ b/citronspan/ops/relay_server.py
@@ -0,0 +1,247 @@
+"""Relays connections to targets for peers that reach no target themselves.
+
+A peer asks with CONNECT (RFC 9110, section 9.3.6) for a target that the configuration
+names; from then on bytes are copied both ways. The peer speaks to the target as over a
+connection of its own: an end of either side is passed on as an end, a reset as a reset.
+"""
+
+import contextlib
+import http
+import http.server
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+
+import logbook
+import urllib3.exceptions
+
+from citronspan.core import log_events
+from citronspan.ops.target_connector import CONNECT_TIMEOUT_SECONDS, TargetConnector
+from citronspan.ops.target_reachability import TargetReachability
+from citronspan.utils.addresses import split_address
+from citronspan.utils.logs import write_event
+
+MAXIMUM_TUNNELS = 128
+HEAD_TIMEOUT_SECONDS = 5.0
+IDLE_TIMEOUT_SECONDS = 60.0
+QUIET_SECONDS = 0.3
+"""Time after the last byte of an answer after which a tunnel counts as idle."""
+
+STOP_POLL_SECONDS = 0.05
+COPY_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+_logger = logbook.Logger("relay")
+
+
+class _Tunnel:
+    """Copies bytes between a peer and a target until either side ends."""
+
+    def __init__(self, *, peer_socket: socket.socket, target_socket: socket.socket):
+        self._peer_socket = peer_socket
+        self._target_socket = target_socket
+        self._awaits_answer = False
+        self._copied_at = time.monotonic()
+
+    def run(self) -> None:
+        """Copy until the peer closes or the target's bytes have ended."""
+        for sock in (self._peer_socket, self._target_socket):
+            sock.settimeout(IDLE_TIMEOUT_SECONDS)
+        answers = threading.Thread(target=self._copy_answers, daemon=True)
+        answers.start()
+        self._copy_requests()
+        answers.join()
+
+    def is_idle(self) -> bool:
+        """Return whether no request seems to be under way."""
+        return (
+            not self._awaits_answer
+            and time.monotonic() - self._copied_at > QUIET_SECONDS
+        )
+
+    def close(self) -> None:
+        """End both directions."""
+        _shut_down(self._peer_socket, socket.SHUT_RDWR)
+        _shut_down(self._target_socket, socket.SHUT_RDWR)
+
+    def _copy_requests(self):
+        with contextlib.suppress(OSError):
+            while data := self._peer_socket.recv(COPY_BYTES):
+                self._awaits_answer = True
+                self._copied_at = time.monotonic()
+                self._target_socket.sendall(data)
+        # A peer that closes its connection cancels its request.
+        _shut_down(self._target_socket, socket.SHUT_RDWR)
+
+    def _copy_answers(self):
+        try:
+            while data := self._target_socket.recv(COPY_BYTES):
+                self._awaits_answer = False
+                self._copied_at = time.monotonic()
+                self._peer_socket.sendall(data)
+        except OSError:
+            # Ignored: the peer learns of it by the reset of its own connection.
+            self._reset_peer()
+            return
+        _shut_down(self._peer_socket, socket.SHUT_WR)
+
+    def _reset_peer(self):
+        with contextlib.suppress(OSError):
+            self._peer_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        _shut_down(self._peer_socket, socket.SHUT_RD)
+
+
+class _TunnelHandler(http.server.BaseHTTPRequestHandler):
+    """Answers one CONNECT request."""
+
+    protocol_version = "HTTP/1.1"
+    timeout = HEAD_TIMEOUT_SECONDS
+    relay: "RelayServer"
+
+    def do_CONNECT(self):  # noqa: N802
+        """Open a tunnel to the target that the request names."""
+        self.close_connection = True
+        status, connection = self.relay.connect(self.path)
+        self.send_response_only(status)
+        self.end_headers()
+        if connection is None:
+            return
+        try:
+            self.relay.run_tunnel(self.connection, connection.sock)
+        finally:
+            connection.close()
+
+    def log_message(self, *args):
+        """Write nothing; refusals are told to the peer."""
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def shutdown_request(self, request):
+        """Close a connection without a shutdown, which would hide a reset."""
+        self.close_request(request)
+
+    def handle_error(self, request, client_address):
+        """Close the connection; the peer asks another host."""
+
+
+class RelayServer:
+    """Serves tunnels to the targets of the configuration."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        connector: TargetConnector,
+        reachability: TargetReachability,
+        is_target: Callable[[str], bool],
+    ):
+        """Create a server that listens at once.
+
+        Args:
+            address: ``IP:PORT`` for peers.
+            connector: Connects to targets directly.
+            reachability: Whether this host reaches targets.
+            is_target: Returns whether an address is that of a known target.
+        """
+        self._connector = connector
+        self._reachability = reachability
+        self._is_target = is_target
+        self._lock = threading.Lock()
+        self._tunnels: set[_Tunnel] = set()
+        self._is_stopping = False
+        handler = type("Handler", (_TunnelHandler,), {"relay": self})
+        self._server = _Server(split_address(address), handler)
+
+    def serve(self) -> None:
+        """Serve until ``stop``."""
+        self._server.serve_forever()
+
+    def count_tunnels(self) -> int:
+        """Return the number of open tunnels."""
+        return len(self._tunnels)
+
+    def connect(self, address: str):
+        """Connect to a target for a peer.
+
+        Args:
+            address: ``IP:PORT`` that the peer asked for.
+
+        Returns:
+            The status for the peer, and the connection, None unless it is 200: 403 for
+            an unknown target, 502 if it can't be reached, 503 if this host relays
+            nothing now.
+        """
+        if not self._is_target(address):
+            return http.HTTPStatus.FORBIDDEN, None
+        if self._is_refusing():
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, None
+        try:
+            connection = self._connector.connect(address, CONNECT_TIMEOUT_SECONDS)
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            self._reachability.record_failed(address)
+            write_event(
+                _logger, log_events.RELAY_FAILED, address=address, detail=str(error)
+            )
+            if self._is_refusing():
+                return http.HTTPStatus.SERVICE_UNAVAILABLE, None
+            return http.HTTPStatus.BAD_GATEWAY, None
+        self._reachability.record_connected()
+        return http.HTTPStatus.OK, connection
+
+    def run_tunnel(
+        self, peer_socket: socket.socket, target_socket: socket.socket
+    ) -> None:
+        """Copy bytes between a peer and a target until either side ends."""
+        tunnel = _Tunnel(peer_socket=peer_socket, target_socket=target_socket)
+        with self._lock:
+            self._tunnels.add(tunnel)
+        try:
+            tunnel.run()
+        finally:
+            with self._lock:
+                self._tunnels.discard(tunnel)
+
+    def stop(self, deadline: float) -> None:
+        """Accept no more tunnels, and end the open ones once they are idle.
+
+        Args:
+            deadline: Time of ``time.monotonic()`` at which all are ended.
+        """
+        self._is_stopping = True
+        while time.monotonic() < deadline and not self._close_idle():
+            time.sleep(STOP_POLL_SECONDS)
+        for tunnel in self._list_tunnels():
+            tunnel.close()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _close_idle(self):
+        """End the idle tunnels; return whether no other is left."""
+        tunnels = self._list_tunnels()
+        idle = [tunnel for tunnel in tunnels if tunnel.is_idle()]
+        for tunnel in idle:
+            tunnel.close()
+        return len(idle) == len(tunnels)
+
+    def _list_tunnels(self):
+        with self._lock:
+            return list(self._tunnels)
+
+    def _is_refusing(self):
+        return (
+            self._is_stopping
+            or self._reachability.is_cut_off
+            or len(self._tunnels) >= MAXIMUM_TUNNELS
+        )
+
+
+def _shut_down(sock, how):
+    with contextlib.suppress(OSError):
+        sock.shutdown(how)
--- /dev/null
+++ b/citronspan/ops/relay_server_test.py
@@ -0,0 +1,220 @@
+"""Tests that a tunnel at a peer is as good as a connection to the target."""
+
+import contextlib
+import http.client
+import socket
+import struct
+import threading
+import time
+
+import pytest
+
+from citronspan.core.node_messages import NodeInfo
+from citronspan.ops.conftest import find_free_addresses
+from citronspan.ops.relay_connector import RelayConnector, RelayError
+from citronspan.ops.relay_server import RelayServer
+from citronspan.ops.target_connector import DirectConnector
+from citronspan.ops.target_paths import TargetPaths
+from citronspan.ops.target_reachability import TargetReachability
+from citronspan.utils.addresses import split_address
+
+TIMEOUT_SECONDS = 5.0
+STOP_SECONDS = 2.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class FailingConnector(DirectConnector):
+    """Connector of a host that reaches no target."""
+
+    def connect(self, address, timeout_seconds):
+        raise ConnectionRefusedError("refused")
+
+
+class Relay:
+    """A relay with one target that the test plays, and a connector of a peer."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(TIMEOUT_SECONDS)
+        host, port = self.listener.getsockname()
+        self.target = f"{host}:{port}"
+        (self.address,) = find_free_addresses(1)
+        self.reachability = TargetReachability()
+        self.server = RelayServer(
+            address=self.address,
+            connector=DirectConnector(),
+            reachability=self.reachability,
+            is_target=lambda address: address == self.target,
+        )
+        self.thread = threading.Thread(target=self.server.serve, daemon=True)
+        self.thread.start()
+        self.connector = RelayConnector(
+            name="h-1",
+            region="r",
+            data_centre="d",
+            list_nodes=lambda: [make_node("h-2", self.address)],
+        )
+
+    def open(self):
+        """Return a connection of the peer and that of the target."""
+        connection = self.connector.connect(self.target, TIMEOUT_SECONDS)
+        connection.sock.settimeout(TIMEOUT_SECONDS)
+        accepted, _ = self.listener.accept()
+        accepted.settimeout(TIMEOUT_SECONDS)
+        return connection, accepted
+
+    def stop(self):
+        started_at = time.monotonic()
+        self.server.stop(started_at + STOP_SECONDS)
+        return time.monotonic() - started_at
+
+    def close(self):
+        self.listener.close()
+
+
+def make_node(name, relay_address):
+    return NodeInfo(
+        name=name,
+        incarnation=1,
+        region="r",
+        data_centre="d",
+        agent_peer_address="a:1",
+        entry_peer_address="a:2",
+        entry_callers_address="a:3",
+        api_address="a:4",
+        entry_state="serving",
+        entry_relay_address=relay_address,
+    )
+
+
+@pytest.fixture
+def relay():
+    relay = Relay()
+    try:
+        yield relay
+    finally:
+        relay.close()
+        with contextlib.suppress(OSError):
+            relay.stop()
+
+
+def test_bytes_in_both_directions_are_not_lost(relay):
+    connection, accepted = relay.open()
+    data = b"x" * 3_000_000
+    sender = threading.Thread(target=connection.sock.sendall, args=(data,))
+    sender.start()
+    answer = threading.Thread(target=accepted.sendall, args=(data,))
+    answer.start()
+    assert receive(accepted, len(data)) == data
+    assert receive(connection.sock, len(data)) == data
+
+
+def test_reset_by_a_target_does_not_look_like_the_end_of_an_answer(relay):
+    connection, accepted = relay.open()
+    accepted.sendall(b"part")
+    assert receive(connection.sock, 4) == b"part"
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    accepted.close()
+    with pytest.raises(ConnectionResetError):
+        while True:
+            connection.sock.send(b"x")
+            time.sleep(0.05)
+            assert connection.sock.recv(1)
+
+
+def test_end_of_an_answer_is_passed_on(relay):
+    connection, accepted = relay.open()
+    accepted.sendall(b"all")
+    accepted.close()
+    assert receive(connection.sock, 100) == b"all"
+
+
+def test_request_whose_caller_left_does_not_go_on_at_the_target(relay):
+    connection, accepted = relay.open()
+    connection.close()
+    assert accepted.recv(1) == b""
+
+
+def test_relay_opens_no_connection_to_an_address_that_is_no_target(relay):
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        host, port = other.getsockname()
+        with pytest.raises(RelayError):
+            relay.connector.connect(f"{host}:{port}", TIMEOUT_SECONDS)
+        peer = http.client.HTTPConnection(relay.address, timeout=TIMEOUT_SECONDS)
+        peer.request("CONNECT", f"{host}:{port}")
+        assert peer.getresponse().status == 403
+
+
+def test_peer_that_is_cut_off_as_well_is_not_asked_again(relay):
+    for number in range(3):
+        relay.reachability.record_failed(f"t-{number}")
+    with pytest.raises(RelayError):
+        relay.connector.connect(relay.target, TIMEOUT_SECONDS)
+    relay.reachability.record_connected()
+    with pytest.raises(RelayError):
+        relay.connector.connect(relay.target, TIMEOUT_SECONDS)
+
+
+def test_stop_does_not_cut_a_request_under_way(relay):
+    connection, accepted = relay.open()
+    connection.sock.sendall(b"request")
+    assert receive(accepted, 7) == b"request"
+    stopping = threading.Thread(target=relay.stop)
+    stopping.start()
+    time.sleep(0.5)
+    accepted.sendall(b"answer")
+    assert receive(connection.sock, 6) == b"answer"
+    stopping.join(TIMEOUT_SECONDS)
+    assert not stopping.is_alive()
+
+
+def test_stop_does_not_wait_for_idle_tunnels(relay):
+    connection, accepted = relay.open()
+    connection.sock.sendall(b"request")
+    receive(accepted, 7)
+    accepted.sendall(b"answer")
+    receive(connection.sock, 6)
+    assert relay.stop() < STOP_SECONDS
+    assert connection.sock.recv(1) == b""
+
+
+def test_one_dead_target_is_not_asked_for_through_a_peer(relay):
+    host, _ = split_address(relay.target)
+    paths = TargetPaths(direct=FailingConnector(), relay=relay.connector)
+    with pytest.raises(ConnectionRefusedError):
+        paths.connect(f"{host}:1", time.monotonic() + 1.0)
+    assert relay.server.count_tunnels() == 0
+
+
+def test_host_that_reaches_targets_again_does_not_go_on_asking_peers(relay):
+    reachability = TargetReachability(count_targets=lambda: 1)
+    paths = TargetPaths(
+        direct=FailingConnector(), reachability=reachability, relay=relay.connector
+    )
+    paths.connect(relay.target, time.monotonic() + TIMEOUT_SECONDS)
+    assert reachability.is_cut_off
+    paths = TargetPaths(
+        direct=DirectConnector(), reachability=reachability, relay=relay.connector
+    )
+    is_ended = threading.Event()
+    probe = threading.Thread(
+        target=paths.probe_forever, args=(lambda: [relay.target], is_ended)
+    )
+    probe.start()
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while reachability.is_cut_off:
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    is_ended.set()
+    probe.join(TIMEOUT_SECONDS)
+
+
+def receive(sock, size):
+    """Receive a number of bytes, or fewer if the connection ends."""
+    data = b""
+    while len(data) < size:
+        part = sock.recv(min(65536, size - len(data)))
+        if not part:
+            break
+        data += part
+    return data
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -288,6 +288,10 @@
         with self._lock:
             return bool(self.brokers.table.list_nodes())
 
+    def list_target_addresses(self) -> list[str]:
+        """Return the addresses of the targets of all services."""
+        return [target.address for _, target in list(self._target_by_name.values())]
+
     def count_targets(self) -> int:
         """Return the number of targets of all services."""
         return len(self._target_by_name)
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -22,10 +22,10 @@
 from citronspan.ops.answer_stream import CheckedResponse
 from citronspan.ops.caller_connection import CallerConnection
 from citronspan.ops.caller_request import CallerBody
-from citronspan.ops.target_connector import DirectConnector, TargetConnector
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.relay_connector import RelayError
+from citronspan.ops.target_connector import DirectConnector
+from citronspan.ops.target_paths import TargetPaths
 
-CONNECT_TIMEOUT_SECONDS = 0.25
 MAXIMUM_IDLE_CONNECTIONS_PER_TARGET = 4
 POOL_IDLE_SECONDS = 4.0
 KEEP_ALIVE_FRACTION = 0.7
@@ -170,16 +170,9 @@
 class TargetConnections:
     """Pools the connections of one entry to its targets; safe for threads."""
 
-    def __init__(
-        self,
-        *,
-        id_header: str = "",
-        connector: TargetConnector | None = None,
-        reachability: TargetReachability | None = None,
-    ):
+    def __init__(self, *, id_header: str = "", paths: TargetPaths | None = None):
         self._id_header = id_header
-        self._connector = connector or DirectConnector()
-        self._reachability = reachability or TargetReachability()
+        self._paths = paths or TargetPaths(direct=DirectConnector())
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, list[_IdleConnection]] = {}
 
@@ -233,21 +226,22 @@
             item.connection.close()
 
     def _connect(self, address, deadline):
-        remaining_seconds = min(CONNECT_TIMEOUT_SECONDS, deadline - time.monotonic())
-        if remaining_seconds <= 0:
+        if time.monotonic() >= deadline:
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.NOT_USED,
                 detail="the deadline passed before connecting",
             )
         try:
-            connection = self._connector.connect(address, remaining_seconds)
+            return self._paths.connect(address, deadline)
+        except RelayError as error:
+            # The target is not to blame.
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.NOT_USED, detail=str(error)
+            ) from error
         except (OSError, urllib3.exceptions.HTTPError) as error:
-            self._reachability.record_failed(address)
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.CONNECT_FAILED, detail=str(error)
             ) from error
-        self._reachability.record_connected()
-        return connection
 
     def _exchange(self, connection, request, caller):
         """Send a request and read the status and headers of its answer.
@@ -364,6 +358,7 @@
             if item is None:
                 return None
             is_usable = item.idle_since > now - reuse_seconds and now < item.expires_at
+            is_usable = is_usable and self._paths.is_usable(item.connection)
             if is_usable and item.connection.is_connected:
                 return item.connection
             item.connection.close()
--- a/citronspan/ops/target_connector.py
+++ b/citronspan/ops/target_connector.py
@@ -6,6 +6,8 @@
 
 from citronspan.utils.addresses import split_address
 
+CONNECT_TIMEOUT_SECONDS = 0.25
+
 
 class TargetConnector(Protocol):
     """Opens connections to targets."""
--- /dev/null
+++ b/citronspan/ops/target_paths.py
@@ -0,0 +1,107 @@
+"""Chooses the way to targets: directly, or through a peer while the host is cut off."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+import urllib3.exceptions
+from urllib3.connection import HTTPConnection
+
+from citronspan.ops.relay_connector import RelayConnector, RelayedConnection
+from citronspan.ops.target_connector import CONNECT_TIMEOUT_SECONDS, TargetConnector
+from citronspan.ops.target_reachability import TargetReachability
+
+RELAY_TIMEOUT_SECONDS = 0.6
+"""Longest wait for a tunnel: two round trips to another region and its connect."""
+
+PROBE_INTERVAL_SECONDS = 0.25
+
+
+class TargetPaths:
+    """Opens connections to targets by the way that works."""
+
+    def __init__(
+        self,
+        *,
+        direct: TargetConnector,
+        reachability: TargetReachability | None = None,
+        relay: RelayConnector | None = None,
+    ):
+        """Create the paths.
+
+        Args:
+            direct: Connects to targets directly.
+            reachability: Follows whether that works.
+            relay: Connects through peers, None if there are none to ask.
+        """
+        self._direct = direct
+        self._reachability = reachability or TargetReachability()
+        self._relay = relay
+
+    def connect(self, address: str, deadline: float) -> HTTPConnection:
+        """Open a connection to a target.
+
+        Args:
+            address: ``IP:PORT`` of the target.
+            deadline: Time of ``time.monotonic()`` at which to give up.
+
+        Returns:
+            The open connection.
+
+        Raises:
+            RelayError: If the host is cut off and no peer helps; this says nothing
+                about the target.
+            OSError: If the target can't be reached.
+            urllib3.exceptions.HTTPError: Likewise.
+        """
+        if self._relay is None or not self._reachability.is_cut_off:
+            try:
+                return self._connect_directly(address, deadline)
+            except (OSError, urllib3.exceptions.HTTPError):
+                if self._relay is None or not self._reachability.is_cut_off:
+                    raise
+        remaining_seconds = max(deadline - time.monotonic(), 0.001)
+        return self._relay.connect(
+            address, min(RELAY_TIMEOUT_SECONDS, remaining_seconds)
+        )
+
+    def is_usable(self, connection: HTTPConnection) -> bool:
+        """Return whether an idle connection leads to its target."""
+        if isinstance(connection, RelayedConnection):
+            return True
+        return self._relay is None or not self._reachability.is_cut_off
+
+    def probe_forever(
+        self, list_addresses: Callable[[], list[str]], is_ended: threading.Event
+    ) -> None:
+        """Try targets directly while the host is cut off, to see when that ends.
+
+        Args:
+            list_addresses: Returns the addresses of all targets.
+            is_ended: Ends the probing.
+        """
+        while not is_ended.wait(PROBE_INTERVAL_SECONDS):
+            addresses = list_addresses() if self._reachability.is_cut_off else []
+            if addresses:
+                self._probe(random.choice(addresses))
+
+    def _probe(self, address):
+        try:
+            connection = self._direct.connect(address, CONNECT_TIMEOUT_SECONDS)
+        except (OSError, urllib3.exceptions.HTTPError):
+            # Ignored: the host stays cut off.
+            return
+        connection.close()
+        self._reachability.record_connected()
+
+    def _connect_directly(self, address, deadline):
+        remaining_seconds = max(deadline - time.monotonic(), 0.001)
+        timeout_seconds = min(CONNECT_TIMEOUT_SECONDS, remaining_seconds)
+        try:
+            connection = self._direct.connect(address, timeout_seconds)
+        except (OSError, urllib3.exceptions.HTTPError):
+            self._reachability.record_failed(address)
+            raise
+        self._reachability.record_connected()
+        return connection
