Keep using open connections that still answer while new ones fail

A host that is cut off now goes on using its open direct connections as long as answers come over them; failed connects count for 10 s only, so that targets that died at different times are not taken for a cut. For one connection it asks one peer of each place (another data centre of the region, its own, another region) in place of three of one kind, since a cut often takes a whole place: three peers of a region that is cut off refuse, and the request would be refused with them. The test of that failed before.

--- a/citronspan/ops/recent_names.py
+++ b/citronspan/ops/recent_names.py
@@ -22,6 +22,11 @@
         with self._lock:
             return time.monotonic() < self._expiry_by_name.get(name, float("-inf"))
 
+    def clear(self) -> None:
+        """Remove all names."""
+        with self._lock:
+            self._expiry_by_name.clear()
+
     def list_names(self) -> tuple[str, ...]:
         """Return the names that have not expired, and remove the expired ones."""
         now = time.monotonic()
--- a/citronspan/ops/relay_connector.py
+++ b/citronspan/ops/relay_connector.py
@@ -12,9 +12,6 @@
 from citronspan.utils.addresses import split_address
 from citronspan.utils.rendezvous import compute_score
 
-MAXIMUM_PEERS = 3
-"""Peers that are asked for one connection."""
-
 PEER_SKIP_SECONDS = 2.0
 """Time for which a peer that relayed nothing is not asked."""
 
@@ -63,7 +60,7 @@
         Raises:
             RelayError: If none of the peers that were asked opened it.
         """
-        for peer in self._rank_peers()[:MAXIMUM_PEERS]:
+        for peer in self._choose_peers():
             connection, status = _open_tunnel(peer, address, timeout_seconds)
             if connection is not None:
                 self.opened_count += 1
@@ -74,26 +71,28 @@
             self._skipped_peers.add(peer)
         raise RelayError(f"no peer opened a connection to {address}")
 
-    def _rank_peers(self):
-        """Return the relay addresses of the peers in the order in which to ask them.
+    def _choose_peers(self):
+        """Return the relay addresses of the peers to ask, in this order.
 
-        Other data centres of the region come first, since a cut often takes a data
-        centre, and other regions last.
+        They are one in another data centre of the region, one in the own data centre
+        and one in another region, since a cut often takes a whole place.
         """
-        ranked = []
+        best_by_distance = {}
         for node in self._list_nodes():
             address = node.entry_relay_address
             if not address or node.name == self._name:
                 continue
             if node.entry_state != "serving" or self._skipped_peers.contains(address):
                 continue
-            rank = (
+            distance = (
                 node.region != self._region,
                 node.data_centre == self._data_centre,
-                compute_score(node.name, self._name),
             )
-            ranked.append((rank, address))
-        return [address for _, address in sorted(ranked)]
+            ranked = (compute_score(node.name, self._name), address)
+            best_by_distance[distance] = max(
+                ranked, best_by_distance.get(distance, ranked)
+            )
+        return [address for _, (_, address) in sorted(best_by_distance.items())]
 
 
 def _open_tunnel(peer, address, timeout_seconds):
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+import msgspec
 import pytest
 
 from citronspan.core.node_messages import NodeInfo
@@ -145,6 +146,17 @@
         assert peer.getresponse().status == 403
 
 
+def test_host_of_a_place_that_is_cut_off_asks_another_region(relay):
+    peers = [
+        make_node(f"h-{number}", f"127.0.0.1:{number}") for number in range(10, 20)
+    ]
+    far = msgspec.structs.replace(make_node("far", relay.address), region="r-2")
+    connector = RelayConnector(
+        name="h-1", region="r", data_centre="d", list_nodes=lambda: [*peers, far]
+    )
+    connector.connect(relay.target, TIMEOUT_SECONDS).close()
+
+
 def test_peer_that_is_cut_off_as_well_is_not_asked_again(relay):
     for number in range(3):
         relay.reachability.record_failed(f"t-{number}")
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -202,6 +202,7 @@
         except BaseException:
             connection.close()
             raise
+        self._paths.record_answer(connection)
         # A target that answered before the whole request was sent may read on and
         # would take the next request for the rest of this one, so the connection is
         # not reused.
--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/target_paths.py
@@ -67,10 +67,15 @@
         )
 
     def is_usable(self, connection: HTTPConnection) -> bool:
-        """Return whether an idle connection leads to its target."""
-        if isinstance(connection, RelayedConnection):
+        """Return whether an idle connection seems to lead to its target."""
+        if self._relay is None or isinstance(connection, RelayedConnection):
             return True
-        return self._relay is None or not self._reachability.is_cut_off
+        return not self._reachability.is_cut_off or self._reachability.has_answers
+
+    def record_answer(self, connection: HTTPConnection) -> None:
+        """Record that an answer arrived over a connection."""
+        if not isinstance(connection, RelayedConnection):
+            self._reachability.record_answered()
 
     def probe_forever(
         self, list_addresses: Callable[[], list[str]], is_ended: threading.Event
--- a/citronspan/ops/target_reachability.py
+++ b/citronspan/ops/target_reachability.py
@@ -2,20 +2,26 @@
 
 One failed connect may be the fault of the target. A host that failed to connect to
 several targets, and to none successfully since, is taken to be cut off from all of
-them, until a connect succeeds again.
+them, until a connect succeeds again. Its open connections may live on.
 """
 
+import math
 import threading
+import time
 from collections.abc import Callable
 
 import logbook
 
 from citronspan.core import log_events
+from citronspan.ops.recent_names import RecentNames
 from citronspan.utils.logs import write_event
 
 FAILED_TARGETS = 3
 """Targets whose connects must fail, none in between succeeding."""
 
+FAILURE_SECONDS = 10.0
+"""Time for which a failed connect counts."""
+
 _logger = logbook.Logger("reachability")
 
 
@@ -30,14 +36,21 @@
         """
         self._count_targets = count_targets
         self._lock = threading.Lock()
-        self._failed_addresses: set[str] = set()
+        self._failed_addresses = RecentNames(seconds=FAILURE_SECONDS)
         self._is_cut_off = False
+        self._failing_since = -math.inf
+        self._answered_at = -math.inf
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether the host seems to reach no target."""
+        """Whether the host seems to reach no target by a new connection."""
         return self._is_cut_off
 
+    @property
+    def has_answers(self) -> bool:
+        """Whether an answer came over a direct connection since connects fail."""
+        return self._answered_at > self._failing_since
+
     def record_connected(self) -> None:
         """Record that a connect to a target succeeded."""
         with self._lock:
@@ -51,11 +64,17 @@
             address: ``IP:PORT`` of the target.
         """
         with self._lock:
+            if not self._failed_addresses.list_names():
+                self._failing_since = time.monotonic()
             self._failed_addresses.add(address)
             needed = max(min(FAILED_TARGETS, self._count_targets()), 1)
-            if len(self._failed_addresses) >= needed:
+            if len(self._failed_addresses.list_names()) >= needed:
                 self._set_cut_off(True)
 
+    def record_answered(self) -> None:
+        """Record that a target answered over a direct connection."""
+        self._answered_at = time.monotonic()
+
     def _set_cut_off(self, is_cut_off):
         if is_cut_off is self._is_cut_off:
             return
@@ -63,4 +82,4 @@
         event = log_events.TARGETS_REACHABLE
         if is_cut_off:
             event = log_events.TARGETS_UNREACHABLE
-        write_event(_logger, event, targets=len(self._failed_addresses))
+        write_event(_logger, event, targets=len(self._failed_addresses.list_names()))
