Blame a target that a relaying peer does not reach either

Found by reading: a peer that reaches targets and fails to connect to one answers 502, and the host that is cut off took that for "no peer helps". The outcome was not-used, which is no evidence, so that a dead target went on getting requests from hosts that are cut off. It is now a failed connect. A peer also takes 256 tunnels in place of 128, since few hosts may have to relay for most of a region.

The new test failed before (RelayError in place of ConnectionRefusedError).

--- a/citronspan/ops/relay_connector.py
+++ b/citronspan/ops/relay_connector.py
@@ -17,7 +17,7 @@
 
 
 class RelayError(OSError):
-    """Signals that no peer opened a connection to the target."""
+    """Signals that no peer relays connections, which says nothing about the target."""
 
 
 class RelayedConnection(HTTPConnection):
@@ -58,7 +58,8 @@
             timeout_seconds: Longest time to wait for each peer.
 
         Raises:
-            RelayError: If none of the peers that were asked opened it.
+            RelayError: If none of the peers that were asked relays connections now.
+            ConnectionRefusedError: If a peer that does can't reach the target.
         """
         for peer in self._choose_peers():
             connection, status = _open_tunnel(peer, address, timeout_seconds)
@@ -66,10 +67,10 @@
                 self.opened_count += 1
                 return connection
             if status == http.HTTPStatus.BAD_GATEWAY:
-                # The peer reaches other targets, so another peer would hardly help.
-                break
+                # The peer reaches other targets, so that this one is to blame.
+                raise ConnectionRefusedError(f"{address} is not reached by {peer}")
             self._skipped_peers.add(peer)
-        raise RelayError(f"no peer opened a connection to {address}")
+        raise RelayError(f"no peer relays a connection to {address}")
 
     def _choose_peers(self):
         """Return the relay addresses of the peers to ask, in this order.
--- a/citronspan/ops/relay_server.py
+++ b/citronspan/ops/relay_server.py
@@ -23,7 +23,7 @@
 from citronspan.utils.addresses import split_address
 from citronspan.utils.logs import write_event
 
-MAXIMUM_TUNNELS = 128
+MAXIMUM_TUNNELS = 256
 HEAD_TIMEOUT_SECONDS = 5.0
 IDLE_TIMEOUT_SECONDS = 60.0
 QUIET_SECONDS = 0.3
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -157,6 +157,12 @@
     connector.connect(relay.target, TIMEOUT_SECONDS).close()
 
 
+def test_target_that_a_peer_does_not_reach_either_is_not_spared(relay):
+    relay.listener.close()
+    with pytest.raises(ConnectionRefusedError):
+        relay.connector.connect(relay.target, TIMEOUT_SECONDS)
+
+
 def test_peer_that_is_cut_off_as_well_is_not_asked_again(relay):
     for number in range(3):
         relay.reachability.record_failed(f"t-{number}")
--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/target_paths.py
@@ -50,8 +50,7 @@
             The open connection.
 
         Raises:
-            RelayError: If the host is cut off and no peer helps; this says nothing
-                about the target.
+            RelayError: If the host is cut off and no peer helps.
             OSError: If the target can't be reached.
             urllib3.exceptions.HTTPError: Likewise.
         """
