Apply records that are decoded differently after a reload of settings

A reload reads the newest records again, but a replica drops records whose offset it has. A reload whose read failed was forgotten altogether.

After a reload the data of records with the offset that is stored is replaced, and a failed read leaves the reload requested.

--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -181,6 +181,20 @@
             return SpreadResult()
         return self._spread((batch,) if changed else (), sender="")
 
+    def apply_redecoded_batch(self, batch: FeedBatch) -> SpreadResult:
+        """Apply a whole batch that was read again since its decoding has changed.
+
+        Returns:
+            Messages to send, and the new state if it changed.
+        """
+        result = self.apply_store_batch(batch)
+        if not self._feed_by_name[batch.feed].replace_data(batch):
+            return result
+        # Peers decode by rules of their own, so they are not told.
+        return SpreadResult(
+            outgoing=result.outgoing, installed_state=self._rebuild_state()
+        )
+
     def handle_message(self, body: Message, sender: str) -> SpreadResult:
         """Handle a message from another agent.
 
--- a/citronspan/core/feeds.py
+++ b/citronspan/core/feeds.py
@@ -112,6 +112,26 @@
         self.next_offset = batch.next_offset
         return True
 
+    def replace_data(self, batch: FeedBatch) -> bool:
+        """Take the data of records that are stored with the same offset.
+
+        Args:
+            batch: Records that were decoded again, by other rules.
+
+        Returns:
+            Whether any data changed.
+        """
+        has_changed = False
+        for record in batch.records:
+            current = self.record_by_key.get(record.key)
+            if current is None or record.data is None:
+                continue
+            if current.offset != record.offset or current.data == record.data:
+                continue
+            self.record_by_key[record.key] = record
+            has_changed = True
+        return has_changed
+
     def export(self) -> FeedBatch:
         """Return all stored records as one whole batch."""
         records = [
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -163,12 +163,20 @@
         Returns:
             Whether the store answered.
         """
+        is_reload = feed == CONFIGURATION_FEED and self._reload_requested.is_set()
+        if is_reload:
+            self._reload_requested.clear()
         try:
-            batch = self._fetch(feed)
+            batch = self._store.read_newest(feed) if is_reload else self._fetch(feed)
         except StoreUnavailableError as error:
+            if is_reload:
+                self._reload_requested.set()
             self._record_unavailable(feed, error)
             return False
-        self._apply_batch(feed, batch)
+        apply = self._spread.apply_store_batch
+        if is_reload:
+            apply = self._spread.apply_redecoded_batch
+        self._apply_batch(feed, batch, apply)
         return True
 
     def request_reload(self) -> None:
@@ -245,9 +253,6 @@
 
     def _fetch(self, feed) -> FeedBatch:
         from_offset = self._spread.offsets.get_offset(feed)
-        if feed == CONFIGURATION_FEED and self._reload_requested.is_set():
-            self._reload_requested.clear()
-            return self._store.read_newest(feed)
         if from_offset == 0:
             return self._store.read_newest(feed)
         try:
@@ -261,12 +266,12 @@
         # then relies on its peers again.
         return READ_WAIT_SECONDS if self._spread.is_reader else 0.0
 
-    def _apply_batch(self, feed, batch):
+    def _apply_batch(self, feed, batch, apply):
         self._record_available(feed)
         now = time.monotonic()
         if now < self._recovered_at_by_feed[feed] + REMOVAL_GRACE_SECONDS:
             batch = _mark_removals_lapsed(batch)
-        self.active_config.run_step(lambda: self._spread.apply_store_batch(batch))
+        self.active_config.run_step(lambda: apply(batch))
 
     def _record_unavailable(self, feed, error):
         if self._unavailable_since_by_feed[feed] is not None:
--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/feed_source_test.py
@@ -89,3 +89,19 @@
         source.request_reload()
         source.read_feed(CONFIGURATION_FEED)
     assert source.active_config.state.resource_by_key
+
+
+def test_reload_during_an_outage_of_the_store_is_not_forgotten():
+    with freezegun.freeze_time("2026-01-01"):
+        store = PartialStore(answered_feeds=set(FEEDS))
+        source = make_source(store=store)
+        spec = ServiceSpec(floor=0.9)
+        store.data = encode_resources(
+            [Resource(kind=Kind.SERVICE, name="s", spec=spec)]
+        )
+        store.answered_feeds = set()
+        source.request_reload()
+        assert not source.read_feed(CONFIGURATION_FEED)
+        store.answered_feeds = set(FEEDS)
+        source.read_feed(CONFIGURATION_FEED)
+    assert source.active_config.state.resource_by_key
