Follow the store through a restore from a copy

What callers would have seen: after a restore the store gives out offsets again. A host that had read up to offset 6 asked for 6, got 410, read the newest of each key up to offset 2 and dropped it as old; a configuration written after that was ignored until offsets passed 6 again.

Offsets now contain the number of restores, so that they only grow, and other eras than the one asked for count as truncated history. A restored store may hold older records at later offsets: a record has its writer's version, and an older one changes nothing, nor does it bring a removed key back.

Before: test_configuration_written_after_a_restore_of_the_store_is_not_ignored failed (the old answer after 4 s); it passes. Weighed: to drop all that is known and take the copy, which takes hosts back to an older configuration and to targets that left. A key that was removed may return with the same version, since a target that could not reach the store for a while may register again without raising it.

--- a/citronspan/core/feeds.py
+++ b/citronspan/core/feeds.py
@@ -34,6 +34,10 @@
 REMOVAL_GRACE_SECONDS = 2.0
 """Time after the store's return for a lapsed key to come back before its removal."""
 
+MAXIMUM_REMOVED_KEYS = 1000
+"""Removed keys whose version is remembered, so that a restored store does not bring
+them back."""
+
 _logger = logbook.Logger("feeds")
 
 
@@ -47,12 +51,16 @@
         lapsed: Whether the key was removed while the store was unavailable. Its last
             data then stays in force for ``REMOVAL_GRACE_SECONDS``, in case the key
             comes back.
+        version: Number that the writer of the key raises with each record, 0 if it
+            has none. A store that was restored from a copy may hold an older version
+            at a later offset.
     """
 
     offset: int
     key: str
     data: bytes | None = None
     lapsed: bool = False
+    version: int = 0
 
 
 class FeedBatch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -90,6 +98,7 @@
         self.expired_records = 0
         self.record_by_key: dict[str, FeedRecord] = {}
         self._removal_at_by_key: dict[str, float] = {}
+        self._removed_version_by_key: dict[str, int] = {}
 
     def apply(self, batch: FeedBatch) -> bool:
         """Apply a batch.
@@ -156,8 +165,7 @@
         now = time.monotonic()
         due = [key for key, at in self._removal_at_by_key.items() if now >= at]
         for key in due:
-            del self._removal_at_by_key[key]
-            del self.record_by_key[key]
+            self._remove(key)
         self.expired_records += len(due)
         return bool(due)
 
@@ -171,14 +179,33 @@
         removal_at = time.monotonic() + REMOVAL_GRACE_SECONDS
         self._removal_at_by_key.setdefault(key, removal_at)
 
+    def _remove(self, key):
+        self._removal_at_by_key.pop(key, None)
+        removed = self.record_by_key.pop(key, None)
+        if removed is None or not removed.version:
+            return
+        self._removed_version_by_key[key] = removed.version
+        while len(self._removed_version_by_key) > MAXIMUM_REMOVED_KEYS:
+            del self._removed_version_by_key[next(iter(self._removed_version_by_key))]
+
+    def _is_older_version(self, record, current):
+        """Return whether a record is older than one that was stored or removed."""
+        if not record.version:
+            return False
+        if current is not None:
+            return record.version < current.version
+        return record.version < self._removed_version_by_key.get(record.key, 0)
+
     def _apply_record(self, record):
         current = self.record_by_key.get(record.key)
         if current is not None and record.offset < current.offset:
             return
-        if record.data is None and not record.lapsed:
-            self.record_by_key.pop(record.key, None)
+        if record.data is not None and self._is_older_version(record, current):
             self._removal_at_by_key.pop(record.key, None)
             return
+        if record.data is None and not record.lapsed:
+            self._remove(record.key)
+            return
         if record.data is not None:
             self.record_by_key[record.key] = record
         if not record.lapsed:
--- a/citronspan/core/feeds_test.py
+++ b/citronspan/core/feeds_test.py
@@ -190,3 +190,34 @@
     assert second.offset > first.offset
     assert second.resource_by_key[key] == first.resource_by_key[key]
     assert ("Target", "i-2") in second.resource_by_key
+
+
+def test_older_version_at_a_later_offset_does_not_replace_a_newer_one():
+    feed = Feed(name=TARGETS_FEED)
+    feed.apply(make_versioned_batch(1, offset=0, data=b"old"))
+    feed.apply(make_versioned_batch(2, offset=1, data=b"new"))
+    feed.apply(make_versioned_batch(1, offset=100, data=b"old"))
+    assert feed.record_by_key["k"].data == b"new"
+    feed.apply(make_versioned_batch(3, offset=101, data=b"newer"))
+    assert feed.record_by_key["k"].data == b"newer"
+
+
+def test_removed_key_does_not_return_with_an_older_version():
+    feed = Feed(name=TARGETS_FEED)
+    feed.apply(make_versioned_batch(2, offset=0, data=b"d"))
+    feed.apply(make_versioned_batch(0, offset=1, data=None))
+    feed.apply(make_versioned_batch(1, offset=100, data=b"d"))
+    assert not feed.record_by_key
+    feed.apply(make_versioned_batch(2, offset=101, data=b"d"))
+    assert feed.record_by_key
+
+
+def make_versioned_batch(version, *, offset, data):
+    record = FeedRecord(offset=offset, key="k", data=data, version=version)
+    return FeedBatch(
+        feed=TARGETS_FEED,
+        from_offset=0,
+        next_offset=offset + 1,
+        records=(record,),
+        whole=True,
+    )
--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -13,7 +13,12 @@
     encode_resources,
 )
 from citronspan.core.host_settings import ServiceRules
-from citronspan.platform.records import read_configuration, read_target
+from citronspan.platform.records import (
+    read_configuration,
+    read_configuration_version,
+    read_target,
+    read_target_version,
+)
 from citronspan.platform.store import KeyedPage, KeyedRecord, StoreClient
 from citronspan.utils.logs import write_event
 
@@ -80,22 +85,28 @@
             return None
         try:
             resources = read_configuration(record.value, self._rules)
+            version = read_configuration_version(record.value)
         except (msgspec.MsgspecError, UnicodeDecodeError, CitronspanError) as error:
             self._log_unreadable_record(record, error)
             return None
         data = encode_resources(resources)
-        return FeedRecord(offset=record.offset, key=record.key, data=data)
+        return FeedRecord(
+            offset=record.offset, key=record.key, data=data, version=version
+        )
 
     def _read_target(self, record: KeyedRecord) -> FeedRecord:
         if record.value is None:
             return FeedRecord(offset=record.offset, key=record.key)
         try:
             target = read_target(record.key, record.value, self._region_by_data_centre)
+            version = read_target_version(record.value)
         except (msgspec.MsgspecError, UnicodeDecodeError, CitronspanError) as error:
             self._log_unreadable_record(record, error)
             return FeedRecord(offset=record.offset, key=record.key)
         data = encode_resources([target])
-        return FeedRecord(offset=record.offset, key=record.key, data=data)
+        return FeedRecord(
+            offset=record.offset, key=record.key, data=data, version=version
+        )
 
     def _log_unreadable_record(self, record, error):
         self.unreadable_records += 1
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -20,6 +20,9 @@
     check_spec,
 )
 
+SEQUENCES_PER_START = 1 << 20
+"""More registrations than a target makes between two starts."""
+
 
 class _RouteKind(enum.StrEnum):
     IDEMPOTENT = "idempotent"
@@ -84,6 +87,19 @@
     born: int = 0
 
 
+class _ConfigurationVersion(_WireStruct):
+    version: int = 0
+
+
+class _StatusVersion(_WireStruct):
+    sequence: int = 0
+
+
+class _RegistrationVersion(_WireStruct):
+    status: _StatusVersion
+    born: int = 0
+
+
 def read_configuration(data: bytes, rules: ServiceRules) -> list[Resource]:
     """Decode a configuration.
 
@@ -145,6 +161,18 @@
     return Resource(kind=Kind.TARGET, name=name, spec=spec)
 
 
+def read_configuration_version(data: bytes) -> int:
+    """Return the version of a configuration, which each change raises."""
+    return msgspec.json.decode(data, type=_ConfigurationVersion).version
+
+
+def read_target_version(data: bytes) -> int:
+    """Return a number that a target raises with each registration and each start."""
+    registration = msgspec.json.decode(data, type=_RegistrationVersion)
+    sequence = min(registration.status.sequence, SEQUENCES_PER_START - 1)
+    return registration.born * SEQUENCES_PER_START + sequence
+
+
 def _make_service(rules: ServiceRules) -> ServiceSpec:
     return ServiceSpec(
         floor=rules.floor,
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -1,4 +1,8 @@
-"""HTTP client of the platform's store, which keeps a log of records per topic."""
+"""HTTP client of the platform's store, which keeps a log of records per topic.
+
+After a restore from a copy the store gives out offsets again, and counts the restores
+in its answers. Offsets here contain that count, so that they only grow.
+"""
 
 import base64
 import struct
@@ -16,6 +20,10 @@
 
 PARTITION = 0
 MAXIMUM_READ_KB = 1024
+ERA_OFFSETS = 1 << 40
+"""Offsets for each restore of the store, more than a topic ever has."""
+
+_ERA = "Store-Era"
 _PAGE_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 
@@ -89,10 +97,11 @@
             StoreUnavailableError: If there is no usable answer.
             FeedTruncatedError: If the store no longer holds that offset.
         """
+        era, store_offset = divmod(from_offset, ERA_OFFSETS)
         fields = {
             "topic": topic,
             "part": PARTITION,
-            "from": from_offset,
+            "from": store_offset,
             "maxKb": MAXIMUM_READ_KB,
             "waitMs": int(wait_seconds * 1000),
         }
@@ -101,6 +110,8 @@
             raise FeedTruncatedError(f"{topic} from {from_offset}")
         if answer.status != 200:
             raise StoreUnavailableError(f"status {answer.status}")
+        if _read_era(answer) != era:
+            raise FeedTruncatedError(f"{topic}: the store was restored from a copy")
         return _parse_page(answer.data, from_offset)
 
     def read_newest(self, topic: str) -> KeyedPage:
@@ -115,15 +126,19 @@
         """
         records = []
         next_offset = None
+        first_offset = None
         fields = {"topic": topic, "part": PARTITION}
         while True:
             answer = self._request("/log-newest", fields, 0.0)
             if answer.status != 200:
                 raise StoreUnavailableError(f"status {answer.status}")
             page = _decode_newest(answer.data)
-            if next_offset is None:
-                next_offset = page.endOffset
-            records.extend(_decode_item(item) for item in page.items)
+            if first_offset is None:
+                first_offset = _read_era(answer) * ERA_OFFSETS
+                next_offset = first_offset + page.endOffset
+            if _read_era(answer) * ERA_OFFSETS != first_offset:
+                raise StoreUnavailableError("the store was restored during the read")
+            records.extend(_decode_item(item, first_offset) for item in page.items)
             if not page.hasMore or not page.items:
                 break
             fields["after"] = page.items[-1].key
@@ -146,6 +161,14 @@
             raise StoreUnavailableError(f"{error} after {seconds:.3f} s") from error
 
 
+def _read_era(answer) -> int:
+    """Return how often the store was restored from a copy, 0 if it does not say."""
+    text = answer.headers.get(_ERA, "0")
+    if not (text.isascii() and text.isdigit()):
+        raise StoreUnavailableError(f"{_ERA}: {text!r} is no number")
+    return int(text)
+
+
 def _parse_page(data: bytes, from_offset: int) -> KeyedPage:
     if len(data) < _PAGE_HEADER.size:
         raise StoreUnavailableError("answer is shorter than its header of offsets")
@@ -183,9 +206,11 @@
         raise StoreUnavailableError(f"answer cannot be decoded: {error}") from error
 
 
-def _decode_item(item: _NewestItem) -> KeyedRecord:
+def _decode_item(item: _NewestItem, first_offset: int) -> KeyedRecord:
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError as error:
         raise StoreUnavailableError(f"answer cannot be decoded: {error}") from error
-    return KeyedRecord(offset=item.offset, key=item.key, value=value or None)
+    return KeyedRecord(
+        offset=first_offset + item.offset, key=item.key, value=value or None
+    )
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -41,6 +41,7 @@
         self.ran: list[str] = []
         self.deadlines: list[str] = []
         self.mode = "well"
+        self.registrations = 0
         self.service = Service(
             address=f"127.0.0.1:{port}", handler=self.handle, threads=8
         )
@@ -67,10 +68,15 @@
         exchange.answer(200, b"done " + body, headers)
 
     def register(self, store, *, state="ready"):
+        self.registrations += 1
         value = {
             "address": self.service.address,
             "info": {"service": "shop", "version": "v1", "dataCentre": "a", "slots": 4},
-            "status": {"state": state, "sequence": 1, "warmUpSeconds": 0},
+            "status": {
+                "state": state,
+                "sequence": self.registrations,
+                "warmUpSeconds": 0,
+            },
             "born": 1_790_000_000_000,
         }
         store.put(TARGETS, self.name, json.dumps(value).encode())
@@ -327,3 +333,33 @@
         running.store.put(OPERATOR, "config", make_configuration())
         assert wait_until(running.is_ready)
         assert running.send("/order/1", method="POST")[1] == 200
+
+
+def test_configuration_written_after_a_restore_of_the_store_is_not_ignored():
+    with run_host(6) as running:
+        running.store.save_copy()
+        for version in range(2, 6):
+            configuration = make_configuration(version, host="new.example")
+            running.store.put(OPERATOR, "config", configuration)
+        assert wait_until(lambda: running.send("/order/1", method="POST")[1] == 404, 2)
+        running.store.replace_switches(StoreSwitches(down=True))
+        running.store.restore_copy()
+        time.sleep(1.0)
+        running.store.replace_switches(StoreSwitches())
+        for target in running.targets:
+            target.register(running.store)
+        running.store.put(OPERATOR, "config", make_configuration(6))
+        assert wait_until(lambda: running.send("/order/1", method="POST")[1] == 200, 4)
+
+
+def test_restore_of_the_store_does_not_bring_an_older_configuration_back():
+    with run_host(7) as running:
+        running.store.save_copy()
+        configuration = make_configuration(2, host="new.example")
+        running.store.put(OPERATOR, "config", configuration)
+        assert wait_until(lambda: running.send("/order/1", method="POST")[1] == 404, 2)
+        running.store.restore_copy()
+        until = time.monotonic() + 3.0
+        while time.monotonic() < until:
+            assert running.send("/order/1", method="POST")[1] == 404
+            time.sleep(0.1)
--- a/citronspan_standins/store_service.py
+++ b/citronspan_standins/store_service.py
@@ -3,10 +3,11 @@
 A topic is read by offset or as the newest record of each key. The stand-in implements
 the reads of ``citronspan/platform/store.py`` and the appends of operators and targets.
 It simulates the platform's faults: outages, delays, requests refused as busy, and
-truncated history.
+truncated history, and a restore from a copy.
 """
 
 import base64
+import copy
 import struct
 import threading
 import time
@@ -79,12 +80,15 @@
     Attributes:
         switches: The current switches.
         request_count: Number of requests, without those to ``/control``.
+        era: Number of restores, which each answer names.
     """
 
     def __init__(self, *, switches: StoreSwitches | None = None):
         self.switches = switches or StoreSwitches()
         self.request_count = 0
+        self.era = 0
         self._topic_by_name: dict[str, Topic] = {}
+        self._copied_topic_by_name: dict[str, Topic] = {}
         self._changed = threading.Condition()
 
     def replace_switches(self, switches: StoreSwitches) -> None:
@@ -109,6 +113,18 @@
                 topic.first = topic.end
                 topic.records = []
 
+    def save_copy(self) -> None:
+        """Save a copy of all topics."""
+        with self._changed:
+            self._copied_topic_by_name = copy.deepcopy(self._topic_by_name)
+
+    def restore_copy(self) -> None:
+        """Go back to the saved copy; later records are lost and offsets reused."""
+        with self._changed:
+            self._topic_by_name = copy.deepcopy(self._copied_topic_by_name)
+            self.era += 1
+            self._changed.notify_all()
+
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         if exchange.path == "/control":
@@ -146,17 +162,18 @@
             self._changed.wait_for(
                 lambda: topic.end > start or self.switches.down, wait_seconds
             )
+            topic = self._get_or_create_topic(name)
             first, end = topic.first, topic.end
             records = topic.records[max(start - first, 0) :]
         if self.switches.down:
             exchange.abort()
-        if start < first:
-            exchange.answer_json(410, {"firstOffset": first})
+        if not first <= start <= end:
+            exchange.answer_json(410, {"firstOffset": first}, self._make_headers())
             return
         parts = [_PAGE_HEADER.pack(end, first)]
         for content in records:
             parts += [_RECORD_LENGTH.pack(len(content)), content]
-        exchange.answer(200, b"".join(parts))
+        exchange.answer(200, b"".join(parts), self._make_headers())
 
     def _list_newest(self, exchange, name):
         after = exchange.query_by_name.get("after", "")
@@ -174,7 +191,10 @@
             ]
             end = topic.end
         answer = {"items": items, "hasMore": len(keys) > len(page), "endOffset": end}
-        exchange.answer_json(200, answer)
+        exchange.answer_json(200, answer, self._make_headers())
+
+    def _make_headers(self):
+        return [("Store-Era", str(self.era))]
 
     def _append(self, exchange, name):
         body = b"".join(exchange.read_body())
@@ -182,7 +202,9 @@
         with self._changed:
             topic = self._get_or_create_topic(name)
             if exchange.query_by_name.get("at") not in (None, str(topic.end)):
-                exchange.answer_json(412, {"endOffset": topic.end})
+                exchange.answer_json(
+                    412, {"endOffset": topic.end}, self._make_headers()
+                )
                 return
             offset = topic.end
             while position < len(body):
@@ -191,7 +213,9 @@
                 topic.append(body[position : position + length])
                 position += length
             self._changed.notify_all()
-        exchange.answer_json(200, {"offset": offset, "endOffset": topic.end})
+        exchange.answer_json(
+            200, {"offset": offset, "endOffset": topic.end}, self._make_headers()
+        )
 
 
 def wait_until(condition, seconds: float = 10.0) -> bool:
--- a/citronspan_standins/store_service_test.py
+++ b/citronspan_standins/store_service_test.py
@@ -81,3 +81,18 @@
     assert answer.status == 200
     (record,) = store.client.read("keyed.t", 0, 0.0).records
     assert (record.key, record.value) == ("host-1", b"here")
+
+
+def test_offsets_do_not_go_back_after_a_restore_of_the_store(store):
+    store.put("keyed.t", "a", b"1")
+    store.save_copy()
+    store.put("keyed.t", "a", b"2")
+    before = store.client.read_newest("keyed.t")
+    store.restore_copy()
+    store.put("keyed.t", "a", b"3")
+    with pytest.raises(FeedTruncatedError):
+        store.client.read("keyed.t", before.next_offset, 0.0)
+    page = store.client.read_newest("keyed.t")
+    assert page.next_offset > before.next_offset
+    assert page.records[0].offset >= before.next_offset
+    assert store.client.read("keyed.t", page.next_offset, 0.0).records == ()
