Go on connecting directly in a fleet whose peers relay nothing

Found by reading: a host that failed to connect to three targets asked peers also where none has a relay address, as in fleets whose settings are older. Each attempt then ended not-used at once, so that dead targets were not blamed, and a target was tried again only by the probe.

Without such a peer the host goes on as before. The new test failed before (RelayError in place of ConnectionRefusedError). Besides, two names and comments say what is meant.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -99,7 +99,7 @@
             retry_window: Limit on the retries, None if entries limit them.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection ensures it.
-            holder: Name of this entry.
+            holder: Peer address of the entry that runs the broker.
             find_rate_share: Returns this broker's present share of the request rates to
                 which targets limit the fleet.
         """
--- a/citronspan/core/broker_pool.py
+++ b/citronspan/core/broker_pool.py
@@ -54,7 +54,7 @@
             now: Present time.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection keeps the floor.
-            holder: Name of the broker that no other holder of targets has.
+            holder: Peer address of the entry that runs the broker.
             find_rate_share: Returns the broker's present share of the request rates to
                 which targets limit the fleet.
             estimate_hold_seconds: Returns the mean time for which a slot is held.
@@ -164,12 +164,12 @@
     def count_free_slots(self, now: float) -> int:
         """Return the number of free slots of all targets, trials included."""
         return sum(
-            max(0, self._count_free_slots_at(usage, limit, now))
+            max(0, self._count_grantable_slots(usage, limit, now))
             for usage, limit in self._usages_with_limits
         )
 
-    def _count_free_slots_at(self, usage, limit, now):
-        """Return the free slots of a target, 0 while its rate limit allows none."""
+    def _count_grantable_slots(self, usage, limit, now):
+        """Return the free slots of a target, 0 while its rate limit lets it wait."""
         free_slots = usage.compute_free_slots(limit, now)
         if free_slots <= 0:
             return free_slots
@@ -224,7 +224,7 @@
                 continue
             if limit.trial and not _may_use_trial(request, limit):
                 continue
-            free_slots = self._count_free_slots_at(usage, limit, now)
+            free_slots = self._count_grantable_slots(usage, limit, now)
             if free_slots <= 0:
                 continue
             candidate = Candidate(
--- a/citronspan/ops/relay_connector.py
+++ b/citronspan/ops/relay_connector.py
@@ -50,6 +50,13 @@
         self._skipped_peers = RecentNames(seconds=PEER_SKIP_SECONDS)
         self.opened_count = 0
 
+    def has_peers(self) -> bool:
+        """Return whether any peer relays connections at all."""
+        return any(
+            node.entry_relay_address and node.name != self._name
+            for node in self._list_nodes()
+        )
+
     def connect(self, address: str, timeout_seconds: float) -> HTTPConnection:
         """Open a connection to a target through one of the peers.
 
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -204,6 +204,19 @@
     assert relay.server.count_tunnels() == 0
 
 
+def test_dead_targets_are_not_spared_in_a_fleet_without_relays():
+    alone = RelayConnector(
+        name="h-1",
+        region="r",
+        data_centre="d",
+        list_nodes=lambda: [make_node("h-1", "a:9"), make_node("h-2", "")],
+    )
+    paths = TargetPaths(direct=FailingConnector(), relay=alone)
+    for number in range(5):
+        with pytest.raises(ConnectionRefusedError):
+            paths.connect(f"127.0.0.1:{number}", time.monotonic() + 1.0)
+
+
 def test_host_that_reaches_targets_again_does_not_go_on_asking_peers(relay):
     reachability = TargetReachability(count_targets=lambda: 1)
     paths = TargetPaths(
--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/target_paths.py
@@ -54,11 +54,11 @@
             OSError: If the target can't be reached.
             urllib3.exceptions.HTTPError: Likewise.
         """
-        if self._relay is None or not self._reachability.is_cut_off:
+        if not self._needs_relay():
             try:
                 return self._connect_directly(address, deadline)
             except (OSError, urllib3.exceptions.HTTPError):
-                if self._relay is None or not self._reachability.is_cut_off:
+                if not self._needs_relay():
                     raise
         remaining_seconds = max(deadline - time.monotonic(), 0.001)
         return self._relay.connect(
@@ -67,9 +67,9 @@
 
     def is_usable(self, connection: HTTPConnection) -> bool:
         """Return whether an idle connection seems to lead to its target."""
-        if self._relay is None or isinstance(connection, RelayedConnection):
+        if isinstance(connection, RelayedConnection) or not self._needs_relay():
             return True
-        return not self._reachability.is_cut_off or self._reachability.has_answers
+        return self._reachability.has_answers
 
     def record_answer(self, connection: HTTPConnection) -> None:
         """Record that an answer arrived over a connection."""
@@ -90,6 +90,11 @@
             if addresses:
                 self._probe(random.choice(addresses))
 
+    def _needs_relay(self):
+        if self._relay is None or not self._reachability.is_cut_off:
+            return False
+        return self._relay.has_peers()
+
     def _probe(self, address):
         try:
             connection = self._direct.connect(address, CONNECT_TIMEOUT_SECONDS)
