Pass on a reset that is noticed while a tunnel sends to the target

For callers an answer without a length that was cut would have looked whole.

Cause: a tunnel copies each direction in a thread of its own, and the system reports a reset to one of them only. Where the sending thread got the error, the other one saw a plain end and passed that on. The reset is now noted under the lock in which it is met, and an end is passed on under the same lock.

--- a/citronspan/ops/relay_server.py
+++ b/citronspan/ops/relay_server.py
@@ -44,6 +44,8 @@
         self._target_socket = target_socket
         self._awaits_answer = False
         self._copied_at = time.monotonic()
+        self._lock = threading.Lock()
+        self._is_reset = False
 
     def run(self) -> None:
         """Copy until the peer closes or the target's bytes have ended."""
@@ -71,10 +73,21 @@
             while data := self._peer_socket.recv(COPY_BYTES):
                 self._awaits_answer = True
                 self._copied_at = time.monotonic()
-                self._target_socket.sendall(data)
+                self._send_to_target(data)
         # A peer that closes its connection cancels its request.
         _shut_down(self._target_socket, socket.SHUT_RDWR)
 
+    def _send_to_target(self, data):
+        # The system reports a reset to one of the two threads only. The other one must
+        # not take it for an end before the reset is noted.
+        with self._lock:
+            try:
+                self._target_socket.sendall(data)
+            except OSError:
+                self._is_reset = True
+                self._reset_peer()
+                raise
+
     def _copy_answers(self):
         try:
             while data := self._target_socket.recv(COPY_BYTES):
@@ -85,7 +98,9 @@
             # Ignored: the peer learns of it by the reset of its own connection.
             self._reset_peer()
             return
-        _shut_down(self._peer_socket, socket.SHUT_WR)
+        with self._lock:
+            if not self._is_reset:
+                _shut_down(self._peer_socket, socket.SHUT_WR)
 
     def _reset_peer(self):
         with contextlib.suppress(OSError):
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -123,6 +123,17 @@
             assert connection.sock.recv(1)
 
 
+def test_reset_that_is_noticed_while_sending_does_not_look_like_an_end(relay):
+    for _ in range(100):
+        connection, accepted = relay.open()
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        accepted.close()
+        with pytest.raises((ConnectionResetError, BrokenPipeError)):
+            connection.sock.send(b"x")
+            connection.sock.send(b"x")
+            assert connection.sock.recv(1)
+
+
 def test_end_of_an_answer_is_passed_on(relay):
     connection, accepted = relay.open()
     accepted.sendall(b"all")
