--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -4,7 +4,20 @@
 settings of entry and agent are derived from them.
 """
 
-from citronspan.core.settings import AgentSettings, EntrySettings, NodeIdentity, Section
+from typing import Annotated
+
+import msgspec
+
+from citronspan.core.settings import (
+    AgentSettings,
+    EntrySettings,
+    NodeIdentity,
+    Port,
+    Seconds,
+    Section,
+    Share,
+    ThreadCount,
+)
 
 STOP_MARGIN_SECONDS = 0.4
 """Time before SIGKILL at which a stopping host has ended by itself."""
@@ -18,6 +31,10 @@
 
 Targets close idle connections after 10 s."""
 
+MAXIMUM_RETRY_SLACK = 1e9
+
+RetrySlack = Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_RETRY_SLACK)]
+
 
 class ServiceRules(Section, kw_only=True):
     """Rules that hold for every service.
@@ -25,14 +42,15 @@
     Attributes:
         floor: Least share of a service's slots that stays in use, 0 to 1.
         retry_ratio: Retries allowed per request, 0 to 1.
-        retry_slack: Retries allowed in each window in addition to the ratio.
+        retry_slack: Retries allowed in each window in addition to the ratio. It may be
+            a fraction where a deployment is a scaled one.
         retry_window_seconds: Length of the window.
     """
 
-    floor: float = 0.5
-    retry_ratio: float = 0.1
-    retry_slack: int = 10
-    retry_window_seconds: float = 10.0
+    floor: Share = 0.5
+    retry_ratio: Share = 0.1
+    retry_slack: RetrySlack = 10
+    retry_window_seconds: Seconds = 10.0
 
 
 class HostSettings(Section, kw_only=True):
@@ -64,17 +82,28 @@
     readiness_address: str
     directory_address: str
     api_address: str
-    peer_ports: tuple[int, int]
+    peer_ports: tuple[Port, Port]
     store_address: str
     seed_api_addresses: tuple[str, ...] = ()
     region_by_data_centre: dict[str, str] = {}
-    keep_seconds: float = 5.0
-    stop_seconds: float = 6.0
+    keep_seconds: Seconds = 5.0
+    stop_seconds: Seconds = 6.0
     service_rules: ServiceRules = ServiceRules()
-    worker_threads: int = 64
-    metrics_port: int = 9464
+    worker_threads: ThreadCount = 64
+    metrics_port: Port = 9464
     log_level: str = "INFO"
 
+    def __post_init__(self):
+        """Check what concerns several values.
+
+        Raises:
+            ValueError: If the peer ports leave no room for entry and agent.
+        """
+        if self.peer_ports[1] <= self.peer_ports[0]:
+            raise ValueError(
+                f"Expected two or more ports in `peerPorts`, got {self.peer_ports}"
+            )
+
     @property
     def entry_peer_address(self) -> str:
         """Peer address at which the entry receives messages."""
--- /dev/null
+++ b/citronspan/core/host_settings_test.py
@@ -0,0 +1,131 @@
+"""Tests the settings that the deploy template gives for drawn deployments."""
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from citronspan.core import result_codes
+from citronspan.core.errors import CitronspanError
+from citronspan.core.host_settings import HostSettings
+from citronspan.core.settings import decode_settings
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.template"
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
+
+DEPLOYMENT = {
+    "nodeName": "edge-a-1",
+    "region": "r",
+    "dataCentre": "a",
+    "ip": "10.0.0.1",
+    "bind": {
+        "front": "10.0.0.1:80",
+        "readiness": "10.0.0.1:81",
+        "directory": "10.0.0.1:82",
+        "controlPlane": "10.0.0.1:83",
+    },
+    "internalPorts": [7540, 7555],
+    "seeds": [],
+    "regionByDataCentre": {"a": "r"},
+    "provider": {"address": "10.9.0.1:8541"},
+    "bounds": {
+        "ttl_max_s": 5,
+        "stopSeconds": 10,
+        "floor": 0.7,
+        "retryRatio": 0.2,
+        "retrySlack": 430,
+        "retryWindowSeconds": 10,
+    },
+}
+
+
+def fill_template(deployment: dict) -> bytes:
+    """Fill the template's placeholders, as the platform does at each start."""
+
+    def find_value(match):
+        value = deployment
+        for key in match[1].split("."):
+            value = value.get(key) if isinstance(value, dict) else None
+        if match[2]:
+            return msgspec.json.encode(value).decode()
+        return "" if value is None else str(value)
+
+    return PLACEHOLDER.sub(find_value, TEMPLATE.read_text()).encode()
+
+
+def decode_deployment(**bounds) -> HostSettings:
+    deployment = {**DEPLOYMENT, "bounds": {**DEPLOYMENT["bounds"], **bounds}}
+    return decode_settings(fill_template(deployment), HostSettings, path="settings")
+
+
+def any_number(low, high):
+    return st.one_of(
+        st.integers(min_value=int(low), max_value=int(high)),
+        st.floats(min_value=low, max_value=high, allow_nan=False),
+    )
+
+
+@given(
+    bounds=st.fixed_dictionaries(
+        {},
+        optional={
+            "ttl_max_s": st.none() | any_number(0, 1e6),
+            "stopSeconds": st.none() | any_number(0, 1e6),
+            "floor": st.none() | any_number(0, 1),
+            "retryRatio": st.none() | any_number(0, 1),
+            "retrySlack": st.none() | any_number(0, 1e8),
+            "retryWindowSeconds": st.none() | any_number(0, 1e6),
+        },
+    )
+)
+def test_whole_fractional_or_missing_bound_keeps_a_host_from_starting(bounds):
+    settings = decode_deployment(**bounds)
+    rules = settings.service_rules
+    read = {
+        "ttl_max_s": settings.keep_seconds,
+        "stopSeconds": settings.stop_seconds,
+        "floor": rules.floor,
+        "retryRatio": rules.retry_ratio,
+        "retrySlack": rules.retry_slack,
+        "retryWindowSeconds": rules.retry_window_seconds,
+    }
+    given_bounds = {key: value for key, value in bounds.items() if value is not None}
+    assert {key: read[key] for key in given_bounds} == given_bounds
+
+
+@pytest.mark.parametrize(
+    ("bounds", "key", "value"),
+    [
+        ({"retrySlack": -1}, "$.serviceRules.retrySlack", "-1"),
+        ({"retrySlack": 1e300}, "$.serviceRules.retrySlack", "1e+300"),
+        ({"floor": 1.5}, "$.serviceRules.floor", "1.5"),
+        ({"floor": True}, "$.serviceRules.floor", "True"),
+        ({"ttl_max_s": -0.1}, "$.keepSeconds", "-0.1"),
+        ({"stopSeconds": 1e12}, "$.stopSeconds", "1000000000000.0"),
+        ({"stopSeconds": "soon"}, "$.stopSeconds", "'soon'"),
+    ],
+)
+def test_refused_value_is_not_named(bounds, key, value):
+    with pytest.raises(CitronspanError) as caught:
+        decode_deployment(**bounds)
+    assert caught.value.code is result_codes.SETTINGS_INVALID
+    assert f"at `{key}`" in caught.value.detail
+    assert f"the value is {value}" in caught.value.detail
+    assert "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize("ports", [[7540, 7540], [7555, 7540], [0, 5], [1, 70000], [1]])
+def test_ports_without_room_for_entry_and_agent_are_taken(ports):
+    deployment = {**DEPLOYMENT, "internalPorts": ports}
+    with pytest.raises(CitronspanError, match="peerPorts"):
+        decode_settings(fill_template(deployment), HostSettings, path="settings")
+
+
+@pytest.mark.parametrize("key", ["provider", "nodeName", "internalPorts"])
+def test_missing_value_without_a_default_starts_a_host(key):
+    deployment = {name: value for name, value in DEPLOYMENT.items() if name != key}
+    with pytest.raises(CitronspanError) as caught:
+        decode_settings(fill_template(deployment), HostSettings, path="settings")
+    assert caught.value.code.number in {1002, 1003}
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -6,13 +6,25 @@
 
 import enum
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.core.resources import parse_address
-from citronspan.utils.validation import describe_error
+from citronspan.utils.validation import describe_error, describe_value_error
+
+MAXIMUM_SECONDS = 1e7
+"""Longest time in settings; the runtime's waits fail beyond some hundred days."""
+
+MAXIMUM_THREADS = 4096
+
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_SECONDS)]
+ThreadCount = Annotated[int, msgspec.Meta(ge=1, le=MAXIMUM_THREADS)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
 class Section(
@@ -45,10 +57,10 @@
             hosts. Without a secret, the check detects damage but no forgery.
     """
 
-    name: str
-    region: str
-    data_centre: str
-    fleet: str = "citronspan"
+    name: Name
+    region: Name
+    data_centre: Name
+    fleet: Name = "citronspan"
     secret: str = ""
 
 
@@ -65,7 +77,7 @@
 
     exporter: Exporter = Exporter.NONE
     file_descriptor: int = 2
-    sampled_share: float = 1.0
+    sampled_share: Share = 1.0
 
 
 class EntrySettings(Section, kw_only=True):
@@ -98,11 +110,11 @@
     metrics_address: str
     readiness_address: str = ""
     relay_address: str = ""
-    worker_threads: int = 64
-    drain_seconds: float = 600.0
-    leave_seconds: float = 5.0
-    reuse_seconds: float = 0.0
-    broker_wait_seconds: float = 0.05
+    worker_threads: ThreadCount = 64
+    drain_seconds: Seconds = 600.0
+    leave_seconds: Seconds = 5.0
+    reuse_seconds: Seconds = 0.0
+    broker_wait_seconds: Seconds = 0.05
     tracing: Tracing = Tracing()
     log_level: str = "INFO"
 
@@ -141,8 +153,8 @@
     directory_address: str = ""
     host_list_url: str = ""
     seeds: tuple[str, ...] = ()
-    keep_seconds: float = 5.0
-    snapshot_seconds: float = 21600.0
+    keep_seconds: Seconds = 5.0
+    snapshot_seconds: Seconds = 21600.0
     log_level: str = "INFO"
 
 
@@ -205,9 +217,19 @@
     return decode_settings(data, settings_type, path=path)
 
 
+def _drop_nulls(value):
+    """Return decoded JSON without the keys whose value is null."""
+    if not isinstance(value, dict):
+        return value
+    return {key: _drop_nulls(item) for key, item in value.items() if item is not None}
+
+
 def decode_settings(data: bytes, settings_type: type, *, path: str) -> ProcessSettings:
     """Decode and validate settings from bytes.
 
+    A key with the value null counts as missing: a template gives null for a value that
+    a deployment does not have.
+
     Args:
         data: The encoded JSON.
         settings_type: ``EntrySettings`` or ``AgentSettings``.
@@ -220,9 +242,14 @@
         CitronspanError: With code 1002 or 1003.
     """
     try:
-        settings = msgspec.json.decode(data, type=settings_type)
+        content = _drop_nulls(msgspec.json.decode(data))
     except msgspec.MsgspecError as error:
         raise _make_invalid_error(f"{path}: {describe_error(error)}") from error
+    try:
+        settings = msgspec.convert(content, type=settings_type)
+    except msgspec.ValidationError as error:
+        description = describe_value_error(error, content)
+        raise _make_invalid_error(f"{path}: {description}") from error
     _check_addresses(settings, path)
     _check_log_level(settings.log_level, path)
     return settings
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import math
 
 import msgspec
 
@@ -178,7 +179,7 @@
         floor=rules.floor,
         detection=Detection.FAILURE_EPISODES,
         retry_ratio=rules.retry_ratio,
-        retry_slack=rules.retry_slack,
+        retry_slack=math.floor(rules.retry_slack),
         retry_window_seconds=rules.retry_window_seconds,
     )
 
--- a/citronspan/utils/validation.py
+++ b/citronspan/utils/validation.py
@@ -1,7 +1,13 @@
 """Descriptions of validation errors that always contain the path of the field."""
 
+import re
+
 import msgspec
 
+_PATH_PATTERN = re.compile(r"at `\$([^`]*)`")
+_PATH_PART_PATTERN = re.compile(r"\.([^.\[]+)|\[(\d+)\]")
+_SHOWN_VALUE_CHARACTERS = 80
+
 
 def describe_error(error: msgspec.MsgspecError, *, root: str = "$") -> str:
     """Describe a msgspec error with the path of the invalid field.
@@ -18,3 +24,26 @@
     if "`$" in text:
         return text.replace("`$", f"`{root}")
     return f"{text} - at `{root}`"
+
+
+def describe_value_error(error: msgspec.ValidationError, content: object) -> str:
+    """Describe a msgspec error with the path and the value of the invalid field.
+
+    Args:
+        error: The validation error.
+        content: The value that was validated, as decoded without a type.
+    """
+    text = describe_error(error)
+    path = _PATH_PATTERN.search(text)
+    if path is None:
+        return text
+    value = content
+    for key, index in _PATH_PART_PATTERN.findall(path[1]):
+        try:
+            value = value[key] if key else value[int(index)]
+        except (KeyError, IndexError, TypeError):
+            # Ignored: the path names a type, such as a key of a map, and no value.
+            return text
+    if isinstance(value, dict | list):
+        return text
+    return f"{text}, the value is {repr(value)[:_SHOWN_VALUE_CHARACTERS]}"
