Start threads with the work, and refuse at once what an entry has no room for

At 293 hosts the large site gave "this machine has no room for more threads": each host started 127 threads, 95 of them workers of its five servers, 64 for callers alone, whatever it had to do, and five that only wait for connections that a full queue turns away. By Little's law a host of that site carries under four requests at a time.

The server's own pool starts all of its threads at once. Now a thread starts when a connection has work and every other thread is busy, and ends after 5 s without work.

The maximum stays 64 requests an entry. Beyond it requests waited unread behind the others, and callers leave an entry that has not read them after a second. They are now refused at once by threads kept for it: 3014 entry-full, not run, with Retry-After; so are those with a body. Weighed: a lower fixed number of threads, which only moves the bound; an executor of the standard library, which never ends a thread.

--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -180,6 +180,13 @@
     _NOT,
     "The entry has not received a configuration yet.",
 )
+ENTRY_FULL = _define(
+    3014,
+    "entry-full",
+    503,
+    _NOT,
+    "The entry runs as many requests as it may; another entry may have room.",
+)
 LINK_BUDGET_SPENT = _define(
     3060,
     "link-budget-spent",
--- a/citronspan/ops/conftest.py
+++ b/citronspan/ops/conftest.py
@@ -321,9 +321,10 @@
 
 @dataclass(kw_only=True)
 class RunningEntry:
-    """Holds a running entry and its targets."""
+    """Holds a running entry, its targets and the link that stands for its agent."""
 
     settings: EntrySettings
+    agent: PeerLink
     targets: ScriptedTargets
     entry: Entry
     numbers: itertools.count = field(default_factory=itertools.count)
@@ -389,8 +390,9 @@
     agent.send(settings.peer_address, push)
 
 
-@pytest.fixture(scope="module")
-def running():
+@contextlib.contextmanager
+def run_entry(**settings_changes):
+    """Run an entry of its own in a thread, with an agent and targets of the test."""
     callers, peer, agent_peer, metrics = find_free_addresses(4)
     settings = EntrySettings(
         place=NodeIdentity(name="host-1", region="r", data_centre="r-1"),
@@ -398,17 +400,17 @@
         peer_address=peer,
         agent_peer_address=agent_peer,
         metrics_address=metrics,
-        worker_threads=32,
         leave_seconds=0.0,
         drain_seconds=2.0,
         log_level="ERROR",
+        **settings_changes,
     )
     targets = ScriptedTargets()
     agent = PeerLink(fleet="citronspan", address=agent_peer, incarnation=1)
     entry = Entry(settings=settings)
     thread = threading.Thread(target=entry.run)
     thread.start()
-    running = RunningEntry(settings=settings, targets=targets, entry=entry)
+    running = RunningEntry(settings=settings, agent=agent, targets=targets, entry=entry)
     running.targets.set_scripts("/read/first", TargetScript(parts=(EMPTY_ANSWER,)))
     deadline = time.monotonic() + TEST_TIMEOUT_SECONDS
     while running.request("GET", "/read/first").status != 200:
@@ -424,4 +426,10 @@
         targets.close()
 
 
+@pytest.fixture(scope="module")
+def running():
+    with run_entry(worker_threads=32) as running:
+        yield running
+
+
 EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -42,6 +42,8 @@
 DRAIN_POLL_SECONDS = 0.05
 KEY_REPORT_TIMEOUT_SECONDS = 1.0
 INCARNATION_RANDOM_BITS = 8
+REFUSAL_THREADS = 8
+"""Threads above the maximum of concurrent requests, which refuse further ones."""
 
 _logger = logbook.Logger("entry")
 
@@ -137,7 +139,7 @@
         self._server = make_server(
             settings.callers_address,
             self._make_handler(),
-            threads=settings.worker_threads,
+            threads=settings.worker_threads + REFUSAL_THREADS,
         )
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.health_gossip.describe)
@@ -203,6 +205,7 @@
             mint_prefix=lambda: self.keys.mint_prefix(self.view.nodes),
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
+            maximum_requests=self.settings.worker_threads,
         )
 
     def _make_relay_server(self):
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of an entry; the number of label values does not grow with the targets."""
 
+import threading
 import time
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -26,11 +27,14 @@
 
     def __init__(self):
         self.registry = CollectorRegistry()
+        self._lock = threading.Lock()
+        self._in_flight_count = 0
         self._in_flight = Gauge(
             "citronspan_requests_in_flight",
             "Requests being carried.",
             registry=self.registry,
         )
+        self._in_flight.set_function(self.read_in_flight)
         self._answers = Counter(
             "citronspan_answers",
             "Answers passed on from targets.",
@@ -114,13 +118,16 @@
             )
             gauge.set_function(read)
 
-    def begin_request(self) -> None:
-        """Increment the number of requests in flight."""
-        self._in_flight.inc()
+    def begin_request(self) -> int:
+        """Increment the number of requests in flight, and return it."""
+        with self._lock:
+            self._in_flight_count += 1
+            return self._in_flight_count
 
     def end_request(self) -> None:
         """Decrement the number of requests in flight."""
-        self._in_flight.dec()
+        with self._lock:
+            self._in_flight_count -= 1
 
     def observe_answer(self, spec: RouteSpec, status: int, received_at: float) -> None:
         """Count an answer that was passed on whole or in part.
@@ -148,4 +155,4 @@
 
     def read_in_flight(self) -> int:
         """Return the number of requests in flight."""
-        return int(self._in_flight.collect()[0].samples[0].value)
+        return self._in_flight_count
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -12,10 +12,12 @@
 from citronspan.ops.caller_connection import CallerConnection
 from citronspan.ops.caller_stream import CallerStream
 from citronspan.ops.request_head import CheckedRequest
+from citronspan.ops.worker_pool import WorkerPool
 from citronspan.utils.addresses import split_address
 
 MAXIMUM_HEADER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
+MINIMUM_THREADS = 1
 METRICS_THREADS = 1
 MAXIMUM_KEEP_ALIVE_CONNECTIONS = 512
 
@@ -40,6 +42,12 @@
             return
         super().process_conn(conn)
 
+    def _serve_unservicable(self):
+        """Return at once: the queue of connections has no limit, so none is left over.
+
+        The base class keeps a thread for such connections.
+        """
+
     def stop_accepting(self) -> None:
         """Accept no further connection or request; requests in progress continue.
 
@@ -72,7 +80,7 @@
     Args:
         address: ``IP:PORT``.
         app: The WSGI application.
-        threads: Maximum number of concurrent requests.
+        threads: Maximum number of threads, each of which serves one request.
         idle_seconds: Maximum time to wait for the next bytes of a request.
 
     Returns:
@@ -84,11 +92,10 @@
     server = CallerServer(
         split_address(address),
         app,
-        numthreads=threads,
-        max=threads,
         timeout=idle_seconds,
         request_queue_size=LISTEN_BACKLOG,
     )
+    server.requests = WorkerPool(server, minimum=MINIMUM_THREADS, maximum=threads)
     server.gateway = ConnectionGateway
     server.ConnectionClass = CallerStream
     server.ConnectionClass.RequestHandlerClass = CheckedRequest
--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/http_server_test.py
@@ -1,11 +1,13 @@
-"""Tests that a stopping server accepts no request and completes those in progress."""
+"""Tests the threads of a server, and that it stops without cutting off a request."""
 
 import http.client
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from citronspan.ops import worker_pool
 from citronspan.ops.conftest import find_free_addresses
 from citronspan.ops.http_server import make_server
 
@@ -57,3 +59,33 @@
     with pytest.raises(OSError):
         connect(server).request("GET", "/")
     assert busy_connection.getresponse().read() == b"done"
+
+
+def request_slow(server):
+    connection = connect(server)
+    connection.request("GET", "/slow")
+    body = connection.getresponse().read()
+    connection.close()
+    return body
+
+
+def wait_for_threads(server, count):
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while server.requests.count_threads() != count:
+        assert time.monotonic() < deadline, server.requests.count_threads()
+        time.sleep(0.01)
+
+
+def test_idle_server_holds_as_many_threads_as_a_busy_one(server, monkeypatch):
+    monkeypatch.setattr(worker_pool, "IDLE_SECONDS", 0.2)
+    wait_for_threads(server, 1)
+    for _ in range(2):
+        started_at = time.monotonic()
+        with ThreadPoolExecutor(max_workers=8) as callers:
+            answers = callers.map(request_slow, [server] * 8)
+            wait_for_threads(server, 4)
+            assert list(answers) == [b"done"] * 8
+        # Eight requests of 0.6 s on four threads take two rounds.
+        assert time.monotonic() - started_at < 1.7
+        wait_for_threads(server, 1)
+    assert len(server.stats["Worker Threads"]) == 1
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -60,6 +60,9 @@
 CONFIGURATION_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` while an entry starts; it mostly has a configuration by then."""
 
+FULL_RETRY_AFTER_SECONDS = 0.3
+"""``Retry-After`` of a full entry; callers mostly come back at another one."""
+
 NEW_KEY_CODES = frozenset(
     {
         result_codes.KEY_CLOSED,
@@ -88,9 +91,11 @@
         mint_prefix: Callable[[], str],
         dialect: Dialect,
         reuse_seconds: float,
+        maximum_requests: int,
     ):
         self._dialect = dialect
         self._name = name
+        self._maximum_requests = maximum_requests
         self._find_configuration = find_configuration
         self._count_entries = count_entries
         self._keys = keys
@@ -115,9 +120,10 @@
         connection = environ["citronspan.connection"]
         if self._is_stopping():
             connection.close_after_answer()
-        self._metrics.begin_request()
+        in_flight = self._metrics.begin_request()
         body: Iterable[bytes] = []
         try:
+            self._check_room(in_flight)
             body = self._handle(environ, start_response, received_at)
         except Refusal as refusal:
             body = self._refuse(start_response, environ, refusal, received_at)
@@ -129,6 +135,14 @@
                 self._metrics.end_request()
         return body
 
+    def _check_room(self, in_flight):
+        if in_flight > self._maximum_requests:
+            raise Refusal(
+                code=result_codes.ENTRY_FULL,
+                detail=f"{self._maximum_requests} requests",
+                retry_after_seconds=FULL_RETRY_AFTER_SECONDS,
+            )
+
     def _handle(self, environ, start_response, received_at):
         request = read_caller_request(environ, self._dialect)
         with start_span(self._tracer, "entry", request.trace_headers) as span:
