Connect an entry in advance to brokers only

Every entry opened a connection to each other entry of its view: 85,000 in a fleet of 293 hosts, each with a socket, a dialler and buffers at both ends.

An entry asks brokers for slots, and only their connections are worth having before the first request. Others are made when a message is to be sent. A new broker is connected as soon as the view or the services name it; until then a first request waits for one more round trip, since a message to a peer that is being dialled is kept.

--- a/citronspan/core/broker_set.py
+++ b/citronspan/core/broker_set.py
@@ -86,6 +86,11 @@
             for decision in broker.drain_decisions()
         ]
 
+    def list_broker_addresses(self) -> frozenset[str]:
+        """Return the peer addresses of the entries that are a shard's broker."""
+        addresses = {self.table.find_address(key) for key in self._shard_by_key}
+        return frozenset(addresses - {""})
+
     def list_health(self) -> list[tuple[ShardKey, Health]]:
         """Return the key and detection of each shard that was not handed over."""
         return [
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -272,19 +272,23 @@
         has_leaving_changed = view.leaving_targets != self.view.leaving_targets
         self.view = view
         self.slots.set_nodes(view.nodes)
-        for node in view.nodes:
-            # Connect in advance, so that the first request need not wait for it.
-            if node.entry_peer_address != self.link.address:
-                self.link.connect(node.entry_peer_address)
+        self._connect_to_brokers()
         if has_leaving_changed:
             self._update_services()
 
+    def _connect_to_brokers(self):
+        """Connect in advance, so that the first request need not wait for it."""
+        for address in self.slots.list_broker_addresses():
+            if address != self.link.address:
+                self.link.connect(address)
+
     def _update_services(self):
         self.slots.set_services(
             self.configuration.get_service_specs(),
             self.configuration.targets_by_service,
             frozenset(self.view.leaving_targets),
         )
+        self._connect_to_brokers()
 
     def _tick_forever(self):
         while True:
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -288,6 +288,11 @@
         with self._lock:
             return bool(self.brokers.table.list_nodes())
 
+    def list_broker_addresses(self) -> frozenset[str]:
+        """Return the peer addresses of the brokers of all shards, in all regions."""
+        with self._lock:
+            return self.brokers.list_broker_addresses()
+
     def list_target_addresses(self) -> list[str]:
         """Return the addresses of the targets of all services."""
         return [target.address for _, target in list(self._target_by_name.values())]
