Finish an answer before the close, and see a caller leave, with requests behind it

Some callers send further requests before the first one is answered. Two faults showed by tests of raw connections:

- A connection that closes behind an answer (a refusal, "Connection: close", a stop) was reset if further requests lay unread in its socket, since a close with unread bytes resets.
The reset can reach the caller before the answer.
Only the unread rest of a body was waited for.
Now any unread bytes are read off for up to a second, until the caller closes.
Idle connections, on which no answer is on its way, are closed at once as before.
- A caller that left was not noticed while its further requests lay in the socket, as the check looked at the next byte only.
The target worked on until the attempt's time was over (2.5 s in the test, 0.5 s allowed).
The end of the stream is now asked of the socket itself.

What held already: order of the answers, one run each, a body that looks like a request, other connections beside a slow first request, no run of what stands behind a refusal, a close or a stop. Running requests side by side was not tried: the answers have to be in order, so a gain is bounded by the slowest, and each would need a second thread.

--- a/citronspan/ops/caller_connection.py
+++ b/citronspan/ops/caller_connection.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 
-from citronspan.ops.caller_stream import is_readable
+from citronspan.ops.caller_stream import is_ended
 
 # A linger time of zero makes close() send a reset, which a caller cannot mistake for
 # the orderly end of an answer.
@@ -46,9 +46,7 @@
     def is_disconnected(self) -> bool:
         """Return whether the caller has closed the connection."""
         try:
-            if not is_readable(self.socket):
-                return False
-            return not self.socket.recv(1, socket.MSG_PEEK)
+            return is_ended(self.socket)
         except (OSError, ValueError):
             # Ignored: an error on the socket means that the caller has disconnected.
             return True
--- a/citronspan/ops/caller_stream.py
+++ b/citronspan/ops/caller_stream.py
@@ -31,6 +31,25 @@
     return bool(poll.poll(0))
 
 
+def is_ended(sock: socket.socket) -> bool:
+    """Return whether the peer has ended or reset the connection, without waiting.
+
+    The end is seen also behind data that was not read, such as further requests that a
+    caller sent before it left.
+
+    Raises:
+        OSError: If the connection was reset.
+    """
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLRDHUP)
+    events = dict(poll.poll(0)).get(sock.fileno(), 0)
+    if not events:
+        return False
+    if events & ~select.POLLIN:
+        return True
+    return not sock.recv(1, socket.MSG_PEEK)
+
+
 class StreamLimits:
     """Holds the time limits of one connection and how it is closed.
 
@@ -136,10 +155,24 @@
 
     def close(self):
         """Close the socket, after reading what the caller is still sending."""
-        if self.has_unread_data and not self.limits.is_aborted:
+        if not self.limits.is_aborted and self._has_unread_bytes():
             self._linger()
         super().close()
 
+    def close_at_once(self):
+        """Close the socket of a connection on which no answer is on its way."""
+        super().close()
+
+    def _has_unread_bytes(self):
+        """Return whether a close would reset the connection."""
+        if self.has_unread_data:
+            return True
+        try:
+            return is_readable(self.socket) and not is_ended(self.socket)
+        except (OSError, ValueError):
+            # Ignored: the connection was reset or closed.
+            return False
+
     def _make_file(self, sock, mode, size):
         # The server's own file objects are implemented in Python and process some data
         # byte by byte.
--- a/citronspan/ops/conftest.py
+++ b/citronspan/ops/conftest.py
@@ -85,12 +85,14 @@
     Attributes:
         received: Requests that the targets received.
         endless_bytes: Bytes sent so far as endless parts.
+        ended_holds: Paths of the requests whose held connection the entry closed.
         address_by_name: Address of each target.
     """
 
     def __init__(self):
         self.received: list[ReceivedRequest] = []
         self.endless_bytes = 0
+        self.ended_holds: list[str] = []
         self._scripts_by_path: dict[str, list[TargetScript]] = {}
         self._run_count_by_path: dict[str, int] = {}
         self._lock = threading.Lock()
@@ -175,6 +177,7 @@
             self.endless_bytes += len(script.endless_part)
         if script.end == "hold":
             connection.recv(1)
+            self.ended_holds.append(plain_path)
         if script.end == "reset":
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         return script.end == "keep"
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -63,7 +63,7 @@
         for descriptor, conn in list(selector.connections):
             selector.unregister(descriptor)
             if conn is not self:
-                conn.close()
+                conn.close_at_once()
 
     def stop(self) -> None:
         """Stop once all requests have ended or the shutdown timeout has passed."""
