Count the time that an update was held up as part of its age

A copy of a feed counted as 0.1 s old when an update reached it, however long the update had been on its way: in a buffer, in the network, or at a process that was paused. The startup gate serves a copy that is younger than 3 s, and a host that takes its copy for fresh does not read the store.

Cause: the transit time was a constant, since clocks of hosts are not in step. Now an update states the sender's own steady time and the number of its clock, and the receiver adds what the difference exceeds the least one of that sender by. Two more ways to the same fault: a read of the store during which the process was paused, and the steady clock, which stands still while a machine is suspended.

Ruled out: time of day (it jumps on some machines), a question for each update (twice the messages).

--- a/citronspan/core/feed_messages.py
+++ b/citronspan/core/feed_messages.py
@@ -32,12 +32,17 @@
         batches: Batches of any feeds.
         wants_answer: Whether the receiver should send the batches that the sender
             lacks.
+        clock: Number of the sender's clock, drawn at its start; 0 if it states no
+            time, as earlier versions do.
+        sent_at: Time of that clock, in seconds, at which the message was sent.
     """
 
     offsets: FeedOffsets
     age_seconds: float
     batches: tuple[FeedBatch, ...] = ()
     wants_answer: bool = False
+    clock: int = 0
+    sent_at: float = 0.0
 
 
 class FeedPull(Message, kw_only=True):
--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -30,6 +30,8 @@
 )
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo
+from citronspan.core.transit_times import SendTime, TransitTimes
+from citronspan.utils.clocks import read_elapsed_seconds
 
 TREE_ROOTS_PER_REGION = 2
 """Number of tree roots of a region.
@@ -56,11 +58,7 @@
 MINIMUM_FRESHNESS_GAIN_SECONDS = 0.3
 """An update that is fresher by more than this is sent on even without records."""
 
-ASSUMED_TRANSIT_SECONDS = 0.1
-"""Assumed transit time of a message.
-
-Without it the age of the information would be underestimated at each hop.
-"""
+CLOCK_NUMBER_BITS = 53
 
 COMPARE_INTERVAL_SECONDS = 1.0
 PULL_INTERVAL_SECONDS = 0.3
@@ -77,6 +75,8 @@
         self._own = own
         self._random = random.Random(seed)
         self._neighbours = SpreadNeighbours(own=own)
+        self._clock = random.SystemRandom().getrandbits(CLOCK_NUMBER_BITS)
+        self._transit_times = TransitTimes()
         self._root_addresses: tuple[str, ...] = ()
         self._feed_by_name = {name: Feed(name=name) for name in FEEDS}
         self._merger = FeedMerger()
@@ -125,7 +125,7 @@
 
         Infinite if it never was.
         """
-        return time.monotonic() - self._fresh_at
+        return read_elapsed_seconds() - self._fresh_at
 
     @property
     def invalid_resources(self) -> int:
@@ -152,18 +152,22 @@
         """Set the nodes that are live now."""
         if not self._neighbours.set_nodes(nodes):
             return
+        self._transit_times.retain(node.agent_peer_address for node in nodes)
         self._root_addresses = tuple(
             node.agent_peer_address
             for node in rank_region_nodes(self._own, nodes)[:TREE_ROOTS_PER_REGION]
             if node.name != self._own.name
         )
 
-    def apply_store_batch(self, batch: FeedBatch) -> SpreadResult:
+    def apply_store_batch(
+        self, batch: FeedBatch, age_seconds: float = 0.0
+    ) -> SpreadResult:
         """Apply a batch that this node has read from the store.
 
         Args:
             batch: Everything up to the end of the feed at the time of the read; empty
                 if there was nothing new.
+            age_seconds: Time since the store answered.
 
         Returns:
             Messages to send, and the new state if it changed.
@@ -174,20 +178,26 @@
         if changed:
             self._append_recent(batch)
         if feed.next_offset >= batch.next_offset:
-            self._read_at_by_feed[batch.feed] = time.monotonic()
+            self._read_at_by_feed[batch.feed] = read_elapsed_seconds() - age_seconds
             read_at = min(self._read_at_by_feed.values())
             self._fresh_at = max(self._fresh_at, read_at)
         if not changed and not self._has_freshness_gain():
             return SpreadResult()
         return self._spread((batch,) if changed else (), sender="")
 
-    def apply_redecoded_batch(self, batch: FeedBatch) -> SpreadResult:
+    def apply_redecoded_batch(
+        self, batch: FeedBatch, age_seconds: float = 0.0
+    ) -> SpreadResult:
         """Apply a whole batch that was read again since its decoding has changed.
 
+        Args:
+            batch: The newest record of each key.
+            age_seconds: Time since the store answered.
+
         Returns:
             Messages to send, and the new state if it changed.
         """
-        result = self.apply_store_batch(batch)
+        result = self.apply_store_batch(batch, age_seconds)
         if not self._feed_by_name[batch.feed].replace_data(batch):
             return result
         # Peers decode by rules of their own, so they are not told.
@@ -229,6 +239,9 @@
 
     def _handle_update(self, update, sender):
         offsets = update.offsets
+        transit_seconds = self._transit_times.estimate_seconds(
+            sender, _read_send_time(update), read_elapsed_seconds()
+        )
         self._offset_by_address[sender] = offsets.configuration + offsets.targets
         new_batches = tuple(
             batch
@@ -238,7 +251,7 @@
         for batch in new_batches:
             self._append_recent(batch)
         if self._has_reached(offsets):
-            fresh_at = time.monotonic() - update.age_seconds - ASSUMED_TRANSIT_SECONDS
+            fresh_at = read_elapsed_seconds() - update.age_seconds - transit_seconds
             self._fresh_at = max(self._fresh_at, fresh_at)
         result = SpreadResult()
         if new_batches or self._has_freshness_gain():
@@ -310,6 +323,8 @@
             age_seconds=self.age_seconds,
             batches=tuple(batches),
             wants_answer=wants_answer,
+            clock=self._clock,
+            sent_at=read_elapsed_seconds(),
         )
 
     def _rebuild_state(self):
@@ -364,3 +379,10 @@
             return []
         self._last_pulled_at = now
         return [Outgoing(to=to, message=FeedPull(offsets=self.offsets))]
+
+
+def _read_send_time(update: FeedUpdate) -> SendTime | None:
+    """Return the time at which an update was sent, None if it states none."""
+    if not update.clock:
+        return None
+    return SendTime(clock=update.clock, seconds=update.sent_at)
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -26,6 +26,7 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.ops.active_config import ActiveConfig
 from citronspan.ops.config_source import LogReadStatus
+from citronspan.utils.clocks import read_elapsed_seconds
 from citronspan.utils.logs import write_event
 
 READ_WAIT_SECONDS = 0.8
@@ -166,17 +167,26 @@
         is_reload = feed == CONFIGURATION_FEED and self._reload_requested.is_set()
         if is_reload:
             self._reload_requested.clear()
+        wait_seconds = self._get_wait_seconds()
+        started_at = read_elapsed_seconds()
         try:
-            batch = self._store.read_newest(feed) if is_reload else self._fetch(feed)
+            batch = (
+                self._store.read_newest(feed)
+                if is_reload
+                else self._fetch(feed, wait_seconds)
+            )
         except StoreUnavailableError as error:
             if is_reload:
                 self._reload_requested.set()
             self._record_unavailable(feed, error)
             return False
+        # A read that took longer was held up, and the store answered before that.
+        held_up_seconds = read_elapsed_seconds() - started_at - wait_seconds
+        age_seconds = max(0.0, held_up_seconds)
         apply = self._spread.apply_store_batch
         if is_reload:
             apply = self._spread.apply_redecoded_batch
-        self._apply_batch(feed, batch, apply)
+        self._apply_batch(feed, batch, lambda batch: apply(batch, age_seconds))
         return True
 
     def request_reload(self) -> None:
@@ -251,12 +261,12 @@
             return False
         return self._reload_requested.is_set() or self._spread.is_due_to_read()
 
-    def _fetch(self, feed) -> FeedBatch:
+    def _fetch(self, feed, wait_seconds) -> FeedBatch:
         from_offset = self._spread.offsets.get_offset(feed)
         if from_offset == 0:
             return self._store.read_newest(feed)
         try:
-            return self._store.read(feed, from_offset, self._get_wait_seconds())
+            return self._store.read(feed, from_offset, wait_seconds)
         except FeedTruncatedError:
             # Ignored: the newest record of each key is read instead; nothing is lost.
             return self._store.read_newest(feed)
--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/feed_source_test.py
@@ -17,6 +17,7 @@
     FeedSource,
     StoreUnavailableError,
 )
+from citronspan.utils import clocks
 
 OWN = NodeInfo(
     name="host-1",
@@ -38,8 +39,10 @@
     def __init__(self, *, answered_feeds):
         self.answered_feeds = answered_feeds
         self.data = b"[]"
+        self.hold_up = lambda: None
 
     def read_newest(self, feed):
+        self.hold_up()
         if feed not in self.answered_feeds:
             raise StoreUnavailableError("status 503")
         record = FeedRecord(offset=0, key="k", data=self.data)
@@ -105,3 +108,25 @@
         store.answered_feeds = set(FEEDS)
         source.read_feed(CONFIGURATION_FEED)
     assert source.active_config.state.resource_by_key
+
+
+def test_answer_of_the_store_is_fresh_after_a_pause_of_the_process():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        store = PartialStore(answered_feeds=set(FEEDS))
+        pauses = [5.0]
+        store.hold_up = lambda: clock.tick(pauses.pop() if pauses else 0.0)
+        source = make_source(store=store)
+        assert source.age_seconds > 4.0
+        source.check_startup_gate((OWN,))
+        assert not source.active_config.ready
+
+
+def test_copy_stays_fresh_while_its_machine_is_suspended(monkeypatch):
+    with freezegun.freeze_time("2026-01-01"):
+        source = make_source(store=PartialStore(answered_feeds=set(FEEDS)))
+        assert source.age_seconds < 0.1
+        suspended_seconds = clocks.read_suspended_seconds() + 7.0
+        monkeypatch.setattr(clocks, "read_suspended_seconds", lambda: suspended_seconds)
+        assert source.age_seconds >= 7.0
+        source.check_startup_gate((OWN,))
+        assert not source.active_config.ready
