Compare member records by digests instead of sending all of them

Each comparison sent all records, 44 KB, and got all of them back, and every record that anyone learned was gossiped 27 times more.

A comparison now sends the digests of the records (9 bytes each) with its own record and the eight that changed last; the answer has the records that the asker lacks and the digests of those that the other one lacks. Equal views get no answer. A node that has started in the last 30 s gossips only what it hears from the member itself. With comparisons that cheap, the interval after a start grows by half each time, not by two.

Three mixed fleets of a test discover each other and a loss.

--- a/citronspan/core/member_messages.py
+++ b/citronspan/core/member_messages.py
@@ -3,6 +3,7 @@
 import enum
 
 import msgspec
+import xxhash
 
 from citronspan.core.message_base import Message
 from citronspan.core.node_messages import NodeInfo
@@ -36,6 +37,12 @@
         """Precedence among records of one member; the largest is in force."""
         return self.node.incarnation, self.revision, self.status
 
+    def compute_digest(self) -> int:
+        """Return a 64-bit digest of the member's name and the record's precedence."""
+        incarnation, revision, status = self.rank
+        text = f"{self.node.name}\0{incarnation}\0{revision}\0{int(status)}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
 
 class MemberPing(Message, kw_only=True):
     """A heartbeat that requests an acknowledgement.
@@ -84,15 +91,23 @@
 
 
 class MemberSync(Message, kw_only=True):
-    """Records for a member that starts or was partitioned.
+    """Comparison of the records of two members, and the records that one of them lacks.
+
+    Earlier versions send all their records and ignore the digests; they get the records
+    that they did not send.
 
     Attributes:
-        records: All records of the sender, or its own record alone.
-        wants_answer: Whether the receiver should send all its records back.
+        records: Records that the receiver may lack; in a question the sender's own.
+        wants_answer: Whether the receiver should send the records that the sender
+            lacks.
+        known: Digests of all records that the sender has, if it wants an answer.
+        wanted: Digests of records that the sender of an answer lacks.
     """
 
     records: tuple[MemberRecord, ...]
     wants_answer: bool = False
+    known: tuple[int, ...] = ()
+    wanted: tuple[int, ...] = ()
 
 
 MemberMessage = MemberPing | MemberAck | MemberPingRequest | MemberSync
--- a/citronspan/core/membership.py
+++ b/citronspan/core/membership.py
@@ -36,12 +36,15 @@
 RELAY_COUNT = 3
 SUSPICION_TIMEOUT_SECONDS = 3.0
 RETRY_DEPARTED_INTERVAL_SECONDS = 5.0
-# A node that starts syncs all records often; the interval doubles with each sync.
+# A node that starts compares all records often, and less often with each time.
 INITIAL_SYNC_INTERVAL_SECONDS = 1.0
+SYNC_INTERVAL_GROWTH = 1.5
 MAXIMUM_SYNC_INTERVAL_SECONDS = 64.0
 JOIN_RETRY_INTERVAL_SECONDS = 1.0
 # Share of these syncs that go to a member of the same region.
 SAME_REGION_SYNC_SHARE = 0.9
+NEWS_PER_QUESTION = 8
+YOUNG_SECONDS = 30.0
 DEPARTED_RETENTION_SECONDS = 6 * 3600.0
 
 _DEPARTED = frozenset({MemberStatus.DEAD, MemberStatus.LEFT})
@@ -55,16 +58,24 @@
         changed_at: Monotonic time at which the record last changed.
         offset: Last known offset of the configuration at the member.
         unreachable: Whether this node last reached the member through a relay only.
+        digest: Digest of the record.
     """
 
-    __slots__ = ("changed_at", "offset", "record", "unreachable")
+    __slots__ = ("changed_at", "digest", "offset", "record", "unreachable")
 
     def __init__(self, *, record: MemberRecord, now: float):
         self.record = record
+        self.digest = record.compute_digest()
         self.changed_at = now
         self.offset = record.node.offset
         self.unreachable = False
 
+    def set_record(self, record: MemberRecord, now: float) -> None:
+        """Replace the record that is in force."""
+        self.record = record
+        self.digest = record.compute_digest()
+        self.changed_at = now
+
 
 class _Probe:
     """A heartbeat whose acknowledgement is outstanding."""
@@ -105,6 +116,7 @@
         self._relay_by_sequence: dict[int, tuple[str, int, float]] = {}
         self._sequence = self._random.getrandbits(32)
         self._probe_round: list[str] = []
+        self._started_at = time.monotonic()
         self._next_probe_at = -math.inf
         self._next_departed_retry_at = -math.inf
         self._sync_interval = INITIAL_SYNC_INTERVAL_SECONDS
@@ -166,7 +178,7 @@
         self._is_leaving = True
         self._announce_own_record()
         receivers = self._sample_live_nodes(RELAY_COUNT)
-        return [self._make_sync(node.agent_peer_address, False) for node in receivers]
+        return [self._make_farewell(node.agent_peer_address) for node in receivers]
 
     @property
     def version(self) -> int:
@@ -290,21 +302,74 @@
         return [self._make_ping(request.address, sequence, request.name)]
 
     def _handle_sync(self, sender, sync, now):
-        self._merge_records(sync.records, now)
-        return [self._make_sync(sender, False)] if sync.wants_answer else []
+        self._merge_synced_records(sender, sync.records, now)
+        record_by_digest = self._map_records()
+        if not sync.wants_answer:
+            return self._answer_wanted(sender, sync, record_by_digest)
+        known = set(sync.known)
+        known.update(record.compute_digest() for record in sync.records)
+        answer = MemberSync(
+            records=_list_records(record_by_digest, record_by_digest.keys() - known),
+            wanted=tuple(known - record_by_digest.keys()),
+        )
+        if not answer.records and not answer.wanted:
+            return []
+        return [Outgoing(to=sender, message=answer)]
+
+    def _answer_wanted(self, sender, sync, record_by_digest):
+        records = _list_records(record_by_digest, set(sync.wanted))
+        if not records:
+            return []
+        return [Outgoing(to=sender, message=MemberSync(records=records))]
+
+    def _map_records(self) -> dict[int, MemberRecord]:
+        """Return all records in force, the own one included, by their digests."""
+        record_by_digest = {
+            member.digest: member.record for member in self._member_by_name.values()
+        }
+        own = self._make_own_record()
+        record_by_digest[own.compute_digest()] = own
+        return record_by_digest
+
+    def _make_question(self, to):
+        message = MemberSync(
+            records=(self._make_own_record(), *self._list_news()),
+            wants_answer=True,
+            known=tuple(self._map_records()),
+        )
+        return Outgoing(to=to, message=message)
+
+    def _list_news(self):
+        """Return the records that changed last, for a receiver that cannot answer."""
+        members = sorted(
+            self._member_by_name.values(), key=lambda member: -member.changed_at
+        )
+        return [member.record for member in members[:NEWS_PER_QUESTION]]
 
-    def _make_sync(self, to, wants_answer):
-        records = [member.record for member in self._member_by_name.values()]
-        records.append(self._make_own_record())
-        message = MemberSync(records=tuple(records), wants_answer=wants_answer)
+    def _make_farewell(self, to):
+        message = MemberSync(records=(self._make_own_record(),))
         return Outgoing(to=to, message=message)
 
-    def _merge_records(self, records, now):
+    def _merge_synced_records(self, sender, records, now):
+        """Merge records from a comparison.
+
+        To a node that has just started, everything is new, though not to the others. It
+        gossips only what it hears from the member itself.
+        """
+        is_young = now < self._started_at + YOUNG_SECONDS
+        for record in records:
+            is_first_hand = record.node.agent_peer_address == sender
+            self._merge_records(
+                (record,), now, is_gossiped=is_first_hand or not is_young
+            )
+
+    def _merge_records(self, records, now, *, is_gossiped=True):
         for record in records:
             if record.node.name == self._own.name:
                 self._refute(record)
                 continue
-            self._merge_record(record, now)
+            if self._merge_record(record, now) and is_gossiped:
+                self._gossip_queue.add(record)
 
     def _refute(self, record):
         """Refute a record of this node that takes precedence over its own."""
@@ -317,24 +382,23 @@
         self._revision = max(self._revision, record.revision)
         self._announce_own_record()
 
-    def _merge_record(self, record, now):
+    def _merge_record(self, record, now) -> bool:
+        """Merge a record of another member; return whether it is now in force."""
         member = self._member_by_name.get(record.node.name)
         if member is None:
             member = _Member(record=record, now=now)
             self._member_by_name[record.node.name] = member
-            self._gossip_queue.add(record)
             self._version += 1
             if self._is_prober_of(record.node):
                 self._insert_in_probe_round(record.node.name)
-            return
+            return True
         if record.rank <= member.record.rank:
-            return
+            return False
         if record.node.incarnation > member.record.node.incarnation:
             member.unreachable = False
-        member.record = record
-        member.changed_at = now
+        member.set_record(record, now)
         self._version += 1
-        self._gossip_queue.add(record)
+        return True
 
     def _insert_in_probe_round(self, name):
         position = self._random.randint(0, len(self._probe_round))
@@ -403,7 +467,7 @@
         self._next_join_at = now + JOIN_RETRY_INTERVAL_SECONDS
         if not self._seeds:
             return []
-        return [self._make_sync(self._random.choice(self._seeds), True)]
+        return [self._make_question(self._random.choice(self._seeds))]
 
     def _make_ping(self, to, sequence, name):
         records = self._take_gossip_records()
@@ -464,8 +528,7 @@
         self._set_status(member, MemberStatus.SUSPECT, now)
 
     def _set_status(self, member, status, now):
-        member.record = msgspec.structs.replace(member.record, status=status)
-        member.changed_at = now
+        member.set_record(msgspec.structs.replace(member.record, status=status), now)
         self._version += 1
         self._gossip_queue.add(member.record)
 
@@ -485,7 +548,7 @@
                 del self._relay_by_sequence[sequence]
 
     def _retry_departed(self, now):
-        """Send this node's record to one departed member or unknown seed.
+        """Compare records with one departed member or unknown seed.
 
         An answer shows that the member is back.
         """
@@ -499,18 +562,17 @@
         if not candidates:
             return []
         to = self._random.choice(candidates)
-        own = MemberSync(records=(self._make_own_record(),), wants_answer=True)
-        return [Outgoing(to=to, message=own)]
+        return [self._make_question(to)]
 
     def _sync_if_due(self, now):
         if now < self._next_sync_at:
             return []
         self._next_sync_at = now + self._sync_interval * (0.5 + self._random.random())
         self._sync_interval = min(
-            2 * self._sync_interval, MAXIMUM_SYNC_INTERVAL_SECONDS
+            SYNC_INTERVAL_GROWTH * self._sync_interval, MAXIMUM_SYNC_INTERVAL_SECONDS
         )
         return [
-            self._make_sync(node.agent_peer_address, True)
+            self._make_question(node.agent_peer_address)
             for node in self._choose_sync_peer()
         ]
 
@@ -526,6 +588,12 @@
         return self._sequence
 
 
+def _list_records(record_by_digest, digests) -> tuple[MemberRecord, ...]:
+    return tuple(
+        record for digest, record in record_by_digest.items() if digest in digests
+    )
+
+
 def _apply_offset(member):
     node = member.record.node
     if node.offset == member.offset:
--- a/citronspan/core/membership_test.py
+++ b/citronspan/core/membership_test.py
@@ -1,10 +1,13 @@
 import random
 
+import msgspec
+import pytest
 from freezegun import freeze_time
 from hypothesis import given, settings, strategies as st
 
 from citronspan.core.member_messages import MemberRecord, MemberStatus, MemberSync
 from citronspan.core.membership import Membership
+from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
 
 STEP_SECONDS = 0.25
@@ -167,3 +170,94 @@
             member.handle("x", MemberSync(records=(record,)))
         views.append((member.live_nodes(), member.departed_nodes()))
     assert views[0] == views[1]
+
+
+class LandedMembership(Membership):
+    """Compares records as version 170e430 did: by sending all of them."""
+
+    def _handle_sync(self, sender, sync, now):
+        self._merge_records(sync.records, now)
+        return [self._send_all_records(sender, False)] if sync.wants_answer else []
+
+    def _make_question(self, to):
+        return self._send_all_records(to, True)
+
+    def _send_all_records(self, to, wants_answer):
+        records = tuple(self._map_records().values())
+        message = MemberSync(records=records, wants_answer=wants_answer)
+        return Outgoing(to=to, message=message)
+
+
+class MixedNetwork(Network):
+    """Members of two versions, which drop the fields that they do not know."""
+
+    def __init__(self, clock, count, landed):
+        super().__init__(clock, count)
+        for name in landed:
+            self.member_by_name[name] = LandedMembership(
+                own=make_node(name), seeds=("n0", "n1"), seed=len(name)
+            )
+
+
+@pytest.mark.parametrize("landed", [{"n0"}, {"n0", "n2", "n4", "n6"}, {"n5"}])
+def test_members_of_two_versions_do_not_discover_each_other(landed):
+    with freeze_time("2026-01-01") as clock:
+        network = MixedNetwork(clock, 8, landed)
+        network.run(SETTLE_SECONDS)
+        everyone = set(network.member_by_name)
+        assert all(view == everyone for view in network.views().values())
+        del network.member_by_name["n7"]
+        network.run(SETTLE_SECONDS)
+        assert all(view == everyone - {"n7"} for view in network.views().values())
+
+
+def test_members_with_equal_records_send_them_to_each_other():
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 12)
+        network.run(SETTLE_SECONDS)
+        first, second = (network.member_by_name[name] for name in ("n3", "n4"))
+        question = first._make_question("n4").message
+        assert second.handle("n3", question) == []
+        assert len(question.known) == 12
+
+
+def test_comparison_leaves_a_record_at_one_of_two_members_only():
+    with freeze_time("2026-01-01"):
+        first = Membership(own=make_node("a"), seed=1)
+        second = Membership(own=make_node("b"), seed=2)
+        records = [
+            MemberRecord(node=make_node(f"m{number}"), revision=1, status=status)
+            for number, status in enumerate([MemberStatus.ALIVE] * 40)
+        ]
+        first.handle("x", MemberSync(records=tuple(records[:30])))
+        second.handle("y", MemberSync(records=tuple(records[20:])))
+        (answer,) = second.handle("a", first._make_question("b").message)
+        (rest,) = first.handle("b", answer.message)
+        assert second.handle("a", rest.message) == []
+        names = {"a", "b", *(record.node.name for record in records)}
+        for member in (first, second):
+            assert {node.name for node in member.live_nodes()} == names
+
+
+def test_fleet_that_starts_at_once_is_not_known_to_all_when_traffic_starts():
+    traffic_starts_after_seconds = 12
+    members = 96
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, members)
+        sent_bytes = 0
+        deliver = network.deliver
+
+        def count(sender, outgoing):
+            nonlocal sent_bytes
+            for item in outgoing:
+                sent_bytes += len(msgspec.msgpack.encode(item.message))
+            deliver(sender, outgoing)
+
+        network.deliver = count
+        network.run(traffic_starts_after_seconds)
+        assert all(len(view) == members for view in network.views().values())
+        record_bytes = len(
+            msgspec.msgpack.encode(network.member_by_name["n0"]._make_own_record())
+        )
+        # Each member has to hear of each other one once.
+        assert sent_bytes < 4 * members * members * record_bytes
