Leave records that say nothing new out of what hosts send each other

Now the reader leaves out a record whose content is what it has already, unless its key is about to be removed or the record was not sent for 20 s. The offsets go out all the same, so a peer knows that it is up to date. A batch without records advances the offset and nothing else, and no line 300 is written for it.

That peers keep an older version of an unchanged record is safe after a restore of the store: between that version and the newest the content is the same. A whole batch keeps all records, since a missing key there counts as removed.

--- a/citronspan/core/entry_configuration.py
+++ b/citronspan/core/entry_configuration.py
@@ -1,5 +1,6 @@
 """Active configuration of an entry, indexed for the request path."""
 
+import dataclasses
 from dataclasses import dataclass, field
 
 from citronspan.core.health import TargetInfo
@@ -61,6 +62,8 @@
         return configuration
     if push.base_offset not in (0, configuration.offset):
         return configuration
+    if push.base_offset and not push.changed and not push.removed:
+        return dataclasses.replace(configuration, offset=push.offset)
     resource_by_id = dict(configuration.resource_by_id) if push.base_offset else {}
     for data in push.changed:
         resource = decode_resource(data)
--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -19,6 +19,7 @@
     rank_region_nodes,
 )
 from citronspan.core.config_state import ConfigState
+from citronspan.core.feed_changes import ChangeFilter
 from citronspan.core.feed_messages import FeedOffsets, FeedPull, FeedUpdate
 from citronspan.core.feeds import (
     CONFIGURATION_FEED,
@@ -79,6 +80,7 @@
         self._transit_times = TransitTimes()
         self._root_addresses: tuple[str, ...] = ()
         self._feed_by_name = {name: Feed(name=name) for name in FEEDS}
+        self._change_filter_by_feed = {name: ChangeFilter() for name in FEEDS}
         self._merger = FeedMerger()
         self._recent_by_feed = {name: deque() for name in FEEDS}
         self._state = ConfigState()
@@ -174,16 +176,19 @@
         """
         batch = drop_superseded_records(batch)
         feed = self._feed_by_name[batch.feed]
+        news = self._change_filter_by_feed[batch.feed].drop_unchanged_records(
+            batch, feed, time.monotonic()
+        )
         changed = feed.apply(batch)
         if changed:
-            self._append_recent(batch)
+            self._append_recent(news)
         if feed.next_offset >= batch.next_offset:
             self._read_at_by_feed[batch.feed] = read_elapsed_seconds() - age_seconds
             read_at = min(self._read_at_by_feed.values())
             self._fresh_at = max(self._fresh_at, read_at)
         if not changed and not self._has_freshness_gain():
             return SpreadResult()
-        return self._spread((batch,) if changed else (), sender="")
+        return self._spread((news,) if changed else (), sender="")
 
     def apply_redecoded_batch(
         self, batch: FeedBatch, age_seconds: float = 0.0
@@ -286,7 +291,7 @@
 
     def _spread(self, batches, *, sender):
         self._announced_fresh_at = self._fresh_at
-        installed_state = self._rebuild_state() if batches else None
+        installed_state = self._advance_state(batches) if batches else None
         message = self._make_update(batches)
         receivers = set(self._neighbours.plan.receivers)
         if not sender:
@@ -327,6 +332,14 @@
             sent_at=read_elapsed_seconds(),
         )
 
+    def _advance_state(self, batches):
+        if any(batch.whole or batch.records for batch in batches):
+            return self._rebuild_state()
+        self._state = self._merger.advance_offset(
+            self._feed_by_name.values(), before=self._state
+        )
+        return self._state
+
     def _rebuild_state(self):
         self._state = self._merger.merge_feeds(
             self._feed_by_name.values(), before=self._state
--- a/citronspan/core/feeds.py
+++ b/citronspan/core/feeds.py
@@ -121,6 +121,10 @@
         self.next_offset = batch.next_offset
         return True
 
+    def is_lapsed(self, key: str) -> bool:
+        """Return whether a key is about to be removed unless it comes back."""
+        return key in self._removal_at_by_key
+
     def replace_data(self, batch: FeedBatch) -> bool:
         """Take the data of records that are stored with the same offset.
 
@@ -244,8 +248,7 @@
             The new state. Its offset is always greater than that of ``before``.
         """
         feeds = tuple(feeds)
-        offset = sum(feed.next_offset + feed.expired_records for feed in feeds)
-        offset = max(offset, before.offset + 1)
+        offset = _compute_offset(feeds, before)
         stored_by_key: dict[ResourceKey, StoredResource] = {}
         for feed in feeds:
             for record in feed.record_by_key.values():
@@ -261,6 +264,20 @@
             offset=offset, resource_by_key=MappingProxyType(stored_by_key)
         )
 
+    def advance_offset(
+        self, feeds: Iterable[Feed], *, before: ConfigState
+    ) -> ConfigState:
+        """Return the state at the offsets of feeds whose records did not change.
+
+        Args:
+            feeds: All feeds.
+            before: The previous state.
+        """
+        return ConfigState(
+            offset=_compute_offset(feeds, before),
+            resource_by_key=before.resource_by_key,
+        )
+
     def _decode_record(self, feed, record) -> tuple[Resource, ...]:
         cached = self._resources_by_key.get((feed, record.key))
         if cached is not None and cached[0] == record.data:
@@ -300,6 +317,11 @@
         return StoredResource(version, data)
 
 
+def _compute_offset(feeds, before):
+    offset = sum(feed.next_offset + feed.expired_records for feed in feeds)
+    return max(offset, before.offset + 1)
+
+
 _RAW_LIST_DECODER = msgspec.json.Decoder(tuple[msgspec.Raw, ...])
 
 
--- a/citronspan/ops/active_config.py
+++ b/citronspan/ops/active_config.py
@@ -216,12 +216,7 @@
         if result.applied is not None:
             self._log_applied(result.applied)
         if result.installed_state is not None:
-            write_event(
-                _logger,
-                log_events.CONFIGURATION_APPLIED,
-                offset=result.installed_state.offset,
-                resources=len(result.installed_state.resource_by_key),
-            )
+            self._log_installed(before, result.installed_state)
         if result.outgoing:
             self._send_all(list(result.outgoing))
 
@@ -232,6 +227,9 @@
         self._notify_waiters()
 
     def _record_installed(self, before: ConfigState, state: ConfigState):
+        if state.resource_by_key is before.resource_by_key:
+            self._notify_waiters()
+            return
         self._change_offset = state.offset
         if before.offset == 0:
             self._history_start_version = state.offset
@@ -248,6 +246,17 @@
         self.applied_at = time.monotonic()
         self._condition.notify_all()
 
+    def _log_installed(self, before, state):
+        if state.resource_by_key is before.resource_by_key:
+            # Only the offset has advanced.
+            return
+        write_event(
+            _logger,
+            log_events.CONFIGURATION_APPLIED,
+            offset=state.offset,
+            resources=len(state.resource_by_key),
+        )
+
     def _log_applied(self, applied):
         self.void_records += len(applied.rejected_records)
         for record in applied.rejected_records:
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -260,7 +260,7 @@
             return
         previous = self.configuration
         self.configuration = apply_push(previous, push)
-        if self.configuration is not previous:
+        if self.configuration.resource_by_id is not previous.resource_by_id:
             write_event(_logger, log_events.CONFIGURATION_APPLIED, offset=push.offset)
             self._update_services()
         is_configured = self.configuration.offset > 0
