Wait for a broker as long as the request can spare

Now a request waits a tenth of the time to its goal (its deadline, if it has none), at least 50 ms and at most 200 ms. A lost broker costs one request a second at an entry that much.

A broker that stalls for 0.1 s is a test; it failed before for the request that has time.

--- a/citronspan/ops/broker_client.py
+++ b/citronspan/ops/broker_client.py
@@ -11,6 +11,7 @@
     SlotRequest,
     SlotWaiting,
 )
+from citronspan.core.broker_wait import compute_broker_wait_seconds
 from citronspan.core.message_base import Message
 from citronspan.ops.pending_answers import PendingAnswers
 from citronspan.ops.slot_source import SlotQuery
@@ -42,7 +43,8 @@
 
         Args:
             send: Sends a message to a peer address; returns whether it was sent.
-            wait_seconds: Longest wait for the first response of a broker.
+            wait_seconds: Least time to wait for the first response of a broker; a
+                request that can spare more waits longer.
         """
         self._send = send
         self._wait_seconds = wait_seconds
@@ -63,7 +65,9 @@
             The response, or None if the broker is unreachable or does not respond, if
             the caller disconnects, or if the deadline passes.
         """
-        wait_seconds = self._wait_seconds
+        wait_seconds = compute_broker_wait_seconds(
+            self._wait_seconds, request.goal_seconds, request.deadline_seconds
+        )
         if request.from_region:
             wait_seconds += CROSS_REGION_WAIT_SECONDS
         wait_id = request.attempt_id.to_bytes(8, "big")
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -72,7 +72,7 @@
     def handle_envelope(self, envelope):
         self.slots.handle(envelope.sender, envelope.body)
 
-    def acquire(self, seconds=DEADLINE_SECONDS, excluded=()):
+    def acquire(self, seconds=DEADLINE_SECONDS, excluded=(), goal_seconds=0.0):
         return self.slots.acquire(
             SlotQuery(
                 service="s",
@@ -84,6 +84,7 @@
                 fingerprint=1,
                 body_bytes=0,
                 is_retry=False,
+                goal_time=time.monotonic() + goal_seconds if goal_seconds else 0.0,
             )
         )
 
@@ -150,6 +151,26 @@
     assert requester.acquire().broker == broker.link.address
 
 
+STALL_SECONDS = 0.1
+
+
+@pytest.mark.parametrize(("goal_seconds", "is_patient"), [(0.0, True), (0.3, False)])
+def test_broker_that_stalls_for_a_moment_is_taken_for_lost(
+    pair, goal_seconds, is_patient
+):
+    broker, requester = pair
+    handle = broker.slots.handle
+
+    def stall(sender, message):
+        time.sleep(STALL_SECONDS)
+        handle(sender, message)
+
+    broker.slots.handle = stall
+    slot = requester.acquire(goal_seconds=goal_seconds)
+    granted_by = broker if is_patient else requester
+    assert slot.broker == granted_by.link.address
+
+
 def test_failure_of_broker_is_detected_while_request_is_queued(pair):
     broker, requester = pair
     slots = [broker.acquire() for _ in TARGETS]
