Let a starting fleet read the store little and send its state once

A host that starts knows few of the others, so that dozens take themselves for the reader: they read on, and each sends what it reads, mostly the whole state, along both trees.

Now a host that is no seed takes itself for the reader only after 2 s; one without a configuration compares with peers each 0.25 s and reads by itself after 1 s (0.25 s before). A host that reads although it is not the reader, and one that was answered, tells its neighbours the offsets only; who lacks the records asks for them. Losses of readers spread a change as before (the tests of that hold 2.5 s with 0.1 s for each message).

--- a/citronspan/core/feed_spread.py
+++ b/citronspan/core/feed_spread.py
@@ -61,7 +61,17 @@
 
 CLOCK_NUMBER_BITS = 53
 
+READER_MINIMUM_UPTIME_SECONDS = 2.0
+"""Uptime before which a node that is no seed does not take itself for the reader, since
+it may know few of the others."""
+
+ANSWER_SECONDS = 0.3
+"""Time after a question within which an update of that peer is taken for its answer."""
+
 COMPARE_INTERVAL_SECONDS = 1.0
+EMPTY_COMPARE_INTERVAL_SECONDS = 0.25
+"""Interval for a node that has no configuration yet."""
+
 PULL_INTERVAL_SECONDS = 0.3
 MAXIMUM_RECENT_RECORDS_PER_FEED = 256
 
@@ -72,8 +82,19 @@
     Implements ``Spread``.
     """
 
-    def __init__(self, *, own: NodeInfo, seed: int | None = None):
+    def __init__(self, *, own: NodeInfo, seed: int | None = None, is_seed: bool = True):
+        """Create empty replicas.
+
+        Args:
+            own: This node.
+            seed: Seed of random choices, None for an unpredictable one.
+            is_seed: Whether other nodes join the fleet through this one, so that it
+                knows most of them early.
+        """
         self._own = own
+        self._reader_from = -math.inf
+        if not is_seed:
+            self._reader_from = time.monotonic() + READER_MINIMUM_UPTIME_SECONDS
         self._random = random.Random(seed)
         self._neighbours = SpreadNeighbours(own=own)
         self._clock = random.SystemRandom().getrandbits(CLOCK_NUMBER_BITS)
@@ -90,6 +111,7 @@
         self._announced_fresh_at = -math.inf
         self._last_compared_at = -math.inf
         self._last_pulled_at = -math.inf
+        self._asked_at_by_address: dict[str, float] = {}
         self._jittered_stale_seconds = (
             STALE_SECONDS + STALE_JITTER_SECONDS * self._random.random()
         )
@@ -137,6 +159,8 @@
     @property
     def is_reader(self) -> bool:
         """Whether this node reads the store continuously."""
+        if time.monotonic() < self._reader_from:
+            return False
         regions = [node.region for node in self._neighbours.nodes]
         return self._neighbours.plan.rank == 0 and self._own.region == min(regions)
 
@@ -154,7 +178,10 @@
         """Set the nodes that are live now."""
         if not self._neighbours.set_nodes(nodes):
             return
-        self._transit_times.retain(node.agent_peer_address for node in nodes)
+        addresses = {node.agent_peer_address for node in nodes}
+        self._transit_times.retain(addresses)
+        for address in self._asked_at_by_address.keys() - addresses:
+            del self._asked_at_by_address[address]
         self._root_addresses = tuple(
             node.agent_peer_address
             for node in rank_region_nodes(self._own, nodes)[:TREE_ROOTS_PER_REGION]
@@ -188,7 +215,11 @@
             self._fresh_at = max(self._fresh_at, read_at)
         if not changed and not self._has_freshness_gain():
             return SpreadResult()
-        return self._spread((news,) if changed else (), sender="")
+        # A node that reads although it is not the reader is mostly one of many, such as
+        # after a start of all. Peers that lack the records ask for them.
+        return self._spread(
+            (news,) if changed else (), sender="", has_data=self.is_reader
+        )
 
     def apply_redecoded_batch(
         self, batch: FeedBatch, age_seconds: float = 0.0
@@ -258,9 +289,10 @@
         if self._has_reached(offsets):
             fresh_at = read_elapsed_seconds() - update.age_seconds - transit_seconds
             self._fresh_at = max(self._fresh_at, fresh_at)
+        is_asked_for = self._was_asked(sender)
         result = SpreadResult()
         if new_batches or self._has_freshness_gain():
-            result = self._spread(new_batches, sender=sender)
+            result = self._spread(new_batches, sender=sender, has_data=not is_asked_for)
         replies = []
         if not self._has_reached(offsets):
             replies = self._make_pull(sender)
@@ -271,6 +303,11 @@
             installed_state=result.installed_state,
         )
 
+    def _was_asked(self, address):
+        """Return whether an update is probably the answer to a question."""
+        asked_at = self._asked_at_by_address.get(address, -math.inf)
+        return time.monotonic() < asked_at + ANSWER_SECONDS
+
     def _has_freshness_gain(self):
         """Return whether this node has become fresher enough to send an update."""
         return (
@@ -289,10 +326,17 @@
             for name, feed in self._feed_by_name.items()
         )
 
-    def _spread(self, batches, *, sender):
+    def _spread(self, batches, *, sender, has_data):
+        """Install new batches and tell peers.
+
+        Args:
+            batches: The new batches, empty if only the age of the copy has changed.
+            sender: Peer address from which they came, empty for the store.
+            has_data: Whether peers get the batches too, and not only their offsets.
+        """
         self._announced_fresh_at = self._fresh_at
         installed_state = self._advance_state(batches) if batches else None
-        message = self._make_update(batches)
+        message = self._make_update(batches if has_data else ())
         receivers = set(self._neighbours.plan.receivers)
         if not sender:
             receivers.update(self._root_addresses)
@@ -372,7 +416,12 @@
 
     def _compare_offsets(self):
         now = time.monotonic()
-        if now < self._last_compared_at + COMPARE_INTERVAL_SECONDS:
+        interval = (
+            COMPARE_INTERVAL_SECONDS
+            if self.has_configuration
+            else EMPTY_COMPARE_INTERVAL_SECONDS
+        )
+        if now < self._last_compared_at + interval:
             return ()
         self._last_compared_at = now
         comparison_peers = self._neighbours.plan.comparison_peers
@@ -384,13 +433,16 @@
         if not candidates:
             return ()
         message = self._make_update((), wants_answer=True)
-        return (Outgoing(to=self._random.choice(candidates), message=message),)
+        to = self._random.choice(candidates)
+        self._asked_at_by_address[to] = now
+        return (Outgoing(to=to, message=message),)
 
     def _make_pull(self, to):
         now = time.monotonic()
         if now < self._last_pulled_at + PULL_INTERVAL_SECONDS:
             return []
         self._last_pulled_at = now
+        self._asked_at_by_address[to] = now
         return [Outgoing(to=to, message=FeedPull(offsets=self.offsets))]
 
 
--- a/citronspan/core/feed_spread_test.py
+++ b/citronspan/core/feed_spread_test.py
@@ -15,7 +15,7 @@
 class Fleet:
     """Nodes in two regions, a store, and messages that are delivered one step later."""
 
-    def __init__(self, clock, *, nodes=24):
+    def __init__(self, clock, *, nodes=24, seeds=24):
         self.clock = clock
         self.log_by_feed = {feed: [] for feed in FEEDS}
         self.rejected_by_store = set()
@@ -25,7 +25,7 @@
         self.info_by_name = {info.name: info for info in infos}
         self.name_by_address = {info.agent_peer_address: info.name for info in infos}
         self.spread_by_name = {
-            info.name: FeedSpread(own=info, seed=number)
+            info.name: FeedSpread(own=info, seed=number, is_seed=number < seeds)
             for number, info in enumerate(infos)
         }
         for spread in self.spread_by_name.values():
@@ -174,3 +174,46 @@
 def get_reading_order(fleet, name):
     spread = fleet.spread_by_name[name]
     return (not spread.is_reader, spread.plan.rank, name)
+
+
+def count_sent_records(fleet):
+    """Count the records that nodes send to each other from now on; see ``total``."""
+    counts = {"total": 0}
+    send = fleet._send
+
+    def count(name, result):
+        for item in result.outgoing:
+            for batch in getattr(item.message, "batches", ()):
+                counts["total"] += len(batch.records)
+        send(name, result)
+
+    fleet._send = count
+    return counts
+
+
+def test_start_of_all_nodes_makes_many_read_the_store_and_send_what_they_read():
+    nodes, seeds, steps = 60, 3, 10
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = Fleet(clock, nodes=nodes, seeds=seeds)
+        everyone = tuple(fleet.info_by_name.values())
+        # At first a node knows itself, the seeds and one more.
+        for number, spread in enumerate(fleet.spread_by_name.values()):
+            known = {everyone[number], everyone[-number], *everyone[:seeds]}
+            spread.set_nodes(tuple(known))
+        counts = count_sent_records(fleet)
+        fleet.write(CONFIGURATION_FEED, b"[]")
+        fleet.run(steps * STEP_SECONDS)
+        assert fleet.list_lagging_nodes() == []
+        # Each node reads both feeds once, and the seeds go on.
+        assert fleet.reads <= 2 * (nodes + seeds * steps)
+        assert counts["total"] <= 1.25 * nodes
+
+
+def test_pulled_records_are_sent_on_to_nodes_that_do_not_ask_for_them(fleet):
+    counts = count_sent_records(fleet)
+    reader = next(name for name, s in fleet.spread_by_name.items() if s.is_reader)
+    fleet.rejected_by_store = {reader}
+    fleet.write(CONFIGURATION_FEED, b"[]")
+    fleet.run(PROPAGATION_LIMIT_SECONDS + 1.0)
+    assert fleet.list_lagging_nodes() == []
+    assert counts["total"] <= 2 * len(fleet.spread_by_name)
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -44,7 +44,7 @@
 LONG_OUTAGE_SECONDS = 1.0
 """After an outage of this length the records of live targets may have expired."""
 
-STARTUP_PEER_WAIT_SECONDS = 0.25
+STARTUP_PEER_WAIT_SECONDS = 1.0
 """Time that a starting node which is no seed waits for peers before it reads."""
 
 PEER_FALLBACK_SECONDS = 3.0
@@ -115,7 +115,7 @@
         store: FeedStore,
         is_seed: bool,
     ):
-        self._spread = FeedSpread(own=own)
+        self._spread = FeedSpread(own=own, is_seed=is_seed)
         self.active_config = ActiveConfig(
             own=own, send_all=send_all, spread=self._spread
         )
