Gossip no announcement that went to the whole region

A host that starts to serve tells each host of its region. Within 30 s of its own start a host now gossips what a member says of itself only if it asks with it, as one does that joins, and departures always. Other regions learn of it by comparisons.

--- a/citronspan/core/membership.py
+++ b/citronspan/core/membership.py
@@ -302,7 +302,7 @@
         return [self._make_ping(request.address, sequence, request.name)]
 
     def _handle_sync(self, sender, sync, now):
-        self._merge_synced_records(sender, sync.records, now)
+        self._merge_synced_records(sender, sync, now)
         record_by_digest = self._map_records()
         if not sync.wants_answer:
             return self._answer_wanted(sender, sync, record_by_digest)
@@ -350,18 +350,18 @@
         message = MemberSync(records=(self._make_own_record(),))
         return Outgoing(to=to, message=message)
 
-    def _merge_synced_records(self, sender, records, now):
-        """Merge records from a comparison.
+    def _merge_synced_records(self, sender, sync, now):
+        """Merge records from a comparison or an announcement.
 
         To a node that has just started, everything is new, though not to the others. It
-        gossips only what it hears from the member itself.
+        gossips only departures and what a member tells about itself in a question; an
+        announcement goes to the whole region anyway.
         """
         is_young = now < self._started_at + YOUNG_SECONDS
-        for record in records:
-            is_first_hand = record.node.agent_peer_address == sender
-            self._merge_records(
-                (record,), now, is_gossiped=is_first_hand or not is_young
-            )
+        for record in sync.records:
+            is_joining = sync.wants_answer and record.node.agent_peer_address == sender
+            is_gossiped = not is_young or is_joining or record.status in _DEPARTED
+            self._merge_records((record,), now, is_gossiped=is_gossiped)
 
     def _merge_records(self, records, now, *, is_gossiped=True):
         for record in records:
