--- a/citronspan/ops/worker_pool.py
+++ b/citronspan/ops/worker_pool.py
@@ -67,6 +67,7 @@
             try:
                 item = self._queue.get(timeout=IDLE_SECONDS)
             except queue.Empty:
+                # Ignored: time without work is no error.
                 if self._retire_thread():
                     return _SHUTDOWNREQUEST
                 continue
