--- a/citronspan/ops/peer_link.py
+++ b/citronspan/ops/peer_link.py
@@ -30,6 +30,15 @@
 CONNECT_GRACE_SECONDS = 0.5
 IDLE_TIMEOUT_SECONDS = 120.0
 
+NATIVE_THREADS_BY_PARAMETER = {
+    pynng.lib.NNG_INIT_NUM_TASK_THREADS: 2,
+    pynng.lib.NNG_INIT_NUM_EXPIRE_THREADS: 1,
+    pynng.lib.NNG_INIT_NUM_POLLER_THREADS: 1,
+    pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS: 1,
+}
+"""Threads of the messaging library by purpose. Its default follows the cores of the
+machine, of which a host may use less than one."""
+
 _logger = logbook.Logger("peer-link")
 
 
@@ -62,6 +71,7 @@
         self._used_at_by_address: dict[str, float] = {}
         self._dialled_at_by_address: dict[str, float] = {}
         self._stopped = False
+        _limit_native_threads()
         try:
             self._inbox = pynng.Pull0(
                 listen=f"tcp://{address}",
@@ -243,3 +253,9 @@
                 log_events.MESSAGE_DROPPED,
                 reason="handler raised an exception",
             )
+
+
+def _limit_native_threads():
+    """Set the threads of the library, which starts them with the first socket."""
+    for parameter, threads in NATIVE_THREADS_BY_PARAMETER.items():
+        pynng.lib.nng_init_set_parameter(parameter, threads)
--- a/citronspan/ops/peer_link_test.py
+++ b/citronspan/ops/peer_link_test.py
@@ -1,5 +1,7 @@
 import os
 import queue
+import subprocess
+import sys
 import threading
 import time
 
@@ -66,3 +68,16 @@
     first.close()
     second.close()
     thread.join(DEADLINE_SECONDS)
+
+
+def test_link_starts_threads_for_each_core_of_the_machine():
+    code = (
+        "import os\n"
+        "from citronspan.ops.peer_link import PeerLink\n"
+        f"link = PeerLink(fleet='f', address='{NETWORK}.30.9:7901', incarnation=1)\n"
+        "print(len(os.listdir('/proc/self/task')))\n"
+    )
+    output = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout
+    assert int(output) <= 8
