--- a/citronspan/utils/logs.py
+++ b/citronspan/utils/logs.py
@@ -128,7 +128,7 @@
                 records = list(self._queue)
                 self._queue.clear()
                 dropped_lines, self._dropped_lines = self._dropped_lines, 0
-            lines = [_format_line(at, record) for at, record in records]
+            lines = [_format_any_line(at, record) for at, record in records]
             if dropped_lines:
                 lines.append(_format_dropped_lines(dropped_lines))
             self._write("".join(f"{line}\n" for line in lines))
@@ -143,6 +143,24 @@
                 self._dropped_lines += text.count("\n")
 
 
+def _format_any_line(at: float, record) -> str:
+    """Format a record, with its fields as plain ASCII if they cannot be encoded."""
+    try:
+        return _format_line(at, record)
+    except Exception as error:
+        timestamp = datetime.fromtimestamp(at, UTC)
+        line = {
+            "at": timestamp.isoformat(timespec="milliseconds"),
+            "level": record.level_name,
+            "channel": record.channel,
+            "event": ascii(record.message),
+            "number": record.extra.get("number", 0),
+            "fields": ascii(dict(record.extra)),
+            "error": ascii(error),
+        }
+        return msgspec.json.encode(line, enc_hook=ascii).decode()
+
+
 def _format_dropped_lines(count: int) -> str:
     line = {
         "at": datetime.now(UTC).isoformat(timespec="milliseconds"),
--- a/citronspan/utils/logs_test.py
+++ b/citronspan/utils/logs_test.py
@@ -1,5 +1,6 @@
 """Tests that logging is bounded and never blocks, even if its reader stops."""
 
+import io
 import json
 import os
 import time
@@ -69,3 +70,18 @@
     names = [line["event"] for line in lines]
     assert names.count("request-answered") == 10
     assert names.count("broker-unreachable") == 20
+
+
+def test_line_that_cannot_be_encoded_ends_all_logging():
+    stream = io.StringIO()
+    with BoundedHandler(stream=stream, level="INFO"):
+        write_event(LOGGER, log_events.REQUEST_ANSWERED, id="bad \udcff", code=3002)
+        write_event(LOGGER, log_events.REQUEST_ANSWERED, id="good", code=3002)
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while "good" not in stream.getvalue():
+            assert time.monotonic() < deadline
+            time.sleep(0.01)
+    first, second = map(json.loads, stream.getvalue().splitlines())
+    assert first["number"] == second["number"] == 206
+    assert "udcff" in first["fields"]
+    assert second["id"] == "good"
