Take a malformed address of a peer for one that cannot be reached

Sending to an address that is none raised in the sender. A record of a member with such an address (of a faulty or another build) is gossiped to every host; there each round of messages that touched it ended at once, so that later receivers in the same round got nothing, and an entry that took the member for a broker raised for each request. One malformed message so reached the whole fleet. Found by reading.

Ruled out: dropping the whole record, since the other fields of a member are still right.

--- a/citronspan/ops/peer_link.py
+++ b/citronspan/ops/peer_link.py
@@ -67,7 +67,8 @@
         self.received_bytes = 0
         self.received_messages = 0
         self._lock = threading.Lock()
-        self._socket_by_address: dict[str, pynng.Push0] = {}
+        # None for an address to which nothing can be sent.
+        self._socket_by_address: dict[str, pynng.Push0 | None] = {}
         self._used_at_by_address: dict[str, float] = {}
         self._dialled_at_by_address: dict[str, float] = {}
         self._stopped = False
@@ -174,7 +175,8 @@
                 del self._used_at_by_address[to]
                 self._dialled_at_by_address.pop(to, None)
         for socket in sockets:
-            socket.close()
+            if socket is not None:
+                socket.close()
 
     def close(self) -> None:
         """Close all sockets; ``receive_forever`` returns."""
@@ -184,6 +186,8 @@
             sockets = list(self._socket_by_address.values())
             self._socket_by_address.clear()
         for socket in sockets:
+            if socket is None:
+                continue
             with contextlib.suppress(pynng.NNGException):
                 socket.close()
 
@@ -192,12 +196,9 @@
             return None
         with self._lock:
             self._used_at_by_address[to] = time.monotonic()
-            socket = self._socket_by_address.get(to)
-            if socket is not None:
-                return socket
-            socket = self._dial(to)
-            self._socket_by_address[to] = socket
-            return socket
+            if to not in self._socket_by_address:
+                self._socket_by_address[to] = self._dial(to)
+            return self._socket_by_address[to]
 
     def _is_connecting(self, to):
         """Return whether a recently started connect may still succeed.
@@ -214,8 +215,14 @@
             reconnect_time_min=RECONNECT_MINIMUM_MILLISECONDS,
             reconnect_time_max=RECONNECT_MAXIMUM_MILLISECONDS,
         )
-        socket.dial(f"tcp://{to}", block=False)
         self._dialled_at_by_address[to] = time.monotonic()
+        try:
+            socket.dial(f"tcp://{to}", block=False)
+        except (pynng.NNGException, ValueError) as error:
+            socket.close()
+            reason = f"no peer can have the address {to!r}: {error}"
+            write_event(_logger, log_events.MESSAGE_DROPPED, reason=reason)
+            return None
         return socket
 
     def _redial(self, to: str) -> None:
--- a/citronspan/ops/peer_link_test.py
+++ b/citronspan/ops/peer_link_test.py
@@ -5,6 +5,9 @@
 import threading
 import time
 
+import pytest
+
+from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import EntryReport
 from citronspan.ops.peer_link import PeerLink
 
@@ -81,3 +84,25 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     ).stdout
     assert int(output) <= 8
+
+
+@pytest.mark.parametrize("address", ["", "abc", "127.0.0.1", "\0:1", "x" * 300])
+def test_malformed_address_of_one_peer_stops_what_is_sent_to_others(address):
+    first = PeerLink(fleet="f", address=f"{NETWORK}.30.10:7901", incarnation=1)
+    second = PeerLink(fleet="f", address=f"{NETWORK}.30.11:7901", incarnation=2)
+    received = queue.Queue()
+    thread = threading.Thread(target=second.receive_forever, args=[received.put])
+    thread.start()
+    wait_until(lambda: first.is_connected(second.address))
+    first.connect(address)
+    assert not first.is_connected(address)
+    first.send_all(
+        [
+            Outgoing(to=address, message=REPORT),
+            Outgoing(to=second.address, message=REPORT),
+        ]
+    )
+    assert received.get(timeout=DEADLINE_SECONDS).body == REPORT
+    first.close()
+    second.close()
+    thread.join(DEADLINE_SECONDS)
