Go on watching the settings after a reload that raised

Only numbered errors of the settings were handled. Any other one in a reload (a full table of threads, a socket that is gone) ended the thread that watches the file: later changes of the settings were never applied, also on SIGHUP, and nothing was logged. Found by reading.

The test writes two changes, the first of which raises; before, the second was never applied.

--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -134,6 +134,9 @@
             self._process.reload(read_settings(self._path, self._settings_type))
         except CitronspanError as error:
             write_event(_logger, log_events.SETTINGS_REFUSED, reason=str(error))
+        except Exception as error:
+            _logger.exception("reload raised an exception")
+            write_event(_logger, log_events.SETTINGS_REFUSED, reason=repr(error))
 
 
 def _read_bytes(path: str) -> bytes | None:
--- a/citronspan/scripts/process_test.py
+++ b/citronspan/scripts/process_test.py
@@ -104,6 +104,30 @@
     assert fake_process.applied_settings is None
 
 
+def test_reload_that_raises_ends_the_watch_of_the_settings(tmp_path, monkeypatch):
+    kept = []
+
+    class Fake:
+        def reload(self, settings):
+            kept.append(settings.keep_seconds)
+            if len(kept) == 1:
+                raise RuntimeError("unexpected")
+
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    watcher = process.SettingsWatcher(
+        path=path, settings_type=HostSettings, process=Fake()
+    )
+    monkeypatch.setattr(process, "SETTINGS_POLL_SECONDS", 0.01)
+    watcher.start()
+    for keep_seconds in (3.0, 4.0):
+        write_settings(path, keepSeconds=keep_seconds)
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while keep_seconds not in kept and time.monotonic() < deadline:
+            time.sleep(0.01)
+    assert kept == [3.0, 4.0]
+
+
 def test_host_holds_libraries_that_it_does_not_use():
     program = (
         "import sys, citronspan.scripts.host as host; "
