Go on probing targets after one probe that raised

A host that takes itself to be cut off tries targets directly until one answers. A malformed address of one target raised a ValueError, which ended the thread: the host then went through its peers until its restart, at two round trips a request, although it reached its targets again. Found by reading.

The test gives two malformed addresses before a good one; before, the host stayed cut off.

--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -255,6 +255,24 @@
     probe.join(TIMEOUT_SECONDS)
 
 
+def test_one_malformed_address_of_a_target_ends_the_probes(relay):
+    reachability = TargetReachability(count_targets=lambda: 1)
+    reachability.record_failed("127.0.0.1:1")
+    assert reachability.is_cut_off
+    paths = TargetPaths(direct=DirectConnector(), reachability=reachability)
+    address_lists = iter([["no address"], [None]])
+    is_ended = threading.Event()
+    arguments = (lambda: next(address_lists, [relay.target]), is_ended)
+    probe = threading.Thread(target=paths.probe_forever, args=arguments)
+    probe.start()
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while reachability.is_cut_off:
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    is_ended.set()
+    probe.join(TIMEOUT_SECONDS)
+
+
 def receive(sock, size):
     """Receive a number of bytes, or fewer if the connection ends."""
     data = b""
--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/target_paths.py
@@ -5,18 +5,23 @@
 import time
 from collections.abc import Callable
 
+import logbook
 import urllib3.exceptions
 from urllib3.connection import HTTPConnection
 
+from citronspan.core import log_events
 from citronspan.ops.relay_connector import RelayConnector, RelayedConnection
 from citronspan.ops.target_connector import CONNECT_TIMEOUT_SECONDS, TargetConnector
 from citronspan.ops.target_reachability import TargetReachability
+from citronspan.utils.logs import write_event
 
 RELAY_TIMEOUT_SECONDS = 0.6
 """Longest wait for a tunnel: two round trips to another region and its connect."""
 
 PROBE_INTERVAL_SECONDS = 0.25
 
+_logger = logbook.Logger("target-paths")
+
 
 class TargetPaths:
     """Opens connections to targets by the way that works."""
@@ -86,9 +91,13 @@
             is_ended: Ends the probing.
         """
         while not is_ended.wait(PROBE_INTERVAL_SECONDS):
-            addresses = list_addresses() if self._reachability.is_cut_off else []
-            if addresses:
-                self._probe(random.choice(addresses))
+            try:
+                addresses = list_addresses() if self._reachability.is_cut_off else []
+                if addresses:
+                    self._probe(random.choice(addresses))
+            except Exception:
+                _logger.exception("probe raised an exception")
+                write_event(_logger, log_events.BACKGROUND_TASK_FAILED, task="probe")
 
     def _needs_relay(self):
         if self._relay is None or not self._reachability.is_cut_off:
