Weigh a silence by its length, and let the broker say how long an attempt waits

In 185 of all reads both attempts timed out, mostly after 2.0 and 2.0 or 2.0 and 1.1 s of the route's 4 s. They were long at both targets: 97 targets had such a read, 16 at the most, and answered others in between.

Two causes: - The entry gave each attempt that may be repeated half of the remaining time, whatever was known of the target. A request that takes longer than that fails at every target. - An attempt without an answer was evidence only beyond three deviations of the logarithms of its kind's latencies. With a median of 0.6 s and a deviation of 0.8 that is 6.3 s, beyond the timeout of the route, so a hang of 5 s left a failure probability of 0.017.

Now the broker says with the grant how long such an attempt waits: the limit with the largest expected share of answers, by the failure probability of the target and the recent latencies of the kind (core/attempt_limit.py). At targets that seem healthy that is all of the time. A silence is weighed by the share of answers that take as long (core/silence.py), and counts as a long run as well where the target seems healthy. Shares are counted among the last 256 latencies, since reads of this site have two peaks, 0.01 and 0.6 s.

Weighed and left out: open attempts as evidence, each by its age. Targets that hang keep their slots and so are avoided already.

Of the new tests those of a hang failed before (probability 0.017), those of the limit had no decision to test.

--- a/citronspan/core/broker.py
+++ b/citronspan/core/broker.py
@@ -385,11 +385,24 @@
             lease_seconds=lease_seconds,
             trial=is_trial,
             free_slots=max(0, self._pool.capacity - len(self._grant_table)),
+            attempt_seconds=self._find_attempt_seconds(waiting, usage, now),
         )
         self._send_answer(
             waiting.sender, answer, lease_seconds + ATTEMPT_CACHE_SECONDS, now
         )
 
+    def _find_attempt_seconds(self, waiting, usage, now):
+        request = waiting.request
+        if not request.idempotent:
+            return 0.0
+        waited_seconds = now - waiting.received_at
+        return self.health.find_attempt_seconds(
+            usage.target_info.name,
+            request.request_kind,
+            goal_seconds=max(request.goal_seconds - waited_seconds, 0.0),
+            deadline_seconds=waiting.deadline_at - now,
+        )
+
     def _repeat_grant(self, sender, attempt_id, now):
         grant = self._grant_table.find(attempt_id)
         remaining = grant.granted_at + grant.lease_seconds - now
--- a/citronspan/core/broker_messages.py
+++ b/citronspan/core/broker_messages.py
@@ -93,6 +93,8 @@
         lease_seconds: Time after which the broker frees the slot without a release.
         trial: Whether this is a trial request to a target that may fail.
         free_slots: Free slots of the shard after this grant.
+        attempt_seconds: Time after which an attempt that may be retried is given up, 0
+            if the entry has to decide it.
     """
 
     attempt_id: int
@@ -101,6 +103,7 @@
     lease_seconds: float = msgspec.field(name="hose")
     trial: bool = False
     free_slots: int = 0
+    attempt_seconds: float = 0.0
 
 
 class SlotRefusal(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/broker_test.py
+++ b/citronspan/core/broker_test.py
@@ -51,6 +51,9 @@
     def find_overdue_seconds(self, kind):
         return float("inf")
 
+    def find_attempt_seconds(self, target, kind, *, goal_seconds, deadline_seconds):
+        return 0.0
+
     def record_trial(self, target):
         self.trials.append(target)
 
--- a/citronspan/core/episode_health.py
+++ b/citronspan/core/episode_health.py
@@ -12,13 +12,14 @@
 from collections import deque
 
 from citronspan.core import failure_episodes
+from citronspan.core.attempt_limit import compute_attempt_seconds
 from citronspan.core.failure_episodes import (
     FailureEpisodeModel,
     FailureEstimate,
-    LogNormalLatency,
     apply_likelihood_ratio,
 )
 from citronspan.core.health import TargetInfo, TargetLimit
+from citronspan.core.latency_distribution import LatencyDistribution
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.service_health_record import CHART
@@ -27,6 +28,7 @@
     StateChange,
     TargetStatus,
 )
+from citronspan.core.silence import compute_silence_ratio
 from citronspan.core.verdicts import Verdict, VerdictTable
 from citronspan.utils.statecharts import accepts_event, step_chart
 
@@ -36,9 +38,11 @@
 MAX_WITHDRAWABLE_FAILURES = 16
 MAX_QUEUED_CHANGES = 256
 
-_FAILURE_CLASSES = frozenset(
-    {OutcomeClass.TARGET_ERROR, OutcomeClass.ANSWER_LOST, OutcomeClass.TIMED_OUT}
-)
+FAILURE_SILENCE_RATIO = 6.0
+"""Likelihood ratio from which an attempt without an answer counts as a failure."""
+
+_FAILURE_CLASSES = frozenset({OutcomeClass.TARGET_ERROR, OutcomeClass.ANSWER_LOST})
+_SILENCE_CLASSES = frozenset({OutcomeClass.TIMED_OUT, OutcomeClass.CANCELLED})
 
 
 class _TargetRecord:
@@ -99,7 +103,7 @@
         self._incarnation = incarnation
         self._received_verdicts: VerdictTable | None = received_verdicts
         self._model = FailureEpisodeModel()
-        self._latency_by_kind: dict[str, LogNormalLatency] = {}
+        self._latency_by_kind: dict[str, LatencyDistribution] = {}
         self._record_by_target: dict[str, _TargetRecord] = {}
         self._changes: deque[StateChange] = deque(maxlen=MAX_QUEUED_CHANGES)
         self._episode_share_updated_at = time.monotonic()
@@ -154,6 +158,8 @@
             self._process_success(record, outcome, now)
         elif outcome_class in _FAILURE_CLASSES:
             self._process_failure(record, outcome, now)
+        elif outcome_class in _SILENCE_CLASSES:
+            self._process_silence(record, outcome, now)
         elif outcome_class is OutcomeClass.CONNECT_FAILED:
             record.estimate = apply_likelihood_ratio(
                 record.estimate, failure_episodes.UNREACHABLE_LIKELIHOOD_RATIO
@@ -184,24 +190,45 @@
         self._update_state(record, "it answers requests successfully")
 
     def _process_failure(self, record, outcome, now):
-        is_timeout = outcome.outcome_class is OutcomeClass.TIMED_OUT
-        if is_timeout:
-            overdue_seconds = self.find_overdue_seconds(outcome.request_kind)
-            if outcome.latency_seconds > overdue_seconds and record.overdue_attempts:
-                record.overdue_attempts -= 1
-                return
-            if outcome.deadline_seconds < overdue_seconds < math.inf:
-                return
         record.failed_at = now
         record.failed_fingerprints.append(outcome.fingerprint)
-        if is_timeout:
-            record.estimate = apply_likelihood_ratio(
-                record.estimate, failure_episodes.OVERDUE_LIKELIHOOD_RATIO
-            )
-        else:
-            record.estimate = self._model.update_on_failure(record.estimate)
+        record.estimate = self._model.update_on_failure(record.estimate)
         self._update_state(record, f"a request failed with {outcome.outcome_class}")
 
+    def _process_silence(self, record, outcome, now):
+        """Add an attempt that ended without an answer."""
+        overdue_seconds = self.find_overdue_seconds(outcome.request_kind)
+        if outcome.latency_seconds > overdue_seconds and record.overdue_attempts:
+            record.overdue_attempts -= 1
+            return
+        latency = self._get_or_create_latency(outcome.request_kind)
+        ratio = compute_silence_ratio(latency, outcome.latency_seconds)
+        if not latency.is_known and outcome.outcome_class is OutcomeClass.TIMED_OUT:
+            ratio = failure_episodes.OVERDUE_LIKELIHOOD_RATIO
+        # At a target that seems healthy, a long run is likelier than a hang.
+        if record.estimate.failure_probability < SUSPECT_PROBABILITY:
+            latency.add_unanswered(outcome.latency_seconds)
+        record.estimate = apply_likelihood_ratio(record.estimate, ratio)
+        if ratio >= FAILURE_SILENCE_RATIO:
+            record.failed_at = now
+            record.failed_fingerprints.append(outcome.fingerprint)
+        self._update_state(record, "a request was not answered")
+
+    def find_attempt_seconds(
+        self, target: str, kind: str, *, goal_seconds: float, deadline_seconds: float
+    ) -> float:
+        """Return when to give up an attempt; see ``Health``."""
+        record = self._record_by_target.get(target)
+        latency = self._latency_by_kind.get(kind)
+        if record is None or latency is None or not latency.is_known:
+            return 0.0
+        return compute_attempt_seconds(
+            latency,
+            record.estimate.failure_probability,
+            goal_seconds=goal_seconds,
+            deadline_seconds=deadline_seconds,
+        )
+
     def find_overdue_seconds(self, kind: str) -> float:
         """Return the age in seconds at which an unanswered attempt is overdue."""
         latency = self._latency_by_kind.get(kind)
@@ -356,7 +383,7 @@
     def _get_or_create_latency(self, kind):
         latency = self._latency_by_kind.get(kind)
         if latency is None:
-            latency = self._latency_by_kind[kind] = LogNormalLatency()
+            latency = self._latency_by_kind[kind] = LatencyDistribution()
         return latency
 
     def _update_state(self, record, reason):
--- a/citronspan/core/failure_episodes.py
+++ b/citronspan/core/failure_episodes.py
@@ -171,35 +171,3 @@
         / (failing_weight + 1 - estimate.failure_probability),
         at=estimate.at,
     )
-
-
-class LogNormalLatency:
-    """Latencies of one request kind: mean and variance of their logarithms."""
-
-    MIN_SAMPLE_WEIGHT = 1 / 64
-    OVERDUE_DEVIATIONS = 3.0
-    MIN_SAMPLES = 20
-
-    def __init__(self):
-        self._mean = 0.0
-        self._variance = 0.0
-        self._sample_count = 0
-
-    def add(self, seconds: float) -> None:
-        """Add the latency of an answer in seconds."""
-        value = math.log(max(seconds, 1e-4))
-        self._sample_count += 1
-        weight = max(self.MIN_SAMPLE_WEIGHT, 1 / self._sample_count)
-        self._mean += (value - self._mean) * weight
-        self._variance += ((value - self._mean) ** 2 - self._variance) * weight
-
-    def find_overdue_seconds(self) -> float:
-        """Return the latency in seconds above which an answer is overdue.
-
-        Hardly any successful answer takes longer. With too few samples, the result is
-        infinity.
-        """
-        if self._sample_count < self.MIN_SAMPLES:
-            return math.inf
-        deviation = max(math.sqrt(self._variance), 0.3)
-        return math.exp(self._mean + self.OVERDUE_DEVIATIONS * deviation)
--- a/citronspan/core/health.py
+++ b/citronspan/core/health.py
@@ -75,3 +75,19 @@
 
     def record_overdue(self, target: str) -> None:
         """Add an overdue attempt to the evidence, at most once per attempt."""
+
+    def find_attempt_seconds(
+        self, target: str, kind: str, *, goal_seconds: float, deadline_seconds: float
+    ) -> float:
+        """Return the time after which an attempt that may be retried is given up.
+
+        Args:
+            target: Name of the target.
+            kind: Request kind.
+            goal_seconds: Time left in which an answer has its full worth, 0 if that
+                is the time until the deadline.
+            deadline_seconds: Time until the request's deadline.
+
+        Returns:
+            The time in seconds, 0 if the entry has to decide it.
+        """
--- a/citronspan/core/service_health.py
+++ b/citronspan/core/service_health.py
@@ -170,6 +170,12 @@
         """
         return self._detector.compute_overdue_seconds(kind)
 
+    def find_attempt_seconds(
+        self, target: str, kind: str, *, goal_seconds: float, deadline_seconds: float
+    ) -> float:
+        """Return 0, since the entry decides when to give up; see ``Health``."""
+        return 0.0
+
     def record_overdue(self, target: str) -> None:
         """Add an overdue attempt to the evidence.
 
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -36,9 +36,10 @@
 from citronspan.utils.logs import write_event
 from citronspan.utils.traces import inject_context, start_span
 
-# Share of the remaining time that a retryable attempt may use, so that there is time
-# for another attempt after a slow target.
 ATTEMPT_DEADLINE_SHARE = 0.5
+"""Share of the remaining time that a retryable attempt may use if the broker left it
+open, so that there is time for another one after a slow target."""
+
 REFUSED_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` after all targets refused; by then one may have free capacity."""
 
@@ -271,10 +272,10 @@
     def _send(self, request_context, slot, started_at, is_last_attempt):
         deadline = request_context.deadline
         if not is_last_attempt:
-            deadline = (
-                started_at
-                + (request_context.deadline - started_at) * ATTEMPT_DEADLINE_SHARE
+            attempt_seconds = slot.attempt_seconds or (
+                (deadline - started_at) * ATTEMPT_DEADLINE_SHARE
             )
+            deadline = min(deadline, started_at + attempt_seconds)
         headers = dict(request_context.request.headers)
         target_attempt = TargetAttempt(
             target=slot.target, seconds=deadline - started_at
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -7,6 +7,7 @@
 import time
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, strategies as st
 from opentelemetry import trace
 
@@ -84,8 +85,10 @@
 class FakeTargets:
     """Stands in for the slots and connections; follows steps and records the calls."""
 
-    def __init__(self, steps):
+    def __init__(self, steps, attempt_seconds=0.0):
         self.steps = list(steps)
+        self.attempt_seconds = attempt_seconds
+        self.allowed_seconds = []
         self.queries = []
         self.sent = []
         self.released = []
@@ -97,7 +100,12 @@
         number = len(self.sent)
         key = ShardKey(service="s", region="r", number=0)
         return Slot(
-            attempt_id=number, target=f"t-{number}", address="a", shard=key, broker="b"
+            attempt_id=number,
+            target=f"t-{number}",
+            address="a",
+            shard=key,
+            broker="b",
+            attempt_seconds=self.attempt_seconds,
         )
 
     def release(self, slot, outcome, answer_bytes):
@@ -106,6 +114,7 @@
     def send(self, address, request, caller):
         step = self.steps.pop(0)
         self.sent.append(step)
+        self.allowed_seconds.append(request.deadline - time.monotonic())
         if step.failure is not None:
             raise AttemptFailedError(outcome_class=step.failure, detail="")
         return FakeAnswer(step)
@@ -221,3 +230,25 @@
         assert query.is_retry == any(
             step.failure not in undelivered_classes for step in previous_steps
         )
+
+
+@pytest.mark.parametrize(
+    ("attempt_seconds", "first_seconds"),
+    [(0.0, DEADLINE_SECONDS / 2), (4.0, 4.0), (90.0, DEADLINE_SECONDS)],
+)
+def test_attempt_waits_longer_or_shorter_than_its_broker_says(
+    attempt_seconds, first_seconds
+):
+    hang = AttemptStep(failure=OutcomeClass.TIMED_OUT, ran=True)
+    targets = FakeTargets([hang, answer(200, SIGNED, ran=True)], attempt_seconds)
+    context = make_request_context(idempotent=True, is_repeatable=True, attempts=2)
+    run(targets, context)
+    expected = pytest.approx([first_seconds, DEADLINE_SECONDS], abs=1.0)
+    assert targets.allowed_seconds == expected
+
+
+def test_request_that_may_run_once_only_is_given_up_early():
+    targets = FakeTargets([answer(200, SIGNED, ran=True)], 4.0)
+    context = make_request_context(idempotent=False, is_repeatable=True, attempts=2)
+    run(targets, context)
+    assert targets.allowed_seconds == pytest.approx([DEADLINE_SECONDS], abs=1.0)
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -432,6 +432,7 @@
             address=grant.address,
             shard=shard.key,
             broker=broker,
+            attempt_seconds=grant.attempt_seconds,
         )
 
     def _cancel_request(self, broker, request):
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -54,6 +54,8 @@
         shard: Shard of the target.
         broker: Peer address of the granting broker, empty if the entry chose the
             target locally.
+        attempt_seconds: Time after which an attempt that may be retried is given up, 0
+            if the broker left it open.
     """
 
     attempt_id: int
@@ -61,6 +63,7 @@
     address: str
     shard: ShardKey
     broker: str
+    attempt_seconds: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
