Let a refused caller send what it had begun before the connection is closed

A connection that the entry closes behind an answer (a refusal, a stop) was closed at once if nothing was unread at that moment. A caller that had sent or was sending a further request met a reset, which can reach it before it has read the answer.

Cause: whether to wait was decided by the bytes that had arrived, and a caller that keeps its connection learns of the end by the answer only. Now such a connection is ended in one direction, and what comes is read off until the caller closes, or sends nothing for 0.2 s, at most 1 s in all. A caller that asked for the close itself is not waited for. Ruled out: waiting the whole second, since a caller that never closes would hold a thread of an entry that is full.

The new test sends its next requests 0.05 s after the refusal: broken pipe before. The other one holds that a caller that is done is not waited for.

--- a/citronspan/ops/caller_stream.py
+++ b/citronspan/ops/caller_stream.py
@@ -18,6 +18,9 @@
 ANSWER_GRACE_SECONDS = 1.0
 LINGER_SECONDS = 1.0
 LINGER_READ_BYTES = 64 * 1024
+LINGER_QUIET_SECONDS = 0.2
+"""Time in which a caller that would have kept the connection sends its next request, or
+closes as well; some round trips to another region."""
 
 
 def is_readable(sock: socket.socket) -> bool:
@@ -142,11 +145,14 @@
     Attributes:
         limits: Time limits for reads and writes.
         has_unread_data: Whether more bytes of a request may arrive.
+        may_send_more: Whether the caller may send further requests, since only the
+            answer tells it that the connection ends.
     """
 
     def __init__(self, server, sock, makefile=None):
         self.limits = StreamLimits(idle_seconds=server.timeout)
         self.has_unread_data = False
+        self.may_send_more = False
         super().__init__(server, sock, self._make_file)
 
     def has_bytes(self) -> bool:
@@ -155,8 +161,11 @@
 
     def close(self):
         """Close the socket, after reading what the caller is still sending."""
-        if not self.limits.is_aborted and self._has_unread_bytes():
-            self._linger()
+        if not self.limits.is_aborted:
+            if self._has_unread_bytes():
+                self._linger(LINGER_SECONDS)
+            elif self.may_send_more:
+                self._linger(LINGER_QUIET_SECONDS)
         super().close()
 
     def close_at_once(self):
@@ -181,17 +190,22 @@
         raw = _DeadlineSocketIO(sock=sock, limits=self.limits)
         return _Reader(raw=raw, size=size)
 
-    def _linger(self):
+    def _linger(self, quiet_seconds):
         """Read and discard incoming data until the caller stops or time runs out.
 
-        Closing a socket with unread bytes resets the connection, and the reset can
-        reach the caller before the answer (RFC 9112, section 9.6).
+        Closing a socket with unread bytes resets the connection, as do bytes that come
+        after the close. The reset can reach the caller before the answer (RFC 9112,
+        section 9.6).
+
+        Args:
+            quiet_seconds: Time without data after which the caller is taken to have
+                stopped.
         """
         linger_deadline = time.monotonic() + LINGER_SECONDS
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
             while (remaining_seconds := linger_deadline - time.monotonic()) > 0:
-                self.socket.settimeout(remaining_seconds)
+                self.socket.settimeout(min(remaining_seconds, quiet_seconds))
                 if not self.socket.recv(LINGER_READ_BYTES):
                     return
 
--- a/citronspan/ops/pipelined_requests_test.py
+++ b/citronspan/ops/pipelined_requests_test.py
@@ -101,6 +101,29 @@
     assert [running.targets.count_runs(path) for path in paths[1:]] == [0] * 3
 
 
+def test_request_sent_just_after_a_refusal_resets_the_connection(running):
+    path = running.make_path("read")
+    set_answer(running, path)
+    with running.open() as caller:
+        caller.sendall(make_head(running.make_path("none")))
+        time.sleep(0.05)
+        for _ in range(2):
+            caller.sendall(make_head(path) + FILL)
+            time.sleep(0.02)
+        (answer,) = read_answers(caller)
+    assert answer[0] == 404
+    assert running.targets.count_runs(path) == 0
+
+
+@pytest.mark.parametrize("close", [True, False])
+def test_refused_caller_that_is_done_holds_a_thread(running, close):
+    with running.open() as caller:
+        started_at = time.monotonic()
+        caller.sendall(make_head(running.make_path("none"), close=close))
+        assert read_answers(caller)[0][0] == 404
+        assert time.monotonic() - started_at < RESET_SECONDS + 0.1
+
+
 def test_requests_behind_a_close_are_run_or_cut_its_answer_short(running):
     paths = [running.make_path("read") for _ in range(3)]
     for path in paths:
--- a/citronspan/ops/request_head.py
+++ b/citronspan/ops/request_head.py
@@ -101,6 +101,7 @@
     def parse_request(self):
         """Read the request line and the headers within ``HEAD_TIMEOUT_SECONDS``."""
         self.conn.has_unread_data = True
+        self.conn.may_send_more = False
         self.conn.limits.deadline = time.monotonic() + HEAD_TIMEOUT_SECONDS
         super().parse_request()
         self.conn.limits.deadline = None
@@ -144,6 +145,7 @@
 
     def respond(self):
         """Call the application, which reads the body and sends the answer."""
+        caller_closes = self.close_connection
         if self.chunked_read:
             self.rfile = ChunkedBody(rfile=self.conn.rfile)
         else:
@@ -154,6 +156,7 @@
         if self.chunked_write:
             self.conn.wfile.write(b"0\r\n\r\n")
         self.conn.has_unread_data = self._has_unread_body()
+        self.conn.may_send_more = self.close_connection and not caller_closes
 
     def send_headers(self):
         """Send the status and headers; close the connection if body data is unread."""
