Send no request on a kept connection after its time is over

An entry that was paused between the grant of a slot and the dispatch sent the request when it woke up, if it had a kept connection or had just connected: the target ran it although the caller had given up and the broker had taken the slot back for another request. Only the way to a new connection looked at the deadline. Found by reading, step by step, what an entry does between a permission and its use.

The deadline is now checked right before the first byte; such an attempt counts as not used, which is true, so that a request that may run once only is told 'not run'. Ruled out: a check at the release, when the target has run it already. Left: a pause between the check and the system's send, and the remaining time that the head states, which is older by the pause.

--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -227,11 +227,7 @@
             item.connection.close()
 
     def _connect(self, address, deadline):
-        if time.monotonic() >= deadline:
-            raise AttemptFailedError(
-                outcome_class=OutcomeClass.NOT_USED,
-                detail="the deadline passed before connecting",
-            )
+        _check_deadline(deadline, "connecting")
         try:
             return self._paths.connect(address, deadline)
         except RelayError as error:
@@ -250,6 +246,7 @@
         Returns:
             The response, and whether the whole request was sent before it arrived.
         """
+        _check_deadline(request.deadline, "sending")
         connection.timeout = max(request.deadline - time.monotonic(), 0.001)
         connection.response_class = functools.partial(
             CheckedResponse,
@@ -402,6 +399,18 @@
     return POOL_IDLE_SECONDS
 
 
+def _check_deadline(deadline, next_step):
+    """Fail if the deadline has passed, as after a pause of the process.
+
+    The slot may be another request's by then, and the caller has given up.
+    """
+    if time.monotonic() >= deadline:
+        raise AttemptFailedError(
+            outcome_class=OutcomeClass.NOT_USED,
+            detail=f"the deadline passed before {next_step}",
+        )
+
+
 def _send_buffer(sock, buffer, deadline) -> bool:
     """Send a buffer until all of it is sent or the target has answered.
 
