Answer the requests that arrive while an entry stops to accept

When an entry had left the directory it ended its selector (up to half a second), closed the listener, and closed all idle connections at once. Requests that had just come were cut off without an answer: on kept connections whose bytes had arrived but were not yet read, and on new connections that the system had accepted and the entry had not. Operators of similar systems saw the same; here it was found by reading.

Now the entry accepts what waits, closes the listener, hands over for another 0.1 s what becomes readable, and closes the rest, which is idle. Answers then end their connections as before. Ruled out: to stay open for longer, since the stop has that time already (leaveSeconds).

The test lets five kept and five new connections send their requests in that moment: before, the first was closed without an answer; now all ten are answered with a close.

--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 from collections.abc import Callable
 
 from cheroot import wsgi
@@ -20,6 +21,8 @@
 MINIMUM_THREADS = 1
 METRICS_THREADS = 1
 MAXIMUM_KEEP_ALIVE_CONNECTIONS = 512
+ARRIVAL_SECONDS = 0.1
+"""Time in which a request arrives whose caller could not see the stop."""
 
 
 class ConnectionGateway(wsgi.Gateway_10):
@@ -51,19 +54,40 @@
     def stop_accepting(self) -> None:
         """Accept no further connection or request; requests in progress continue.
 
-        Idle connections are closed at once, other ones after their response.
+        So do those that arrive within ``ARRIVAL_SECONDS``, also on connections that
+        wait to be accepted. Connections that are idle by then are closed, other ones
+        after their response.
         """
         if not self.ready:
             return
         self.ready = False
         self._connections.stop()
+        self._accept_waiting_connections()
+        self._connections._selector.unregister(self.socket.fileno())
         self.socket.close()
         self.socket = None
+        self._serve_arriving_requests()
+
+    def _accept_waiting_connections(self):
+        """Accept what the system has accepted; its callers may have sent requests."""
+        self.socket.setblocking(False)
+        while True:
+            conn = self._connections._from_server_socket(self.socket)
+            if conn is None:
+                return
+            self._connections.put(conn)
+
+    def _serve_arriving_requests(self):
+        """Hand connections to threads as requests arrive, and close the others."""
         selector = self._connections._selector
+        end = time.monotonic() + ARRIVAL_SECONDS
+        while len(selector) and (remaining := end - time.monotonic()) > 0:
+            for descriptor, conn in selector.select(timeout=remaining):
+                selector.unregister(descriptor)
+                self.requests.put(conn)
         for descriptor, conn in list(selector.connections):
             selector.unregister(descriptor)
-            if conn is not self:
-                conn.close_at_once()
+            conn.close_at_once()
 
     def stop(self) -> None:
         """Stop once all requests have ended or the shutdown timeout has passed."""
--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/http_server_test.py
@@ -61,6 +61,27 @@
     assert busy_connection.getresponse().read() == b"done"
 
 
+def test_requests_that_arrive_with_the_stop_are_cut_off(server, monkeypatch):
+    kept = [connect(server) for _ in range(5)]
+    for connection in kept:
+        connection.request("GET", "/")
+        assert connection.getresponse().read() == b"done"
+    new = [connect(server) for _ in range(5)]
+    stop_selector = server._connections.stop
+
+    def stop_and_send():
+        stop_selector()
+        for connection in (*kept, *new):
+            connection.request("GET", "/slow")
+
+    monkeypatch.setattr(server._connections, "stop", stop_and_send)
+    server.stop_accepting()
+    for connection in (*kept, *new):
+        answer = connection.getresponse()
+        assert answer.read() == b"done"
+        assert answer.getheader("Connection") == "close"
+
+
 def request_slow(server):
     connection = connect(server)
     connection.request("GET", "/slow")
