Divide what may idle of a service's targets among its shards

Each shard rounded down the number of targets that may idle: of 12 targets one, of 5 none. The floor is a share of the service's targets, and its 11 shards a region so asked for more than it does. Now a shard knows how many targets the shards before it have, and rounds the running sum, so that all together let as many idle as the service may. A service of one shard is as before.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -89,6 +89,7 @@
         link_bytes_per_second: float = 0.0,
         retry_window: RetryWindow | None = None,
         floor: float = 0.0,
+        count_preceding_targets: Callable[[], int] = lambda: 0,
         holder: str = "",
         find_rate_share: Callable[[], RateShare] = lambda: FULL_RATE_SHARE,
     ):
@@ -102,6 +103,8 @@
             retry_window: Limit on the retries, None if entries limit them.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection ensures it.
+            count_preceding_targets: Returns the number of the service's targets in the
+                shards before this one.
             holder: Peer address of the entry that runs the broker.
             find_rate_share: Returns this broker's present share of the request rates to
                 which targets limit the fleet.
@@ -116,6 +119,7 @@
             targets=targets,
             now=time.monotonic(),
             floor=floor,
+            count_preceding_targets=count_preceding_targets,
             holder=holder,
             find_rate_share=find_rate_share,
             estimate_hold_seconds=lambda: self._hold_times.mean_seconds,
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -5,6 +5,7 @@
 
 from citronspan.core.brokering.broker_messages import SlotRequest
 from citronspan.core.brokering.broker_target_usage import TargetUsage
+from citronspan.core.brokering.idle_allowance import count_allowed_idle_targets
 from citronspan.core.brokering.placement import (
     FAILED_IDLE_SECONDS,
     FLOOR_IDLE_SECONDS,
@@ -17,10 +18,6 @@
 from citronspan.core.detection.health import Health, TargetInfo, TargetLimit
 from citronspan.core.rate_limits import RateLimit, RateLimitTable
 
-IDLE_SHARE = 0.5
-"""Share of the targets above the floor that may idle, because users measure the floor
-over fewer targets: those that were not disturbed for some time."""
-
 
 class TargetPool:
     """The targets of a shard with their limits and their usage.
@@ -42,6 +39,7 @@
         targets: tuple[TargetInfo, ...],
         now: float,
         floor: float = 0.0,
+        count_preceding_targets: Callable[[], int] = lambda: 0,
         holder: str = "",
         find_rate_share: Callable[[], RateShare] = lambda: FULL_RATE_SHARE,
         estimate_hold_seconds: Callable[[], float] = lambda: 0.0,
@@ -54,6 +52,8 @@
             now: Present time.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection keeps the floor.
+            count_preceding_targets: Returns the number of the service's targets in the
+                shards before this one.
             holder: Peer address of the entry that runs the broker.
             find_rate_share: Returns the broker's present share of the request rates to
                 which targets limit the fleet.
@@ -65,6 +65,7 @@
         self._rate_share = FULL_RATE_SHARE
         self._estimate_hold_seconds = estimate_hold_seconds
         self._floor = floor
+        self._count_preceding_targets = count_preceding_targets
         self.capacity = 0
         self.expected_healthy_capacity = 0.0
         self.has_failure_probabilities = False
@@ -265,7 +266,11 @@
             if usage.compute_usable_slots(limit, now) > 0
         ]
         idle = [usage for usage in usages if _is_idle(usage, now)]
-        allowed_idle = math.floor((1 - self._floor) * IDLE_SHARE * len(usages))
+        allowed_idle = count_allowed_idle_targets(
+            floor=self._floor,
+            targets=len(usages),
+            preceding_targets=self._count_preceding_targets(),
+        )
         return len(idle) > allowed_idle
 
 
--- a/citronspan/core/brokering/broker_set.py
+++ b/citronspan/core/brokering/broker_set.py
@@ -71,6 +71,7 @@
         self._make_health = make_health
         self._spec_by_service: dict[str, ServiceSpec] = {}
         self._shard_by_key: dict[ShardKey, Shard] = {}
+        self._preceding_targets_by_key: dict[ShardKey, int] = {}
         self._broker_by_key: dict[ShardKey, Broker] = {}
         self._assigned_at_by_key: dict[ShardKey, float] = {}
 
@@ -127,12 +128,23 @@
         """
         self._remove_shards(service)
         self._spec_by_service[service] = spec
-        for region, shards in form_shards(service, targets, spec.shard_size).items():
+        preceding_targets = 0
+        shards_by_region = form_shards(service, targets, spec.shard_size)
+        for region, shards in sorted(shards_by_region.items()):
             self.shards_by_group[service, region] = shards
             for shard in shards:
                 self._shard_by_key[shard.key] = shard
+                self._preceding_targets_by_key[shard.key] = preceding_targets
+                preceding_targets += sum(not target.leaving for target in shard.targets)
         return self._update_broker_targets(service)
 
+    def count_preceding_targets(self, key: ShardKey) -> int:
+        """Return the number of a service's targets in the shards before one of them.
+
+        All entries order the shards alike, by region and number.
+        """
+        return self._preceding_targets_by_key.get(key, 0)
+
     def remove_service(self, service: str) -> list[Outgoing]:
         """Remove a service.
 
@@ -243,6 +255,7 @@
             link_bytes_per_second=spec.link_bytes_per_second / len(group),
             retry_window=self._make_retry_window(key, spec),
             floor=0.0 if ejects else spec.floor,
+            count_preceding_targets=lambda: self.count_preceding_targets(key),
             holder=self.address,
             find_rate_share=lambda: self._find_rate_share(key),
         )
@@ -276,6 +289,7 @@
         for group in [group for group in self.shards_by_group if group[0] == service]:
             for shard in self.shards_by_group.pop(group):
                 del self._shard_by_key[shard.key]
+                del self._preceding_targets_by_key[shard.key]
 
     def _update_broker_targets(self, service):
         outgoing = []
