Serve waiting requests in the order of their deadlines again

What a next try needs: a request that is late and cannot be served soon is refused then, with the time to come back, by an estimate that knows the real order of the queue.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -527,7 +527,7 @@
         free = self._pool.count_free_slots(now)
         if free <= 0:
             return
-        for waiting in self._list_waiting_in_order(now):
+        for waiting in self._queue.list_from_position(0):
             if now >= waiting.deadline_at:
                 self._refuse_queued(waiting, result_codes.NO_CAPACITY, now)
                 continue
@@ -552,20 +552,6 @@
             if free <= 0:
                 return
 
-    def _list_waiting_in_order(self, now):
-        """Return the queued requests, among those of one worth the late ones last.
-
-        A request whose wait limit has passed is late anyway. If it went first, those
-        behind it would become late one after the other.
-        """
-        return sorted(
-            self._queue.list_from_position(0),
-            key=lambda waiting: (
-                -waiting.request.worth,
-                now - waiting.received_at >= waiting.wait_limit_seconds,
-            ),
-        )
-
     def _handle_release(self, release, now):
         attempt_id = release.attempt_id
         if self._attempt_cache.has_ended(attempt_id):
