--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -341,10 +341,7 @@
             waiting.request,
             now,
             acceptable_cost=compute_acceptable_cost(
-                waiting.request,
-                now - waiting.received_at,
-                wait_limit_seconds,
-                self._pool.healthy_share,
+                waiting.request, now - waiting.received_at, wait_limit_seconds
             ),
             high_unserved_share=self._unserved_share.is_high(now),
         )
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -154,11 +154,6 @@
         self.expected_healthy_capacity = expected_healthy_capacity
         self.has_failure_probabilities = has_failure_probabilities
 
-    @property
-    def healthy_share(self) -> float:
-        """Share of the capacity that is expected to be healthy, as of the last read."""
-        return self.expected_healthy_capacity / max(self.capacity, 1)
-
     def _apply_rate_limit(self, target, usable_slots):
         """Return how many slots a target fills at the rate that its limit allows."""
         rate = self._pacer.find_rate(target, self._rate_share)
--- a/citronspan/core/brokering/placement.py
+++ b/citronspan/core/brokering/placement.py
@@ -53,13 +53,6 @@
 """Highest cost that a request accepts without waiting for a cheaper target. The
 accepted cost rises with the time that the request has waited."""
 
-HIGHEST_ACCEPTABLE_COST = 0.75
-"""Highest cost that a request ever accepts, while a part of the shard is healthy. A
-request that may run once only is then better refused, as not run, or late."""
-
-LEAST_HEALTHY_SHARE = 0.2
-"""Share of a shard's capacity that is healthy, below which any target is accepted."""
-
 WAIT_LIMIT_SHARE = 0.6
 """Wait limit as a share of the time that a request has to spare before its goal."""
 
@@ -162,35 +155,23 @@
 
 
 def compute_acceptable_cost(
-    request: SlotRequest,
-    waited_seconds: float,
-    wait_limit_seconds: float,
-    healthy_share: float,
+    request: SlotRequest, waited_seconds: float, wait_limit_seconds: float
 ) -> float:
     """Compute the highest cost that a request accepts instead of waiting.
 
-    Load pattern: more requests than the healthy targets of a shard have slots for,
-    beside targets that fail most requests at once and so always have free slots. A
-    request that goes there after its wait is lost, while one that waits on is served
-    late, and one that is refused may come back when the burst is over.
-
     Args:
         request: Request that needs a slot.
         waited_seconds: Time that the request has waited.
         wait_limit_seconds: Wait limit of the request.
-        healthy_share: Share of the shard's capacity that is expected to be healthy.
 
     Returns:
-        Cost as a fraction of the request's worth. It rises to
-        ``HIGHEST_ACCEPTABLE_COST`` until the wait limit is reached, and is infinite
-        from then on where hardly any target is healthy. It stays at
-        ``ACCEPTABLE_COST`` if the request may go to another region or comes from one.
+        Cost as a fraction of the request's worth, infinite once the wait limit is
+        reached. It stays at ``ACCEPTABLE_COST`` if the request may go to another region
+        or comes from one.
     """
     if request.has_other_region or request.from_region:
         return ACCEPTABLE_COST
     if waited_seconds >= wait_limit_seconds:
-        if healthy_share < LEAST_HEALTHY_SHARE:
-            return math.inf
-        return HIGHEST_ACCEPTABLE_COST
+        return math.inf
     share = waited_seconds / wait_limit_seconds
-    return ACCEPTABLE_COST + (HIGHEST_ACCEPTABLE_COST - ACCEPTABLE_COST) * share
+    return ACCEPTABLE_COST + (1 - ACCEPTABLE_COST) * share
