Leave callers that left out of the latencies of a kind

Since an attempt that ended without an answer counted as a run of at least its time. For an attempt that was given up that is long; for a caller that left after a moment it is next to nothing, and looked like a quick answer. With many such callers the known latencies shrank, and attempts were given up too early. Found by reading the change again.

Only attempts that were given up count now; a silence that ended with its caller stays evidence by its length.

--- a/citronspan/core/detection/episode_health.py
+++ b/citronspan/core/detection/episode_health.py
@@ -203,10 +203,12 @@
             return
         latency = self._get_or_create_latency(outcome.request_kind)
         ratio = compute_silence_ratio(latency, outcome.latency_seconds)
-        if not latency.is_known and outcome.outcome_class is OutcomeClass.TIMED_OUT:
+        is_timeout = outcome.outcome_class is OutcomeClass.TIMED_OUT
+        if is_timeout and not latency.is_known:
             ratio = failure_episodes.OVERDUE_LIKELIHOOD_RATIO
-        # At a target that seems healthy, a long run is likelier than a hang.
-        if record.estimate.failure_probability < SUSPECT_PROBABILITY:
+        # At a target that seems healthy, a long run is likelier than a hang. How long
+        # the answer to a caller that left would have taken is unknown.
+        if is_timeout and record.estimate.failure_probability < SUSPECT_PROBABILITY:
             latency.add_unanswered(outcome.latency_seconds)
         record.estimate = apply_likelihood_ratio(record.estimate, ratio)
         if ratio >= FAILURE_SILENCE_RATIO:
--- a/citronspan/core/detection/silence_test.py
+++ b/citronspan/core/detection/silence_test.py
@@ -12,7 +12,10 @@
     make_targets,
     observe,
 )
-from citronspan.core.detection.latency_distribution import LatencyDistribution
+from citronspan.core.detection.latency_distribution import (
+    RECENT_SAMPLES,
+    LatencyDistribution,
+)
 from citronspan.core.detection.latency_distribution_test import make_distribution
 from citronspan.core.detection.silence import compute_silence_ratio
 from citronspan.core.outcomes import OutcomeClass
@@ -87,3 +90,20 @@
         before = find_failure_probability(health, "t-0")
         observe(health, "t-0", OutcomeClass.TIMED_OUT, ROUTE_TIMEOUT_SECONDS)
         assert find_failure_probability(health, "t-0") > 2 * before
+
+
+def test_callers_that_leave_early_shorten_the_known_latencies():
+    with freezegun.freeze_time("2026-01-01"):
+        health = make_trained_health()
+        limits = []
+        for _ in range(2):
+            limit = health.find_attempt_seconds(
+                "t-4", "", goal_seconds=3.0, deadline_seconds=4.0
+            )
+            limits.append(limit)
+            for number in range(RECENT_SAMPLES):
+                name = f"t-{number % 4}"
+                observe(health, name, OutcomeClass.CANCELLED, 0.001)
+        assert limits[0] == limits[1]
+        observe(health, "t-3", OutcomeClass.CANCELLED, ROUTE_TIMEOUT_SECONDS)
+        assert find_failure_probability(health, "t-3") > 0.1
