Find out whether a host is cut off while its kept connections are silent

Cause: only connects told a host that it was cut off. Requests on kept connections just waited, and while there were enough kept connections no connect was made at all. Callers that wait send nothing more, so each host saw two or three requests in three seconds.

Now a request that has had no answer for 1.5 s, at a host that got no other answer since and connected to nothing, makes the host try one target directly. One success ends the doubt; three failures, each 0.25 s, mean that it is cut off. One silent target costs one connect.

--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -331,6 +331,7 @@
         """Wait until the answer begins; fail early if the caller disconnects."""
         poll = select.poll()
         poll.register(connection.sock, select.POLLIN)
+        sent_at = time.monotonic()
         while True:
             remaining_seconds = deadline - time.monotonic()
             if remaining_seconds <= 0:
@@ -341,6 +342,7 @@
             wait_seconds = min(remaining_seconds, CALLER_POLL_INTERVAL_SECONDS)
             if poll.poll(wait_seconds * 1000):
                 return
+            self._paths.record_wait(connection, sent_at)
             if caller is not None and caller.is_disconnected():
                 raise AttemptFailedError(
                     outcome_class=OutcomeClass.CANCELLED,
--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/target_paths.py
@@ -20,6 +20,9 @@
 
 PROBE_INTERVAL_SECONDS = 0.25
 
+SILENCE_SECONDS = 1.5
+"""Time without an answer after which a request puts the host's reach in doubt."""
+
 _logger = logbook.Logger("target-paths")
 
 
@@ -81,10 +84,22 @@
         if not isinstance(connection, RelayedConnection):
             self._reachability.record_answered()
 
+    def record_wait(self, connection: HTTPConnection, sent_at: float) -> None:
+        """Record that a request still waits for its answer.
+
+        Args:
+            connection: Connection over which it was sent.
+            sent_at: Time of ``time.monotonic()`` at which it was sent.
+        """
+        if isinstance(connection, RelayedConnection):
+            return
+        if time.monotonic() - sent_at >= SILENCE_SECONDS:
+            self._reachability.record_silence(sent_at)
+
     def probe_forever(
         self, list_addresses: Callable[[], list[str]], is_ended: threading.Event
     ) -> None:
-        """Try targets directly while the host is cut off, to see when that ends.
+        """Try targets directly while the host is cut off or may be.
 
         Args:
             list_addresses: Returns the addresses of all targets.
@@ -92,9 +107,7 @@
         """
         while not is_ended.wait(PROBE_INTERVAL_SECONDS):
             try:
-                addresses = list_addresses() if self._reachability.is_cut_off else []
-                if addresses:
-                    self._probe(random.choice(addresses))
+                self._probe_if_needed(list_addresses)
             except Exception:
                 _logger.exception("probe raised an exception")
                 write_event(_logger, log_events.BACKGROUND_TASK_FAILED, task="probe")
@@ -104,11 +117,22 @@
             return False
         return self._relay.has_peers()
 
+    def _probe_if_needed(self, list_addresses):
+        if not (self._reachability.is_cut_off or self._reachability.is_in_doubt):
+            return
+        addresses = list_addresses()
+        if not addresses:
+            return
+        failed = self._reachability.list_failed_addresses()
+        untried = [address for address in addresses if address not in failed]
+        self._probe(random.choice(untried or addresses))
+
     def _probe(self, address):
         try:
             connection = self._direct.connect(address, CONNECT_TIMEOUT_SECONDS)
         except (OSError, urllib3.exceptions.HTTPError):
-            # Ignored: the host stays cut off.
+            if not self._reachability.is_cut_off:
+                self._reachability.record_failed(address)
             return
         connection.close()
         self._reachability.record_connected()
--- a/citronspan/ops/target_reachability.py
+++ b/citronspan/ops/target_reachability.py
@@ -2,7 +2,9 @@
 
 One failed connect may be the fault of the target. A host that failed to connect to
 several targets, and to none successfully since, is taken to be cut off from all of
-them, until a connect succeeds again. Its open connections may live on.
+them, until a connect succeeds again. Its open connections may live on. A host whose
+open connections are silent and which opens no others is in doubt until one connect has
+shown whether it reaches targets.
 """
 
 import math
@@ -40,6 +42,8 @@
         self._is_cut_off = False
         self._failing_since = -math.inf
         self._answered_at = -math.inf
+        self._connected_at = -math.inf
+        self._silent_since = -math.inf
 
     @property
     def is_cut_off(self) -> bool:
@@ -51,9 +55,20 @@
         """Whether an answer came over a direct connection since connects fail."""
         return self._answered_at > self._failing_since
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether a silent request is all that this host knows of its targets."""
+        return self._silent_since > max(self._answered_at, self._connected_at)
+
+    def list_failed_addresses(self) -> frozenset[str]:
+        """Return the addresses whose connects failed, none succeeding since."""
+        with self._lock:
+            return frozenset(self._failed_addresses.list_names())
+
     def record_connected(self) -> None:
         """Record that a connect to a target succeeded."""
         with self._lock:
+            self._connected_at = time.monotonic()
             self._failed_addresses.clear()
             self._set_cut_off(False)
 
@@ -75,6 +90,14 @@
         """Record that a target answered over a direct connection."""
         self._answered_at = time.monotonic()
 
+    def record_silence(self, sent_at: float) -> None:
+        """Record that a request has had no answer over a direct connection for long.
+
+        Args:
+            sent_at: Time of ``time.monotonic()`` at which the request was sent.
+        """
+        self._silent_since = max(self._silent_since, sent_at)
+
     def _set_cut_off(self, is_cut_off):
         if is_cut_off is self._is_cut_off:
             return
