Keep the byte budget of the region link while brokers of a shard change

What could be seen: each new broker of a shard, also one that restarts or serves as a fallback broker, let a whole second of the budget cross between regions at once, whatever its predecessor had let cross just before.

Cause: LinkBudget starts with a full bucket and refills it at the whole rate, for each broker object.

Now a broker starts with an empty bucket, and refills it at the share of the rate that it has for the rates of targets as well: the whole for the broker of the shard, half of it in its first four seconds, a fifth for all fallback brokers together.

Price: for a fraction of a second after a start or a change of brokers requests of other regions are refused, as not run. Ruled out: telling the next broker the content of the bucket, which a lost broker cannot do.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -106,8 +106,9 @@
             count_preceding_targets: Returns the number of the service's targets in the
                 shards before this one.
             holder: Peer address of the entry that runs the broker.
-            find_rate_share: Returns this broker's present share of the request rates to
-                which targets limit the fleet.
+            find_rate_share: Returns this broker's present share of the rates that the
+                brokers of the shard share: requests to targets that limit them, and
+                bytes between regions.
         """
         self._retry_window = retry_window
         self.key = key
@@ -127,7 +128,11 @@
         self._queue = SlotQueue()
         self._grant_table = GrantTable()
         self._attempt_cache = AttemptCache()
-        self._link_budget = LinkBudget(bytes_per_second=link_bytes_per_second)
+        self._link_budget = LinkBudget(
+            bytes_per_second=link_bytes_per_second,
+            initial_seconds=0.0,
+            find_share=lambda: find_rate_share().share,
+        )
         self._arrival_count = 0
         self._grant_count = 0
         self._reclaimed_count = 0
--- a/citronspan/core/brokering/link_budget.py
+++ b/citronspan/core/brokering/link_budget.py
@@ -4,9 +4,15 @@
 bytes it must leave in the bucket, so that requests of low worth are refused first when
 bytes are short. Requests of the highest worth leave only the reserve for control
 traffic. Control traffic is counted, may use the reserve and is never refused here.
+
+Load pattern: brokers of a shard that follow each other, or serve it at the same time,
+while requests from other regions keep coming. Each holder refills its bucket at its
+share of the rate, so that the sum stays bounded, and none starts with a full bucket,
+since its predecessor may just have spent one.
 """
 
 import time
+from collections.abc import Callable
 
 BURST_SECONDS = 1.0
 """Capacity of the bucket, as seconds of the full rate."""
@@ -24,11 +30,24 @@
 class LinkBudget:
     """Byte budget of one service for requests to targets in another region."""
 
-    def __init__(self, *, bytes_per_second: float):
+    def __init__(
+        self,
+        *,
+        bytes_per_second: float,
+        initial_seconds: float = BURST_SECONDS,
+        find_share: Callable[[], float] = lambda: 1.0,
+    ):
+        """Create a budget.
+
+        Args:
+            bytes_per_second: Rate that all holders of the budget share.
+            initial_seconds: Content of the bucket, as seconds of the full rate.
+            find_share: Returns the share of the rate that this holder may now use.
+        """
         self.spent_bytes_by_kind: dict[str, int] = {}
         self._bytes_per_second = bytes_per_second
-        self._burst_bytes = bytes_per_second * BURST_SECONDS
-        self._available_bytes = self._burst_bytes
+        self._available_bytes = bytes_per_second * initial_seconds
+        self._find_share = find_share
         self._refilled_at = time.monotonic()
         self._maximum_worth = 0.0
         self._answer_bytes_by_kind: dict[str, float] = {}
@@ -71,9 +90,12 @@
         """Return the expected length of an answer in bytes."""
         return int(self._answer_bytes_by_kind.get(request_kind, 0.0))
 
+    def _compute_capacity_bytes(self):
+        return self._bytes_per_second * self._find_share() * BURST_SECONDS
+
     def _compute_reserve_bytes(self, worth):
         share = 1.0 - worth / self._maximum_worth if self._maximum_worth else 0.0
-        return self._burst_bytes * (
+        return self._compute_capacity_bytes() * (
             CONTROL_RESERVE_SHARE + LOW_WORTH_RESERVE_SHARE * share
         )
 
@@ -83,8 +105,9 @@
 
     def _refill(self):
         now = time.monotonic()
-        refilled_bytes = (now - self._refilled_at) * self._bytes_per_second
+        rate = self._bytes_per_second * self._find_share()
+        refilled_bytes = (now - self._refilled_at) * rate
         self._available_bytes = min(
-            self._burst_bytes, self._available_bytes + refilled_bytes
+            self._compute_capacity_bytes(), self._available_bytes + refilled_bytes
         )
         self._refilled_at = now
