Divide the broker into messages, grants, waiting requests, answers and outcomes

- slot_granter: chooses a target and grants its slot
- waiting_requests: who waits, is served from the queue, or is refused
- wait_estimates: how long that takes; when a refused caller may come back
- broker_outcomes: what the end of an attempt tells detection and the estimates
- broker_answers: messages and decisions until they are taken

No change of logic; no message, log line or figure changes.

--- a/citronspan/core/brokering/broker_grants.py
+++ b/citronspan/core/brokering/broker_grants.py
@@ -6,6 +6,9 @@
 from citronspan.core.brokering.broker_messages import HandoverGrant
 from citronspan.core.brokering.broker_target_usage import TargetUsage
 
+LEASE_GRACE_SECONDS = 0.5
+"""Time from a request's deadline to the end of its lease."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
--- a/citronspan/core/brokering/broker_properties_test.py
+++ b/citronspan/core/brokering/broker_properties_test.py
@@ -8,14 +8,10 @@
 from hypothesis import given, settings, strategies as st
 
 from citronspan.core import result_codes
-from citronspan.core.brokering.broker import (
-    LEASE_GRACE_SECONDS,
-    MAXIMUM_QUEUED_PER_SLOT,
-    MINIMUM_QUEUE_LIMIT,
-    Broker,
-)
+from citronspan.core.brokering.broker import Broker
 from citronspan.core.brokering.broker_attempt_cache import ATTEMPT_CACHE_SECONDS
 from citronspan.core.brokering.broker_expiry import BUCKET_SECONDS
+from citronspan.core.brokering.broker_grants import LEASE_GRACE_SECONDS
 from citronspan.core.brokering.broker_messages import SlotGrant, SlotWaiting
 from citronspan.core.brokering.broker_slot_hold_times import (
     SAMPLE_WEIGHT,
@@ -34,6 +30,10 @@
     make_request,
     make_target,
 )
+from citronspan.core.brokering.wait_estimates import (
+    MAXIMUM_QUEUED_PER_SLOT,
+    MINIMUM_QUEUE_LIMIT,
+)
 from citronspan.core.outcomes import OutcomeClass
 
 TARGET_NAMES = ("a", "b", "c")
--- a/citronspan/core/brokering/broker_test.py
+++ b/citronspan/core/brokering/broker_test.py
@@ -6,11 +6,7 @@
 import pytest
 
 from citronspan.core import result_codes
-from citronspan.core.brokering.broker import (
-    MINIMUM_RETRY_AFTER_SECONDS,
-    RETRY_AFTER_JITTER,
-    Broker,
-)
+from citronspan.core.brokering.broker import Broker
 from citronspan.core.brokering.broker_messages import (
     BrokerHandover,
     HandoverGrant,
@@ -24,6 +20,10 @@
 )
 from citronspan.core.brokering.retry_window import RATIO_SHARE, SLACK_SHARE, RetryWindow
 from citronspan.core.brokering.shards import ShardKey
+from citronspan.core.brokering.wait_estimates import (
+    MINIMUM_RETRY_AFTER_SECONDS,
+    RETRY_AFTER_JITTER,
+)
 from citronspan.core.detection.health import TargetInfo, TargetLimit
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimit
