Replace connections between hosts that have gone silent

Between agents, a node was unreachable for the other one for good, so that the two had different views of who brokers what.

Cause: the link took a connection for good as long as it was open. Sockets of the messaging library have no time-out of their own.

Now an entry that had no response of a broker for a second replaces its connection to it, and an agent replaces that to a node that only it cannot reach, once. The receiver sees that the sender comes by another connection and replaces its own, since the missing answers may be the other way's fault. Connections younger than two seconds stay, so that two peers do not replace them by turns and a slow broker is not dialled again and again.

Left: kept connections to targets that go silent. A request which may run once only and is sent over one waits until its deadline.

--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -71,6 +71,7 @@
         self._stop = threading.Event()
         self._entry_report: EntryReport | None = None
         self._entry_reported_at = float("-inf")
+        self._replaced_addresses: set[str] = set()
         self.incarnation = time.time_ns() // 1_000_000
         own = make_own_node(settings, incarnation=self.incarnation)
         if store is None and settings.log_url:
@@ -286,6 +287,7 @@
             self._check_entry_timeout()
             self.view.update_own(offset=self.active_config.state.offset)
             self.link.send_all(self.view.tick())
+            self._replace_silent_connections()
             self.link.close_idle()
             self._peer_log.write(self.view)
             nodes = self.view.live_nodes()
@@ -295,6 +297,14 @@
             if not self.active_config.ready:
                 self.source.check_startup_gate(nodes)
 
+    def _replace_silent_connections(self):
+        """Connect anew, once, to each node that only this one cannot reach."""
+        addresses = {node.agent_peer_address for node in self.view.unreachable_nodes()}
+        self._replaced_addresses &= addresses
+        for address in addresses - self._replaced_addresses:
+            if self.link.replace_connection(address):
+                self._replaced_addresses.add(address)
+
     def _get_tick_seconds(self):
         return TICK_SECONDS if self.active_config.ready else STARTUP_TICK_SECONDS
 
--- a/citronspan/ops/broker_client.py
+++ b/citronspan/ops/broker_client.py
@@ -21,6 +21,9 @@
 CROSS_REGION_WAIT_SECONDS = 0.15
 """Additional wait for a broker in another region, for the round trip."""
 
+SILENCE_SECONDS = 1.0
+"""Time without any response after which the connection to a broker is replaced."""
+
 SlotAnswer = SlotGrant | SlotRefusal | SlotRedirect
 
 
@@ -38,16 +41,25 @@
 class BrokerClient:
     """Matches the responses of brokers to the requests that wait; safe for threads."""
 
-    def __init__(self, *, send: Callable[[str, Message], bool], wait_seconds: float):
+    def __init__(
+        self,
+        *,
+        send: Callable[[str, Message], bool],
+        wait_seconds: float,
+        replace_connection: Callable[[str], None] = lambda address: None,
+    ):
         """Create a client without pending requests.
 
         Args:
             send: Sends a message to a peer address; returns whether it was sent.
             wait_seconds: Least time to wait for the first response of a broker; a
                 request that can spare more waits longer.
+            replace_connection: Connects anew to a peer address.
         """
         self._send = send
         self._wait_seconds = wait_seconds
+        self._replace_connection = replace_connection
+        self._missing_since_by_broker: dict[str, float] = {}
         self._pending: PendingAnswers[SlotAnswer] = PendingAnswers()
         self._pending_request_by_id: dict[int, _PendingRequest] = {}
 
@@ -78,9 +90,12 @@
             sent_at = time.monotonic()
             while self._send(broker, request):
                 if waiter.wait(wait_seconds):
+                    self._missing_since_by_broker.pop(broker, None)
                     return waiter.answer
                 if pending_request.waiting_at < sent_at:
+                    self._record_missing_response(broker, sent_at)
                     return None
+                self._missing_since_by_broker.pop(broker, None)
                 if waiter.wait(SLOT_RETRY_SECONDS):
                     return waiter.answer
                 sent_at = time.monotonic()
@@ -91,6 +106,12 @@
             self._pending.close(wait_id)
             self._pending_request_by_id.pop(request.attempt_id, None)
 
+    def _record_missing_response(self, broker, sent_at):
+        missing_since = self._missing_since_by_broker.setdefault(broker, sent_at)
+        if time.monotonic() - missing_since >= SILENCE_SECONDS:
+            self._missing_since_by_broker.pop(broker, None)
+            self._replace_connection(broker)
+
     def handle(self, message: EntryMessage) -> None:
         """Handle a response of a broker."""
         if not isinstance(message, SlotWaiting):
--- a/citronspan/ops/peer_link.py
+++ b/citronspan/ops/peer_link.py
@@ -3,6 +3,10 @@
 Each process receives all messages on one pull socket and has one push socket for each
 peer that it sends to. Answers arrive over a separate connection, so that a failure of
 one direction affects only that direction and is detected.
+
+An open connection may go silent: nothing is reset, and what is sent over it is lost.
+Whoever misses answers has the connection to that peer replaced. The peer sees the new
+connection and replaces its own as well, since either direction may be the silent one.
 """
 
 import contextlib
@@ -28,6 +32,11 @@
 # Minimum time between two immediate connects to a peer that is reachable again.
 MINIMUM_REDIAL_INTERVAL_SECONDS = 0.2
 CONNECT_GRACE_SECONDS = 0.5
+
+MINIMUM_CONNECTION_SECONDS = 2.0
+"""Age below which a connection is not replaced. It is longer than a message to another
+region takes, so that two peers do not replace their connections by turns."""
+
 IDLE_TIMEOUT_SECONDS = 120.0
 
 NATIVE_THREADS_BY_PARAMETER = {
@@ -71,6 +80,7 @@
         self._socket_by_address: dict[str, pynng.Push0 | None] = {}
         self._used_at_by_address: dict[str, float] = {}
         self._dialled_at_by_address: dict[str, float] = {}
+        self._pipe_by_sender: dict[str, int] = {}
         self._stopped = False
         _limit_native_threads()
         try:
@@ -143,6 +153,30 @@
         socket = self._find_socket(to)
         return socket is not None and bool(socket.pipes)
 
+    def replace_connection(self, to: str) -> bool:
+        """Connect anew to a peer whose answers are missing.
+
+        Messages that wait in the old connection are lost. Nothing is done while the
+        connection is younger than ``MINIMUM_CONNECTION_SECONDS``.
+
+        Args:
+            to: Its peer address.
+
+        Returns:
+            Whether a new connection was begun.
+        """
+        with self._lock:
+            old = self._socket_by_address.get(to)
+            if self._stopped or old is None:
+                return False
+            age_seconds = time.monotonic() - self._dialled_at_by_address[to]
+            if age_seconds < MINIMUM_CONNECTION_SECONDS:
+                return False
+            self._socket_by_address[to] = self._dial(to)
+        with contextlib.suppress(pynng.NNGException):
+            old.close()
+        return True
+
     def receive_forever(self, handle: Callable[[Envelope], None]) -> None:
         """Pass each received message to a handler until the link is closed.
 
@@ -152,16 +186,17 @@
         """
         while not self._stopped:
             try:
-                data = self._inbox.recv()
+                message = self._inbox.recv_msg()
             except pynng.Closed:
                 # Ignored: the link was closed by this process.
                 return
             except pynng.NNGException as error:
                 write_event(_logger, log_events.MESSAGE_DROPPED, reason=str(error))
                 continue
+            data = message.bytes
             self.received_bytes += len(data)
             self.received_messages += 1
-            self._handle_data(data, handle)
+            self._handle_data(data, message.pipe, handle)
 
     def close_idle(self) -> None:
         """Close connections that have not been used for ``IDLE_TIMEOUT_SECONDS``."""
@@ -174,6 +209,7 @@
             for to in idle:
                 del self._used_at_by_address[to]
                 self._dialled_at_by_address.pop(to, None)
+                self._pipe_by_sender.pop(to, None)
         for socket in sockets:
             if socket is not None:
                 socket.close()
@@ -244,12 +280,23 @@
         with contextlib.suppress(pynng.NNGException):
             old.close()
 
-    def _handle_data(self, data, handle):
+    def _follow_new_connection(self, sender, pipe):
+        """Replace the own connection to a sender that has connected anew."""
+        if pipe is None:
+            return
+        with self._lock:
+            previous_pipe_id = self._pipe_by_sender.get(sender, pipe.id)
+            self._pipe_by_sender[sender] = pipe.id
+        if pipe.id != previous_pipe_id:
+            self.replace_connection(sender)
+
+    def _handle_data(self, data, pipe, handle):
         try:
             envelope = decode_envelope(data)
             if envelope.fleet != self.fleet:
                 raise ValueError(f"message from another fleet: {envelope.fleet!r}")
             self._redial(envelope.sender)
+            self._follow_new_connection(envelope.sender, pipe)
             handle(envelope)
         except (msgspec.MsgspecError, ValueError) as error:
             write_event(_logger, log_events.MESSAGE_DROPPED, reason=str(error))
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -99,7 +99,11 @@
         self._link = link
         self._lock = threading.RLock()
         self._random = random.Random()
-        self._broker_client = BrokerClient(send=self._send, wait_seconds=wait_seconds)
+        self._broker_client = BrokerClient(
+            send=self._send,
+            replace_connection=link.replace_connection,
+            wait_seconds=wait_seconds,
+        )
         self._free_slots_by_key: dict[ShardKey, int] = {}
         self._spec_by_service: dict[str, ServiceSpec] = {}
         self._targets_by_service: dict[str, tuple[TargetInfo, ...]] = {}
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -11,7 +11,7 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.resources import ServiceSpec
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.peer_link import MINIMUM_CONNECTION_SECONDS, PeerLink
 from citronspan.ops.slot_service import BROKER_SKIP_SECONDS, SlotService
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
 
@@ -34,12 +34,21 @@
 
 
 class LossyLink(PeerLink):
-    """Peer link that drops sent messages while it is cut, like a network partition."""
+    """Peer link that drops sent messages while it is cut, like a network partition.
+
+    Attributes:
+        cut: Whether all messages are dropped.
+        silent_sockets: Sockets over whose open connections messages are dropped.
+    """
 
     cut = False
+    silent_sockets = frozenset()
+
+    def silence(self):
+        self.silent_sockets = frozenset(self._socket_by_address.values())
 
     def send(self, to, message):
-        if self.cut:
+        if self.cut or self._find_socket(to) in self.silent_sockets:
             return True
         return super().send(to, message)
 
@@ -151,6 +160,18 @@
     assert requester.acquire().broker == broker.link.address
 
 
+@pytest.mark.parametrize("side", ["request", "answer"])
+def test_silent_connection_to_a_broker_is_used_for_good(pair, side):
+    broker, requester = pair
+    time.sleep(MINIMUM_CONNECTION_SECONDS)
+    (requester if side == "request" else broker).link.silence()
+    deadline = time.monotonic() + 2 * DEADLINE_SECONDS
+    while (slot := requester.acquire()).broker != broker.link.address:
+        assert time.monotonic() < deadline
+        requester.release(slot)
+        time.sleep(0.1)
+
+
 STALL_SECONDS = 0.1
 
 
