--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/target_paths.py
@@ -131,6 +131,7 @@
         try:
             connection = self._direct.connect(address, CONNECT_TIMEOUT_SECONDS)
         except (OSError, urllib3.exceptions.HTTPError):
+            # Ignored: a host that is cut off already stays so.
             if not self._reachability.is_cut_off:
                 self._reachability.record_failed(address)
             return
