--- a/review/common/target.py
+++ b/review/common/target.py
@@ -45,6 +45,7 @@
         name: Its id in the store.
         arrivals: The requests that it has run.
         cut_ids: Requests that its end or crash has cut off.
+        spoil: Returns the bytes to send in place of those of a sound answer.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         store: Store,
         slots: int,
         work: Callable[["Target", Request], Awaitable[None]],
+        spoil: Callable[[bytes], bytes] = lambda answer: answer,
     ):
         """Create a target that is not running yet.
 
@@ -68,6 +70,7 @@
             store: Where it registers itself.
             slots: Number of requests that it runs at the same time.
             work: Runs one request; may call ``crash``.
+            spoil: Returns the bytes to send in place of those of a sound answer.
         """
         self.name = name
         self.service = service
@@ -78,6 +81,7 @@
         self._store = store
         self._slots = slots
         self._work = work
+        self.spoil = spoil
         self._state = "ready"
         self._sequence = 0
         self._born = 0
@@ -210,4 +214,4 @@
         headers["X-Citronspan-Backend-Signature"] = f"{self.name}.{request_id}"
         load = f"{len(self._running)},0,{self._slots}"
         headers["X-Citronspan-Backend-Load"] = load
-        return make_answer(200, headers, b"done at " + self.name.encode())
+        return self.spoil(make_answer(200, headers, b"done at " + self.name.encode()))
