--- a/review/common/target.py
+++ b/review/common/target.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -70,7 +72,8 @@
             store: Where it registers itself.
             slots: Number of requests that it runs at the same time.
             work: Runs one request; may call ``crash``.
-            spoil: Returns the bytes to send in place of those of a sound answer.
+            spoil: Returns the bytes to send in place of those of a sound answer; with
+                none the connection is reset.
         """
         self.name = name
         self.service = service
@@ -177,6 +180,9 @@
                 answer = await self._run(request)
                 if writer not in self._writers:
                     return
+                if not answer:
+                    _reset(writer)
+                    return
                 writer.write(answer)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
@@ -215,3 +221,10 @@
         load = f"{len(self._running)},0,{self._slots}"
         headers["X-Citronspan-Backend-Load"] = load
         return self.spoil(make_answer(200, headers, b"done at " + self.name.encode()))
+
+
+def _reset(writer):
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
