--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,114 +1,82 @@
-"""Answers are lost on the way back from requests that may run once at most.
+"""A host is stopped while it waits for an answer that takes its time.
 
-The requests are sent to ``/kassa/refunds``. Of the routes ``/kassa/`` (non-idempotent)
-and ``/kassa/refunds/`` (idempotent), only the first one begins that path.
+The backend of a small service needs 3.4 s for some reads, whose deadline is 6 s. The
+host that waits for them gets SIGTERM, so that it has 6 s to finish. It may not break
+the reads off.
 """
 
 import asyncio
 import sys
-from collections import Counter
+import time
 from pathlib import Path
 
-from review.common.clients import Clients
 from review.common.fleet import (
     CONTACT_SECONDS,
+    GRACE_SECONDS,
     Fleet,
     make_configuration,
     make_route,
     run_case,
 )
-from review.common.target import Target
 
 PLACES = [("sthlm-a", "svealand"), ("sthlm-b", "svealand"), ("sthlm-a", "svealand")]
-PATH = "/kassa/refunds"
-WORK_SECONDS = 0.3
+DEADLINE_SECONDS = 6.0
+WORK_SECONDS = 0.5
+LONG_WORK_SECONDS = 3.4
+LONG_PATH = "/browse/long"
 SLOTS = 6
-TARGETS = 6
-LOSING_TARGETS = 3
-LOST_SHARE = 0.4
-LOST_SECONDS = 4.0
-ROUNDS = 3
-PAUSE_SECONDS = 8.0
-PER_SECOND = 15.0
+SHORT_READS = 6
+LONG_READS = 4
+SIGTERM_AFTER_SECONDS = 1.0
 
 
 async def _work(target, request):
-    await asyncio.sleep(WORK_SECONDS)
+    is_long = request.path == LONG_PATH
+    await asyncio.sleep(LONG_WORK_SECONDS if is_long else WORK_SECONDS)
 
 
-class _Loser:
-    """Loses a share of the answers of a target, while it is on."""
-
-    def __init__(self):
-        self.is_on = False
-        self.lost_count = 0
-        self._due = 0.0
-
-    def spoil(self, answer: bytes) -> bytes:
-        """Return the bytes that the target sends; none stand for a reset."""
-        if not self.is_on:
-            return answer
-        self._due += LOST_SHARE
-        if self._due < 1:
-            return answer
-        self._due -= 1
-        self.lost_count += 1
-        return b""
-
-
-def _add_losers(targets: list[Target]) -> list[_Loser]:
-    losers = []
-    for target in targets:
-        loser = _Loser()
-        target.spoil = loser.spoil
-        losers.append(loser)
-    return losers
+async def _read(fleet: Fleet, address: str, path: str):
+    """Send a read; return its id, the answer and the seconds that it took."""
+    begun_at = time.monotonic()
+    request_id, answer = await fleet.send(address, method="GET", path=path)
+    return request_id, answer, time.monotonic() - begun_at
 
 
 async def check(fleet: Fleet, has_trouble: bool) -> list[str]:
-    """Play the case and return the violations of TWICE."""
-    for number in range(TARGETS):
-        fleet.add_target(
-            service="kassa", place=PLACES[number % 2], slots=SLOTS, work=_work
-        )
-    losers = _add_losers(fleet.targets[:LOSING_TARGETS])
-    routes = [
-        make_route("kassa", "kassa", "non_idempotent"),
-        make_route("refunds", "kassa", "idempotent", pathPrefix="/kassa/refunds/"),
-    ]
-    await fleet.start(PLACES, make_configuration(1, routes, ["kassa"]))
+    """Play the case and return the violations of LOST."""
+    fleet.add_target(service="katalog", place=PLACES[0], slots=SLOTS, work=_work)
+    routes = [make_route("browse", "katalog", "idempotent")]
+    await fleet.start(PLACES, make_configuration(1, routes, ["katalog"]))
+    await asyncio.sleep(CONTACT_SECONDS)
+    for number in range(SHORT_READS):
+        host = fleet.hosts[number % len(fleet.hosts)]
+        request_id, answer, _ = await _read(fleet, host.address, "/browse/short")
+        fleet.note(f"{request_id}: {answer.status or answer.error}")
     await asyncio.sleep(CONTACT_SECONDS)
-    clients = Clients(
-        fleet=fleet,
-        place=PLACES[0],
-        method="POST",
-        path=PATH,
-        per_second=PER_SECOND,
-        body=b"refund of one pack",
-    )
-    clients.start()
-    for _ in range(ROUNDS):
-        await asyncio.sleep(PAUSE_SECONDS)
-        for loser in losers:
-            loser.is_on = has_trouble
-        await asyncio.sleep(LOST_SECONDS)
-        for loser in losers:
-            loser.is_on = False
-    await clients.stop()
-    lost_count = sum(loser.lost_count for loser in losers)
-    fleet.note(f"answers lost: {lost_count}")
-    fleet.note(f"answers to all requests: {dict(clients.count())}")
-    targets_by_id: dict[str, list[str]] = {}
-    for target in fleet.targets:
-        for arrival in target.arrivals:
-            targets_by_id.setdefault(arrival.request_id, []).append(target.name)
-    runs = Counter(len(names) for names in targets_by_id.values())
-    fleet.note(f"requests by the number of times that they ran: {dict(runs)}")
-    return [
-        f"{request_id} to {PATH} ran at {' and '.join(names)}"
-        for request_id, names in targets_by_id.items()
-        if len(names) > 1
-    ]
+    violations = []
+    for host in fleet.hosts:
+        reads = [
+            asyncio.ensure_future(_read(fleet, host.address, LONG_PATH))
+            for _ in range(LONG_READS)
+        ]
+        await asyncio.sleep(SIGTERM_AFTER_SECONDS)
+        if has_trouble:
+            fleet.note(f"{host.name} gets SIGTERM; it has {GRACE_SECONDS} s")
+            await host.terminate()
+        for request_id, answer, seconds in await asyncio.gather(*reads):
+            result = answer.header_by_name.get("citronspan-result", "")
+            text = (
+                f"{request_id} at {host.name}: {answer.status or answer.error} {result}"
+                f" after {seconds:.2f} s; its backend needs {LONG_WORK_SECONDS} s"
+            )
+            fleet.note(text)
+            if has_trouble and answer.status != 200 and seconds < DEADLINE_SECONDS:
+                violations.append(text)
+        if has_trouble:
+            await host.start()
+            await fleet.wait_until_ready([host])
+        await asyncio.sleep(CONTACT_SECONDS)
+    return violations
 
 
 if __name__ == "__main__":
