--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
-"""An entry of another writer that cannot be read, then a release of a service.
+"""An entry of another writer that cannot be read, then two releases of a service.
 
-Three targets are replaced one after the other. No request may reach a target later than
-2.5 s after the store has acknowledged that it is draining.
+Each release replaces half of the targets, one after the other. No request may reach a
+target later than 2.5 s after the store has acknowledged that it is draining.
 """
 
 import asyncio
@@ -16,14 +16,16 @@
     make_route,
     run_case,
 )
+from review.common.target import Target
 
 PLACES = [("sthlm-a", "svealand"), ("sthlm-b", "svealand"), ("sthlm-a", "svealand")]
 DRAIN_SECONDS = 2.5
-SERVES_ON_SECONDS = 6.0
+SERVES_ON_SECONDS = 5.0
 WORK_SECONDS = 0.4
 SLOTS = 6
 PER_SECOND = 12.0
-TARGETS = 3
+TARGETS = 4
+TARGETS_PER_RELEASE = 2
 END_SECONDS = 6.0
 RESTART_SECONDS = 10.0
 UNREADABLE_ENTRY = b'{"labels":' + b"[" * 4000
@@ -34,10 +36,10 @@
     await asyncio.sleep(WORK_SECONDS)
 
 
-async def _release(fleet: Fleet) -> dict[str, float]:
-    """Replace the targets one by one; return when each was known to drain."""
+async def _release(fleet: Fleet, targets: list[Target]) -> dict[str, float]:
+    """Replace targets one by one; return when each was known to drain."""
     acknowledged_at = {}
-    for old in fleet.targets[:TARGETS]:
+    for old in targets:
         new = fleet.add_target(
             service="kassa", place=PLACES[0], slots=SLOTS, work=_work
         )
@@ -75,7 +77,9 @@
         fleet.store.put("keyed.servers", "x-other", UNREADABLE_ENTRY)
         fleet.note("another writer has written an entry that cannot be read")
     await asyncio.sleep(2.0)
-    acknowledged_at = await _release(fleet)
+    acknowledged_at = await _release(fleet, fleet.targets[:TARGETS_PER_RELEASE])
+    others = fleet.targets[TARGETS_PER_RELEASE:TARGETS]
+    acknowledged_at |= await _release(fleet, others)
     since = max(acknowledged_at.values()) + SERVES_ON_SECONDS
     await asyncio.sleep(END_SECONDS)
     await clients.stop()
