Leave out a record of the store that is too deeply nested to decode

Cause: msgspec raises RecursionError on deep nesting, also in a field that it skips. PlatformFeeds left out a record for the three exceptions that were expected, so this one ended the read of the whole feed; the task was started again and met the same record.

Evidence: 22 times log line 105 with RecursionError in the 3 s after such an entry, on one host of the tests, and no later change of targets.

Fix: whatever one record raises costs that record alone, in both feeds; it is logged (303) and counted. The errors of decoding are one list, with RecursionError and OverflowError in it.

--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -1,7 +1,6 @@
 """Implements ``FeedStore`` on top of the platform's store."""
 
 import logbook
-import msgspec
 
 from citronspan.core import log_events
 from citronspan.core.configuration.feeds import (
@@ -11,7 +10,6 @@
     FeedRecord,
     encode_resources,
 )
-from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
 from citronspan.platform.records import (
     read_configuration,
@@ -86,7 +84,7 @@
         try:
             resources = read_configuration(record.value, self._rules)
             version = read_configuration_version(record.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError, CitronspanError) as error:
+        except Exception as error:  # One record must not stop the feed.
             self._log_unreadable_record(record, error)
             return None
         data = encode_resources(resources)
@@ -100,7 +98,7 @@
         try:
             target = read_target(record.key, record.value, self._region_by_data_centre)
             version = read_target_version(record.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError, CitronspanError) as error:
+        except Exception as error:  # One record must not stop the feed.
             self._log_unreadable_record(record, error)
             return FeedRecord(offset=record.offset, key=record.key)
         data = encode_resources([target])
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from citronspan.core import result_codes
+from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
 from citronspan.core.resources import (
     Detection,
@@ -20,6 +22,7 @@
     TargetSpec,
     check_spec,
 )
+from citronspan.utils.validation import DECODING_ERRORS, describe_error
 
 SEQUENCES_PER_START = 1 << 20
 """More registrations than a target makes between two starts."""
@@ -112,10 +115,9 @@
         The services and routes of the configuration.
 
     Raises:
-        msgspec.MsgspecError: If the value cannot be decoded.
-        CitronspanError: If a field is out of range.
+        CitronspanError: If the value cannot be decoded or a field is out of range.
     """
-    configuration = msgspec.json.decode(data, type=_Configuration)
+    configuration = _decode(data, _Configuration)
     resources = [
         Resource(kind=Kind.SERVICE, name=service.name, spec=_make_service(rules))
         for service in configuration.services
@@ -142,10 +144,9 @@
         The target resource.
 
     Raises:
-        msgspec.MsgspecError: If the value cannot be decoded.
-        CitronspanError: If a field is out of range.
+        CitronspanError: If the value cannot be decoded or a field is out of range.
     """
-    registration = msgspec.json.decode(data, type=_Registration)
+    registration = _decode(data, _Registration)
     info = registration.info
     is_draining = registration.status.state is _TargetState.DRAINING
     spec = TargetSpec(
@@ -163,17 +164,34 @@
 
 
 def read_configuration_version(data: bytes) -> int:
-    """Return the version of a configuration, which each change raises."""
-    return msgspec.json.decode(data, type=_ConfigurationVersion).version
+    """Return the version of a configuration, which each change raises.
+
+    Raises:
+        CitronspanError: If the value cannot be decoded.
+    """
+    return _decode(data, _ConfigurationVersion).version
 
 
 def read_target_version(data: bytes) -> int:
-    """Return a number that a target raises with each registration and each start."""
-    registration = msgspec.json.decode(data, type=_RegistrationVersion)
+    """Return a number that a target raises with each registration and each start.
+
+    Raises:
+        CitronspanError: If the value cannot be decoded.
+    """
+    registration = _decode(data, _RegistrationVersion)
     sequence = min(registration.status.sequence, SEQUENCES_PER_START - 1)
     return registration.born * SEQUENCES_PER_START + sequence
 
 
+def _decode(data, record_type):
+    try:
+        return msgspec.json.decode(data, type=record_type)
+    except DECODING_ERRORS as error:
+        raise CitronspanError(
+            code=result_codes.RESOURCE_INVALID, detail=describe_error(error)
+        ) from error
+
+
 def _make_service(rules: ServiceRules) -> ServiceSpec:
     return ServiceSpec(
         floor=rules.floor,
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -95,27 +95,30 @@
 )
 def test_invalid_registration_is_rejected(change):
     data = json.dumps({**TARGET, **change}).encode()
-    with pytest.raises((msgspec.MsgspecError, CitronspanError)):
+    with pytest.raises(CitronspanError):
         read_target("i-1", data, REGIONS)
 
 
 class FakeStoreClient:
-    """A store client whose topic holds the given values."""
+    """A store client whose topic holds the given values, each with its own key."""
 
-    def __init__(self, *values):
+    def __init__(self, *values, key="i-{}"):
         self.values = values
+        self.key = key
 
     def read_newest(self, topic):
         records = tuple(
-            KeyedRecord(offset=number, key=f"i-{number}", value=value)
+            KeyedRecord(offset=number, key=self.key.format(number), value=value)
             for number, value in enumerate(self.values)
         )
         return KeyedPage(next_offset=len(records), records=records)
 
 
-def make_feeds(*values):
+def make_feeds(*values, key="i-{}"):
     return PlatformFeeds(
-        client=FakeStoreClient(*values), rules=RULES, region_by_data_centre=REGIONS
+        client=FakeStoreClient(*values, key=key),
+        rules=RULES,
+        region_by_data_centre=REGIONS,
     )
 
 
@@ -130,10 +133,36 @@
     assert feeds.unreadable_records == sum(value is not None for value in values)
 
 
+DEEP_JSON = b"[" * 4000 + b"]" * 4000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        DEEP_JSON,
+        DEEP_JSON[:4000],
+        b'{"labels":' + DEEP_JSON + b"," + json.dumps(TARGET).encode()[1:],
+    ],
+)
+def test_deeply_nested_registration_does_not_end_the_feed(value):
+    feeds = make_feeds(value, json.dumps(TARGET).encode())
+    records = feeds.read_newest(TARGETS_FEED).records
+    assert [record.data is not None for record in records] == [False, True]
+    assert feeds.unreadable_records == 1
+
+
+def test_deeply_nested_configuration_does_not_end_the_feed():
+    data = encode_configuration(ROUTE)
+    feeds = make_feeds(b'{"labels":' + DEEP_JSON + b"," + data[1:], key="config")
+    assert feeds.read_newest(CONFIGURATION_FEED).records == ()
+    assert feeds.unreadable_records == 1
+
+
 def test_unreadable_configuration_yields_no_record():
     # Without a record, the previous configuration stays in force.
-    feeds = make_feeds(b"{")
+    feeds = make_feeds(b"{", key="config")
     assert feeds.read_newest(CONFIGURATION_FEED).records == ()
+    assert feeds.unreadable_records == 1
 
 
 def test_configuration_yields_only_services_and_routes():
--- a/citronspan/utils/validation.py
+++ b/citronspan/utils/validation.py
@@ -1,19 +1,22 @@
-"""Descriptions of validation errors that always contain the path of the field."""
+"""Errors of input that cannot be decoded, and descriptions of them with a path."""
 
 import re
 
 import msgspec
 
+DECODING_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
+"""What ``msgspec`` raises for malformed input, deep nesting included."""
+
 _PATH_PATTERN = re.compile(r"at `\$([^`]*)`")
 _PATH_PART_PATTERN = re.compile(r"\.([^.\[]+)|\[(\d+)\]")
 _SHOWN_VALUE_CHARACTERS = 80
 
 
-def describe_error(error: msgspec.MsgspecError, *, root: str = "$") -> str:
-    """Describe a msgspec error with the path of the invalid field.
+def describe_error(error: Exception, *, root: str = "$") -> str:
+    """Describe an error of decoding with the path of the invalid field.
 
     Args:
-        error: The validation error.
+        error: One of ``DECODING_ERRORS``.
         root: Path of the checked value within the whole input.
 
     Returns:
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -281,6 +281,14 @@
         assert len(other.ran) >= 20
 
 
+def test_deeply_nested_record_does_not_hide_later_changes_of_targets():
+    with run_host(8) as running:
+        running.store.put(TARGETS, "i-9", b'{"labels":' + b"[" * 4000)
+        leaving, _ = running.targets
+        leaving.register(running.store, state="draining")
+        assert wait_until(lambda: _is_target_leaving(running, leaving.name), 2.5)
+
+
 def _is_target_leaving(running, name):
     targets = running.host.entry.configuration.targets_by_service["shop"]
     return any(target.leaving for target in targets if target.name == name)
