--- a/citronspan/ops/dialect.py
+++ b/citronspan/ops/dialect.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -22,6 +23,8 @@
 LOAD_HEADER = "Target-Load"
 RATE_LIMIT_HEADER = "Target-Rate-Limit"
 
+_COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
+
 _CLASS_BY_NOT_RUN_REASON = {
     "shed": OutcomeClass.SHED,
     "draining": OutcomeClass.DRAINING,
@@ -113,7 +116,7 @@
     def read_load(self, find_header: FindHeader) -> int:
         """Read the slots in use from ``Target-Load`` (``USED/SLOTS``)."""
         used, _, _ = (find_header(LOAD_HEADER) or "").partition("/")
-        return int(used) if used.isascii() and used.isdigit() else -1
+        return parse_count(used)
 
     def read_rate_limit(self, find_header: FindHeader) -> float | None:
         """Read ``Target-Rate-Limit``."""
@@ -147,6 +150,15 @@
     )
 
 
+def parse_count(text: str) -> int:
+    """Parse a part of a header as a number of at most nine digits.
+
+    Returns:
+        The number, -1 if the text is not one.
+    """
+    return int(text) if _COUNT_PATTERN.fullmatch(text) else -1
+
+
 def parse_rate(text: str | None) -> float | None:
     """Parse the value of a header as a rate of requests per second.
 
--- a/citronspan/ops/peer_link.py
+++ b/citronspan/ops/peer_link.py
@@ -105,17 +105,23 @@
             Whether an established or pending connection accepted the message. True
             does not mean that the peer received it.
         """
-        return self._send_data(to, self._encode(message))
-
-    def _encode(self, message):
-        return encode_envelope(
-            Envelope(
-                fleet=self.fleet,
-                sender=self.address,
-                incarnation=self.incarnation,
-                body=message,
-            )
+        data = self._encode(message)
+        return data is not None and self._send_data(to, data)
+
+    def _encode(self, message) -> bytes | None:
+        """Encode a message; drop one that cannot be encoded and return None."""
+        envelope = Envelope(
+            fleet=self.fleet,
+            sender=self.address,
+            incarnation=self.incarnation,
+            body=message,
         )
+        try:
+            return encode_envelope(envelope)
+        except (msgspec.MsgspecError, ValueError, TypeError, OverflowError) as error:
+            reason = f"{type(message).__name__} cannot be encoded: {error}"
+            write_event(_logger, log_events.MESSAGE_DROPPED, reason=reason)
+            return None
 
     def _send_data(self, to, data) -> bool:
         socket = self._find_socket(to)
@@ -141,6 +147,8 @@
         """Send each message to all of its receivers."""
         for multicast in multicasts:
             data = self._encode(multicast.message)
+            if data is None:
+                continue
             for to in multicast.receivers:
                 self._send_data(to, data)
 
--- a/citronspan/ops/peer_link_test.py
+++ b/citronspan/ops/peer_link_test.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from citronspan.core.message_base import Outgoing
+from citronspan.core.message_base import Multicast, Outgoing
 from citronspan.core.node_messages import EntryReport
 from citronspan.ops.peer_link import PeerLink
 
@@ -41,6 +41,29 @@
     first.close()
 
 
+def test_message_that_cannot_be_encoded_does_not_keep_others_from_being_sent():
+    link = PeerLink(fleet="f", address=f"{NETWORK}.30.12:7901", incarnation=1)
+    peer = PeerLink(fleet="f", address=f"{NETWORK}.30.13:7901", incarnation=1)
+    received = queue.Queue()
+    thread = threading.Thread(
+        target=peer.receive_forever, args=[received.put], daemon=True
+    )
+    thread.start()
+    wait_until(lambda: link.is_connected(peer.address))
+    too_large = EntryReport(name="a", state="serving", offset=1 << 70)
+    link.send_all(
+        [
+            Outgoing(to=peer.address, message=too_large),
+            Outgoing(to=peer.address, message=REPORT),
+        ]
+    )
+    link.send_multicasts([Multicast(receivers=(peer.address,), message=too_large)])
+    assert received.get(timeout=DEADLINE_SECONDS).body == REPORT
+    peer.close()
+    link.close()
+    thread.join(DEADLINE_SECONDS)
+
+
 def test_first_message_is_accepted_before_connection_is_established():
     first = PeerLink(fleet="f", address=f"{NETWORK}.30.3:7901", incarnation=1)
     second = PeerLink(fleet="f", address=f"{NETWORK}.30.4:7901", incarnation=2)
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -22,6 +22,7 @@
 from citronspan.ops.answer_stream import CheckedResponse
 from citronspan.ops.caller_connection import CallerConnection
 from citronspan.ops.caller_request import CallerBody
+from citronspan.ops.dialect import parse_count
 from citronspan.ops.relay_connector import RelayError
 from citronspan.ops.target_connector import DirectConnector
 from citronspan.ops.target_paths import TargetPaths
@@ -396,8 +397,9 @@
         return 0.0
     for part in (response.headers.get("Keep-Alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isascii() and value.isdigit():
-            return int(value) * KEEP_ALIVE_FRACTION
+        seconds = parse_count(value)
+        if name.lower() == "timeout" and seconds >= 0:
+            return seconds * KEEP_ALIVE_FRACTION
     return POOL_IDLE_SECONDS
 
 
--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -159,6 +159,21 @@
     assert response.ran == "may-have-run"
 
 
+@pytest.mark.parametrize(
+    "header", [b"Keep-Alive: timeout=%b", b"Target-Load: %b/6", b"Retry-After: %b"]
+)
+@pytest.mark.parametrize("digits", [25, 400, 5000])
+def test_number_too_large_in_a_header_does_not_spoil_the_answer(
+    running, header, digits
+):
+    path = running.make_path("write")
+    head = b"HTTP/1.1 200 OK\r\n" + header % (b"9" * digits) + b"\r\n"
+    answer = head + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY
+    running.targets.set_scripts(path, TargetScript(parts=(answer,), end="keep"))
+    response = running.request("POST", path)
+    assert (response.status, response.find_complete_body()) == (200, BODY)
+
+
 MALFORMED_CHUNKS = [
     b"-5\r\ncastl\r\n0\r\n\r\n",
     b"0x5\r\ncastl\r\n0\r\n\r\n",
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -6,6 +6,7 @@
 from citronspan.ops.dialect import (
     FindHeader,
     TargetAttempt,
+    parse_count,
     parse_positive,
     parse_rate,
 )
@@ -58,7 +59,7 @@
     def read_load(self, find_header: FindHeader) -> int:
         """Return the number of requests running at the target, -1 if unknown."""
         running, _, _ = (find_header(_LOAD) or "").partition(",")
-        return int(running) if running.isascii() and running.isdigit() else -1
+        return parse_count(running)
 
     def read_rate_limit(self, find_header: FindHeader) -> float | None:
         """Return the requests per second that a target takes, None for no limit."""
--- a/citronspan/platform/headers_test.py
+++ b/citronspan/platform/headers_test.py
@@ -1,6 +1,6 @@
 import pytest
 
-from citronspan.ops.dialect import RATE_LIMIT_HEADER, DefaultDialect
+from citronspan.ops.dialect import LOAD_HEADER, RATE_LIMIT_HEADER, DefaultDialect
 from citronspan.platform.headers import PlatformDialect
 
 DIALECTS = {
@@ -9,6 +9,19 @@
 }
 
 
+LOAD_TEXT_BY_DIALECT = {
+    PlatformDialect(): "X-Citronspan-Backend-Load",
+    DefaultDialect(): LOAD_HEADER,
+}
+
+
+@pytest.mark.parametrize("digits", [10, 20, 5000])
+@pytest.mark.parametrize(("dialect", "header"), LOAD_TEXT_BY_DIALECT.items())
+def test_load_of_too_many_digits_is_unknown_and_raises_nothing(dialect, header, digits):
+    text = "9" * digits + (",0,6" if dialect.id_header else "/6")
+    assert dialect.read_load({header: text}.get) == -1
+
+
 @pytest.mark.parametrize("header", DIALECTS)
 @pytest.mark.parametrize(
     ("text", "rate"),
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -5,6 +5,7 @@
 
 import enum
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -27,6 +28,12 @@
 SEQUENCES_PER_START = 1 << 20
 """More registrations than a target makes between two starts."""
 
+MAXIMUM_INTEGER = (1 << 63) - 1
+"""Largest number that hosts can send each other."""
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INTEGER)]
+_StartTime = Annotated[int, msgspec.Meta(ge=0, lt=(1 << 63) // SEQUENCES_PER_START)]
+
 
 class _RouteKind(enum.StrEnum):
     IDEMPOTENT = "idempotent"
@@ -62,7 +69,7 @@
 
 
 class _Configuration(_WireStruct):
-    version: int
+    version: _Number
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
 
@@ -88,20 +95,20 @@
     info: _RegistrationInfo
     status: _RegistrationStatus
     # Unix time of the target's start in milliseconds.
-    born: int = 0
+    born: _StartTime = 0
 
 
 class _ConfigurationVersion(_WireStruct):
-    version: int = 0
+    version: _Number = 0
 
 
 class _StatusVersion(_WireStruct):
-    sequence: int = 0
+    sequence: _Number = 0
 
 
 class _RegistrationVersion(_WireStruct):
     status: _StatusVersion
-    born: int = 0
+    born: _StartTime = 0
 
 
 def read_configuration(data: bytes, rules: ServiceRules) -> list[Resource]:
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -1,17 +1,30 @@
 """Tests that valid platform records become resources and invalid ones do not."""
 
+import copy
 import json
 
 import msgspec
 import pytest
-from hypothesis import given, strategies as st
-
-from citronspan.core.configuration.feeds import CONFIGURATION_FEED, TARGETS_FEED
+from hypothesis import given, settings, strategies as st
+
+from citronspan.core.configuration.config_state import ConfigState
+from citronspan.core.configuration.feed_messages import FeedOffsets, FeedUpdate
+from citronspan.core.configuration.feeds import (
+    CONFIGURATION_FEED,
+    TARGETS_FEED,
+    Feed,
+    FeedMerger,
+)
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
+from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
 from citronspan.core.resources import Detection, Kind, TargetIntent
 from citronspan.platform.feeds import PlatformFeeds
-from citronspan.platform.records import read_configuration, read_target
+from citronspan.platform.records import (
+    read_configuration,
+    read_target,
+    read_target_version,
+)
 from citronspan.platform.store import KeyedPage, KeyedRecord
 
 RULES = ServiceRules(floor=0.7, retry_ratio=0.2, retry_slack=58)
@@ -91,12 +104,22 @@
         {"info": {**TARGET["info"], "slots": "6"}},
         {"status": {"state": "sleeping"}},
         {"born": "today"},
+        {"born": -1},
+        {"born": 1 << 43},
+        {"born": 10**20},
+        {"status": {**TARGET["status"], "sequence": 10**20}},
+        {"status": {**TARGET["status"], "sequence": -1}},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:8_0"},
+        {"address": "10.0.0.1:\u0668\u0660"},
+        {"address": "[fe80::1%a\u0000]:80"},
     ],
 )
 def test_invalid_registration_is_rejected(change):
     data = json.dumps({**TARGET, **change}).encode()
     with pytest.raises(CitronspanError):
         read_target("i-1", data, REGIONS)
+        read_target_version(data)
 
 
 class FakeStoreClient:
@@ -133,6 +156,77 @@
     assert feeds.unreadable_records == sum(value is not None for value in values)
 
 
+ODD_NUMBER = st.one_of(
+    st.sampled_from([0, -1, 1 << 43, 1 << 63, 1 << 64, 10**400, 1.5, 1e300]),
+    st.integers(min_value=-(1 << 70), max_value=1 << 70),
+)
+ODD_ADDRESS = st.builds(
+    "{}:{}".format,
+    st.sampled_from(["10.0.0.1", "[::1]", "fe80::1%x", "", "*", "10.0.0.1:1"]),
+    st.one_of(ODD_NUMBER, st.text(max_size=4)),
+)
+ODD_JSON = st.recursive(
+    st.one_of(st.none(), st.booleans(), ODD_NUMBER, ODD_ADDRESS, st.text(max_size=8)),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3), st.dictionaries(st.text(max_size=4), inner)
+    ),
+    max_leaves=8,
+)
+FIELD_PATHS = [
+    (),
+    ("address",),
+    ("born",),
+    ("info",),
+    ("status",),
+    *(("info", name) for name in TARGET["info"]),
+    *(("status", name) for name in TARGET["status"]),
+    ("labels",),
+]
+
+
+@st.composite
+def draw_odd_registration(draw):
+    registration = copy.deepcopy(TARGET)
+    for path in draw(st.lists(st.sampled_from(FIELD_PATHS), min_size=1, max_size=3)):
+        holder = registration
+        for name in path[:-1]:
+            holder = holder.get(name) if isinstance(holder, dict) else None
+        if path and isinstance(holder, dict):
+            holder[path[-1]] = draw(st.one_of(ODD_NUMBER, ODD_ADDRESS, ODD_JSON))
+        elif not path:
+            registration = draw(ODD_JSON)
+    return json.dumps(registration).encode()
+
+
+def pass_on(batch):
+    """Return a batch as a peer receives it."""
+    update = FeedUpdate(offsets=FeedOffsets(), age_seconds=0.0, batches=(batch,))
+    envelope = Envelope(fleet="f", sender="a", incarnation=1, body=update)
+    return decode_envelope(encode_envelope(envelope)).body.batches[0]
+
+
+@settings(max_examples=300)
+@given(st.lists(draw_odd_registration(), min_size=1, max_size=4))
+def test_odd_registrations_do_not_keep_valid_ones_from_peers(values):
+    feeds = make_feeds(*values, json.dumps(TARGET).encode())
+    feed = Feed(name=TARGETS_FEED)
+    feed.apply(pass_on(feeds.read_newest(TARGETS_FEED)))
+    state = FeedMerger().merge_feeds([feed], before=ConfigState())
+    assert f"i-{len(values)}" in {key.name for key in state.resource_by_key}
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(sorted(ROUTE)), st.one_of(ODD_NUMBER, ODD_JSON)),
+        max_size=3,
+    )
+)
+def test_odd_configuration_does_not_raise_at_hosts_or_their_peers(changes):
+    data = encode_configuration({**ROUTE, **dict(changes)})
+    feeds = make_feeds(data, key="config")
+    pass_on(feeds.read_newest(CONFIGURATION_FEED))
+
+
 DEEP_JSON = b"[" * 4000 + b"]" * 4000
 
 
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -27,6 +27,17 @@
 REQUEST_ID = "X-Citronspan-Request-Id"
 
 
+def make_registration(address, *, state="ready", sequence=1, born=1_790_000_000_000):
+    return json.dumps(
+        {
+            "address": address,
+            "info": {"service": "shop", "version": "v1", "dataCentre": "a", "slots": 4},
+            "status": {"state": state, "sequence": sequence, "warmUpSeconds": 0},
+            "born": born,
+        }
+    ).encode()
+
+
 class PlatformTarget:
     """A target that implements the platform's headers.
 
@@ -69,17 +80,10 @@
 
     def register(self, store, *, state="ready"):
         self.registrations += 1
-        value = {
-            "address": self.service.address,
-            "info": {"service": "shop", "version": "v1", "dataCentre": "a", "slots": 4},
-            "status": {
-                "state": state,
-                "sequence": self.registrations,
-                "warmUpSeconds": 0,
-            },
-            "born": 1_790_000_000_000,
-        }
-        store.put(TARGETS, self.name, json.dumps(value).encode())
+        value = make_registration(
+            self.service.address, state=state, sequence=self.registrations
+        )
+        store.put(TARGETS, self.name, value)
 
 
 def make_configuration(version=1, **changes):
@@ -281,9 +285,18 @@
         assert len(other.ran) >= 20
 
 
-def test_deeply_nested_record_does_not_hide_later_changes_of_targets():
+ODD_RECORDS = [
+    b'{"labels":' + b"[" * 4000,
+    make_registration("127.0.0.1:9", born=10**20),
+    make_registration("127.0.0.1:9", born=1 << 62),
+    make_registration("127.0.0.1:65536"),
+]
+
+
+@pytest.mark.parametrize("number", range(len(ODD_RECORDS)))
+def test_odd_record_does_not_hide_later_changes_of_targets(number):
     with run_host(8) as running:
-        running.store.put(TARGETS, "i-9", b'{"labels":' + b"[" * 4000)
+        running.store.put(TARGETS, "i-9", ODD_RECORDS[number])
         leaving, _ = running.targets
         leaving.register(running.store, state="draining")
         assert wait_until(lambda: _is_target_leaving(running, leaving.name), 2.5)
