Compare the prefix of a route with the path as both are

Cause: the table stripped the slash at the end of prefixes and paths. Evidence: find_route returned the longer route for that path; nothing else of the request was wrong.

Fix: a prefix with a slash at its end must begin the path. One without, which only the product's own resources have, matches whole segments as before. Look-ups take two steps a segment in place of one.

--- a/citronspan/core/requests/route_table.py
+++ b/citronspan/core/requests/route_table.py
@@ -20,7 +20,7 @@
     """Index of all routes. A look-up takes one step per path segment.
 
     Attributes:
-        route_by_prefix_by_host: Routes by host, then by prefix without trailing slash.
+        route_by_prefix_by_host: Routes by host, then by prefix.
     """
 
     route_by_prefix_by_host: dict[str, dict[str, Route]]
@@ -41,7 +41,7 @@
         route_by_prefix = route_by_prefix_by_host.setdefault(
             route.spec.host.lower(), {}
         )
-        route_by_prefix.setdefault(route.spec.path_prefix.rstrip("/"), route)
+        route_by_prefix.setdefault(route.spec.path_prefix, route)
     return RouteTable(route_by_prefix_by_host=route_by_prefix_by_host)
 
 
@@ -54,9 +54,9 @@
         path: Path of the request.
 
     Returns:
-        The route with the longest prefix that ends at a segment boundary of the path,
-        or None if no route matches. Routes of the given host take precedence over
-        routes of any host.
+        The route with the longest prefix that begins the path, or None if no route
+        matches. A prefix without a slash at its end matches whole segments only.
+        Routes of the given host take precedence over routes of any host.
     """
     name = host.rsplit(":", 1)[0].lower() if not host.endswith("]") else host.lower()
     for candidate in (name, ANY_HOST):
@@ -88,11 +88,18 @@
 
 
 def _find_longest_prefix(route_by_prefix, path):
-    prefix = path.rstrip("/")
-    while True:
+    for prefix in _iterate_prefixes(path):
         route = route_by_prefix.get(prefix)
         if route is not None:
             return route
-        if not prefix:
-            return None
-        prefix = prefix.rpartition("/")[0]
+    return None
+
+
+def _iterate_prefixes(path):
+    """Yield the path and all its prefixes that end before or after a slash."""
+    yield path
+    slash = path.rfind("/")
+    while slash >= 0:
+        yield path[: slash + 1]
+        yield path[:slash]
+        slash = path.rfind("/", 0, slash)
--- a/citronspan/core/resources.py
+++ b/citronspan/core/resources.py
@@ -132,7 +132,8 @@
 
     Attributes:
         host: Host name of the request, or ``*`` for any.
-        path_prefix: Prefix of the path; the longest match wins.
+        path_prefix: Prefix of the path; the longest match wins. With a slash at its
+            end it matches only paths that have that slash, else whole segments.
         service: Name of the service.
         shares: Services among which the requests are divided, if there are several.
             Requests that one service has no capacity for do not go to the others.
