Give an attempt up early only as long as another one may follow it

Cause: the time of an attempt was fixed when it began. It leaves room for a retry, but a host that stops makes none. The target was told the short time, too.

Fix: AttemptDeadline answers by what is true now, and waits ask it every 0.25 s. The target is told the time of the request. That is no longer than what the caller gave, and a target whose attempt is given up learns it by the end of the connection.

Ruled out: asking only when the limit is reached. A SIGTERM may come after that within a body, and then the same limit broke off what had been read so far.

Tests: attempt_deadline_test, and platform_test with four reads at a host that is stopped (502 before). Three tests construct an AttemptDeadline in place of a number, attempts_test reads it by find(); no figure in them changed.

--- /dev/null
+++ b/citronspan/core/requests/attempt_deadline_test.py
@@ -0,0 +1,18 @@
+import pytest
+
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
+
+
+def test_attempt_is_given_up_though_no_other_may_follow_any_more():
+    is_stopping = False
+    deadline = AttemptDeadline(
+        request_deadline=6.0, limit=3.0, may_be_retried=lambda: not is_stopping
+    )
+    assert deadline.find() == 3.0
+    is_stopping = True
+    assert deadline.find() == 6.0
+
+
+@pytest.mark.parametrize("limit", [6.0, 7.0])
+def test_attempt_outlasts_its_request(limit):
+    assert AttemptDeadline(request_deadline=6.0, limit=limit).find() == 6.0
--- a/citronspan/ops/answer_stream.py
+++ b/citronspan/ops/answer_stream.py
@@ -16,15 +16,19 @@
 import http.client
 import io
 import re
+import select
 import socket
 import time
 
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
+
 MAXIMUM_LINE_BYTES = 64 * 1024
 MAXIMUM_HEAD_BYTES = 256 * 1024
 """Longest head of an answer, with the interim answers before it."""
 
 MAXIMUM_BODY_BYTES = 64 << 20
 SKIP_BYTES = 64 * 1024
+DEADLINE_CHECK_SECONDS = 0.25
 MAXIMUM_HEADER_LINES = 100
 MAXIMUM_CHUNK_SIZE_DIGITS = 15
 MAXIMUM_STALE_RESPONSES = 2
@@ -42,11 +46,13 @@
 class _BoundedReader(io.RawIOBase):
     """Reads from a socket with one deadline and one byte limit for many reads."""
 
-    def __init__(self, *, raw: io.RawIOBase, sock: socket.socket, deadline: float):
+    def __init__(
+        self, *, raw: io.RawIOBase, sock: socket.socket, deadline: AttemptDeadline
+    ):
         super().__init__()
         self._raw = raw
         self._sock = sock
-        self._deadline: float | None = deadline
+        self._deadline: AttemptDeadline | None = deadline
         self._remaining_bytes = 0
 
     def readable(self) -> bool:
@@ -55,16 +61,24 @@
     def readinto(self, buffer) -> int | None:
         if self._deadline is None:
             return None
-        remaining_seconds = self._deadline - time.monotonic()
-        if remaining_seconds <= 0:
-            raise TimeoutError("the deadline passed while the answer was being read")
         if self._remaining_bytes <= 0:
             raise AnswerInvalidError("the answer is longer than allowed")
-        self._sock.settimeout(remaining_seconds)
+        self._wait_until_readable()
         count = self._raw.readinto(buffer)
         self._remaining_bytes -= count or 0
         return count
 
+    def _wait_until_readable(self):
+        poll = select.poll()
+        poll.register(self._sock, select.POLLIN)
+        while True:
+            remaining_seconds = self._deadline.find() - time.monotonic()
+            if remaining_seconds <= 0:
+                raise TimeoutError("the deadline passed while the answer was read")
+            wait_seconds = min(remaining_seconds, DEADLINE_CHECK_SECONDS)
+            if poll.poll(wait_seconds * 1000):
+                return
+
     def set_byte_limit(self, limit: int) -> None:
         """Set the number of bytes from here on after which reads fail."""
         self._remaining_bytes = limit
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -13,6 +13,7 @@
 from citronspan.core import log_events, result_codes
 from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimit
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.core.requests.retry_budget import (
     BrokerRetryBudget,
     RetryBudget,
@@ -170,11 +171,7 @@
             tried = (*tried, slot.target)
             attempt_response = None
             try:
-                attempt_response = self._attempt(
-                    request_context,
-                    slot,
-                    is_last_attempt=self._is_last_attempt(request_context, tried),
-                )
+                attempt_response = self._attempt(request_context, slot, tried)
                 last_class = attempt_response.outcome_class
             except AttemptFailedError as error:
                 last_class = error.outcome_class
@@ -228,7 +225,10 @@
             return self._slots.acquire(query)
 
     def _is_last_attempt(self, request_context, tried) -> bool:
-        """Return whether no retry can follow this attempt, whatever its outcome."""
+        """Return whether no retry can follow the attempt, whatever its outcome.
+
+        This may become true while the attempt runs.
+        """
         if self._is_stopping() or not request_context.spec.idempotent:
             return True
         return (
@@ -237,13 +237,13 @@
         )
 
     def _attempt(
-        self, request_context: RequestContext, slot: Slot, *, is_last_attempt: bool
+        self, request_context: RequestContext, slot: Slot, tried: tuple[str, ...]
     ) -> AttemptResponse:
         started_at = time.monotonic()
         try:
             with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
-                answer = self._send(request_context, slot, started_at, is_last_attempt)
+                answer = self._send(request_context, slot, started_at, tried)
                 first_byte_at = time.monotonic()
                 body_start, is_whole = _read_ahead(answer)
                 outcome_class = self._dialect.classify(
@@ -269,17 +269,12 @@
             first_byte_at=first_byte_at,
         )
 
-    def _send(self, request_context, slot, started_at, is_last_attempt):
-        deadline = request_context.deadline
-        if not is_last_attempt:
-            attempt_seconds = slot.attempt_seconds or (
-                (deadline - started_at) * ATTEMPT_DEADLINE_SHARE
-            )
-            deadline = min(deadline, started_at + attempt_seconds)
+    def _send(self, request_context, slot, started_at, tried):
+        remaining_seconds = request_context.deadline - started_at
         headers = dict(request_context.request.headers)
-        target_attempt = TargetAttempt(
-            target=slot.target, seconds=deadline - started_at
-        )
+        # The target may use all of the time: an attempt that is given up before is
+        # cancelled by the end of its connection.
+        target_attempt = TargetAttempt(target=slot.target, seconds=remaining_seconds)
         headers.update(self._dialect.make_target_headers(target_attempt))
         if request_context.request.key:
             headers["idempotency-key"] = request_context.request.key
@@ -293,7 +288,7 @@
             reuse_seconds=math.inf
             if request_context.spec.idempotent
             else self._reuse_seconds,
-            deadline=deadline,
+            deadline=self._make_deadline(request_context, slot, started_at, tried),
             request_id=request_context.request.request_id,
         )
         answer = self._connections.send(
@@ -307,6 +302,16 @@
             )
         return answer
 
+    def _make_deadline(self, request_context, slot, started_at, tried):
+        attempt_seconds = slot.attempt_seconds or (
+            (request_context.deadline - started_at) * ATTEMPT_DEADLINE_SHARE
+        )
+        return AttemptDeadline(
+            request_deadline=request_context.deadline,
+            limit=started_at + attempt_seconds,
+            may_be_retried=lambda: not self._is_last_attempt(request_context, tried),
+        )
+
     def _find_retry_budget(self, request_context):
         with self._lock:
             budget = self._budget_by_service.get(request_context.service_name)
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -114,7 +114,7 @@
     def send(self, address, request, caller):
         step = self.steps.pop(0)
         self.sent.append(step)
-        self.allowed_seconds.append(request.deadline - time.monotonic())
+        self.allowed_seconds.append(request.deadline.find() - time.monotonic())
         if step.failure is not None:
             raise AttemptFailedError(outcome_class=step.failure, detail="")
         return FakeAnswer(step)
--- a/citronspan/ops/endless_answers_test.py
+++ b/citronspan/ops/endless_answers_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.answer_stream import MAXIMUM_BODY_BYTES, MAXIMUM_HEAD_BYTES
 from citronspan.ops.conftest import EMPTY_ANSWER, TargetScript
 from citronspan.ops.target_connection import (
@@ -139,7 +140,7 @@
         headers={"host": "h"},
         body=StubBody(),
         reuse_seconds=0.0,
-        deadline=time.monotonic() + DEADLINE_SECONDS,
+        deadline=AttemptDeadline(request_deadline=time.monotonic() + DEADLINE_SECONDS),
         request_id="own",
     )
     address = running.targets.address_by_name["t-1"]
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -19,6 +19,7 @@
 
 from citronspan.core.errors import CitronspanError
 from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.answer_stream import CheckedResponse
 from citronspan.ops.caller_connection import CallerConnection
 from citronspan.ops.caller_request import CallerBody
@@ -61,7 +62,7 @@
         body: The body.
         request_id: Request id that the answer has to carry, or empty.
         reuse_seconds: Longest idle time of a connection that may be reused.
-        deadline: Time of ``time.monotonic()`` at which the attempt is given up.
+        deadline: When the attempt is given up.
     """
 
     method: str
@@ -69,7 +70,7 @@
     headers: dict[str, str]
     body: CallerBody
     reuse_seconds: float
-    deadline: float
+    deadline: AttemptDeadline
     request_id: str = ""
 
 
@@ -197,7 +198,7 @@
         """
         connection = self._take_idle_connection(address, request.reuse_seconds)
         if connection is None:
-            connection = self._connect(address, request.deadline)
+            connection = self._connect(address, request.deadline.find())
         try:
             response, is_fully_sent = self._exchange(connection, request, caller)
         except BaseException:
@@ -247,8 +248,8 @@
         Returns:
             The response, and whether the whole request was sent before it arrived.
         """
-        _check_deadline(request.deadline, "sending")
-        connection.timeout = max(request.deadline - time.monotonic(), 0.001)
+        _check_deadline(request.deadline.find(), "sending")
+        connection.timeout = max(request.deadline.find() - time.monotonic(), 0.001)
         connection.response_class = functools.partial(
             CheckedResponse,
             deadline=request.deadline,
@@ -334,7 +335,7 @@
         poll.register(connection.sock, select.POLLIN)
         sent_at = time.monotonic()
         while True:
-            remaining_seconds = deadline - time.monotonic()
+            remaining_seconds = deadline.find() - time.monotonic()
             if remaining_seconds <= 0:
                 raise AttemptFailedError(
                     outcome_class=OutcomeClass.TIMED_OUT,
@@ -429,10 +430,11 @@
     poll = select.poll()
     poll.register(sock, select.POLLIN | select.POLLOUT)
     while view:
-        remaining_seconds = deadline - time.monotonic()
+        remaining_seconds = deadline.find() - time.monotonic()
         if remaining_seconds <= 0:
             raise TimeoutError("the target did not read the body before the deadline")
-        events = dict(poll.poll(remaining_seconds * 1000)).get(sock.fileno(), 0)
+        wait_seconds = min(remaining_seconds, CALLER_POLL_INTERVAL_SECONDS)
+        events = dict(poll.poll(wait_seconds * 1000)).get(sock.fileno(), 0)
         if events & ~select.POLLOUT:
             return False
         if events:
--- a/citronspan/ops/target_connection_test.py
+++ b/citronspan/ops/target_connection_test.py
@@ -7,6 +7,7 @@
 import pytest
 
 from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.conftest import ScriptedTargets, TargetScript
 from citronspan.ops.target_connection import (
     AttemptFailedError,
@@ -44,7 +45,7 @@
         headers={"host": "h"},
         body=SimpleNamespace(buffer=b"", length=0),
         reuse_seconds=math.inf,
-        deadline=time.monotonic() + seconds,
+        deadline=AttemptDeadline(request_deadline=time.monotonic() + seconds),
     )
 
 
--- a/citronspan/ops/target_paths_test.py
+++ b/citronspan/ops/target_paths_test.py
@@ -9,6 +9,7 @@
 import pytest
 import urllib3.exceptions
 
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.conftest import ScriptedTargets, TargetScript
 from citronspan.ops.target_connection import (
     AttemptFailedError,
@@ -75,7 +76,7 @@
         headers={"host": "h"},
         body=SimpleNamespace(buffer=b"", length=0),
         reuse_seconds=math.inf,
-        deadline=time.monotonic() + seconds,
+        deadline=AttemptDeadline(request_deadline=time.monotonic() + seconds),
     )
     answer = host.connections.send(address, request, None)
     assert answer.read(2) == b"ok"
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -6,6 +6,7 @@
 import time
 import urllib.error
 import urllib.request
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from http.client import HTTPConnection
 
@@ -25,6 +26,8 @@
 # of ephemeral ports.
 FIRST_PORT = 10_000 + os.getpid() % 20 * 1000
 REQUEST_ID = "X-Citronspan-Request-Id"
+WORK_SECONDS = 1.6
+"""More than half of the time that the callers of these tests have."""
 
 
 def make_registration(address, *, state="ready", sequence=1, born=1_790_000_000_000):
@@ -44,7 +47,8 @@
     Attributes:
         ran: Ids of the requests that ran.
         deadlines: Their deadline headers.
-        mode: Simulated fault: well (none), sheds, stray (wrong request id) or fails.
+        mode: Simulated fault: well (none), sheds, stray (wrong request id), fails, or
+            works (for ``WORK_SECONDS``).
     """
 
     def __init__(self, *, name, port):
@@ -70,6 +74,8 @@
             return
         self.ran.append(request_id)
         self.deadlines.append(exchange.get_header("X-Citronspan-Deadline-Ms"))
+        if self.mode == "works":
+            time.sleep(WORK_SECONDS)
         headers = (("X-Citronspan-Backend-Signature", "s"), (REQUEST_ID, request_id))
         if self.mode == "stray":
             headers = ((REQUEST_ID, "another"), headers[0])
@@ -307,6 +313,18 @@
     return any(target.leaving for target in targets if target.name == name)
 
 
+def test_stopping_host_breaks_off_a_read_at_which_its_target_works():
+    with run_host(9) as running, ThreadPoolExecutor() as executor:
+        for target in running.targets:
+            target.mode = "works"
+        reads = [executor.submit(running.send, "/read/1") for _ in range(4)]
+        assert wait_until(lambda: sum(len(t.ran) for t in running.targets) == 4)
+        running.host.request_stop()
+        statuses = [read.result()[1] for read in reads]
+        assert statuses == [200] * 4
+        assert sum(len(target.ran) for target in running.targets) == 4
+
+
 def test_configuration_takes_effect_in_time_and_survives_store_outage():
     with run_host(3) as running:
         running.store.put(OPERATOR, "config", make_configuration(2, host="new.example"))
