Take no answer without a request id from a connection that was used before

What could be seen: a target that wrote an earlier refusal once more, without an id, on a kept connection made the host say "not run" for the request that was sent on it next, and retry it at a second target, also one that may run once; a stray 200 was passed on as its answer.

Cause: an answer without an id counted as the one that was waited for. Evidence: the two new cases of target_connection_test, which failed before.

Fix: on a reused connection such an answer is lost. The first one on a connection may lack an id.

--- a/citronspan/ops/answer_stream.py
+++ b/citronspan/ops/answer_stream.py
@@ -7,9 +7,9 @@
 complete. This module applies one deadline to all reads of an answer, bounds the size
 of its head and of its body, and enforces RFC 9112, sections 2 to 7.
 
-HTTP/1.1 cannot reveal one case: an unsolicited answer that a target sends after a
-reused connection was assigned to the next request is taken for the answer to that
-request.
+A target may write an answer on a kept connection that no request asked for. Where
+targets echo the id of the request, such an answer has another id or, on a connection
+that was used before, none. Without ids HTTP/1.1 cannot reveal it.
 """
 
 import contextlib
@@ -115,9 +115,11 @@
         deadline,
         id_header="",
         expected_id="",
+        is_reused=False,
     ):
         self._id_header = id_header
         self._expected_id = expected_id
+        self._is_reused = is_reused
         super().__init__(sock, debuglevel, method, url)
         reader = _BoundedReader(raw=self.fp.detach(), sock=sock, deadline=deadline)
         self.fp = _StrictLineReader(reader)
@@ -141,11 +143,16 @@
     def _is_stale_response(self):
         """Return whether this is a late answer to an earlier request.
 
-        An answer without a request id is not considered stale.
+        The first answer on a connection may have no request id: none precedes it.
+
+        Raises:
+            AnswerInvalidError: If it cannot be told which request it answers.
         """
         if not self._expected_id:
             return False
         response_id = self.headers.get(self._id_header)
+        if response_id is None and self._is_reused:
+            raise AnswerInvalidError("an answer on a kept connection has no request id")
         return response_id is not None and response_id != self._expected_id
 
     def _skip_stale_response(self):
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -197,10 +197,13 @@
             CitronspanError: With code 3012 if the caller's body ends early.
         """
         connection = self._take_idle_connection(address, request.reuse_seconds)
+        is_reused = connection is not None
         if connection is None:
             connection = self._connect(address, request.deadline.find())
         try:
-            response, is_fully_sent = self._exchange(connection, request, caller)
+            response, is_fully_sent = self._exchange(
+                connection, request, caller, is_reused=is_reused
+            )
         except BaseException:
             connection.close()
             raise
@@ -242,7 +245,7 @@
                 outcome_class=OutcomeClass.CONNECT_FAILED, detail=str(error)
             ) from error
 
-    def _exchange(self, connection, request, caller):
+    def _exchange(self, connection, request, caller, *, is_reused):
         """Send a request and read the status and headers of its answer.
 
         Returns:
@@ -255,6 +258,7 @@
             deadline=request.deadline,
             id_header=self._id_header,
             expected_id=request.request_id if self._id_header else "",
+            is_reused=is_reused,
         )
         send_error, is_fully_sent = self._send_request(connection, request)
         self._wait_for_answer(connection, request.deadline, caller)
--- a/citronspan/ops/target_connection_test.py
+++ b/citronspan/ops/target_connection_test.py
@@ -38,7 +38,7 @@
     scripted.close()
 
 
-def make_request(path, seconds):
+def make_request(path, seconds, request_id=""):
     return TargetRequest(
         method="POST",
         uri=path,
@@ -46,6 +46,7 @@
         body=SimpleNamespace(buffer=b"", length=0),
         reuse_seconds=math.inf,
         deadline=AttemptDeadline(request_deadline=time.monotonic() + seconds),
+        request_id=request_id,
     )
 
 
@@ -72,3 +73,61 @@
 def test_request_is_sent_after_a_pause_while_connecting(targets):
     connections = TargetConnections(paths=TargetPaths(direct=PausedConnector()))
     check_nothing_is_sent(connections, targets, make_request("/late", RUN_SECONDS / 2))
+
+
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n%bContent-Length: 0\r\n\r\n"
+RESULT = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: 2\r\n\r\nok"
+
+
+def open_kept_connection(targets, address):
+    """Return connections with one that has carried the answer to request a."""
+    targets.set_scripts("/a", TargetScript(parts=(RESULT % b"a",), end="keep"))
+    connections = TargetConnections(id_header="X-Id")
+    answer = connections.send(address, make_request("/a", 5.0, "a"), None)
+    assert answer.read(2) == b"ok"
+    answer.finish()
+    assert connections.list_idle_addresses() == {address}
+    return connections
+
+
+def test_refusal_of_an_earlier_request_written_again_is_taken_for_a_new_one(targets):
+    (address, *_) = targets.address_by_name.values()
+    connections = open_kept_connection(targets, address)
+    again = REFUSAL % b"X-Id: a\r\n"
+    targets.set_scripts("/b", TargetScript(parts=(again + RESULT % b"b",), end="keep"))
+    answer = connections.send(address, make_request("/b", 5.0, "b"), None)
+    assert (answer.status, answer.read(2)) == (200, b"ok")
+
+
+@pytest.mark.parametrize("stray", [REFUSAL % b"", ANSWER])
+def test_answer_of_no_request_on_a_kept_connection_is_taken_for_the_next(
+    targets, stray
+):
+    (address, *_) = targets.address_by_name.values()
+    connections = open_kept_connection(targets, address)
+    targets.set_scripts("/b", TargetScript(parts=(stray + RESULT % b"b",), end="keep"))
+    with pytest.raises(AttemptFailedError) as caught:
+        connections.send(address, make_request("/b", 5.0, "b"), None)
+    assert caught.value.outcome_class is OutcomeClass.ANSWER_LOST
+
+
+def test_refusal_without_an_id_on_a_new_connection_is_taken_for_a_lost_answer(targets):
+    (address, *_) = targets.address_by_name.values()
+    targets.set_scripts("/b", TargetScript(parts=(REFUSAL % b"",)))
+    connections = TargetConnections(id_header="X-Id")
+    answer = connections.send(address, make_request("/b", 5.0, "b"), None)
+    assert answer.status == 503
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: b\r\nX-Signature: s\r\n\r\n"
+
+
+@pytest.mark.parametrize("cut", range(1, len(HEAD)))
+def test_answer_that_stops_in_its_head_is_taken_for_a_whole_one(targets, cut):
+    # Without a length the body would be what comes until the end of the connection.
+    (address, *_) = targets.address_by_name.values()
+    targets.set_scripts("/b", TargetScript(parts=(HEAD[:cut],)))
+    connections = TargetConnections(id_header="X-Id")
+    with pytest.raises(AttemptFailedError) as caught:
+        connections.send(address, make_request("/b", 5.0, "b"), None)
+    assert caught.value.outcome_class is OutcomeClass.ANSWER_LOST
--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -132,6 +132,27 @@
         time.sleep(0.1 if is_delayed else 0.0)
 
 
+def test_refusal_written_once_more_is_taken_for_the_refusal_of_the_next_request(
+    running,
+):
+    refusal = make_answer(b"", chunked=False, status=b"503 Busy").replace(
+        b"\r\n", b"\r\nTarget-Not-Run: shed\r\n", 1
+    )
+    twice = TargetScript(
+        parts=(refusal, refusal), end="keep", pause_seconds=0.05, runs=False
+    )
+    whole = TargetScript(
+        parts=(make_answer(BODY, chunked=False),), end="keep", delay_seconds=0.1
+    )
+    path = running.make_path("write")
+    for _ in range(6):
+        running.targets.set_scripts(path, twice)
+        assert running.request("POST", path).status == 503
+        running.targets.set_scripts(path, whole)
+        response = running.request("POST", path)
+        assert (response.status, running.targets.count_runs(path)) == (200, 1)
+
+
 INVALID_HEADS = [
     b"HTTP/1.1 200 OK\r\nX-Order: 17\r\nContent-Length: 3\r\nContent-Length: 30\r\n",
     b"HTTP/1.1 200 OK\r\nX-Order: 17\r\nContent-Length: -1\r\n",
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -66,11 +66,12 @@
         request_id = exchange.get_header(REQUEST_ID)
         body = b"".join(exchange.read_body())
         expected = exchange.get_header("X-Citronspan-Expected-Instance")
+        id_header = (REQUEST_ID, request_id)
         if expected != self.name:
-            exchange.answer(421)
+            exchange.answer(421, b"", (id_header,))
             return
         if self.mode == "sheds":
-            exchange.answer(503, b"", (("X-Citronspan-Not-Executed", "1"),))
+            exchange.answer(503, b"", (("X-Citronspan-Not-Executed", "1"), id_header))
             return
         self.ran.append(request_id)
         self.deadlines.append(exchange.get_header("X-Citronspan-Deadline-Ms"))
