Let an attempt at the only target use all of its request's time

Cause: the limit of an attempt leaves time for a retry, and was used without asking whether there is a target for it.

Fix: an attempt is the last one also if the configuration has no other target of the service that is not leaving. It is asked again while the attempt waits, so that one that starts meanwhile counts. Ejected targets still count as others: they may be back by then.

The test failed before. The fake handler of attempts_test says that there is another target.

--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -125,9 +125,25 @@
         dialect: Dialect,
         reuse_seconds: float,
         is_stopping: Callable[[], bool],
+        has_other_target: Callable[[str, tuple[str, ...]], bool],
     ):
+        """Create a runner.
+
+        Args:
+            slots: Grants the slots of targets.
+            connections: Connections to targets.
+            metrics: Counts attempts and retries.
+            tracer: Makes the spans.
+            dialect: Headers of the targets.
+            reuse_seconds: Longest idle time of a connection for a request that must
+                not run twice.
+            is_stopping: Returns whether the host was told to stop.
+            has_other_target: Returns whether a service has a target that stays, other
+                than the given ones.
+        """
         self._dialect = dialect
         self._is_stopping = is_stopping
+        self._has_other_target = has_other_target
         self._reuse_seconds = reuse_seconds
         self._slots = slots
         self._connections = connections
@@ -234,6 +250,7 @@
         return (
             len(tried) >= request_context.spec.maximum_attempts
             or not request_context.body.is_repeatable
+            or not self._has_other_target(request_context.service_name, tried)
         )
 
     def _attempt(
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -163,6 +163,7 @@
         dialect=PlatformDialect(),
         reuse_seconds=5.0,
         is_stopping=lambda: False,
+        has_other_target=lambda service, names: True,
     )
     try:
         return runner.run(request_context), None
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -107,6 +107,7 @@
             dialect=dialect,
             reuse_seconds=reuse_seconds,
             is_stopping=is_stopping,
+            has_other_target=self._has_other_target,
         )
         self._metrics = metrics
         self._tracer = tracer
@@ -235,6 +236,12 @@
             fingerprint=_compute_fingerprint(request, body),
         )
 
+    def _has_other_target(self, service, names):
+        targets = self._find_configuration().targets_by_service.get(service, ())
+        return any(
+            not target.leaving and target.name not in names for target in targets
+        )
+
     def _check_account(self, configuration, request):
         if not request.account:
             return
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -326,6 +326,16 @@
         assert sum(len(target.ran) for target in running.targets) == 4
 
 
+def test_read_is_given_up_for_another_target_though_there_is_none():
+    with run_host(10) as running:
+        only, other = running.targets
+        other.register(running.store, state="draining")
+        assert wait_until(lambda: _is_target_leaving(running, other.name), 2.5)
+        only.mode = "works"
+        assert running.send("/read/1")[1] == 200
+        assert len(only.ran) == 1
+
+
 def test_configuration_takes_effect_in_time_and_survives_store_outage():
     with run_host(3) as running:
         running.store.put(OPERATOR, "config", make_configuration(2, host="new.example"))
