Lift the time of an attempt when its answer is forwarded

What callers saw: the body of an answer of an idempotent route was broken off midway when it went on longer than an attempt may take, half of the caller's time where latencies are not known (test: 200,000 bytes with a pause of 3.0 s of 5 s, connection reset).

Cause: the limit of an attempt, which leaves time for a retry, bounded all reads of the answer, also those after its first part had gone to the caller, when no retry is possible.

Fix: an answer that is accepted has the time of its request. The test failed before; so does the new one of AttemptDeadline, which has a state now and is no data class any more.

--- a/citronspan/core/requests/attempt_deadline.py
+++ b/citronspan/core/requests/attempt_deadline.py
@@ -8,26 +8,36 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptDeadline:
-    """When one attempt is given up, by ``time.monotonic()``.
+    """When one attempt is given up, by ``time.monotonic()``."""
 
-    Attributes:
-        request_deadline: Time at which the request is given up.
-        limit: Time at which the attempt is given up if another one may follow it.
-        may_be_retried: Returns whether another attempt may follow. It is asked again
-            while the attempt runs.
-    """
+    def __init__(
+        self,
+        *,
+        request_deadline: float,
+        limit: float = math.inf,
+        may_be_retried: Callable[[], bool] = lambda: True,
+    ):
+        """Create the deadline of an attempt that begins.
 
-    request_deadline: float
-    limit: float = math.inf
-    may_be_retried: Callable[[], bool] = lambda: True
+        Args:
+            request_deadline: Time at which the request is given up.
+            limit: Time at which the attempt is given up if another one may follow it.
+            may_be_retried: Returns whether another attempt may follow. It is asked
+                again while the attempt runs.
+        """
+        self._request_deadline = request_deadline
+        self._limit = limit
+        self._may_be_retried = may_be_retried
 
     def find(self) -> float:
         """Return the time at which the attempt is given up, as of now."""
-        if self.limit < self.request_deadline and self.may_be_retried():
-            return self.limit
-        return self.request_deadline
+        if self._limit < self._request_deadline and self._may_be_retried():
+            return self._limit
+        return self._request_deadline
+
+    def lift_limit(self) -> None:
+        """Leave the attempt all of the request's time, as its answer is forwarded."""
+        self._limit = math.inf
--- a/citronspan/core/requests/attempt_deadline_test.py
+++ b/citronspan/core/requests/attempt_deadline_test.py
@@ -13,6 +13,12 @@
     assert deadline.find() == 6.0
 
 
+def test_attempt_is_given_up_while_its_answer_is_forwarded():
+    deadline = AttemptDeadline(request_deadline=6.0, limit=3.0)
+    deadline.lift_limit()
+    assert deadline.find() == 6.0
+
+
 @pytest.mark.parametrize("limit", [6.0, 7.0])
 def test_attempt_outlasts_its_request(limit):
     assert AttemptDeadline(request_deadline=6.0, limit=limit).find() == 6.0
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -215,6 +215,7 @@
     def _accept_response(self, request_context, attempt_response, may_have_run):
         """Return the response, or raise a refusal if the target reported "not run"."""
         if RAN_BY_OUTCOME_CLASS[attempt_response.outcome_class] is not Ran.NOT_RUN:
+            attempt_response.answer.lift_limit()
             return attempt_response
         attempt_response.answer.abort_response()
         self.release(request_context, attempt_response)
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -78,6 +78,9 @@
     def find_header(self, name):
         return self._headers.get(name)
 
+    def lift_limit(self):
+        pass
+
     def abort_response(self):
         self.is_aborted = True
 
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -77,8 +77,9 @@
 class TargetAnswer:
     """Holds an answer whose headers have been read and whose body has not."""
 
-    def __init__(self, *, response, connection, release, method):
+    def __init__(self, *, response, connection, release, method, deadline):
         self._response = response
+        self._deadline = deadline
         self._connection = connection
         self._release = release
         self._method = method
@@ -146,6 +147,10 @@
         ) as error:
             raise self._fail(OutcomeClass.ANSWER_LOST, str(error)) from error
 
+    def lift_limit(self) -> None:
+        """Leave the rest of the body all of the request's time."""
+        self._deadline.lift_limit()
+
     def finish(self) -> None:
         """Return the connection to the pool; call this after reading the whole body."""
         self._release(self._connection)
@@ -221,6 +226,7 @@
                 address, used_connection, keep_alive_seconds
             ),
             method=request.method,
+            deadline=request.deadline,
         )
 
     def close(self) -> None:
--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -5,9 +5,11 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from citronspan.ops.conftest import TargetScript
+from citronspan.ops.conftest import DEADLINE_SECONDS, TargetScript
 
 BODY = b"castle" * 5
+LATE_SECONDS = 0.6 * DEADLINE_SECONDS
+"""More than the time of an attempt, less than that of its request."""
 
 
 def make_answer(body, *, chunked, chunk_bytes=7, status=b"200 OK"):
@@ -295,6 +297,18 @@
     assert response.status in (200, 500)
 
 
+def test_answer_is_broken_off_at_the_time_of_an_attempt_while_it_is_forwarded(running):
+    path = running.make_path("read")
+    body = b"c" * 200_000
+    answer = make_answer(body, chunked=False)
+    late = TargetScript(
+        parts=(answer[:100_000], answer[100_000:]), pause_seconds=LATE_SECONDS
+    )
+    running.targets.set_scripts(path, late)
+    response = running.request("GET", path)
+    assert (response.status, response.find_complete_body()) == (200, body)
+
+
 def test_last_attempt_may_use_all_remaining_time(running):
     """Guards against a last attempt that is given up at half of the remaining time.
 
