Do not end attempts beyond their limit when a target starts late

What could be seen, by reading the change again: attempts at the only target of a service, which went on beyond their limit because nothing could follow them, would all be given up at the moment at which a second target started, with too little time left for it.

Cause: the limit was asked again after it had passed.

Fix: an attempt that is let go on when its limit passes has the time of its request for good. The new test of AttemptDeadline failed before.

--- a/citronspan/core/requests/attempt_deadline.py
+++ b/citronspan/core/requests/attempt_deadline.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import time
 from collections.abc import Callable
 
 
@@ -34,10 +35,15 @@
 
     def find(self) -> float:
         """Return the time at which the attempt is given up, as of now."""
-        if self._limit < self._request_deadline and self._may_be_retried():
+        if self._limit >= self._request_deadline:
+            return self._request_deadline
+        if self._may_be_retried():
             return self._limit
+        if time.monotonic() >= self._limit:
+            # A target that starts after this must not end attempts in mid-course.
+            self.lift_limit()
         return self._request_deadline
 
     def lift_limit(self) -> None:
-        """Leave the attempt all of the request's time, as its answer is forwarded."""
+        """Leave the attempt all of the request's time, whatever may follow."""
         self._limit = math.inf
