Show what is missing for targets that leave or pause by their answers

A host with one, two or four targets, 30 orders a second; the oracle is the two rules as they were written.

- A target says Server-Leaving in its answers while its entry in the store stays ready.
- A target refuses with Retry-After: 4.

--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -156,7 +156,7 @@
 
 
 @contextmanager
-def run_host(number, *, configured=True):
+def run_host(number, *, configured=True, target_type=PlatformTarget, target_count=2):
     first_port = FIRST_PORT + 100 * number
     store = StoreService()
     store_service = Service(
@@ -164,8 +164,8 @@
     )
     store_service.start()
     targets = [
-        PlatformTarget(name=f"i-{number}", port=first_port + 1 + number)
-        for number in range(2)
+        target_type(name=f"i-{number}", port=first_port + 1 + number)
+        for number in range(target_count)
     ]
     if configured:
         store.put(OPERATOR, "config", make_configuration())
