--- a/citronspan/ops/bad_requests_test.py
+++ b/citronspan/ops/bad_requests_test.py
@@ -9,13 +9,9 @@
 
 from citronspan.core import result_codes
 from citronspan.ops.caller_request import MAXIMUM_BUFFERED_BODY_BYTES
-from citronspan.ops.conftest import (
-    POLL_SECONDS,
-    RESET_ON_CLOSE,
-    TEST_TIMEOUT_SECONDS,
-    TargetScript,
-    read_to_end,
-)
+from citronspan.ops.conftest import POLL_SECONDS, TEST_TIMEOUT_SECONDS
+from citronspan_standins.raw_caller import read_to_end
+from citronspan_standins.scripted_targets import RESET_ON_CLOSE, TargetScript
 
 ANSWER = TargetScript(parts=(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal",))
 SMUGGLED = b"GET /read/smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/citronspan/ops/cut_uploads_test.py
+++ b/citronspan/ops/cut_uploads_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from citronspan.ops.conftest import TargetScript
+from citronspan_standins.scripted_targets import TargetScript
 
 ANSWER = TargetScript(parts=(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstored",))
 BODY = b"castle" * 6
--- a/citronspan/ops/endless_answers_test.py
+++ b/citronspan/ops/endless_answers_test.py
@@ -8,12 +8,12 @@
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.answer_stream import MAXIMUM_BODY_BYTES, MAXIMUM_HEAD_BYTES
-from citronspan.ops.conftest import EMPTY_ANSWER, TargetScript
 from citronspan.ops.target_connection import (
     AttemptFailedError,
     TargetConnections,
     TargetRequest,
 )
+from citronspan_standins.scripted_targets import EMPTY_ANSWER, TargetScript
 
 PART_BYTES = 32 * 1024
 NOISE = b"x" * PART_BYTES
--- a/citronspan/ops/entry_full_test.py
+++ b/citronspan/ops/entry_full_test.py
@@ -6,7 +6,8 @@
 import pytest
 
 from citronspan.core import result_codes
-from citronspan.ops.conftest import EMPTY_ANSWER, TargetScript, run_entry
+from citronspan.ops.conftest import run_entry
+from citronspan_standins.scripted_targets import EMPTY_ANSWER, TargetScript
 
 WORKERS = 4
 SLOW_SECONDS = 1.0
--- a/citronspan/ops/entry_links_test.py
+++ b/citronspan/ops/entry_links_test.py
@@ -5,12 +5,8 @@
 import msgspec
 
 from citronspan.core.node_messages import ViewPush
-from citronspan.ops.conftest import (
-    POLL_SECONDS,
-    TEST_TIMEOUT_SECONDS,
-    find_free_addresses,
-    run_entry,
-)
+from citronspan.ops.conftest import POLL_SECONDS, TEST_TIMEOUT_SECONDS, run_entry
+from citronspan_standins.scripted_targets import find_free_addresses
 
 PEERS = 100
 
--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/http_server_test.py
@@ -8,8 +8,8 @@
 import pytest
 
 from citronspan.ops import worker_pool
-from citronspan.ops.conftest import find_free_addresses
 from citronspan.ops.http_server import make_server
+from citronspan_standins.scripted_targets import find_free_addresses
 
 TIMEOUT_SECONDS = 5.0
 
--- a/citronspan/ops/pipelined_requests_test.py
+++ b/citronspan/ops/pipelined_requests_test.py
@@ -6,13 +6,9 @@
 
 import pytest
 
-from citronspan.ops.conftest import (
-    POLL_SECONDS,
-    TEST_TIMEOUT_SECONDS,
-    TargetScript,
-    read_to_end,
-    run_entry,
-)
+from citronspan.ops.conftest import POLL_SECONDS, TEST_TIMEOUT_SECONDS, run_entry
+from citronspan_standins.raw_caller import read_to_end
+from citronspan_standins.scripted_targets import TargetScript
 
 SLOW_SECONDS = 0.6
 FILL = b"GET /read/behind HTTP/1.1\r\nHost: h\r\nPad: " + b"x" * 9000
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -11,13 +11,13 @@
 import pytest
 
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops.conftest import find_free_addresses
 from citronspan.ops.relay_connector import RelayConnector, RelayError
 from citronspan.ops.relay_server import RelayServer
 from citronspan.ops.target_connector import DirectConnector
 from citronspan.ops.target_paths import TargetPaths
 from citronspan.ops.target_reachability import TargetReachability
 from citronspan.utils.addresses import split_address
+from citronspan_standins.scripted_targets import find_free_addresses
 
 TIMEOUT_SECONDS = 5.0
 STOP_SECONDS = 2.0
--- a/citronspan/ops/target_connection_test.py
+++ b/citronspan/ops/target_connection_test.py
@@ -8,7 +8,6 @@
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.conftest import ScriptedTargets, TargetScript
 from citronspan.ops.target_connection import (
     AttemptFailedError,
     TargetConnections,
@@ -16,6 +15,7 @@
 )
 from citronspan.ops.target_connector import DirectConnector
 from citronspan.ops.target_paths import TargetPaths
+from citronspan_standins.scripted_targets import ScriptedTargets, TargetScript
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 RUN_SECONDS = 0.1
--- a/citronspan/ops/target_paths_test.py
+++ b/citronspan/ops/target_paths_test.py
@@ -10,7 +10,6 @@
 import urllib3.exceptions
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.conftest import ScriptedTargets, TargetScript
 from citronspan.ops.target_connection import (
     AttemptFailedError,
     TargetConnections,
@@ -19,6 +18,7 @@
 from citronspan.ops.target_connector import DirectConnector
 from citronspan.ops.target_paths import TargetPaths
 from citronspan.ops.target_reachability import TargetReachability
+from citronspan_standins.scripted_targets import ScriptedTargets, TargetScript
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 KEPT = TargetScript(parts=(ANSWER,), end="keep")
--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -5,7 +5,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from citronspan.ops.conftest import DEADLINE_SECONDS, TargetScript
+from citronspan.ops.conftest import DEADLINE_SECONDS
+from citronspan_standins.scripted_targets import TargetScript
 
 BODY = b"castle" * 5
 LATE_SECONDS = 0.6 * DEADLINE_SECONDS
