Judge addresses of records in the log as earlier versions do

What could be seen: refused addresses with a scope, and ports in other digits than ASCII ones, in parse_address, by which all versions also judge the records of the product's own log. A host of this version would have rejected a stored target that a landed one accepts, so that two versions side by side come to different states and digests.

Fix: parse_address is as it was. The stricter form is asked of registrations on the platform alone, where only the reader of the feed judges it. The new test of resources_test failed before for the address with a scope; the cases of records_test hold as before.

--- a/citronspan/core/resources.py
+++ b/citronspan/core/resources.py
@@ -16,7 +16,6 @@
 from citronspan.utils.validation import DECODING_ERRORS, describe_error
 
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
-_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class Spec(
@@ -220,16 +219,16 @@
     ip, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(ip.strip("[]"))
+        number = int(port)
     except ValueError:
-        # Ignored: the check of the port below refuses an empty one.
-        port = ""
-    is_port = _PORT_PATTERN.fullmatch(port) is not None
-    if not is_port or "%" in ip or not 0 < int(port) < 65536:
+        # Ignored: the range check below refuses the port number -1.
+        number = -1
+    if not 0 < number < 65536:
         raise CitronspanError(
             code=result_codes.ADDRESS_INVALID,
             detail=f"{path}: {text!r} is not of the form IP:PORT",
         )
-    return ip.strip("[]"), int(port)
+    return ip.strip("[]"), number
 
 
 def _make_invalid_error(detail: str) -> CitronspanError:
--- a/citronspan/core/resources_test.py
+++ b/citronspan/core/resources_test.py
@@ -37,3 +37,10 @@
     with pytest.raises(CitronspanError) as caught:
         decode_resource(json.dumps(invalid).encode())
     assert path in caught.value.detail
+
+
+@pytest.mark.parametrize("address", ["[fe80::1%eth0]:80", "127.0.0.1:0080"])
+def test_address_in_a_record_is_refused_by_a_later_version_only(address):
+    # Versions that judge a record of the log differently come to different states.
+    data = json.dumps({**TARGET, "spec": {**TARGET["spec"], "address": address}})
+    assert decode_resource(data.encode()).spec.address == address
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -32,6 +32,8 @@
 """Largest number that hosts can send each other."""
 
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INTEGER)]
+# Stricter than ``parse_address``, which must go on to accept what is in the log.
+_Address = Annotated[str, msgspec.Meta(pattern=r"\A[^%]*:[0-9]{1,5}\Z")]
 _StartTime = Annotated[int, msgspec.Meta(ge=0, lt=(1 << 63) // SEQUENCES_PER_START)]
 
 
@@ -91,7 +93,7 @@
 
 
 class _Registration(_WireStruct):
-    address: str
+    address: _Address
     info: _RegistrationInfo
     status: _RegistrationStatus
     # Unix time of the target's start in milliseconds.
