Divide the module of attempts by what it does

A move without a change of logic: the 81 tests of attempts, whole answers and cut uploads pass as before.

--- /dev/null
+++ b/citronspan/ops/attempt_refusals.py
@@ -0,0 +1,52 @@
+"""Refusals of requests whose attempts got no answer that can be forwarded."""
+
+from citronspan.core import result_codes
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.result_codes import Ran
+from citronspan.ops.attempt_context import RequestContext
+from citronspan.ops.refusals import Refusal
+from citronspan.ops.slot_source import SlotRefused
+
+REFUSED_RETRY_AFTER_SECONDS = 0.3
+"""``Retry-After`` after all targets refused; by then one may have free capacity."""
+
+
+def make_slot_refusal(
+    request_context: RequestContext, refused: SlotRefused, may_have_run: bool
+) -> Refusal:
+    """Return the refusal for a request for which no slot was granted.
+
+    Args:
+        request_context: The request.
+        refused: Why there was no slot.
+        may_have_run: Whether an earlier attempt may have run.
+    """
+    if may_have_run:
+        return make_refusal(OutcomeClass.ANSWER_LOST, may_have_run)
+    return Refusal(
+        code=refused.code,
+        detail=f"service {request_context.service_name!r}",
+        retry_after_seconds=refused.retry_after_seconds,
+    )
+
+
+def make_refusal(outcome_class: OutcomeClass, may_have_run: bool) -> Refusal:
+    """Return the refusal for a request whose last attempt had an outcome.
+
+    Args:
+        outcome_class: Outcome class of the last attempt.
+        may_have_run: Whether any attempt may have run.
+    """
+    ran = Ran.MAY_HAVE_RUN if may_have_run else Ran.NOT_RUN
+    if not may_have_run:
+        code = result_codes.TARGET_REFUSED
+    elif outcome_class is OutcomeClass.TIMED_OUT:
+        code = result_codes.DEADLINE_PASSED
+    else:
+        code = result_codes.ANSWER_LOST
+    return Refusal(
+        code=code,
+        detail=f"last attempt: {outcome_class}",
+        ran=ran,
+        retry_after_seconds=None if may_have_run else REFUSED_RETRY_AFTER_SECONDS,
+    )
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -5,14 +5,11 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import logbook
 from opentelemetry import trace
 
-from citronspan.core import log_events, result_codes
-from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, Outcome, OutcomeClass
-from citronspan.core.rate_limits import RateLimit
+from citronspan.core.outcomes import RAN_BY_OUTCOME_CLASS, OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.core.requests.retry_budget import (
     BrokerRetryBudget,
@@ -20,13 +17,12 @@
     RetryDecision,
     decide_retry,
 )
-from citronspan.core.requests.route_table import Route
-from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
-from citronspan.ops.caller_request import CallerBody, CallerRequest
+from citronspan.ops.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.attempt_refusals import make_refusal, make_slot_refusal
+from citronspan.ops.attempt_reporter import AttemptReporter
 from citronspan.ops.dialect import Dialect, TargetAttempt
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.refusals import Refusal
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
 from citronspan.ops.target_connection import (
     AttemptFailedError,
@@ -34,16 +30,12 @@
     TargetConnections,
     TargetRequest,
 )
-from citronspan.utils.logs import write_event
 from citronspan.utils.traces import inject_context, start_span
 
 ATTEMPT_DEADLINE_SHARE = 0.5
 """Share of the remaining time that a retryable attempt may use if the broker left it
 open, so that there is time for another one after a slow target."""
 
-REFUSED_RETRY_AFTER_SECONDS = 0.3
-"""``Retry-After`` after all targets refused; by then one may have free capacity."""
-
 MAXIMUM_BUFFERED_ANSWER_BYTES = 64 * 1024
 _logger = logbook.Logger("attempts")
 
@@ -54,64 +46,6 @@
 MINIMUM_ATTEMPT_SECONDS = 0.01
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestContext:
-    """Holds a request and what the entry resolved for it.
-
-    Attributes:
-        request: The caller's request.
-        body: The caller's body.
-        route: The matching route.
-        service_name: Name of the service that the route chose.
-        service: Specification of that service.
-        deadline: Time of ``time.monotonic()`` at which the request is given up.
-        goal_time: Time of ``time.monotonic()`` at which the answer is due by the
-            goal of the route, 0 if it has none.
-        fingerprint: Hash of the method, host, URI and body (or of the body's length,
-            if the body is not buffered).
-    """
-
-    request: CallerRequest
-    body: CallerBody
-    route: Route
-    service_name: str
-    service: ServiceSpec
-    deadline: float
-    goal_time: float
-    fingerprint: int
-
-    @property
-    def spec(self) -> RouteSpec:
-        """Specification of the route."""
-        return self.route.spec
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AttemptResponse:
-    """Holds the response to an attempt whose status and headers have arrived.
-
-    Attributes:
-        slot: Slot of the attempt.
-        answer: The target's answer.
-        body_start: Bytes of the body that were read ahead.
-        is_whole: Whether ``body_start`` is the whole body.
-        outcome_class: Outcome according to the status and the headers.
-        started_at: Time of ``time.monotonic()`` at which the attempt began.
-        first_byte_at: Time of ``time.monotonic()`` at which the status and the headers
-            had arrived.
-        is_released: Whether the slot has been released.
-    """
-
-    slot: Slot
-    answer: TargetAnswer
-    body_start: bytes
-    is_whole: bool
-    outcome_class: OutcomeClass
-    started_at: float
-    first_byte_at: float
-    is_released: bool = False
-
-
 class AttemptRunner:
     """Runs the attempts of requests and their retries."""
 
@@ -149,6 +83,7 @@
         self._connections = connections
         self._metrics = metrics
         self._tracer = tracer
+        self._reporter = AttemptReporter(slots=slots, metrics=metrics, dialect=dialect)
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
 
@@ -180,7 +115,7 @@
                     return self._accept_response(
                         request_context, fallback_response, may_have_run
                     )
-                raise _make_slot_refusal(request_context, slot, may_have_run)
+                raise make_slot_refusal(request_context, slot, may_have_run)
             if fallback_response is not None:
                 fallback_response.answer.abort_response()
                 fallback_response = None
@@ -209,7 +144,7 @@
                 )
             self._metrics.count_retry(request_context.service_name)
         if attempt_response is None:
-            raise _make_refusal(last_class, may_have_run)
+            raise make_refusal(last_class, may_have_run)
         return self._accept_response(request_context, attempt_response, may_have_run)
 
     def _accept_response(self, request_context, attempt_response, may_have_run):
@@ -219,7 +154,7 @@
             return attempt_response
         attempt_response.answer.abort_response()
         self.release(request_context, attempt_response)
-        raise _make_refusal(attempt_response.outcome_class, may_have_run)
+        raise make_refusal(attempt_response.outcome_class, may_have_run)
 
     def _acquire(
         self, request_context, tried, has_reached_target
@@ -268,12 +203,12 @@
                     answer.status, answer.find_header
                 )
         except AttemptFailedError as error:
-            self._release_failed_attempt(
+            self._reporter.release_failed(
                 request_context, slot, started_at, error.outcome_class
             )
             raise
         except BaseException:
-            self._release_failed_attempt(
+            self._reporter.release_failed(
                 request_context, slot, started_at, OutcomeClass.CANCELLED
             )
             raise
@@ -363,77 +298,10 @@
         outcome_class: OutcomeClass | None = None,
         answer_bytes: int = 0,
     ) -> None:
-        """Release the slot of a response, unless it has been released.
-
-        Args:
-            request_context: The request.
-            attempt_response: The response.
-            outcome_class: Final outcome, if it is worse than that of the response's
-                status and headers.
-            answer_bytes: Bytes of the body.
-        """
-        if attempt_response.is_released:
-            return
-        outcome = Outcome(
-            target=attempt_response.slot.target,
-            outcome_class=outcome_class or attempt_response.outcome_class,
-            latency_seconds=attempt_response.first_byte_at
-            - attempt_response.started_at,
-            deadline_seconds=max(
-                request_context.deadline - attempt_response.started_at, 0.0
-            ),
-            request_kind=request_context.spec.request_kind,
-            fingerprint=request_context.fingerprint,
-            load=self._dialect.read_load(attempt_response.answer.find_header),
-            rate_limit=self._read_rate_limit(attempt_response),
-        )
-        self._record_attempt(
-            request_context,
-            attempt_response.slot,
-            outcome,
-            attempt_response.answer.status,
-        )
-        self._slots.release(attempt_response.slot, outcome, answer_bytes)
-
-    def _read_rate_limit(self, attempt_response) -> RateLimit | None:
-        if attempt_response.outcome_class is OutcomeClass.DRAINING:
-            # The answer may be that of another target with the same address.
-            return None
-        find_header = attempt_response.answer.find_header
-        return RateLimit(
-            requests_per_second=self._dialect.read_rate_limit(find_header),
-            age_seconds=time.monotonic() - attempt_response.first_byte_at,
-        )
-
-    def _record_attempt(self, request_context, slot, outcome, status):
-        """Count an attempt, and log it unless its outcome is OK."""
-        self._metrics.count_attempt(request_context.service_name, outcome.outcome_class)
-        if outcome.outcome_class is OutcomeClass.OK:
-            return
-        write_event(
-            _logger,
-            log_events.ATTEMPT_FAILED,
-            id=request_context.request.request_id,
-            service=request_context.service_name,
-            target=slot.target,
-            broker=slot.broker,
-            outcome=outcome.outcome_class,
-            status=status,
-            seconds=round(outcome.latency_seconds, 4),
-            left=round(request_context.deadline - time.monotonic(), 3),
-        )
-
-    def _release_failed_attempt(self, request_context, slot, started_at, outcome_class):
-        outcome = Outcome(
-            target=slot.target,
-            outcome_class=outcome_class,
-            latency_seconds=time.monotonic() - started_at,
-            deadline_seconds=max(request_context.deadline - started_at, 0.0),
-            request_kind=request_context.spec.request_kind,
-            fingerprint=request_context.fingerprint,
+        """Release the slot of a response; see ``AttemptReporter.release``."""
+        self._reporter.release(
+            request_context, attempt_response, outcome_class, answer_bytes
         )
-        self._record_attempt(request_context, slot, outcome, 0)
-        self._slots.release(slot, outcome, 0)
 
 
 def _read_ahead(answer: TargetAnswer) -> tuple[bytes, bool]:
@@ -456,33 +324,3 @@
             return body_start, True
         body_start += data
     return body_start, answer.length == 0
-
-
-def _make_slot_refusal(
-    request_context, refused: SlotRefused, may_have_run: bool
-) -> Refusal:
-    """Return the refusal for a request for which no slot was granted."""
-    if may_have_run:
-        return _make_refusal(OutcomeClass.ANSWER_LOST, may_have_run)
-    return Refusal(
-        code=refused.code,
-        detail=f"service {request_context.service_name!r}",
-        retry_after_seconds=refused.retry_after_seconds,
-    )
-
-
-def _make_refusal(outcome_class: OutcomeClass, may_have_run: bool) -> Refusal:
-    """Return the refusal for a request whose last attempt had this outcome."""
-    ran = Ran.MAY_HAVE_RUN if may_have_run else Ran.NOT_RUN
-    if not may_have_run:
-        code = result_codes.TARGET_REFUSED
-    elif outcome_class is OutcomeClass.TIMED_OUT:
-        code = result_codes.DEADLINE_PASSED
-    else:
-        code = result_codes.ANSWER_LOST
-    return Refusal(
-        code=code,
-        detail=f"last attempt: {outcome_class}",
-        ran=ran,
-        retry_after_seconds=None if may_have_run else REFUSED_RETRY_AFTER_SECONDS,
-    )
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -16,7 +16,8 @@
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
-from citronspan.ops.attempts import AttemptRunner, RequestContext
+from citronspan.ops.attempt_context import RequestContext
+from citronspan.ops.attempts import AttemptRunner
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.refusals import Refusal
 from citronspan.ops.slot_source import Slot, SlotRefused
--- a/citronspan/ops/keyed_request.py
+++ b/citronspan/ops/keyed_request.py
@@ -14,7 +14,7 @@
 )
 from citronspan.core.keys.key_token import compute_fingerprint
 from citronspan.core.result_codes import Ran, ResultCode
-from citronspan.ops.attempts import RequestContext
+from citronspan.ops.attempt_context import RequestContext
 from citronspan.ops.key_service import ANSWER_DIGEST_BYTES, KeyService
 from citronspan.ops.refusals import Refusal
 
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -18,7 +18,8 @@
 from citronspan.core.requests.route_table import choose_service, find_route
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
-from citronspan.ops.attempts import AttemptResponse, AttemptRunner, RequestContext
+from citronspan.ops.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.attempts import AttemptRunner
 from citronspan.ops.caller_request import (
     DROPPED_HEADERS,
     CallerBody,
--- a/citronspan/ops/streamed_answer.py
+++ b/citronspan/ops/streamed_answer.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 
 from citronspan.core.outcomes import OutcomeClass
-from citronspan.ops.attempts import AttemptResponse, AttemptRunner, RequestContext
+from citronspan.ops.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.attempts import AttemptRunner
 from citronspan.ops.caller_request import READ_BYTES
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.keyed_request import KeyedRequest
