--- /dev/null
+++ b/citronspan/ops/region_slots.py
@@ -0,0 +1,280 @@
+"""Acquires slots of the targets of one region for the request path of an entry.
+
+The broker of a shard is asked, then a fallback broker if it does not respond, and
+finally a target is chosen locally from the last known state.
+"""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from citronspan.core import log_events, result_codes
+from citronspan.core.brokering.broker_messages import (
+    EntryMessage,
+    SlotCancel,
+    SlotGrant,
+    SlotRefusal,
+    SlotRequest,
+)
+from citronspan.core.brokering.broker_set import BrokerSet
+from citronspan.core.brokering.rate_pacer import divide_fallback_share
+from citronspan.core.brokering.shards import Shard, ShardKey, choose_shard
+from citronspan.core.message_base import Message
+from citronspan.core.rate_limits import RateLimitTable
+from citronspan.core.resources import ServiceSpec
+from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER, ResultCode
+from citronspan.ops.broker_client import BrokerClient
+from citronspan.ops.local_chooser import LocalChooser
+from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.recent_names import RecentNames
+from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
+from citronspan.utils.logs import write_event
+
+ATTEMPT_BITS = 63
+DEFAULT_RETRY_AFTER_SECONDS = 0.3
+MAXIMUM_REDIRECTS = 2
+BROKER_SKIP_SECONDS = 1.0
+"""Time for which a broker that did not respond is skipped."""
+
+UNREACHABLE_TARGET_SECONDS = 3.0
+"""Time for which this entry avoids a target after a failed connect."""
+
+_logger = logbook.Logger("slots")
+
+
+class RegionSlots:
+    """Asks the brokers of a region's shards for slots; safe for threads."""
+
+    def __init__(
+        self,
+        *,
+        region: str,
+        data_centre: str,
+        lock: threading.RLock,
+        link: PeerLink,
+        send: Callable[[str, Message], bool],
+        wait_seconds: float,
+        brokers: BrokerSet,
+        local_chooser: LocalChooser,
+        rate_limits: RateLimitTable,
+        find_spec: Callable[[str], ServiceSpec],
+        list_connected_addresses: Callable[[], frozenset[str]],
+    ):
+        """Create an object that has asked no broker yet.
+
+        Args:
+            region: Region of this entry.
+            data_centre: Data centre of this entry.
+            lock: Guards the brokers and their table.
+            link: Link to the other entries.
+            send: Sends a message to an entry, which may be this one.
+            wait_seconds: Least time to wait for the first response of a broker.
+            brokers: Brokers of this entry, and the table of all.
+            local_chooser: Chooses targets while no broker responds.
+            rate_limits: What targets stated about their request rate.
+            find_spec: Returns the rules of a service.
+            list_connected_addresses: Returns the addresses of targets to which this
+                entry has an idle connection.
+        """
+        self._region = region
+        self._data_centre = data_centre
+        self._lock = lock
+        self._link = link
+        self._send = send
+        self._brokers = brokers
+        self._local_chooser = local_chooser
+        self._rate_limits = rate_limits
+        self._find_spec = find_spec
+        self._list_connected_addresses = list_connected_addresses
+        self._unreachable_targets = RecentNames(seconds=UNREACHABLE_TARGET_SECONDS)
+        self._unresponsive_brokers = RecentNames(seconds=BROKER_SKIP_SECONDS)
+        self._random = random.Random()
+        self._free_slots_by_key: dict[ShardKey, int] = {}
+        self._broker_client = BrokerClient(
+            send=send,
+            replace_connection=link.replace_connection,
+            wait_seconds=wait_seconds,
+        )
+
+    def handle(self, message: EntryMessage) -> None:
+        """Handle a response of a broker."""
+        self._broker_client.handle(message)
+
+    def record_unreachable(self, target: str) -> None:
+        """Avoid a target for a while after a failed connect."""
+        self._unreachable_targets.add(target)
+
+    def acquire(
+        self,
+        region: str,
+        query: SlotQuery,
+        has_other_region: bool,
+        *,
+        asked_before: bool,
+    ) -> Slot | SlotRefused:
+        """Acquire a slot of a target in a region.
+
+        Args:
+            region: The region.
+            query: The request and its constraints.
+            has_other_region: Whether another region is asked after this one.
+            asked_before: Whether a broker was asked for the same request before.
+        """
+        with self._lock:
+            shards = self._brokers.shards_by_group.get((query.service, region), ())
+            shard = choose_shard(shards, self._free_slots_by_key, self._random)
+            if shard is None:
+                return make_slot_refused(result_codes.NO_CAPACITY)
+            broker = self._brokers.table.find_address(shard.key)
+        is_remote = region != self._region
+        request = self._make_request(shard, query, has_other_region, asked_before)
+        for _ in range(1 + MAXIMUM_REDIRECTS):
+            if is_remote and not self._is_worth_asking(broker):
+                break
+            if self._unresponsive_brokers.contains(broker):
+                broker = self._find_fallback_broker(shard.key)
+                request = msgspec.structs.replace(request, force=True)
+            if not broker:
+                break
+            response = self._broker_client.request_slot(broker, request, query)
+            if isinstance(response, SlotGrant):
+                return self._make_slot(response, shard, broker)
+            if isinstance(response, SlotRefusal):
+                return make_slot_refused(
+                    RESULT_CODE_BY_NUMBER.get(response.code, result_codes.NO_CAPACITY),
+                    response.retry_after_seconds,
+                )
+            if response is None:
+                self._cancel_request(broker, request)
+                if query.is_disconnected():
+                    return make_slot_refused(result_codes.CALLER_GONE)
+                self._unresponsive_brokers.add(broker)
+                request = msgspec.structs.replace(request, asked_before=True)
+                continue
+            broker = response.broker
+        if is_remote:
+            # Only a broker in that region enforces the budget of the region link.
+            return make_slot_refused(result_codes.NO_CAPACITY)
+        return self._choose_locally(shard, query)
+
+    def _is_worth_asking(self, broker):
+        """Return whether a broker of another region is likely to respond in time.
+
+        If it is not, its region is left out. An entry that is made a fallback broker
+        from afar would serve the shard beside the broker, knowing nothing of it.
+        """
+        if not broker or self._unresponsive_brokers.contains(broker):
+            return False
+        return self._link.is_connected(broker)
+
+    def _find_fallback_broker(self, key):
+        with self._lock:
+            return self._brokers.table.find_fallback_broker(
+                key, set(self._unresponsive_brokers.list_names())
+            )
+
+    def _make_request(self, shard, query, has_other_region, asked_before):
+        key = shard.key
+        return SlotRequest(
+            attempt_id=self._random.getrandbits(ATTEMPT_BITS),
+            service=key.service,
+            region=key.region,
+            shard=key.number,
+            deadline_seconds=max(query.deadline - time.monotonic(), 0.0),
+            worth=query.worth,
+            idempotent=query.idempotent,
+            request_kind=query.request_kind,
+            excluded=query.excluded,
+            fingerprint=query.fingerprint,
+            is_retry=query.is_retry,
+            from_region=self._region if key.region != self._region else "",
+            body_bytes=query.body_bytes,
+            data_centre=self._data_centre,
+            goal_seconds=max(query.goal_time - time.monotonic(), 0.0)
+            if query.goal_time
+            else 0.0,
+            connected=self._find_connected(key),
+            avoided=self._unreachable_targets.list_names(),
+            request_id=query.request_id,
+            has_other_region=has_other_region and key.region == self._region,
+            asked_before=asked_before,
+            rate_limits=self._rate_limits.export(
+                target.name for target in shard.targets
+            ),
+        )
+
+    def _find_connected(self, key):
+        """Return the names of the shard's targets with an idle connection."""
+        addresses = self._list_connected_addresses()
+        if not addresses:
+            return ()
+        with self._lock:
+            shards = self._brokers.shards_by_group.get((key.service, key.region), ())
+        return tuple(
+            target.name
+            for shard in shards
+            if shard.key == key
+            for target in shard.targets
+            if target.address in addresses
+        )
+
+    def _make_slot(self, grant, shard, broker):
+        with self._lock:
+            self._free_slots_by_key[shard.key] = grant.free_slots
+        return Slot(
+            attempt_id=grant.attempt_id,
+            target=grant.target,
+            address=grant.address,
+            shard=shard.key,
+            broker=broker,
+            attempt_seconds=grant.attempt_seconds,
+        )
+
+    def _cancel_request(self, broker, request):
+        write_event(
+            _logger,
+            log_events.BROKER_UNREACHABLE,
+            id=request.request_id,
+            broker=broker,
+            service=request.service,
+        )
+        cancel = SlotCancel(
+            attempt_id=request.attempt_id,
+            service=request.service,
+            region=request.region,
+            shard=request.shard,
+        )
+        self._send(broker, cancel)
+
+    def _choose_locally(self, shard: Shard, query: SlotQuery) -> Slot | SlotRefused:
+        with self._lock:
+            spec = self._find_spec(query.service)
+            if query.is_retry and spec.retry_window_seconds:
+                return make_slot_refused(result_codes.RETRIES_SPENT)
+            entry_count = self._brokers.table.count_nodes(shard.key.region)
+            target = self._local_chooser.choose(
+                shard,
+                spec.floor,
+                frozenset(query.excluded),
+                divide_fallback_share(entry_count),
+            )
+        if target is None:
+            return make_slot_refused(result_codes.NO_CAPACITY)
+        return Slot(
+            attempt_id=self._random.getrandbits(ATTEMPT_BITS),
+            target=target.name,
+            address=target.address,
+            shard=shard.key,
+            broker="",
+        )
+
+
+def make_slot_refused(
+    code: ResultCode, retry_after_seconds: float = DEFAULT_RETRY_AFTER_SECONDS
+) -> SlotRefused:
+    """Return a refusal of a slot, with the usual time until a retry."""
+    return SlotRefused(code=code, retry_after_seconds=retry_after_seconds)
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -7,27 +7,20 @@
 """
 
 import dataclasses
-import random
 import threading
-import time
 from collections.abc import Callable
 
 import logbook
-import msgspec
 
 from citronspan.core import log_events, result_codes
 from citronspan.core.brokering.broker_messages import (
     BrokerMessage,
     EntryMessage,
-    SlotCancel,
-    SlotGrant,
-    SlotRefusal,
     SlotRelease,
-    SlotRequest,
 )
 from citronspan.core.brokering.broker_set import BrokerSet
-from citronspan.core.brokering.rate_pacer import RatePacer, divide_fallback_share
-from citronspan.core.brokering.shards import Shard, ShardKey, choose_shard
+from citronspan.core.brokering.rate_pacer import RatePacer
+from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.detection.episode_health import EpisodeHealth
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.shard_health import ShardHealth
@@ -37,26 +30,15 @@
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import Detection, ServiceSpec
-from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
-from citronspan.ops.broker_client import BrokerClient
 from citronspan.ops.decision_log import log_decisions
 from citronspan.ops.health_gossip import HealthGossip
 from citronspan.ops.local_chooser import LocalChooser
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.quarantine import Quarantine
-from citronspan.ops.recent_names import RecentNames
+from citronspan.ops.region_slots import RegionSlots, make_slot_refused
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
 from citronspan.utils.logs import write_event
 
-ATTEMPT_BITS = 63
-DEFAULT_RETRY_AFTER_SECONDS = 0.3
-MAXIMUM_REDIRECTS = 2
-BROKER_SKIP_SECONDS = 1.0
-"""Time for which a broker that did not respond is skipped."""
-
-UNREACHABLE_TARGET_SECONDS = 3.0
-"""Time for which this entry avoids a target after a failed connect."""
-
 LARGE_BODY_BYTES = 20_000
 """Requests with a body of at least this size stay in the first region.
 
@@ -92,19 +74,8 @@
     ):
         self._name = name
         self._region = region
-        self._data_centre = data_centre
-        self._list_connected_addresses = list_connected_addresses
-        self._unreachable_targets = RecentNames(seconds=UNREACHABLE_TARGET_SECONDS)
-        self._unresponsive_brokers = RecentNames(seconds=BROKER_SKIP_SECONDS)
         self._link = link
         self._lock = threading.RLock()
-        self._random = random.Random()
-        self._broker_client = BrokerClient(
-            send=self._send,
-            replace_connection=link.replace_connection,
-            wait_seconds=wait_seconds,
-        )
-        self._free_slots_by_key: dict[ShardKey, int] = {}
         self._spec_by_service: dict[str, ServiceSpec] = {}
         self._targets_by_service: dict[str, tuple[TargetInfo, ...]] = {}
         self._target_by_name: dict[str, tuple[str, TargetInfo]] = {}
@@ -116,6 +87,19 @@
             pacer=RatePacer(holder=link.address, rate_limits=self.rate_limits),
         )
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
+        self._region_slots = RegionSlots(
+            region=region,
+            data_centre=data_centre,
+            lock=self._lock,
+            link=link,
+            send=self._send,
+            wait_seconds=wait_seconds,
+            brokers=self.brokers,
+            local_chooser=self.local_chooser,
+            rate_limits=self.rate_limits,
+            find_spec=lambda service: self._spec_by_service[service],
+            list_connected_addresses=list_connected_addresses,
+        )
         self.health_gossip = HealthGossip(
             name=name,
             lock=self._lock,
@@ -139,7 +123,7 @@
         """
         with self._lock:
             if self._quarantine.is_quarantined(query.service, query.fingerprint):
-                return _make_refusal(
+                return make_slot_refused(
                     result_codes.REQUEST_QUARANTINED, QUARANTINE_RETRY_AFTER_SECONDS
                 )
         regions = self._list_regions(query.service)
@@ -153,7 +137,7 @@
         refused = None
         for number, region in enumerate(order):
             has_other_region = number < len(order) - 1
-            result = self._acquire_in_region(
+            result = self._region_slots.acquire(
                 region,
                 query,
                 has_other_region,
@@ -162,7 +146,7 @@
             if isinstance(result, Slot):
                 return result
             refused = result
-        return refused or _make_refusal(result_codes.NO_CAPACITY)
+        return refused or make_slot_refused(result_codes.NO_CAPACITY)
 
     def release(self, slot: Slot, outcome: Outcome, answer_bytes: int) -> None:
         """Release a slot and report the outcome to the shard's broker.
@@ -173,7 +157,7 @@
             answer_bytes: Size of the answer in bytes.
         """
         if outcome.outcome_class is OutcomeClass.CONNECT_FAILED:
-            self._unreachable_targets.add(outcome.target)
+            self._region_slots.record_unreachable(outcome.target)
         message = SlotRelease(
             attempt_id=slot.attempt_id,
             service=slot.shard.service,
@@ -222,7 +206,7 @@
             message: The message.
         """
         if isinstance(message, EntryMessage):
-            self._broker_client.handle(message)
+            self._region_slots.handle(message)
             return
         with self._lock:
             if isinstance(message, SlotRelease):
@@ -339,157 +323,6 @@
             ]
         return sorted(regions, key=lambda region: (region != self._region, region))
 
-    def _acquire_in_region(
-        self, region, query, has_other_region, *, asked_before
-    ) -> Slot | SlotRefused:
-        with self._lock:
-            shards = self.brokers.shards_by_group.get((query.service, region), ())
-            shard = choose_shard(shards, self._free_slots_by_key, self._random)
-            if shard is None:
-                return _make_refusal(result_codes.NO_CAPACITY)
-            broker = self.brokers.table.find_address(shard.key)
-        is_remote = region != self._region
-        request = self._make_request(shard, query, has_other_region, asked_before)
-        for _ in range(1 + MAXIMUM_REDIRECTS):
-            if is_remote and not self._is_worth_asking(broker):
-                break
-            if self._unresponsive_brokers.contains(broker):
-                broker = self._find_fallback_broker(shard.key)
-                request = msgspec.structs.replace(request, force=True)
-            if not broker:
-                break
-            response = self._broker_client.request_slot(broker, request, query)
-            if isinstance(response, SlotGrant):
-                return self._make_slot(response, shard, broker)
-            if isinstance(response, SlotRefusal):
-                return _make_refusal(
-                    RESULT_CODE_BY_NUMBER.get(response.code, result_codes.NO_CAPACITY),
-                    response.retry_after_seconds,
-                )
-            if response is None:
-                self._cancel_request(broker, request)
-                if query.is_disconnected():
-                    return _make_refusal(result_codes.CALLER_GONE)
-                self._unresponsive_brokers.add(broker)
-                request = msgspec.structs.replace(request, asked_before=True)
-                continue
-            broker = response.broker
-        if is_remote:
-            # Only a broker in that region enforces the budget of the region link.
-            return _make_refusal(result_codes.NO_CAPACITY)
-        return self._choose_locally(shard, query)
-
-    def _is_worth_asking(self, broker):
-        """Return whether a broker of another region is likely to respond in time.
-
-        If it is not, its region is left out. An entry that is made a fallback broker
-        from afar would serve the shard beside the broker, knowing nothing of it.
-        """
-        if not broker or self._unresponsive_brokers.contains(broker):
-            return False
-        return self._link.is_connected(broker)
-
-    def _find_fallback_broker(self, key):
-        with self._lock:
-            return self.brokers.table.find_fallback_broker(
-                key, set(self._unresponsive_brokers.list_names())
-            )
-
-    def _make_request(self, shard, query, has_other_region, asked_before):
-        key = shard.key
-        return SlotRequest(
-            attempt_id=self._random.getrandbits(ATTEMPT_BITS),
-            service=key.service,
-            region=key.region,
-            shard=key.number,
-            deadline_seconds=max(query.deadline - time.monotonic(), 0.0),
-            worth=query.worth,
-            idempotent=query.idempotent,
-            request_kind=query.request_kind,
-            excluded=query.excluded,
-            fingerprint=query.fingerprint,
-            is_retry=query.is_retry,
-            from_region=self._region if key.region != self._region else "",
-            body_bytes=query.body_bytes,
-            data_centre=self._data_centre,
-            goal_seconds=max(query.goal_time - time.monotonic(), 0.0)
-            if query.goal_time
-            else 0.0,
-            connected=self._find_connected(key),
-            avoided=self._unreachable_targets.list_names(),
-            request_id=query.request_id,
-            has_other_region=has_other_region and key.region == self._region,
-            asked_before=asked_before,
-            rate_limits=self.rate_limits.export(
-                target.name for target in shard.targets
-            ),
-        )
-
-    def _find_connected(self, key):
-        """Return the names of the shard's targets with an idle connection."""
-        addresses = self._list_connected_addresses()
-        if not addresses:
-            return ()
-        with self._lock:
-            shards = self.brokers.shards_by_group.get((key.service, key.region), ())
-        return tuple(
-            target.name
-            for shard in shards
-            if shard.key == key
-            for target in shard.targets
-            if target.address in addresses
-        )
-
-    def _make_slot(self, grant, shard, broker):
-        with self._lock:
-            self._free_slots_by_key[shard.key] = grant.free_slots
-        return Slot(
-            attempt_id=grant.attempt_id,
-            target=grant.target,
-            address=grant.address,
-            shard=shard.key,
-            broker=broker,
-            attempt_seconds=grant.attempt_seconds,
-        )
-
-    def _cancel_request(self, broker, request):
-        write_event(
-            _logger,
-            log_events.BROKER_UNREACHABLE,
-            id=request.request_id,
-            broker=broker,
-            service=request.service,
-        )
-        cancel = SlotCancel(
-            attempt_id=request.attempt_id,
-            service=request.service,
-            region=request.region,
-            shard=request.shard,
-        )
-        self._send(broker, cancel)
-
-    def _choose_locally(self, shard: Shard, query: SlotQuery) -> Slot | SlotRefused:
-        with self._lock:
-            spec = self._spec_by_service[query.service]
-            if query.is_retry and spec.retry_window_seconds:
-                return _make_refusal(result_codes.RETRIES_SPENT)
-            entry_count = self.brokers.table.count_nodes(shard.key.region)
-            target = self.local_chooser.choose(
-                shard,
-                spec.floor,
-                frozenset(query.excluded),
-                divide_fallback_share(entry_count),
-            )
-        if target is None:
-            return _make_refusal(result_codes.NO_CAPACITY)
-        return Slot(
-            attempt_id=self._random.getrandbits(ATTEMPT_BITS),
-            target=target.name,
-            address=target.address,
-            shard=shard.key,
-            broker="",
-        )
-
     def _send(self, to: str, message: Message) -> bool:
         if to != self._link.address:
             return self._link.send(to, message)
@@ -501,10 +334,6 @@
             self._send(item.to, item.message)
 
 
-def _make_refusal(code, retry_after_seconds=DEFAULT_RETRY_AFTER_SECONDS):
-    return SlotRefused(code=code, retry_after_seconds=retry_after_seconds)
-
-
 def _mark_leaving(targets, leaving_addresses):
     if not leaving_addresses:
         return targets
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -12,7 +12,8 @@
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.resources import ServiceSpec
 from citronspan.ops.peer_link import MINIMUM_CONNECTION_SECONDS, PeerLink
-from citronspan.ops.slot_service import BROKER_SKIP_SECONDS, SlotService
+from citronspan.ops.region_slots import BROKER_SKIP_SECONDS
+from citronspan.ops.slot_service import SlotService
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
 
 # Concurrent runs of the suite on one machine need different addresses.
