Serve requests on connections that threads bring back during a stop

What callers saw: a request on a kept connection ended without an answer, sent as the answer before it had arrived, at a host that had just stopped accepting.

Cause: a thread brings its connection back some time after the caller has the answer. A server that stops closes such a connection at once, with the request that is in it. It did the same with a new connection without data, and left one that came back later still in a selector that nobody asked any more.

Evidence: test_requests_that_arrive_with_the_stop_are_cut_off failed once in a run of all tests beside two busy programs. The new test holds the thread between answer and return, and failed before in 2 of 2 runs, with the same error.

Why it works: until idle connections are closed, a connection that comes back waits with the others; later it gets the same time of arrival by itself. Both decisions are under one lock.

--- a/citronspan/ops/caller_stream.py
+++ b/citronspan/ops/caller_stream.py
@@ -23,15 +23,19 @@
 closes as well; some round trips to another region."""
 
 
-def is_readable(sock: socket.socket) -> bool:
+def is_readable(sock: socket.socket, wait_seconds: float = 0.0) -> bool:
     """Return whether a read from the socket returns at once, with data or end of file.
 
     A non-blocking receive still blocks on a socket that has a timeout, and ``select``
     does not accept descriptors from 1024 on.
+
+    Args:
+        sock: The socket.
+        wait_seconds: Time to wait until it becomes so.
     """
     poll = select.poll()
     poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
+    return bool(poll.poll(wait_seconds * 1000))
 
 
 def is_ended(sock: socket.socket) -> bool:
@@ -159,6 +163,10 @@
         """Return whether data or the end of the stream can be read without waiting."""
         return is_readable(self.socket)
 
+    def await_bytes(self, wait_seconds: float) -> bool:
+        """Return whether data or the end of the stream arrives within a time."""
+        return is_readable(self.socket, wait_seconds)
+
     def close(self):
         """Close the socket, after reading what the caller is still sending."""
         if not self.limits.is_aborted:
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import threading
 import time
 from collections.abc import Callable
 
@@ -38,6 +39,13 @@
 class CallerServer(wsgi.Server):
     """A server that hands a connection to a thread only once it has data to read."""
 
+    def __init__(self, *arguments, **options):
+        """Create a server, see the base class."""
+        super().__init__(*arguments, **options)
+        self._has_closed_idle = False
+        self._has_ended = False
+        self._idle_lock = threading.Lock()
+
     def process_conn(self, conn):
         """Hand a connection to a thread, or a new one without data to the selector."""
         if conn.last_used is None and not conn.has_bytes():
@@ -45,6 +53,24 @@
             return
         super().process_conn(conn)
 
+    def put_conn(self, conn):
+        """Wait for the next request of a connection that its caller may still use.
+
+        Threads bring connections back at any time, also while the server stops: the
+        caller has its answer by then, and may have sent the next request.
+        """
+        with self._idle_lock:
+            if not self._has_closed_idle:
+                self._connections.put(conn)
+                return
+            if self._has_ended:
+                conn.close_at_once()
+                return
+        if conn.rfile.has_data() or conn.await_bytes(ARRIVAL_SECONDS):
+            self.requests.put(conn)
+            return
+        conn.close_at_once()
+
     def _serve_unservicable(self):
         """Return at once: the queue of connections has no limit, so none is left over.
 
@@ -85,12 +111,21 @@
             for descriptor, conn in selector.select(timeout=remaining):
                 selector.unregister(descriptor)
                 self.requests.put(conn)
-        for descriptor, conn in list(selector.connections):
-            selector.unregister(descriptor)
+        with self._idle_lock:
+            self._has_closed_idle = True
+            idle = list(selector.connections)
+            for descriptor, _ in idle:
+                selector.unregister(descriptor)
+        for _, conn in idle:
+            if conn.has_bytes():
+                self.requests.put(conn)
+                continue
             conn.close_at_once()
 
     def stop(self) -> None:
         """Stop once all requests have ended or the shutdown timeout has passed."""
+        with self._idle_lock:
+            self._has_closed_idle = self._has_ended = True
         # The base class treats a server that is not ready as already stopped.
         self.ready = True
         super().stop()
--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/http_server_test.py
@@ -82,6 +82,27 @@
         assert answer.getheader("Connection") == "close"
 
 
+def test_request_on_a_connection_that_its_thread_still_holds_is_dropped(
+    server, monkeypatch
+):
+    has_stopped = threading.Event()
+    put_back = server.put_conn
+
+    def put_back_late(conn):
+        if server.request_started.is_set():
+            assert has_stopped.wait(TIMEOUT_SECONDS)
+        put_back(conn)
+
+    monkeypatch.setattr(server, "put_conn", put_back_late)
+    connection = connect(server)
+    connection.request("GET", "/slow")
+    assert connection.getresponse().read() == b"done"
+    connection.request("GET", "/slow")
+    server.stop_accepting()
+    has_stopped.set()
+    assert connection.getresponse().read() == b"done"
+
+
 def request_slow(server):
     connection = connect(server)
     connection.request("GET", "/slow")
