Let a key lapse at replicas that hold later offsets of it

What callers saw: a target whose registration was removed went on getting requests for as long as the run lasted, from two of three hosts.

Cause: records without news are left out of what is sent to peers, so replicas hold different offsets of one key with the same data. A copy sent as a whole names a lapsed key with the offset of the record it holds; a replica with a later one, mostly the reader of the store, ignored the record as older, and since the key was named, it didn't count as missing either. Nobody tells that replica again.

Why the fix works: a whole copy that ends after the own offset is later knowledge of every key, so what it lets lapse lapses, whatever the offsets.

The test failed before: the key stayed at the replica for good.

--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -179,8 +179,12 @@
         return bool(due)
 
     def _schedule_missing_removals(self, batch):
-        """Schedule the removal of stored keys that a whole batch does not contain."""
-        present = {record.key for record in batch.records}
+        """Schedule the removal of stored keys that a whole batch lacks or lets lapse.
+
+        A replica that got no records without news holds older offsets of the same
+        keys, so its lapsed records count whatever their offsets.
+        """
+        present = {record.key for record in batch.records if not record.lapsed}
         for key in self.record_by_key.keys() - present:
             self._schedule_removal(key)
 
--- a/citronspan/core/configuration/feeds_test.py
+++ b/citronspan/core/configuration/feeds_test.py
@@ -135,6 +135,27 @@
         assert replica.record_by_key == {}
 
 
+def test_removed_key_stays_for_good_at_a_replica_with_a_later_offset_of_it():
+    """The peer got no record without news, so that its copy has an older offset."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        reader, peer = Feed(name=TARGETS_FEED), Feed(name=TARGETS_FEED)
+        log = [make_record(offset, "i-1", 1) for offset in range(3)]
+        reader.apply(make_batch(log, 0, 3))
+        peer.apply(make_batch(log[:1], 0, 1))
+        removal = FeedRecord(offset=3, key="i-1", lapsed=True)
+        peer.apply(
+            FeedBatch(
+                feed=TARGETS_FEED, from_offset=1, next_offset=4, records=(removal,)
+            )
+        )
+        reader.apply(peer.export())
+        clock.tick(REMOVAL_GRACE_SECONDS + 0.1)
+        for feed in (reader, peer):
+            feed.expire()
+        assert peer.record_by_key == {}
+        assert reader.record_by_key == {}
+
+
 def test_long_list_is_compressed_and_decoded():
     """Guards against the traffic of uncompressed configurations.
 
