Survive a SIGHUP while a host still starts

A host whose settings changed while it started kept the old ones for good.

Cause: SIGHUP has the default action, which ends the process, until the modules are imported and the process is made. The watcher took the content of the file after that for the one that the process had read.

Why this works: a host ignores SIGHUP before it imports anything that takes long, and reads its settings only afterwards. The content that changes are compared with is read before the settings, so that a change in between is found by the next check. What remains is the start of the interpreter, in which no code of the host runs; `citronspan-host` as an installed script has no such start, the deployment runs the module.

Before, these failed (process_test.py): ..._still_imports_its_modules (both cases) and ..._during_the_start_never_take_effect.

--- a/citronspan/scripts/host.py
+++ b/citronspan/scripts/host.py
@@ -1,14 +1,20 @@
 """Entry point of ``citronspan-host``, entry and agent in one platform process."""
 
 import os
+import signal
 import sys
 
-from citronspan.core.host_settings import HostSettings
-from citronspan.ops.host import Host
-from citronspan.platform.feeds import PlatformFeeds
-from citronspan.platform.headers import PlatformDialect
-from citronspan.platform.store import StoreClient
-from citronspan.scripts.process import read_settings_path, run_process
+if __name__ == "__main__":
+    # Before the imports, which take longer than the rest of the start. The settings
+    # are read after them, so that this loses no change.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from citronspan.core.host_settings import HostSettings  # noqa: E402
+from citronspan.ops.host import Host  # noqa: E402
+from citronspan.platform.feeds import PlatformFeeds  # noqa: E402
+from citronspan.platform.headers import PlatformDialect  # noqa: E402
+from citronspan.platform.store import StoreClient  # noqa: E402
+from citronspan.scripts.process import read_settings_path, run_process  # noqa: E402
 
 SETTINGS_PATH_VARIABLE = "CITRONSPAN_BOOT"
 
--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -78,6 +78,8 @@
     Returns:
         The exit status: 0 after a graceful stop, 2 for invalid settings.
     """
+    # Read before the settings, so that a change during the start is seen afterwards.
+    content = _read_bytes(path)
     try:
         settings = read_settings(path, settings_type)
         start_logging(settings.log_level)
@@ -93,7 +95,7 @@
         signal.signal(signal_number, lambda *_: process.request_stop())
     if isinstance(process, Reloadable):
         watcher = SettingsWatcher(
-            path=path, settings_type=settings_type, process=process
+            path=path, settings_type=settings_type, process=process, content=content
         )
         signal.signal(signal.SIGHUP, lambda *_: watcher.check_now())
         watcher.start()
@@ -104,12 +106,28 @@
 class SettingsWatcher:
     """Reloads changed settings, every ``SETTINGS_POLL_SECONDS`` and on SIGHUP."""
 
-    def __init__(self, *, path: str, settings_type: type, process: Reloadable):
+    def __init__(
+        self,
+        *,
+        path: str,
+        settings_type: type,
+        process: Reloadable,
+        content: bytes | None = None,
+    ):
+        """Create a watcher.
+
+        Args:
+            path: Path of the settings file.
+            settings_type: Type of the settings.
+            process: Applies changed settings.
+            content: Content of the file whose settings the process has, None if that
+                is what the file holds now.
+        """
         self._path = path
         self._settings_type = settings_type
         self._process = process
         self._check_requested = threading.Event()
-        self._last_content = _read_bytes(path)
+        self._last_content = _read_bytes(path) if content is None else content
 
     def start(self) -> None:
         """Start watching in a separate thread."""
--- a/citronspan/scripts/process_test.py
+++ b/citronspan/scripts/process_test.py
@@ -1,6 +1,7 @@
 """Tests the reload of settings on SIGHUP and by polling, valid and invalid."""
 
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -12,6 +13,7 @@
 
 from citronspan.core.host_settings import HostSettings
 from citronspan.scripts import process
+from citronspan_standins.scripted_targets import find_free_addresses
 
 TIMEOUT_SECONDS = 10.0
 
@@ -48,6 +50,27 @@
 """
 
 
+CHANGING_PROGRAM = """
+import pathlib, sys
+from citronspan.core.host_settings import HostSettings
+from citronspan.scripts import process
+
+class Fake:
+    def __init__(self, settings):
+        path = pathlib.Path(sys.argv[1])
+        path.write_text(path.read_text().replace("4.5", "3.5"))
+    def run(self):
+        input()
+    def request_stop(self):
+        pass
+    def reload(self, settings):
+        print(f"keeps {settings.keep_seconds}", flush=True)
+
+process.SETTINGS_POLL_SECONDS = 0.05
+sys.exit(process.run_process(sys.argv[1], HostSettings, Fake))
+"""
+
+
 def write_settings(path: Path, **changes):
     path.write_bytes(msgspec.json.encode({**SETTINGS, **changes}))
 
@@ -76,6 +99,49 @@
     assert child.wait(TIMEOUT_SECONDS) == 0
 
 
+def test_settings_that_change_during_the_start_never_take_effect(tmp_path):
+    path = tmp_path / "settings.json"
+    write_settings(path, keepSeconds=4.5)
+    child = subprocess.Popen(
+        [sys.executable, "-c", CHANGING_PROGRAM, str(path)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        readable, _, _ = select.select([child.stdout], [], [], TIMEOUT_SECONDS)
+        assert readable
+        assert child.stdout.readline() == "keeps 3.5\n"
+    finally:
+        child.kill()
+        child.communicate()
+
+
+@pytest.mark.parametrize("module", ["citronspan.core", "citronspan.ops.host"])
+def test_sighup_ends_a_host_that_still_imports_its_modules(tmp_path, module):
+    path = tmp_path / "settings.json"
+    addresses = find_free_addresses(5)
+    names = ("callers", "readiness", "directory", "api", "store")
+    write_settings(
+        path,
+        **{f"{name}Address": item for name, item in zip(names, addresses, strict=True)},
+        metricsPort=int(find_free_addresses(1)[0].rpartition(":")[2]),
+    )
+    # With this option, a line tells that a module has been imported.
+    command = [sys.executable, "-X", "importtime", "-m", "citronspan.scripts.host"]
+    child = subprocess.Popen(
+        [*command, str(path)], stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+    )
+    try:
+        assert any(line.split()[-1] == module.encode() for line in child.stdout)
+        child.send_signal(signal.SIGHUP)
+        assert any(b"process-started" in line for line in child.stdout)
+    finally:
+        child.terminate()
+        child.communicate(timeout=TIMEOUT_SECONDS)
+    assert child.returncode == 0
+
+
 def test_invalid_settings_are_logged_and_not_applied(tmp_path, monkeypatch):
     events = []
     monkeypatch.setattr(
