End a tunnel with a reset unless its target has ended

Cause: the system closes the sockets of a process that ends with an orderly end, and a stop and the idle time shut the connection down in the same way. For an answer without a length that end is the sign of completeness.

Why this works: the peer's connection is set to be reset on close from the start of the tunnel, so that the system does it even for a killed process, and this is switched off only when the target itself has ended. An idle tunnel can't be told from an answer that pauses, so a stop resets it, too, after all of its bytes have been received (the count of the system's unsent bytes).

Evidence, relay_server_test.py: ..._when_the_relay_is_killed, ..._when_the_relay_stops and ..._looks_complete_midway failed before, with an end in place of a reset. ..._has_not_received_is_lost_in_a_stop held before and fails without the count of unsent bytes.

A changed test: test_stop_does_not_wait_for_idle_tunnels expected an end after the stop, which is this fault. It expects a reset now; that the tunnel is ended in time is checked as before.

--- a/citronspan/ops/relay_server.py
+++ b/citronspan/ops/relay_server.py
@@ -2,14 +2,20 @@
 
 A peer asks with CONNECT (RFC 9110, section 9.3.6) for a target that the configuration
 names; from then on bytes are copied both ways. The peer speaks to the target as over a
-connection of its own: an end of either side is passed on as an end, a reset as a reset.
+connection of its own: an end of the target is passed on as an end, a reset as a reset.
+
+Whatever else ends a tunnel, such as a stop or a kill of this process, is a reset for
+the peer, since an end completes an answer that has no length. The system sends it: the
+reset on close is switched on for as long as the target has not ended.
 """
 
 import contextlib
+import fcntl
 import http
 import http.server
 import socket
 import struct
+import termios
 import threading
 import time
 from collections.abc import Callable
@@ -32,6 +38,7 @@
 STOP_POLL_SECONDS = 0.05
 COPY_BYTES = 64 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 _logger = logbook.Logger("relay")
 
@@ -45,12 +52,13 @@
         self._awaits_answer = False
         self._copied_at = time.monotonic()
         self._lock = threading.Lock()
-        self._is_reset = False
+        self._is_cut = False
 
     def run(self) -> None:
         """Copy until the peer closes or the target's bytes have ended."""
         for sock in (self._peer_socket, self._target_socket):
             sock.settimeout(IDLE_TIMEOUT_SECONDS)
+        self._set_close(RESET_ON_CLOSE)
         answers = threading.Thread(target=self._copy_answers, daemon=True)
         answers.start()
         self._copy_requests()
@@ -61,12 +69,13 @@
         return (
             not self._awaits_answer
             and time.monotonic() - self._copied_at > QUIET_SECONDS
+            and not _has_unsent_bytes(self._peer_socket)
         )
 
     def close(self) -> None:
-        """End both directions."""
-        _shut_down(self._peer_socket, socket.SHUT_RDWR)
-        _shut_down(self._target_socket, socket.SHUT_RDWR)
+        """End both directions, with a reset for the peer."""
+        self._cut_target()
+        _shut_down(self._peer_socket, socket.SHUT_RD)
 
     def _copy_requests(self):
         with contextlib.suppress(OSError):
@@ -75,6 +84,10 @@
                 self._copied_at = time.monotonic()
                 self._send_to_target(data)
         # A peer that closes its connection cancels its request.
+        self._cut_target()
+
+    def _cut_target(self):
+        self._is_cut = True
         _shut_down(self._target_socket, socket.SHUT_RDWR)
 
     def _send_to_target(self, data):
@@ -84,7 +97,7 @@
             try:
                 self._target_socket.sendall(data)
             except OSError:
-                self._is_reset = True
+                self._is_cut = True
                 self._reset_peer()
                 raise
 
@@ -99,16 +112,20 @@
             self._reset_peer()
             return
         with self._lock:
-            if not self._is_reset:
-                _shut_down(self._peer_socket, socket.SHUT_WR)
+            if self._is_cut:
+                self._reset_peer()
+                return
+            self._set_close(END_ON_CLOSE)
+            _shut_down(self._peer_socket, socket.SHUT_WR)
 
     def _reset_peer(self):
-        with contextlib.suppress(OSError):
-            self._peer_socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+        # It is sent when the connection is closed, once both directions have ended.
         _shut_down(self._peer_socket, socket.SHUT_RD)
 
+    def _set_close(self, linger):
+        with contextlib.suppress(OSError):
+            self._peer_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
 
 class _TunnelHandler(http.server.BaseHTTPRequestHandler):
     """Answers one CONNECT request."""
@@ -262,6 +279,16 @@
         )
 
 
+def _has_unsent_bytes(sock) -> bool:
+    """Return whether a reset now would lose bytes that the peer has not received."""
+    try:
+        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        # Ignored: the connection has ended.
+        return False
+    return any(count)
+
+
 def _shut_down(sock, how):
     with contextlib.suppress(OSError):
         sock.shutdown(how)
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -4,6 +4,8 @@
 import http.client
 import socket
 import struct
+import subprocess
+import sys
 import threading
 import time
 
@@ -11,6 +13,7 @@
 import pytest
 
 from citronspan.core.node_messages import NodeInfo
+from citronspan.ops import relay_server
 from citronspan.ops.relay_connector import RelayConnector, RelayError
 from citronspan.ops.relay_server import RelayServer
 from citronspan.ops.target_connector import DirectConnector
@@ -24,6 +27,23 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+RELAY_PROGRAM = """
+import sys
+from citronspan.ops.relay_server import RelayServer
+from citronspan.ops.target_connector import DirectConnector
+from citronspan.ops.target_reachability import TargetReachability
+
+server = RelayServer(
+    address=sys.argv[1],
+    connector=DirectConnector(),
+    reachability=TargetReachability(),
+    is_target=lambda address: True,
+)
+print("serves", flush=True)
+server.serve()
+"""
+
+
 class FailingConnector(DirectConnector):
     """Connector of a host that reaches no target."""
 
@@ -141,6 +161,64 @@
     assert receive(connection.sock, 100) == b"all"
 
 
+def test_answer_without_a_length_looks_complete_when_the_relay_is_killed(relay):
+    (address,) = find_free_addresses(1)
+    command = [sys.executable, "-c", RELAY_PROGRAM, address]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        assert process.stdout.readline() == b"serves\n"
+        relay.address = address
+        connection, accepted = relay.open()
+        accepted.sendall(b"part")
+        assert receive(connection.sock, 4) == b"part"
+        process.kill()
+        process.wait(TIMEOUT_SECONDS)
+        with pytest.raises(ConnectionResetError):
+            connection.sock.recv(1)
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_answer_without_a_length_looks_complete_when_the_relay_stops(relay):
+    connection, accepted = relay.open()
+    connection.sock.sendall(b"request")
+    receive(accepted, 7)
+    accepted.sendall(b"part")
+    assert receive(connection.sock, 4) == b"part"
+    relay.stop()
+    with pytest.raises(ConnectionResetError):
+        connection.sock.recv(1)
+
+
+def test_long_answer_without_a_length_looks_complete_midway(relay, monkeypatch):
+    monkeypatch.setattr(relay_server, "IDLE_TIMEOUT_SECONDS", 0.3)
+    connection, accepted = relay.open()
+    received = b""
+    with pytest.raises(ConnectionResetError):
+        for _ in range(10):
+            with contextlib.suppress(OSError):
+                accepted.sendall(b"x")
+            part = connection.sock.recv(1)
+            assert part
+            received += part
+            time.sleep(0.1)
+    assert received
+
+
+def test_answer_that_its_reader_has_not_received_is_lost_in_a_stop(relay):
+    connection, accepted = relay.open()
+    connection.sock.sendall(b"request")
+    receive(accepted, 7)
+    data = b"x" * 400_000
+    accepted.sendall(data)
+    stopping = threading.Thread(target=relay.stop)
+    stopping.start()
+    time.sleep(1.0)
+    assert receive(connection.sock, len(data)) == data
+    stopping.join(TIMEOUT_SECONDS)
+
+
 def test_request_whose_caller_left_does_not_go_on_at_the_target(relay):
     connection, accepted = relay.open()
     connection.close()
@@ -204,7 +282,8 @@
     accepted.sendall(b"answer")
     receive(connection.sock, 6)
     assert relay.stop() < STOP_SECONDS
-    assert connection.sock.recv(1) == b""
+    with pytest.raises(ConnectionResetError):
+        connection.sock.recv(1)
 
 
 def test_stop_does_not_use_up_the_time_that_a_process_has_to_end(relay):
