Log when and from where a host learns that a target leaves

Nobody could tell from the logs whether a request reached a leaving target because its answers weren't read, because the store told the host late, or by a permission that was given before. The adapter now reads the statement in the head of each answer (not of a 421, which another target at the address gives), TargetNotices keeps it by name and incarnation, and line 217 says when the host learnt it and from which source.

Nothing is decided by it yet.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -154,6 +154,12 @@
     "INFO",
     "A peer asked for a connection to a target that this host could not reach.",
 )
+TARGET_LEAVES = _define(
+    217,
+    "target-leaves",
+    "NOTICE",
+    "The entry learnt that a target leaves, from the configuration or an answer.",
+)
 BROKER_HANDED_OVER = _define(
     260,
     "broker-handed-over",
--- a/citronspan/ops/attempt_reporter.py
+++ b/citronspan/ops/attempt_reporter.py
@@ -5,12 +5,14 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimit
 from citronspan.ops.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.dialect import Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.slot_source import Slot, SlotSource
+from citronspan.ops.target_connection import TargetAnswer
 from citronspan.utils.logs import write_event
 
 _logger = logbook.Logger("attempts")
@@ -63,6 +65,21 @@
         )
         self._slots.release(attempt_response.slot, outcome, answer_bytes)
 
+    def report_notice(
+        self, request_context: RequestContext, slot: Slot, answer: TargetAnswer
+    ) -> None:
+        """Report what a target said of itself, before the body of its answer is read.
+
+        Args:
+            request_context: The request.
+            slot: Slot of the attempt.
+            answer: The target's answer.
+        """
+        notice = self._dialect.read_notice(answer.status, answer.find_header)
+        if notice != TargetNotice():
+            request_id = request_context.request.request_id
+            self._slots.observe_notice(slot, notice, request_id)
+
     def _read_rate_limit(self, attempt_response) -> RateLimit | None:
         if attempt_response.outcome_class is OutcomeClass.DRAINING:
             # The answer may be that of another target with the same address.
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -247,6 +247,7 @@
         answer = self._connections.send(
             slot.address, request, request_context.request.connection
         )
+        self._reporter.report_notice(request_context, slot, answer)
         if not answer.is_framed and not self._dialect.accepts_unframed_answers:
             answer.abort_response()
             raise AttemptFailedError(
--- a/citronspan/ops/dialect.py
+++ b/citronspan/ops/dialect.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from citronspan.core import result_codes
+from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.errors import CitronspanError
 from citronspan.core.outcomes import OutcomeClass
 
@@ -22,6 +23,7 @@
 NOT_RUN_HEADER = "Target-Not-Run"
 LOAD_HEADER = "Target-Load"
 RATE_LIMIT_HEADER = "Target-Rate-Limit"
+LEAVING_HEADER = "Target-Leaving"
 
 _COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
 
@@ -84,6 +86,9 @@
     def read_rate_limit(self, find_header: FindHeader) -> float | None:
         """Return the requests per second that a target takes, None for no limit."""
 
+    def read_notice(self, status: int, find_header: FindHeader) -> TargetNotice:
+        """Return what a target said of itself in an answer."""
+
     def format_retry_after(self, seconds: float) -> str:
         """Return the value of ``Retry-After``."""
 
@@ -122,6 +127,10 @@
         """Read ``Target-Rate-Limit``."""
         return parse_rate(find_header(RATE_LIMIT_HEADER))
 
+    def read_notice(self, status: int, find_header: FindHeader) -> TargetNotice:
+        """Read ``Target-Leaving``."""
+        return TargetNotice(is_leaving=parse_flag(find_header(LEAVING_HEADER)))
+
     def format_retry_after(self, seconds: float) -> str:
         """Return whole seconds, as RFC 9110 requires, and at least 1."""
         return str(max(1, math.ceil(seconds)))
@@ -159,6 +168,11 @@
     return int(text) if _COUNT_PATTERN.fullmatch(text) else -1
 
 
+def parse_flag(text: str | None) -> bool:
+    """Return whether the value of a header is ``1``."""
+    return text is not None and text.strip() == "1"
+
+
 def parse_rate(text: str | None) -> float | None:
     """Parse the value of a header as a rate of requests per second.
 
--- /dev/null
+++ b/citronspan/ops/notice_recorder_test.py
@@ -0,0 +1,40 @@
+import dataclasses
+
+import logbook
+import pytest
+
+from citronspan.core.brokering.shards import ShardKey
+from citronspan.core.detection.health import TargetInfo
+from citronspan.core.detection.target_notices import TargetNotice
+from citronspan.ops.notice_recorder import NoticeRecorder
+from citronspan.ops.slot_source import Slot
+
+TARGET = TargetInfo(
+    name="t", address="a", region="r", data_centre="d", slots=1, incarnation=7
+)
+SLOT = Slot(
+    attempt_id=1,
+    target="t",
+    address="a",
+    shard=ShardKey(service="s", region="r", number=0),
+    broker="b",
+    incarnation=7,
+)
+
+
+@pytest.fixture
+def lines():
+    with logbook.TestHandler() as handler:
+        yield handler.records
+
+
+def test_source_of_a_notice_is_not_logged_or_logged_twice(lines):
+    recorder = NoticeRecorder()
+    leaving = dataclasses.replace(TARGET, leaving=True)
+    for _ in range(2):
+        recorder.set_targets({"s": (leaving,)})
+        recorder.observe(SLOT, TargetNotice(is_leaving=True), "r-1")
+    recorder.observe(SLOT, TargetNotice(), "r-1")
+    seen = [(line.extra["source"], line.extra["incarnation"]) for line in lines]
+    assert seen == [("configuration", 7), ("answer", 7)]
+    assert {line.extra["service"] for line in lines} == {"s"}
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/region_slots.py
@@ -23,6 +23,7 @@
 from citronspan.core.brokering.broker_set import BrokerSet
 from citronspan.core.brokering.rate_pacer import divide_fallback_share
 from citronspan.core.brokering.shards import Shard, ShardKey, choose_shard
+from citronspan.core.detection.target_notices import TargetNotices
 from citronspan.core.message_base import Message
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import ServiceSpec
@@ -61,6 +62,7 @@
         brokers: BrokerSet,
         local_chooser: LocalChooser,
         rate_limits: RateLimitTable,
+        notices: TargetNotices,
         find_spec: Callable[[str], ServiceSpec],
         list_connected_addresses: Callable[[], frozenset[str]],
     ):
@@ -76,6 +78,7 @@
             brokers: Brokers of this entry, and the table of all.
             local_chooser: Chooses targets while no broker responds.
             rate_limits: What targets stated about their request rate.
+            notices: What targets said of themselves.
             find_spec: Returns the rules of a service.
             list_connected_addresses: Returns the addresses of targets to which this
                 entry has an idle connection.
@@ -88,6 +91,7 @@
         self._brokers = brokers
         self._local_chooser = local_chooser
         self._rate_limits = rate_limits
+        self._notices = notices
         self._find_spec = find_spec
         self._list_connected_addresses = list_connected_addresses
         self._unreachable_targets = RecentNames(seconds=UNREACHABLE_TARGET_SECONDS)
@@ -232,6 +236,7 @@
             shard=shard.key,
             broker=broker,
             attempt_seconds=grant.attempt_seconds,
+            incarnation=self._notices.find_incarnation(grant.target),
         )
 
     def _cancel_request(self, broker, request):
@@ -270,6 +275,7 @@
             address=target.address,
             shard=shard.key,
             broker="",
+            incarnation=target.incarnation,
         )
 
 
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -24,6 +24,7 @@
 from citronspan.core.detection.episode_health import EpisodeHealth
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.shard_health import ShardHealth
+from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.detection.verdicts import VerdictTable
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.node_messages import NodeInfo
@@ -33,6 +34,7 @@
 from citronspan.ops.decision_log import log_decisions
 from citronspan.ops.health_gossip import HealthGossip
 from citronspan.ops.local_chooser import LocalChooser
+from citronspan.ops.notice_recorder import NoticeRecorder
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.quarantine import Quarantine
 from citronspan.ops.region_slots import RegionSlots, make_slot_refused
@@ -57,6 +59,7 @@
         received_verdicts: Verdicts that other brokers sent.
         rate_limits: What targets stated about their request rate in answers that this
             entry received.
+        notices: What targets said of themselves in answers to this entry.
         local_chooser: Chooses targets while no broker responds.
         brokers: Brokers that run in this entry.
         health_gossip: Exchange of health state with other entries.
@@ -81,6 +84,7 @@
         self._target_by_name: dict[str, tuple[str, TargetInfo]] = {}
         self.received_verdicts = VerdictTable()
         self.rate_limits = RateLimitTable()
+        self.notices = NoticeRecorder()
         self._quarantine = Quarantine()
         self.local_chooser = LocalChooser(
             received_verdicts=self.received_verdicts,
@@ -97,6 +101,7 @@
             brokers=self.brokers,
             local_chooser=self.local_chooser,
             rate_limits=self.rate_limits,
+            notices=self.notices.table,
             find_spec=lambda service: self._spec_by_service[service],
             list_connected_addresses=list_connected_addresses,
         )
@@ -148,6 +153,16 @@
             refused = result
         return refused or make_slot_refused(result_codes.NO_CAPACITY)
 
+    def observe_notice(self, slot: Slot, notice: TargetNotice, request_id: str) -> None:
+        """Take what a slot's target said of itself in an answer.
+
+        Args:
+            slot: The slot that ``acquire`` returned.
+            notice: What the target said.
+            request_id: Id of the answered request in logs.
+        """
+        self.notices.observe(slot, notice, request_id)
+
     def release(self, slot: Slot, outcome: Outcome, answer_bytes: int) -> None:
         """Release a slot and report the outcome to the shard's broker.
 
@@ -269,6 +284,7 @@
                 for target in targets
             }
             self.rate_limits.retain(self._target_by_name.keys())
+            self.notices.set_targets(marked_by_service)
         self._send_all(outgoing)
 
     def has_entries(self) -> bool:
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from citronspan.core.brokering.shards import ShardKey
+from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.outcomes import Outcome
 from citronspan.core.result_codes import ResultCode
 
@@ -56,6 +57,7 @@
             target locally.
         attempt_seconds: Time after which an attempt that may be retried is given up, 0
             if the broker left it open.
+        incarnation: Incarnation of the target as this entry knows it, 0 if it doesn't.
     """
 
     attempt_id: int
@@ -64,6 +66,7 @@
     shard: ShardKey
     broker: str
     attempt_seconds: float = 0.0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,5 +88,8 @@
     def acquire(self, query: SlotQuery) -> Slot | SlotRefused:
         """Return a slot, or a refusal with its reason."""
 
+    def observe_notice(self, slot: Slot, notice: TargetNotice, request_id: str) -> None:
+        """Take what a slot's target said of itself in an answer."""
+
     def release(self, slot: Slot, outcome: Outcome, answer_bytes: int) -> None:
         """Release a slot and record the outcome of the attempt."""
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -2,11 +2,13 @@
 
 import math
 
+from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.ops.dialect import (
     FindHeader,
     TargetAttempt,
     parse_count,
+    parse_flag,
     parse_positive,
     parse_rate,
 )
@@ -18,6 +20,7 @@
 # Running requests, queued requests and slots, separated by commas.
 _LOAD = "X-Citronspan-Backend-Load"
 _RATE_LIMIT = "Server-Limit"
+_LEAVING = "Server-Leaving"
 
 
 class PlatformDialect:
@@ -65,6 +68,15 @@
         """Return the requests per second that a target takes, None for no limit."""
         return parse_rate(find_header(_RATE_LIMIT))
 
+    def read_notice(self, status: int, find_header: FindHeader) -> TargetNotice:
+        """Return what a target said of itself.
+
+        An answer with status 421 is that of another target at the address.
+        """
+        if status == 421:
+            return TargetNotice()
+        return TargetNotice(is_leaving=parse_flag(find_header(_LEAVING)))
+
     def format_retry_after(self, seconds: float) -> str:
         """Format seconds with a fraction, which the platform's callers accept."""
         return f"{max(seconds, 0.05):.2f}"
--- a/citronspan/platform/headers_test.py
+++ b/citronspan/platform/headers_test.py
@@ -1,6 +1,11 @@
 import pytest
 
-from citronspan.ops.dialect import LOAD_HEADER, RATE_LIMIT_HEADER, DefaultDialect
+from citronspan.ops.dialect import (
+    LEAVING_HEADER,
+    LOAD_HEADER,
+    RATE_LIMIT_HEADER,
+    DefaultDialect,
+)
 from citronspan.platform.headers import PlatformDialect
 
 DIALECTS = {
@@ -39,3 +44,28 @@
 def test_rate_limit_is_not_taken_from_a_malformed_header(header, text, rate):
     found = DIALECTS[header].read_rate_limit({header: text}.get)
     assert found == rate
+
+
+LEAVING_HEADER_BY_DIALECT = {
+    PlatformDialect(): "Server-Leaving",
+    DefaultDialect(): LEAVING_HEADER,
+}
+
+
+@pytest.mark.parametrize(("dialect", "header"), LEAVING_HEADER_BY_DIALECT.items())
+@pytest.mark.parametrize(
+    ("text", "is_leaving"),
+    [("1", True), (" 1 ", True), ("0", False), ("", False), (None, False)],
+)
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_leaving_target_is_taken_for_one_that_stays_or_the_reverse(
+    dialect, header, text, is_leaving, status
+):
+    notice = dialect.read_notice(status, {header: text}.get)
+    assert notice.is_leaving == is_leaving
+
+
+def test_another_target_at_the_address_says_that_this_one_leaves():
+    assert (
+        not PlatformDialect().read_notice(421, {"Server-Leaving": "1"}.get).is_leaving
+    )
