Stop a process that gets SIGTERM while it is made

What callers saw: a host listens as soon as its entry is made, and SIGTERM had the default action until all of the host was made. A request that came in between was cut by a reset, though the stop was planned.

Cause: the handlers were installed after make_process.

Why this works: a stop that is requested while the process is made is noted and passed on to it, so that it answers what has come and ends with status 0.

A SIGTERM before anything listens still ends the host at once, which cuts nothing.

--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -86,13 +86,17 @@
     except CitronspanError as error:
         print(error, file=sys.stderr)
         return error.code.http_status
+    # Its sockets listen before the process is made completely.
+    stop_requested = threading.Event()
+    _handle_stop_signals(stop_requested.set)
     try:
         process: Process = make_process(settings)
     except CitronspanError as error:
         write_event(_logger, log_events.STARTUP_FAILED, reason=str(error))
         return error.code.http_status
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: process.request_stop())
+    _handle_stop_signals(process.request_stop)
+    if stop_requested.is_set():
+        process.request_stop()
     if isinstance(process, Reloadable):
         watcher = SettingsWatcher(
             path=path, settings_type=settings_type, process=process, content=content
@@ -103,6 +107,11 @@
     return 0
 
 
+def _handle_stop_signals(request_stop):
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, lambda *_: request_stop())
+
+
 class SettingsWatcher:
     """Reloads changed settings, every ``SETTINGS_POLL_SECONDS`` and on SIGHUP."""
 
--- a/citronspan/scripts/process_test.py
+++ b/citronspan/scripts/process_test.py
@@ -71,6 +71,24 @@
 """
 
 
+STOPPED_PROGRAM = """
+import os, signal, sys
+from citronspan.core.host_settings import HostSettings
+from citronspan.scripts import process
+
+class Fake:
+    def __init__(self, settings):
+        self.stopped = False
+        os.kill(os.getpid(), signal.SIGTERM)
+    def run(self):
+        print(f"runs, stopped: {self.stopped}", flush=True)
+    def request_stop(self):
+        self.stopped = True
+
+sys.exit(process.run_process(sys.argv[1], HostSettings, Fake))
+"""
+
+
 def write_settings(path: Path, **changes):
     path.write_bytes(msgspec.json.encode({**SETTINGS, **changes}))
 
@@ -117,6 +135,18 @@
         child.communicate()
 
 
+def test_sigterm_cuts_requests_at_a_process_that_already_listens(tmp_path):
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    done = subprocess.run(
+        [sys.executable, "-c", STOPPED_PROGRAM, str(path)],
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_SECONDS,
+    )
+    assert (done.returncode, done.stdout) == (0, "runs, stopped: True\n")
+
+
 @pytest.mark.parametrize("module", ["citronspan.core", "citronspan.ops.host"])
 def test_sighup_ends_a_host_that_still_imports_its_modules(tmp_path, module):
     path = tmp_path / "settings.json"
