Remove a key that a whole copy lacks at once unless the store was away

What callers saw: requests reached a target up to 3.1 s after the store had acknowledged the removal of its registration, 2.5 s allowed, through three calm hosts.

Cause: where the records of a removal are gone from the log, or a peer sends its copy as a whole, a missing key kept its data for two seconds more. That grace is for keys that expired while the store was away, but it was given also where the store had answered all the while, on top of the 1.0 to 1.8 s in which other hosts replace a reader.

Why the fix works: a whole batch says whether the store has just come back; without that a missing key is removed with the batch. A host adds its own knowledge: a copy older than 2.0 s means that the store answered no host. A restore of the store counts as a return.

Before, failed: test_removed_target_stays_where_a_whole_copy_comes_in_place_of_records (3 of 8 cases), test_removed_target_stays_where_its_removal_is_gone_from_the_log. test_key_that_came_back_within_its_grace_time_is_removed_at_a_peer now plays both kinds of whole batches, and checks the time between as well.

--- a/citronspan/core/configuration/feed_changes_test.py
+++ b/citronspan/core/configuration/feed_changes_test.py
@@ -1,6 +1,7 @@
 """Tests that peers get each record that says something new, and few others."""
 
 import freezegun
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
@@ -78,10 +79,15 @@
     assert len(again.records) == 1
 
 
-def test_key_that_came_back_within_its_grace_time_is_removed_at_a_peer(clock):
+@pytest.mark.parametrize("is_after_outage", [False, True])
+def test_key_that_came_back_within_its_grace_time_is_removed_at_a_peer(
+    clock, is_after_outage
+):
     reader = Reader()
     reader.read(make_batch(0, ("t-1", b"[]"), ("t-2", b"[]")))
-    reader.read(make_batch(2, ("t-2", b"[]"), whole=True))
+    whole = make_batch(2, ("t-2", b"[]"), whole=True)
+    reader.read(msgspec.structs.replace(whole, is_after_outage=is_after_outage))
+    assert ("t-1" in reader.peer.record_by_key) == is_after_outage
     reader.read(make_batch(3, ("t-1", b"[]")))
     clock.tick(60.0)
     for feed in (reader.feed, reader.peer):
--- a/citronspan/core/configuration/feed_spread.py
+++ b/citronspan/core/configuration/feed_spread.py
@@ -12,6 +12,8 @@
 import time
 from collections import deque
 
+import msgspec
+
 from citronspan.core.configuration.config_spread import SpreadResult
 from citronspan.core.configuration.config_spread_tree import (
     SpreadNeighbours,
@@ -19,6 +21,7 @@
     rank_region_nodes,
 )
 from citronspan.core.configuration.config_state import ConfigState
+from citronspan.core.configuration.copy_age import CopyAge
 from citronspan.core.configuration.feed_changes import ChangeFilter
 from citronspan.core.configuration.feed_messages import (
     FeedOffsets,
@@ -111,7 +114,7 @@
         self._state = ConfigState()
         self._offset_by_address: dict[str, int] = {}
         self._read_at_by_feed = dict.fromkeys(FEEDS, -math.inf)
-        self._fresh_at = -math.inf
+        self._copy_age = CopyAge()
         self._announced_fresh_at = -math.inf
         self._last_compared_at = -math.inf
         self._last_pulled_at = -math.inf
@@ -153,7 +156,7 @@
 
         Infinite if it never was.
         """
-        return read_elapsed_seconds() - self._fresh_at
+        return self._copy_age.seconds
 
     @property
     def invalid_resources(self) -> int:
@@ -210,13 +213,12 @@
         news = self._change_filter_by_feed[batch.feed].drop_unchanged_records(
             batch, feed, time.monotonic()
         )
-        changed = feed.apply(batch)
+        changed = self._apply_batch(batch)
         if changed:
             self._append_recent(news)
         if feed.next_offset >= batch.next_offset:
             self._read_at_by_feed[batch.feed] = read_elapsed_seconds() - age_seconds
-            read_at = min(self._read_at_by_feed.values())
-            self._fresh_at = max(self._fresh_at, read_at)
+            self._copy_age.advance(min(self._read_at_by_feed.values()))
         if not changed and not self._has_freshness_gain():
             return SpreadResult()
         # A node that reads although it is not the reader is mostly one of many, such as
@@ -284,15 +286,13 @@
         )
         self._offset_by_address[sender] = offsets.configuration + offsets.targets
         new_batches = tuple(
-            batch
-            for batch in update.batches
-            if self._feed_by_name[batch.feed].apply(batch)
+            batch for batch in update.batches if self._apply_batch(batch)
         )
         for batch in new_batches:
             self._append_recent(batch)
         if self._has_reached(offsets):
-            fresh_at = read_elapsed_seconds() - update.age_seconds - transit_seconds
-            self._fresh_at = max(self._fresh_at, fresh_at)
+            age_seconds = update.age_seconds + transit_seconds
+            self._copy_age.advance(read_elapsed_seconds() - age_seconds)
         is_asked_for = self._was_asked(sender)
         result = SpreadResult()
         if new_batches or self._has_freshness_gain():
@@ -307,6 +307,12 @@
             installed_state=result.installed_state,
         )
 
+    def _apply_batch(self, batch):
+        """Apply a batch to its feed; return whether that advanced."""
+        if batch.whole and self._copy_age.is_after_outage:
+            batch = msgspec.structs.replace(batch, is_after_outage=True)
+        return self._feed_by_name[batch.feed].apply(batch)
+
     def _was_asked(self, address):
         """Return whether an update is probably the answer to a question."""
         asked_at = self._asked_at_by_address.get(address, -math.inf)
@@ -314,9 +320,8 @@
 
     def _has_freshness_gain(self):
         """Return whether this node has become fresher enough to send an update."""
-        return (
-            self._fresh_at > self._announced_fresh_at + MINIMUM_FRESHNESS_GAIN_SECONDS
-        )
+        gain_seconds = self._copy_age.fresh_at - self._announced_fresh_at
+        return gain_seconds > MINIMUM_FRESHNESS_GAIN_SECONDS
 
     def _has_reached(self, offsets):
         return all(
@@ -338,7 +343,7 @@
             sender: Peer address from which they came, empty for the store.
             has_data: Whether peers get the batches too, and not only their offsets.
         """
-        self._announced_fresh_at = self._fresh_at
+        self._announced_fresh_at = self._copy_age.fresh_at
         installed_state = self._advance_state(batches) if batches else None
         message = self._make_update(batches if has_data else ())
         receivers = set(self._neighbours.plan.receivers)
--- a/citronspan/core/configuration/feed_spread_test.py
+++ b/citronspan/core/configuration/feed_spread_test.py
@@ -7,6 +7,7 @@
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
     FEEDS,
+    TARGETS_FEED,
     FeedBatch,
     FeedRecord,
 )
@@ -25,6 +26,7 @@
         self.log_by_feed = {feed: [] for feed in FEEDS}
         self.rejected_by_store = set()
         self.stopped = set()
+        self.has_truncated_log = False
         self.reads = 0
         infos = [make_node(number, nodes) for number in range(nodes)]
         self.info_by_name = {info.name: info for info in infos}
@@ -68,6 +70,15 @@
     def _read(self, spread, feed):
         start = spread.offsets.get_offset(feed)
         log = self.log_by_feed[feed]
+        if self.has_truncated_log and start < len(log):
+            newest = FeedRecord(offset=len(log) - 1, key="k", data=log[-1])
+            return FeedBatch(
+                feed=feed,
+                from_offset=0,
+                next_offset=len(log),
+                records=() if newest.data is None else (newest,),
+                whole=True,
+            )
         records = tuple(
             FeedRecord(offset=offset, key="k", data=log[offset])
             for offset in range(start, len(log))
@@ -87,6 +98,14 @@
             and spread.offsets.configuration < len(self.log_by_feed[CONFIGURATION_FEED])
         ]
 
+    def list_nodes_with_targets(self):
+        return [
+            name
+            for name, spread in self.spread_by_name.items()
+            if name not in self.stopped
+            and spread._feed_by_name[TARGETS_FEED].record_by_key
+        ]
+
     def run(self, seconds):
         for _ in range(round(seconds / STEP_SECONDS)):
             self.step()
@@ -142,6 +161,40 @@
     assert fleet.list_lagging_nodes() == []
 
 
+@pytest.mark.parametrize("has_truncated_log", [False, True])
+@pytest.mark.parametrize("stopped_count", [0, 1, 2, 16])
+def test_removed_target_stays_where_a_whole_copy_comes_in_place_of_records(
+    fleet, stopped_count, has_truncated_log
+):
+    """The records are gone from the log, so that the newest of each key is read."""
+    fleet.write(TARGETS_FEED, b"[]")
+    fleet.run(1.0)
+    ranked = sorted(
+        fleet.spread_by_name, key=lambda name: get_reading_order(fleet, name)
+    )
+    fleet.stopped = set(ranked[:stopped_count])
+    fleet.has_truncated_log = has_truncated_log
+    fleet.write(TARGETS_FEED, None)
+    fleet.run(PROPAGATION_LIMIT_SECONDS)
+    assert fleet.list_nodes_with_targets() == []
+
+
+def test_target_is_gone_for_a_moment_after_an_outage_of_the_store(fleet):
+    fleet.write(TARGETS_FEED, b"[]")
+    fleet.run(1.0)
+    fleet.rejected_by_store = set(fleet.spread_by_name)
+    fleet.run(4.0)
+    fleet.write(TARGETS_FEED, None)
+    fleet.has_truncated_log = True
+    fleet.rejected_by_store = set()
+    fleet.run(1.0)
+    fleet.write(TARGETS_FEED, b"[]")
+    fleet.run(0.8)
+    assert len(fleet.list_nodes_with_targets()) == len(fleet.spread_by_name)
+    fleet.run(PROPAGATION_LIMIT_SECONDS)
+    assert len(fleet.list_nodes_with_targets()) == len(fleet.spread_by_name)
+
+
 @pytest.mark.parametrize("accepted_count", [1, 3, 12])
 def test_change_reaches_all_nodes_when_store_rejects_most(fleet, accepted_count):
     ranked = sorted(
--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -78,6 +78,9 @@
         records: The records, in order of their offsets.
         whole: Whether the batch holds the newest record of every key, so that a
             key without a record no longer exists.
+        is_after_outage: Whether the store came back so recently that a key without a
+            record may still come back. A whole batch then lets the key lapse, and
+            otherwise removes it.
     """
 
     feed: str
@@ -85,6 +88,7 @@
     next_offset: int
     records: tuple[FeedRecord, ...] = ()
     whole: bool = False
+    is_after_outage: bool = False
 
 
 class Feed:
@@ -120,7 +124,7 @@
         if not batch.whole and batch.from_offset > self.next_offset:
             return False
         if batch.whole:
-            self._schedule_missing_removals(batch)
+            self._remove_missing_keys(batch)
         for record in batch.records:
             self._apply_record(record)
         self.next_offset = batch.next_offset
@@ -178,15 +182,21 @@
         self.expired_records += len(due)
         return bool(due)
 
-    def _schedule_missing_removals(self, batch):
-        """Schedule the removal of stored keys that a whole batch lacks or lets lapse.
+    def _remove_missing_keys(self, batch):
+        """Remove or let lapse the stored keys that a whole batch lacks or lets lapse.
 
         A replica that got no records without news holds older offsets of the same
         keys, so its lapsed records count whatever their offsets.
         """
-        present = {record.key for record in batch.records if not record.lapsed}
-        for key in self.record_by_key.keys() - present:
-            self._schedule_removal(key)
+        kept = {record.key for record in batch.records if not record.lapsed}
+        lapsed = {record.key for record in batch.records if record.lapsed}
+        for key in self.record_by_key.keys() - kept:
+            # The batch is no snapshot: a record may be later than the batch's end.
+            is_later = self.record_by_key[key].offset >= batch.next_offset
+            if batch.is_after_outage or key in lapsed or is_later:
+                self._schedule_removal(key)
+                continue
+            self._remove(key)
 
     def _schedule_removal(self, key):
         removal_at = time.monotonic() + REMOVAL_GRACE_SECONDS
--- a/citronspan/core/configuration/feeds_test.py
+++ b/citronspan/core/configuration/feeds_test.py
@@ -1,6 +1,7 @@
 """Tests that feeds converge to one state in whatever order batches arrive."""
 
 import freezegun
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 
@@ -156,6 +157,31 @@
         assert reader.record_by_key == {}
 
 
+@pytest.mark.parametrize("is_after_outage", [False, True])
+def test_key_that_a_whole_copy_lacks_stays_though_the_store_was_not_away(
+    is_after_outage,
+):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        feed = Feed(name=TARGETS_FEED)
+        log = [make_record(0, "i-1", 1), make_record(1, "i-2", 1)]
+        feed.apply(make_batch(log, 0, 2))
+        whole = make_whole_batch([log[1], make_record(2, "i-2", 2)], 3)
+        feed.apply(msgspec.structs.replace(whole, is_after_outage=is_after_outage))
+        assert ("i-1" in feed.record_by_key) == is_after_outage
+        clock.tick(REMOVAL_GRACE_SECONDS + 0.1)
+        feed.expire()
+        assert set(feed.record_by_key) == {"i-2"}
+
+
+def test_record_after_the_end_of_a_whole_copy_is_removed_by_it():
+    feed = Feed(name=TARGETS_FEED)
+    late = make_record(3, "i-1", 1)
+    whole = FeedBatch(feed=TARGETS_FEED, from_offset=0, next_offset=1, whole=True)
+    feed.apply(msgspec.structs.replace(whole, records=(late,)))
+    feed.apply(msgspec.structs.replace(whole, next_offset=2))
+    assert set(feed.record_by_key) == {"i-1"}
+
+
 def test_long_list_is_compressed_and_decoded():
     """Guards against the traffic of uncompressed configurations.
 
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -61,6 +61,10 @@
     """The requested records are no longer retained, but the newest of each key are."""
 
 
+class StoreRestoredError(FeedTruncatedError):
+    """The store was restored from a copy, which may lack the newest keys."""
+
+
 class FeedStore(Protocol):
     """Reads the feeds from the platform's store.
 
@@ -84,6 +88,7 @@
         Raises:
             StoreUnavailableError: If the store gave no valid answer.
             FeedTruncatedError: If the records are no longer retained.
+            StoreRestoredError: If the store was restored from a copy since then.
         """
 
     def read_newest(self, feed: str) -> FeedBatch:
@@ -267,9 +272,11 @@
             return self._store.read_newest(feed)
         try:
             return self._store.read(feed, from_offset, wait_seconds)
-        except FeedTruncatedError:
+        except FeedTruncatedError as error:
             # Ignored: the newest record of each key is read instead; nothing is lost.
-            return self._store.read_newest(feed)
+            batch = self._store.read_newest(feed)
+            is_restored = isinstance(error, StoreRestoredError)
+            return msgspec.structs.replace(batch, is_after_outage=is_restored)
 
     def _get_wait_seconds(self):
         # A node that is no reader does not wait: it reads the records that exist and
@@ -315,4 +322,4 @@
         msgspec.structs.replace(record, lapsed=True) if record.data is None else record
         for record in batch.records
     )
-    return msgspec.structs.replace(batch, records=records)
+    return msgspec.structs.replace(batch, records=records, is_after_outage=batch.whole)
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -14,7 +14,11 @@
 import urllib3
 
 from citronspan.core import log_events
-from citronspan.ops.feed_source import FeedTruncatedError, StoreUnavailableError
+from citronspan.ops.feed_source import (
+    FeedTruncatedError,
+    StoreRestoredError,
+    StoreUnavailableError,
+)
 from citronspan.utils.logs import write_event
 from citronspan.utils.validation import DECODING_ERRORS
 
@@ -102,6 +106,7 @@
         Raises:
             StoreUnavailableError: If there is no usable answer.
             FeedTruncatedError: If the store no longer holds that offset.
+            StoreRestoredError: If the store was restored from a copy since then.
         """
         era, store_offset = divmod(from_offset, ERA_OFFSETS)
         fields = {
@@ -117,7 +122,7 @@
         if answer.status != 200:
             raise StoreUnavailableError(f"status {answer.status}")
         if _read_era(answer) != era:
-            raise FeedTruncatedError(f"{topic}: the store was restored from a copy")
+            raise StoreRestoredError(f"{topic}: the store was restored from a copy")
         return _parse_page(answer.data, from_offset)
 
     def read_newest(self, topic: str) -> KeyedPage:
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -370,6 +370,15 @@
         assert [target.name for target in _list_targets(running)] == ["i-0"]
 
 
+def test_removed_target_stays_where_its_removal_is_gone_from_the_log():
+    with run_host(11) as running:
+        time.sleep(2.5)
+        running.store.put(TARGETS, running.targets[0].name, b"")
+        running.store.truncate_history()
+        assert wait_until(lambda: len(_list_targets(running)) == 1, 1.5)
+        assert [target.name for target in _list_targets(running)] == ["i-1"]
+
+
 def _list_targets(running):
     return running.host.entry.configuration.targets_by_service.get("shop", ())
 
