Forward no success that lacks the target's signature

Cause: an answer without a signature had the outcome target-error, but each last answer was forwarded that did not prove "not run", whatever its outcome. That is meant for a target's own failures.

Why it works: the dialect is asked before an answer is forwarded. An unsigned status below 500, or 503, becomes 502 (may have run), or a retry within the budget where the request may be repeated. Callers take these statuses as final or as a promise. An unsigned 500, 502 or 504 promises nothing and goes on as it is. The outcome stays target-error, since a lost answer is evidence of a crash.

--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -148,11 +148,15 @@
         return self._accept_response(request_context, attempt_response, may_have_run)
 
     def _accept_response(self, request_context, attempt_response, may_have_run):
-        """Return the response, or raise a refusal if the target reported "not run"."""
-        if RAN_BY_OUTCOME_CLASS[attempt_response.outcome_class] is not Ran.NOT_RUN:
-            attempt_response.answer.lift_limit()
+        """Return the response, or raise a refusal if it must not be forwarded."""
+        answer = attempt_response.answer
+        has_run = (
+            RAN_BY_OUTCOME_CLASS[attempt_response.outcome_class] is not Ran.NOT_RUN
+        )
+        if has_run and self._dialect.may_forward(answer.status, answer.find_header):
+            answer.lift_limit()
             return attempt_response
-        attempt_response.answer.abort_response()
+        answer.abort_response()
         self.release(request_context, attempt_response)
         raise make_refusal(attempt_response.outcome_class, may_have_run)
 
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -252,6 +252,38 @@
     assert targets.allowed_seconds == expected
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize("status", [200, 204, 302, 404, 408, 429, 503])
+def test_answer_without_the_targets_signature_is_forwarded(status, idempotent):
+    targets = FakeTargets([answer(status, {}, ran=True)])
+    context = make_request_context(
+        idempotent=idempotent, is_repeatable=True, attempts=2
+    )
+    response, refusal = run(targets, context)
+    assert response is None
+    assert (refusal.code, refusal.ran) == (result_codes.ANSWER_LOST, Ran.MAY_HAVE_RUN)
+    # Not ``answer-lost``, which would count as a crash that the request caused.
+    assert targets.released == [("t-0", OutcomeClass.TARGET_ERROR)]
+
+
+@pytest.mark.parametrize("status", [200, 404, 503])
+def test_idempotent_request_is_not_retried_after_an_unsigned_answer(status):
+    steps = [answer(status, {}, ran=True), answer(200, SIGNED, ran=True)]
+    targets = FakeTargets(steps)
+    context = make_request_context(idempotent=True, is_repeatable=True, attempts=2)
+    response, _ = run(targets, context)
+    assert (response.answer.status, len(targets.sent)) == (200, 2)
+    assert response.answer.find_header("X-Citronspan-Backend-Signature") == "s"
+
+
+@pytest.mark.parametrize("status", [500, 502, 504])
+def test_unsigned_failure_that_promises_nothing_is_replaced(status):
+    targets = FakeTargets([answer(status, {}, ran=True)])
+    context = make_request_context(idempotent=False, is_repeatable=True, attempts=2)
+    response, _ = run(targets, context)
+    assert response.answer.status == status
+
+
 def test_request_that_may_run_once_only_is_given_up_early():
     targets = FakeTargets([answer(200, SIGNED, ran=True)], 4.0)
     context = make_request_context(idempotent=False, is_repeatable=True, attempts=2)
--- a/citronspan/ops/dialect.py
+++ b/citronspan/ops/dialect.py
@@ -80,6 +80,12 @@
     def classify(self, status: int, find_header: FindHeader) -> OutcomeClass:
         """Return the outcome of an attempt by the status and headers of its answer."""
 
+    def may_forward(self, status: int, find_header: FindHeader) -> bool:
+        """Return whether the caller may get an answer of a target as it is.
+
+        Only asked for answers that don't prove that the request was not run.
+        """
+
     def read_load(self, find_header: FindHeader) -> int:
         """Return the number of slots in use that a target reported, -1 if none."""
 
@@ -118,6 +124,10 @@
                 return _CLASS_BY_NOT_RUN_REASON[reason]
         return OutcomeClass.TARGET_ERROR if status >= 500 else OutcomeClass.OK
 
+    def may_forward(self, status: int, find_header: FindHeader) -> bool:
+        """Return True: these targets sign no answers."""
+        return True
+
     def read_load(self, find_header: FindHeader) -> int:
         """Read the slots in use from ``Target-Load`` (``USED/SLOTS``)."""
         used, _, _ = (find_header(LOAD_HEADER) or "").partition("/")
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -59,6 +59,15 @@
             return OutcomeClass.TARGET_ERROR
         return OutcomeClass.OK
 
+    def may_forward(self, status: int, find_header: FindHeader) -> bool:
+        """Return whether an answer has the target's signature or promises nothing.
+
+        A caller takes a status below 500 or 503 as final or as "not run", which only
+        the target itself can say.
+        """
+        promises_nothing = status >= 500 and status != 503
+        return promises_nothing or find_header(_SIGNATURE) is not None
+
     def read_load(self, find_header: FindHeader) -> int:
         """Return the number of requests running at the target, -1 if unknown."""
         running, _, _ = (find_header(_LOAD) or "").partition(",")
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -47,8 +47,8 @@
     Attributes:
         ran: Ids of the requests that ran.
         deadlines: Their deadline headers.
-        mode: Simulated fault: well (none), sheds, stray (wrong request id), fails, or
-            works (for ``WORK_SECONDS``).
+        mode: Simulated fault: well (none), sheds, stray (wrong request id), unsigned
+            (no signature), fails, or works (for ``WORK_SECONDS``).
     """
 
     def __init__(self, *, name, port):
@@ -80,6 +80,8 @@
         headers = (("X-Citronspan-Backend-Signature", "s"), (REQUEST_ID, request_id))
         if self.mode == "stray":
             headers = ((REQUEST_ID, "another"), headers[0])
+        if self.mode == "unsigned":
+            headers = headers[1:]
         if self.mode == "fails":
             exchange.answer(500, b"", headers)
             return
@@ -254,6 +256,19 @@
     assert "X-Citronspan-Backend-Signature" not in headers
 
 
+def test_success_without_the_targets_signature_is_forwarded(running):
+    for target in running.targets:
+        target.mode = "unsigned"
+    request_id, status, headers, body = running.send("/order/1", method="POST")
+    assert (status, b"done" in body) == (502, False)
+    assert headers["Citronspan-Ran"] == "may-have-run"
+    assert running.count_runs(request_id) == 1
+    running.targets[0].mode = "well"
+    for _ in range(6):
+        _, status, headers, _ = running.send("/read/1")
+        assert (status, headers["X-Citronspan-Backend-Signature"]) == (200, "s")
+
+
 def test_unknown_route_returns_404(running):
     assert running.send("/nowhere/1")[1] == 404
 
