Send no body with a refusal of HEAD

What callers saw: after the head of a refusal of HEAD, its text.

Cause: the request path answers each refusal with its text, and the server writes what the application returns, whatever the method. Only the refusals of malformed heads looked at the method.

Content-Length stays, as RFC 9110 allows.

--- a/citronspan/ops/bad_requests_test.py
+++ b/citronspan/ops/bad_requests_test.py
@@ -266,3 +266,19 @@
         assert data.split()[1] == b"408", data
         assert b"Citronspan-Ran: not-run" in data or length > 65536
     assert running.targets.count_runs(path) == 0
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"HEAD /nowhere/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        b"HEAD /read/1 HTTP/1.1\r\nHost: h\r\nRequest-Timeout-Seconds: x\r\n\r\n",
+        b"HEAD /read/1 HTTP/1.1\r\n\r\n",
+        b"HEAD /read/1 HTTP/1.1\r\nHost: h\r\nX Y: a\r\n\r\n",
+    ],
+)
+def test_refusal_of_head_has_a_body(running, request_bytes):
+    response = running.exchange(request_bytes)
+    assert response.status in (400, 404)
+    assert response.result
+    assert response.data.endswith(b"\r\n\r\n")
--- a/citronspan/ops/request_head.py
+++ b/citronspan/ops/request_head.py
@@ -164,6 +164,11 @@
             self.close_connection = True
         super().send_headers()
 
+    def write(self, chunk: bytes) -> None:
+        """Send a part of the body; the answer to HEAD has none."""
+        if self.method != b"HEAD":
+            super().write(chunk)
+
     def _has_unread_body(self):
         if self.chunked_read:
             return not self.rfile.is_ended
