Serve routes and services whatever their names are

What callers saw: 404 for each request of a route named `Browse_1`.

Cause: hosts accept only names like those of hosts, which is the rule of the product's own resource API. The platform's names of routes and services were taken over as they are, and the hosts dropped the resource as invalid.

Evidence: all 6 names of the new test were dropped before, among them a space, an umlaut and 64 letters.

Why it works: where records are read, a name that hosts don't accept becomes its readable part and a hash of the whole; valid names stay. Routes, shares and registrations refer to a service by the same made name. The names only label: no host sends those of routes or services to targets or callers.

citronspan/platform and feed_source_test pass. A target's name isn't made up, since requests carry it; targets with such names remain dropped.

--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -5,14 +5,17 @@
 
 import enum
 import math
+import re
 from typing import Annotated
 
 import msgspec
+import xxhash
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
 from citronspan.core.resources import (
+    NAME_PATTERN,
     Detection,
     Kind,
     Resource,
@@ -31,6 +34,9 @@
 MAXIMUM_INTEGER = (1 << 63) - 1
 """Largest number that hosts can send each other."""
 
+READABLE_CHARACTERS = 40
+"""Characters kept of a name that hosts do not accept."""
+
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INTEGER)]
 # Stricter than ``parse_address``, which must go on to accept what is in the log.
 _Address = Annotated[str, msgspec.Meta(pattern=r"\A[^%]*:[0-9]{1,5}\Z")]
@@ -128,17 +134,41 @@
     """
     configuration = _decode(data, _Configuration)
     resources = [
-        Resource(kind=Kind.SERVICE, name=service.name, spec=_make_service(rules))
+        Resource(
+            kind=Kind.SERVICE,
+            name=make_resource_name(service.name),
+            spec=_make_service(rules),
+        )
         for service in configuration.services
     ]
     for route in configuration.routes:
         spec = _make_route(route)
-        resources.append(Resource(kind=Kind.ROUTE, name=route.name, spec=spec))
+        name = make_resource_name(route.name)
+        resources.append(Resource(kind=Kind.ROUTE, name=name, spec=spec))
     for resource in resources:
         check_spec(resource.spec)
     return resources
 
 
+def make_resource_name(name: str) -> str:
+    """Return the name that a route or service of the platform has among the hosts.
+
+    Hosts, also those of earlier versions, accept only names like those of hosts; the
+    platform allows any. Other names get their readable part and a hash.
+
+    Args:
+        name: Name in the platform's record.
+
+    Returns:
+        The name itself if hosts accept it or it is empty.
+    """
+    if not name or NAME_PATTERN.fullmatch(name):
+        return name
+    readable = re.sub(r"[^a-z0-9]+", "-", name.lower())[:READABLE_CHARACTERS]
+    digest = xxhash.xxh3_64_hexdigest(name.encode(errors="surrogatepass"))
+    return f"{readable.strip('-')}.{digest}".lstrip(".")
+
+
 def read_target(
     name: str, data: bytes, region_by_data_centre: dict[str, str]
 ) -> Resource:
@@ -159,7 +189,7 @@
     info = registration.info
     is_draining = registration.status.state is _TargetState.DRAINING
     spec = TargetSpec(
-        service=info.service,
+        service=make_resource_name(info.service),
         address=registration.address,
         region=region_by_data_centre.get(info.data_centre, ""),
         data_centre=info.data_centre,
@@ -213,14 +243,16 @@
 
 def _make_route(route: _Route) -> RouteSpec:
     shares = tuple(
-        ServiceShare(service=share.service, weight=share.weight)
+        ServiceShare(service=make_resource_name(share.service), weight=share.weight)
         for share in route.traffic_split
     )
     heaviest = max(shares, key=lambda share: share.weight, default=None)
     return RouteSpec(
         host=route.host,
         path_prefix=route.path_prefix,
-        service=route.service if heaviest is None else heaviest.service,
+        service=make_resource_name(
+            route.service if heaviest is None else heaviest.service
+        ),
         shares=shares,
         request_kind=route.kind.value,
         worth=1.0 / (1 + max(route.priority, 0)),
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -18,9 +18,17 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
 from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
-from citronspan.core.resources import Detection, Kind, TargetIntent
+from citronspan.core.resources import (
+    NAME_PATTERN,
+    Detection,
+    Kind,
+    TargetIntent,
+    decode_resource,
+    encode_resource,
+)
 from citronspan.platform.feeds import PlatformFeeds
 from citronspan.platform.records import (
+    make_resource_name,
     read_configuration,
     read_target,
     read_target_version,
@@ -269,3 +277,44 @@
     resources = read_configuration(encode_configuration(ROUTE), rules)
     service = next(item for item in resources if item.kind is Kind.SERVICE)
     assert b'"retrySlack":20,' in msgspec.json.encode(service.spec)
+
+
+@pytest.mark.parametrize(
+    "name", ["Browse_1", "browse 1", "Ström", "-", "b" * 64, "a/b"]
+)
+def test_route_or_service_is_dropped_for_its_name(name):
+    configuration = {
+        "version": 1,
+        "services": [{"name": name}],
+        "routes": [
+            {**ROUTE, "name": name, "service": name},
+            {
+                **ROUTE,
+                "name": name + "2",
+                "trafficSplit": [{"service": name, "weight": 1}],
+            },
+        ],
+    }
+    data = json.dumps(configuration).encode()
+    read = [
+        decode_resource(encode_resource(item))
+        for item in read_configuration(data, RULES)
+    ]
+    service, route, split_route = read
+    assert route.spec.service == service.name
+    assert split_route.spec.service == service.name
+    assert [share.service for share in split_route.spec.shares] == [service.name]
+    assert route.name != split_route.name
+    target = {**TARGET, "info": {**TARGET["info"], "service": name}}
+    found = read_target("i-1", json.dumps(target).encode(), REGIONS)
+    assert found.spec.service == service.name
+
+
+@given(st.lists(st.text(max_size=80), unique=True, min_size=2, max_size=5))
+def test_two_names_become_one_or_one_that_hosts_drop(names):
+    made = [make_resource_name(name) for name in names]
+    assert len(set(made)) == len(names)
+    for name, result in zip(names, made, strict=True):
+        assert not name or NAME_PATTERN.fullmatch(result)
+        if NAME_PATTERN.fullmatch(name):
+            assert result == name
