Forward headers whose names have an underscore

What callers saw: 400 for a proper request with a header such as `X_Shop`.

Cause: the environment of WSGI merges such a header with the one that has a hyphen, so the reader of heads refused all underscores as malformed names. RFC 9110 allows them, and the users' pages say that other headers are forwarded.

Evidence: both new cases that have such a header got 400 before.

Why it works: these headers are kept out of the environment and forwarded under their own names.

--- a/citronspan/ops/bad_requests_test.py
+++ b/citronspan/ops/bad_requests_test.py
@@ -282,3 +282,29 @@
     assert response.status in (400, 404)
     assert response.result
     assert response.data.endswith(b"\r\n\r\n")
+
+
+def test_header_with_an_underscore_is_refused_or_merged_with_another(running):
+    path = running.make_path("write")
+    running.targets.set_scripts(path, ANSWER)
+    headers = "X_Shop: 1\r\nX-Shop: 2\r\nx_shop: 3\r\nX-Gone_: 4\r\n_: 5\r\n"
+    headers += "Keep_Alive: 6\r\nTrace_Parent: 7\r\nTraceparent_: 8\r\n"
+    response = running.request("POST", path, headers=headers, body=b"order")
+    assert (response.status, response.find_complete_body()) == (200, b"final")
+    (received,) = running.targets.find_received(path)
+    found = received.header_by_name
+    assert (found["x_shop"], found["x-shop"]) == ("1, 3", "2")
+    assert (found["x-gone_"], found["_"]) == ("4", "5")
+    assert "keep_alive" not in found and "keep-alive" not in found
+
+
+@pytest.mark.parametrize(
+    "name", ["Content_Length", "Transfer_encoding", "HOST_", "Idempotency_Key", "Host"]
+)
+def test_header_that_looks_like_a_framing_one_reaches_a_target(running, name):
+    path = running.make_path("write")
+    running.targets.set_scripts(path, ANSWER)
+    response = running.request("POST", path, headers=f"{name}: 5\r\n")
+    is_refused = name != "HOST_"
+    assert (response.status == 400) is is_refused
+    assert running.targets.count_runs(path) == (not is_refused)
--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/caller_request.py
@@ -101,6 +101,9 @@
         if header in dropped:
             continue
         headers.append((header, value))
+    for header, value in environ.get("citronspan.underscored", ()):
+        if header not in dropped and header.replace("_", "-") not in dropped:
+            headers.append((header, value))
     if environ.get("CONTENT_TYPE"):
         headers.append(("content-type", environ["CONTENT_TYPE"]))
     return tuple(headers)
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -30,8 +30,19 @@
     """Adds the caller's connection to the WSGI environment."""
 
     def get_environ(self):
-        """Return the environment with ``citronspan.connection``."""
+        """Return the environment with ``citronspan.connection``.
+
+        Headers whose names have an underscore are in ``citronspan.underscored``, since
+        WSGI would merge them with those that have a hyphen there.
+        """
+        headers = self.req.inheaders
+        underscored = [
+            (name.decode("latin-1").lower(), headers.pop(name).decode("latin-1"))
+            for name in list(headers)
+            if b"_" in name
+        ]
         environ = super().get_environ()
+        environ["citronspan.underscored"] = underscored
         environ["citronspan.connection"] = CallerConnection(request=self.req)
         return environ
 
--- a/citronspan/ops/request_head.py
+++ b/citronspan/ops/request_head.py
@@ -1,8 +1,8 @@
 """Reads a caller's request strictly, to prevent request smuggling.
 
 A request that two readers could frame differently is refused (RFC 9112, sections 2.2,
-3, 5 and 6). So is a request whose headers would be merged or lost in WSGI, which does
-not distinguish a hyphen from an underscore.
+3, 5 and 6). So is one with a header that differs from one of those that frame or name
+a request only by an underscore, which many readers take for a hyphen.
 """
 
 import re
@@ -20,7 +20,7 @@
 MAXIMUM_HEADER_LINES = 200
 
 _CRLF = b"\r\n"
-_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z-]+")
+_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _VALUE_PATTERN = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 _METHOD_PATTERN = re.compile(rb"[A-Z][A-Z0-9-]*")
 _URI_PATTERN = re.compile(rb"(/[\x21-\x7e]*|\*)")
@@ -80,6 +80,8 @@
     name, colon, value = line[:-2].partition(b":")
     if not colon or not _NAME_PATTERN.fullmatch(name):
         raise ValueError("A header has a malformed name.")
+    if b"_" in name and name.replace(b"_", b"-").title() in _SINGLETON_HEADERS:
+        raise ValueError("A header has an underscore in place of a hyphen.")
     value = value.strip(b" \t")
     if not _VALUE_PATTERN.fullmatch(value):
         raise ValueError("A header has a malformed value.")
