Close idle connections that no request asks for again

What operators saw: connections to targets that were replaced stayed open; a host with 25 descriptors had 105 after 20 targets had been replaced.

Cause: an idle connection was looked at only when its address was used again, which never happens for a target that is gone.

Evidence: an entry in the new test still had the connections of eight requests 3 s after the time for which they may be reused (failed without the call in the entry).

Why it works: once a second the entry closes the idle connections that have expired or that the target has closed. No request could have used them.

target_connection_test passes.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -316,6 +316,7 @@
             self._health_logged_at = now
             self.slots.health_gossip.write_logs()
             self.link.send_all(self.slots.health_gossip.collect_notices())
+            self._connections.close_expired()
         if now - self._report_sent_at < REPORT_INTERVAL_SECONDS:
             return
         self._report()
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/target_connection.py
@@ -391,6 +391,30 @@
         with contextlib.suppress(OSError):
             connection.close()
 
+    def close_expired(self) -> None:
+        """Close the idle connections that no request can use any more.
+
+        The caller runs this about once a second. Without it, those to targets that are
+        gone would stay, since nothing asks for their addresses.
+        """
+        now = time.monotonic()
+        for address in list(self._idle_by_address):
+            with self._lock:
+                idle = self._idle_by_address.get(address, [])
+                expired = [
+                    item
+                    for item in idle
+                    if now >= item.expires_at or not item.connection.is_connected
+                ]
+                kept = [item for item in idle if item not in expired]
+                if kept:
+                    self._idle_by_address[address] = kept
+                else:
+                    self._idle_by_address.pop(address, None)
+            for item in expired:
+                with contextlib.suppress(OSError):
+                    item.connection.close()
+
     def list_idle_addresses(self) -> frozenset[str]:
         """Return the addresses that have an idle connection."""
         now = time.monotonic()
--- a/citronspan/ops/target_connection_test.py
+++ b/citronspan/ops/target_connection_test.py
@@ -9,6 +9,7 @@
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.target_connection import (
+    POOL_IDLE_SECONDS,
     AttemptFailedError,
     TargetConnections,
     TargetRequest,
@@ -131,3 +132,52 @@
     with pytest.raises(AttemptFailedError) as caught:
         connections.send(address, make_request("/b", 5.0, "b"), None)
     assert caught.value.outcome_class is OutcomeClass.ANSWER_LOST
+
+
+def keep_connections(targets, connections, *, keep_alive, end):
+    """Leave one idle connection to each target; return their sockets."""
+    answer = ANSWER.replace(b"\r\n", b"\r\n" + keep_alive, 1)
+    sockets = []
+    for address in targets.address_by_name.values():
+        targets.set_scripts("/kept", TargetScript(parts=(answer,), end=end))
+        answer_of_target = connections.send(address, make_request("/kept", 5.0), None)
+        assert answer_of_target.read(2) == b"ok"
+        sockets.append(answer_of_target._connection.sock)
+        answer_of_target.finish()
+    return sockets
+
+
+def test_connections_to_targets_that_are_gone_stay_open(targets):
+    connections = TargetConnections()
+    sockets = keep_connections(
+        targets, connections, keep_alive=b"Keep-Alive: timeout=1\r\n", end="keep"
+    )
+    connections.close_expired()
+    assert all(item.fileno() >= 0 for item in sockets)
+    assert connections.list_idle_addresses() == set(targets.address_by_name.values())
+    time.sleep(1.0)
+    connections.close_expired()
+    assert all(item.fileno() < 0 for item in sockets)
+
+
+def test_connections_that_targets_closed_stay_open_until_they_expire(targets):
+    connections = TargetConnections()
+    sockets = keep_connections(
+        targets, connections, keep_alive=b"Keep-Alive: timeout=900\r\n", end="close"
+    )
+    time.sleep(RUN_SECONDS)
+    connections.close_expired()
+    assert all(item.fileno() < 0 for item in sockets)
+
+
+def test_entry_keeps_connections_to_targets_that_it_no_longer_asks(running):
+    for _ in range(8):
+        path = running.make_path("read")
+        running.targets.set_scripts(path, TargetScript(parts=(ANSWER,), end="keep"))
+        assert running.request("GET", path).status == 200
+    connections = running.entry._connections
+    assert connections._idle_by_address
+    deadline = time.monotonic() + POOL_IDLE_SECONDS + 3.0
+    while connections._idle_by_address:
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
