--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -12,7 +12,6 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.keys.key_protocol_results import Replay
 from citronspan.core.keys.key_token import is_fleet_key
-from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.account_limits import AccountLimits
 from citronspan.core.requests.entry_configuration import EntryConfiguration
 from citronspan.core.requests.route_table import choose_service, find_route
@@ -21,7 +20,6 @@
 from citronspan.ops.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.attempts import AttemptRunner
 from citronspan.ops.caller_request import (
-    DROPPED_HEADERS,
     CallerBody,
     CallerRequest,
     find_environ_key,
@@ -29,14 +27,12 @@
 )
 from citronspan.ops.dialect import Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.forwarded_answer import log_answer, make_headers
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.keyed_request import KeyedRequest, claim_key
 from citronspan.ops.refusals import (
     ENTRY_HEADER,
-    RAN_HEADER,
     REPLAYED_HEADER,
-    RESULT_HEADER,
-    TARGET_HEADER,
     Refusal,
     answer_refusal,
     format_status,
@@ -48,16 +44,6 @@
 from citronspan.utils.traces import start_span
 
 _logger = logbook.Logger("request")
-_RESERVED_HEADERS = frozenset(
-    name.lower()
-    for name in (
-        RESULT_HEADER,
-        RAN_HEADER,
-        TARGET_HEADER,
-        ENTRY_HEADER,
-        REPLAYED_HEADER,
-    )
-)
 CONFIGURATION_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` while an entry starts; it mostly has a configuration by then."""
 
@@ -267,7 +253,7 @@
         start_response,
         received_at,
     ):
-        headers = self._make_headers(request_context, attempt_response)
+        headers = make_headers(request_context, attempt_response, self._name)
         reason = attempt_response.answer.reason
         status = attempt_response.answer.status
         if not attempt_response.is_whole:
@@ -295,27 +281,6 @@
         start_response(f"{status} {reason}", headers)
         return [attempt_response.body_start] if attempt_response.body_start else []
 
-    def _make_headers(self, request_context, attempt_response):
-        answer = attempt_response.answer
-        headers = [
-            (name, value)
-            for name, value in answer.headers
-            if name.lower() not in DROPPED_HEADERS
-            and name.lower() not in _RESERVED_HEADERS
-        ]
-        if answer.is_bodyless:
-            length = answer.find_header("Content-Length")
-            if length is not None and request_context.request.method == "HEAD":
-                headers.append(("Content-Length", length))
-        elif attempt_response.is_whole:
-            headers.append(("Content-Length", str(len(attempt_response.body_start))))
-        elif answer.length is not None:
-            total_bytes = len(attempt_response.body_start) + answer.length
-            headers.append(("Content-Length", str(total_bytes)))
-        headers.append((TARGET_HEADER, attempt_response.slot.target))
-        headers.append((ENTRY_HEADER, self._name))
-        return headers
-
     def _refuse(self, start_response, environ, refusal: Refusal, received_at):
         # The unread rest of the body must not be read as the next request.
         environ["citronspan.connection"].close_after_answer()
@@ -355,33 +320,6 @@
         return self._mint_prefix()
 
 
-def log_answer(
-    request_context: RequestContext,
-    attempt_response: AttemptResponse,
-    received_at: float,
-) -> None:
-    """Log that a target's answer was forwarded completely.
-
-    Args:
-        request_context: The request.
-        attempt_response: The response that was forwarded.
-        received_at: Time of ``time.monotonic()`` at which the request was received.
-    """
-    is_ok = attempt_response.outcome_class is OutcomeClass.OK
-    event = log_events.REQUEST_ANSWERED if is_ok else log_events.REQUEST_FAILED
-    write_event(
-        _logger,
-        event,
-        id=request_context.request.request_id,
-        route=request_context.route.name,
-        service=request_context.service_name,
-        target=attempt_response.slot.target,
-        broker=attempt_response.slot.broker,
-        status=attempt_response.answer.status,
-        seconds=round(time.monotonic() - received_at, 4),
-    )
-
-
 def _receive_body(request: CallerRequest) -> CallerBody:
     """Buffer a small body; a failure means "not run", since nothing was sent yet."""
     try:
