Log and count what a stop makes of each request

Event 203 says how many requests were left at the end of a stop, and not which. A register follows each request from its head to its end: read, waiting for a slot, at a target.

No request is handled differently.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -160,6 +160,12 @@
     "NOTICE",
     "The entry learnt that a target leaves, from the configuration or an answer.",
 )
+REQUEST_ENDED_IN_STOP = _define(
+    225,
+    "request-ended-in-stop",
+    "NOTICE",
+    "A stopping entry finished, refused or gave up a request.",
+)
 BROKER_HANDED_OVER = _define(
     260,
     "broker-handed-over",
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -187,6 +187,13 @@
     _NOT,
     "The entry runs as many requests as it may; another entry may have room.",
 )
+ENTRY_STOPPING = _define(
+    3015,
+    "entry-stopping",
+    503,
+    _NOT,
+    "The entry stops before the request could end; another entry may run it.",
+)
 LINK_BUDGET_SPENT = _define(
     3060,
     "link-budget-spent",
--- a/citronspan/ops/attempt_context.py
+++ b/citronspan/ops/attempt_context.py
@@ -1,11 +1,12 @@
 """What the request path knows of a request and of the response to an attempt."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.route_table import Route
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.ops.caller_request import CallerBody, CallerRequest
+from citronspan.ops.open_requests import OpenRequest
 from citronspan.ops.slot_source import Slot
 from citronspan.ops.target_connection import TargetAnswer
 
@@ -25,6 +26,7 @@
             goal of the route, 0 if it has none.
         fingerprint: Hash of the method, host, URI and body (or of the body's length,
             if the body is not buffered).
+        open_request: Entry of the request in the register of open requests.
     """
 
     request: CallerRequest
@@ -35,6 +37,7 @@
     deadline: float
     goal_time: float
     fingerprint: int
+    open_request: OpenRequest = field(default_factory=OpenRequest)
 
     @property
     def spec(self) -> RouteSpec:
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -23,6 +23,7 @@
 from citronspan.ops.attempt_reporter import AttemptReporter
 from citronspan.ops.dialect import Dialect, TargetAttempt
 from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.open_requests import Stage
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
 from citronspan.ops.target_connection import (
     AttemptFailedError,
@@ -163,6 +164,7 @@
     def _acquire(
         self, request_context, tried, has_reached_target
     ) -> Slot | SlotRefused:
+        request_context.open_request.stage = Stage.WAITING
         query = SlotQuery(
             service=request_context.service_name,
             request_kind=request_context.spec.request_kind,
@@ -197,6 +199,7 @@
         self, request_context: RequestContext, slot: Slot, tried: tuple[str, ...]
     ) -> AttemptResponse:
         started_at = time.monotonic()
+        request_context.open_request.stage = Stage.AT_TARGET
         try:
             with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -24,6 +24,7 @@
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.http_server import make_metrics_server, make_server
 from citronspan.ops.key_service import KeyService
+from citronspan.ops.open_requests import OpenRequests
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.readiness import make_readiness_server
 from citronspan.ops.relay_connector import RelayConnector
@@ -137,6 +138,9 @@
             secret=settings.place.secret.encode(),
         )
         self._stop = threading.Event()
+        self._open_requests = OpenRequests(
+            metrics=self.metrics, is_stopping=self._stop.is_set
+        )
         self._busy = BusySignal(threads=settings.worker_threads)
         self._report_sent_at = 0.0
         self._verdicts_sent_at = 0.0
@@ -207,6 +211,7 @@
                 sampled_share=tracing.sampled_share,
             ),
             is_stopping=self._stop.is_set,
+            open_requests=self._open_requests,
             mint_prefix=lambda: self.keys.mint_prefix(self.view.nodes),
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
@@ -356,6 +361,7 @@
         remaining = self.metrics.read_in_flight()
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
+            self._open_requests.give_up_rest()
         self._wait_for_reports(drain_deadline)
         if self._relay_server is not None:
             self._relay_server.stop(drain_deadline)
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -67,6 +67,13 @@
             registry=self.registry,
         )
 
+        self._ended_in_stop = Counter(
+            "citronspan_requests_ended_in_stop",
+            "Requests that ended while the entry stopped, by what became of them.",
+            ["result"],
+            registry=self.registry,
+        )
+
     def watch_reachability(self, reachability: TargetReachability) -> None:
         """Register a gauge that tells whether the host reaches no target."""
         gauge = Gauge(
@@ -145,6 +152,10 @@
         """Count a refusal."""
         self._refusals.labels(str(code.number)).inc()
 
+    def count_ended_in_stop(self, result: str) -> None:
+        """Count a request that ended while the entry stopped."""
+        self._ended_in_stop.labels(result).inc()
+
     def count_attempt(self, service: str, outcome: str) -> None:
         """Count an attempt by its outcome."""
         self._attempts.labels(service, outcome).inc()
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -30,6 +30,7 @@
 from citronspan.ops.forwarded_answer import log_answer, make_headers
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.keyed_request import KeyedRequest, claim_key
+from citronspan.ops.open_requests import OpenRequest, OpenRequests, StopResult
 from citronspan.ops.refusals import (
     ENTRY_HEADER,
     REPLAYED_HEADER,
@@ -75,6 +76,7 @@
         metrics: EntryMetrics,
         tracer: trace.Tracer,
         is_stopping: Callable[[], bool],
+        open_requests: OpenRequests,
         mint_prefix: Callable[[], str],
         dialect: Dialect,
         reuse_seconds: float,
@@ -99,6 +101,7 @@
         self._metrics = metrics
         self._tracer = tracer
         self._is_stopping = is_stopping
+        self._open_requests = open_requests
         self._mint_prefix = mint_prefix
         self._accounts = AccountLimits()
 
@@ -109,18 +112,24 @@
         if self._is_stopping():
             connection.close_after_answer()
         in_flight = self._metrics.begin_request()
+        open_request = self._open_requests.begin(self._read_id(environ), received_at)
         body: Iterable[bytes] = []
+        result = StopResult.GIVEN_UP
         try:
             self._check_room(in_flight)
-            body = self._handle(environ, start_response, received_at)
+            body = self._handle(environ, start_response, open_request)
+            result = StopResult.FINISHED
         except Refusal as refusal:
             body = self._refuse(start_response, environ, refusal, received_at)
+            result = _judge_refusal(refusal)
         except CitronspanError as error:
             refusal = Refusal(code=error.code, detail=error.detail)
             body = self._refuse(start_response, environ, refusal, received_at)
+            result = _judge_refusal(refusal)
         finally:
             if not isinstance(body, StreamedAnswer):
                 self._metrics.end_request()
+                self._open_requests.end(open_request, result)
         return body
 
     def _check_room(self, in_flight):
@@ -131,10 +140,14 @@
                 retry_after_seconds=FULL_RETRY_AFTER_SECONDS,
             )
 
-    def _handle(self, environ, start_response, received_at):
+    def _read_id(self, environ):
+        return environ.get(find_environ_key(self._dialect.id_header), "")
+
+    def _handle(self, environ, start_response, open_request):
         request = read_caller_request(environ, self._dialect)
+        received_at = open_request.received_at
         with start_span(self._tracer, "entry", request.trace_headers) as span:
-            request_context = self._prepare(request, received_at)
+            request_context = self._prepare(request, open_request)
             span.set_attribute("citronspan.route", request_context.route.name)
             keyed_request = None
             if needs_claim(request_context.spec, request.key):
@@ -183,7 +196,10 @@
         start_response(format_status(answer.status), headers)
         return [answer.body] if answer.body else []
 
-    def _prepare(self, request: CallerRequest, received_at: float) -> RequestContext:
+    def _prepare(
+        self, request: CallerRequest, open_request: OpenRequest
+    ) -> RequestContext:
+        received_at = open_request.received_at
         configuration = self._find_configuration()
         if configuration.offset == 0:
             raise Refusal(
@@ -221,6 +237,7 @@
             deadline=received_at + deadline_seconds,
             goal_time=received_at + goal_seconds if goal_seconds else 0.0,
             fingerprint=_compute_fingerprint(request, body),
+            open_request=open_request,
         )
 
     def _has_other_target(self, service, names):
@@ -265,6 +282,7 @@
                 received_at=received_at,
                 attempts=self._attempts,
                 metrics=self._metrics,
+                open_requests=self._open_requests,
             )
         attempt_response.answer.finish()
         self._attempts.release(
@@ -288,7 +306,7 @@
         write_event(
             _logger,
             log_events.REQUEST_REFUSED,
-            id=environ.get(find_environ_key(self._dialect.id_header), ""),
+            id=self._read_id(environ),
             path=environ.get("PATH_INFO", ""),
             code=refusal.code.number,
             status=refusal.code.http_status,
@@ -320,6 +338,11 @@
         return self._mint_prefix()
 
 
+def _judge_refusal(refusal) -> StopResult:
+    ran = refusal.ran or refusal.code.ran
+    return StopResult.REFUSED if ran is Ran.NOT_RUN else StopResult.GIVEN_UP
+
+
 def _receive_body(request: CallerRequest) -> CallerBody:
     """Buffer a small body; a failure means "not run", since nothing was sent yet."""
     try:
--- a/citronspan/ops/streamed_answer.py
+++ b/citronspan/ops/streamed_answer.py
@@ -8,6 +8,7 @@
 from citronspan.ops.caller_request import READ_BYTES
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.keyed_request import KeyedRequest
+from citronspan.ops.open_requests import OpenRequests, StopResult
 from citronspan.ops.target_connection import AttemptFailedError
 
 
@@ -28,6 +29,7 @@
         received_at: float,
         attempts: AttemptRunner,
         metrics: EntryMetrics,
+        open_requests: OpenRequests,
     ):
         self._request_context = request_context
         self._keyed_request = keyed_request
@@ -35,6 +37,7 @@
         self._received_at = received_at
         self._attempts = attempts
         self._metrics = metrics
+        self._open_requests = open_requests
         self._outcome_class = OutcomeClass.CANCELLED
         self._forwarded_bytes = 0
         self._is_closed = False
@@ -64,7 +67,8 @@
         if self._is_closed:
             return
         self._is_closed = True
-        if self._outcome_class is not self._attempt_response.outcome_class:
+        is_broken_off = self._outcome_class is not self._attempt_response.outcome_class
+        if is_broken_off:
             self._attempt_response.answer.abort_response()
             self._request_context.request.connection.abort()
         if self._keyed_request is not None:
@@ -80,6 +84,8 @@
             self._request_context.spec, status, self._received_at
         )
         self._metrics.end_request()
+        result = StopResult.GIVEN_UP if is_broken_off else StopResult.FINISHED
+        self._open_requests.end(self._request_context.open_request, result)
 
 
 def _iterate_answer(attempt_response: AttemptResponse) -> Iterator[bytes]:
--- a/citronspan/ops/streamed_answer_test.py
+++ b/citronspan/ops/streamed_answer_test.py
@@ -41,6 +41,7 @@
         received_at=0.0,
         attempts=recorder,
         metrics=recorder,
+        open_requests=recorder,
     )
 
 
@@ -65,6 +66,7 @@
     forwarded_bytes = 5 if is_complete else 3
     assert recorder.calls.count(("release", outcome_class, forwarded_bytes)) == 1
     assert recorder.calls.count("end_request") == 1
+    assert recorder.calls.count("end") == 1
     assert ("abort" in recorder.calls) is not is_complete
     assert ("report_streamed" in recorder.calls) is is_complete
 
