Refuse in a stop what can't end well, and answer all that is open

What callers saw: at the end of a planned stop, requests whose last byte came late ended with a bare close. Most had been passed on to a target; others still waited for a slot.

Cause: a stopping entry decided by what it accepts. It never asked whether a request that it had begun to read could still end, and neither the wait for a slot, nor that for the rest of a body, nor an attempt knew the end of the process.

Why it works: a plan in core knows the end of the stop and what recent attempts of each kind took. Before a request is passed on, and while it waits for a slot, it is asked whether the longest of them, with a margin, still fits; if not, the caller gets 503, not run, with Retry-After and the end of its connection. In the first half of a stop, where callers still come, it is enough that the usual time fits. A kind with fewer than 8 attempts counts as usual there and is refused later. 0.2 s before the end whatever is open is given up: a request that is not whole as 408, one at a target as 504 of unknown outcome, which its target is not blamed for. An answer that comes in a stop announces the end of its connection also if its request came before.

--- a/citronspan/core/requests/attempt_deadline.py
+++ b/citronspan/core/requests/attempt_deadline.py
@@ -20,6 +20,7 @@
         request_deadline: float,
         limit: float = math.inf,
         may_be_retried: Callable[[], bool] = lambda: True,
+        find_end: Callable[[], float] = lambda: math.inf,
     ):
         """Create the deadline of an attempt that begins.
 
@@ -28,13 +29,18 @@
             limit: Time at which the attempt is given up if another one may follow it.
             may_be_retried: Returns whether another attempt may follow. It is asked
                 again while the attempt runs.
+            find_end: Returns when the process gives up what is open; likewise.
         """
         self._request_deadline = request_deadline
         self._limit = limit
         self._may_be_retried = may_be_retried
+        self._find_end = find_end
 
     def find(self) -> float:
         """Return the time at which the attempt is given up, as of now."""
+        return min(self._find_own(), self._find_end())
+
+    def _find_own(self):
         if self._limit >= self._request_deadline:
             return self._request_deadline
         if self._may_be_retried():
--- /dev/null
+++ b/citronspan/core/requests/stop_plan.py
@@ -0,0 +1,123 @@
+"""Decides whether a request can still end well at a host that was told to stop.
+
+Load pattern: requests that become complete, or get their slot, late in a stop. Passed
+on, they would be cut off at its end, and those that must not run twice could not be
+repeated. Refused at once as not run, they go to another host while they have time.
+"""
+
+import math
+import statistics
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+
+ANSWER_SECONDS = 0.2
+"""Time before the end of a stop at which what is still open is given up, so that the
+answers that say so are written."""
+
+RECENT_ATTEMPTS = 128
+MINIMUM_ATTEMPTS = 8
+"""Number of attempts from which on the longest of them says what to expect."""
+
+MARGIN_FACTOR = 1.25
+MARGIN_SECONDS = 0.1
+
+UNKNOWN_SHARE = 0.5
+"""Share of the stop in which requests are passed on that usually end in time, and those
+of which nothing is known. Callers still come in this part, since they cache addresses;
+to refuse all of them for the few that take longest would cost them more."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkKind:
+    """What requests have in common that take similar times.
+
+    Attributes:
+        service: Name of the service.
+        request_kind: Request kind of the route.
+        is_streamed: Whether the body is passed on while the caller sends it.
+    """
+
+    service: str
+    request_kind: str
+    is_streamed: bool
+
+
+class StopPlan:
+    """When a stop ends and how long attempts take; safe for threads."""
+
+    def __init__(self):
+        """Create the plan of a host that was not told to stop."""
+        self._lock = threading.Lock()
+        self._recent_by_kind: dict[WorkKind, deque[float]] = {}
+        self._begun_at = math.inf
+        self._ends_at = math.inf
+        self._process_ends_at = math.inf
+
+    def begin(self, stop_seconds: float) -> None:
+        """Note that the host was told to stop; a second call changes nothing.
+
+        It takes no lock, since a signal handler calls it.
+
+        Args:
+            stop_seconds: Time after which the process ends.
+        """
+        if self._begun_at < math.inf:
+            return
+        self._begun_at = time.monotonic()
+        answer_seconds = min(ANSWER_SECONDS, stop_seconds / 2)
+        self._process_ends_at = self._begun_at + stop_seconds
+        self._ends_at = self._process_ends_at - answer_seconds
+
+    def find_end(self) -> float:
+        """Return when open requests are given up, infinity while there is no stop."""
+        return self._ends_at
+
+    def find_process_end(self) -> float:
+        """Return when the process ends, infinity while there is no stop."""
+        return self._process_ends_at
+
+    def has_ended(self) -> bool:
+        """Return whether open requests are to be given up now."""
+        return time.monotonic() >= self._ends_at
+
+    def observe(self, kind: WorkKind, seconds: float) -> None:
+        """Add the time that an attempt took, with its answer.
+
+        Args:
+            kind: Kind of the request.
+            seconds: The time; of an attempt that was given up, the time until then.
+        """
+        with self._lock:
+            recent = self._recent_by_kind.get(kind)
+            if recent is None:
+                recent = self._recent_by_kind[kind] = deque(maxlen=RECENT_ATTEMPTS)
+            recent.append(seconds)
+
+    def is_too_late(self, kind: WorkKind, request_deadline: float) -> bool:
+        """Return whether a request should no longer be passed on.
+
+        Args:
+            kind: Kind of the request.
+            request_deadline: Time of ``time.monotonic()`` at which the request is given
+                up anyway.
+        """
+        if request_deadline <= self._ends_at:
+            return False
+        return time.monotonic() > self._find_latest_start(kind)
+
+    def _find_latest_start(self, kind):
+        half = self._begun_at + UNKNOWN_SHARE * (self._ends_at - self._begun_at)
+        with self._lock:
+            recent = list(self._recent_by_kind.get(kind, ()))
+        if len(recent) < MINIMUM_ATTEMPTS:
+            return half
+        latest = self._ends_at - _add_margin(max(recent))
+        if latest >= half:
+            return latest
+        return min(half, self._ends_at - _add_margin(statistics.median(recent)))
+
+
+def _add_margin(seconds):
+    return seconds * MARGIN_FACTOR + MARGIN_SECONDS
--- a/citronspan/ops/attempt_context.py
+++ b/citronspan/ops/attempt_context.py
@@ -4,8 +4,13 @@
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.route_table import Route
+from citronspan.core.requests.stop_plan import WorkKind
 from citronspan.core.resources import RouteSpec, ServiceSpec
-from citronspan.ops.caller_request import CallerBody, CallerRequest
+from citronspan.ops.caller_request import (
+    MAXIMUM_BUFFERED_BODY_BYTES,
+    CallerBody,
+    CallerRequest,
+)
 from citronspan.ops.open_requests import OpenRequest
 from citronspan.ops.slot_source import Slot
 from citronspan.ops.target_connection import TargetAnswer
@@ -39,6 +44,16 @@
     fingerprint: int
     open_request: OpenRequest = field(default_factory=OpenRequest)
 
+    @property
+    def work_kind(self) -> WorkKind:
+        """What the request has in common with others that take similar times."""
+        return WorkKind(
+            service=self.service_name,
+            request_kind=self.spec.request_kind,
+            is_streamed=self.body.length is None
+            or self.body.length > MAXIMUM_BUFFERED_BODY_BYTES,
+        )
+
     @property
     def spec(self) -> RouteSpec:
         """Specification of the route."""
--- a/citronspan/ops/attempt_refusals.py
+++ b/citronspan/ops/attempt_refusals.py
@@ -10,6 +10,11 @@
 REFUSED_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` after all targets refused; by then one may have free capacity."""
 
+STOP_REFUSED = SlotRefused(
+    code=result_codes.ENTRY_STOPPING, retry_after_seconds=REFUSED_RETRY_AFTER_SECONDS
+)
+"""Stands for a slot that is not asked for, or not used, since the host stops."""
+
 
 def make_slot_refusal(
     request_context: RequestContext, refused: SlotRefused, may_have_run: bool
--- a/citronspan/ops/attempt_reporter.py
+++ b/citronspan/ops/attempt_reporter.py
@@ -8,6 +8,7 @@
 from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimit
+from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.ops.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.dialect import Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -21,10 +22,18 @@
 class AttemptReporter:
     """Releases the slots of attempts with their outcomes."""
 
-    def __init__(self, *, slots: SlotSource, metrics: EntryMetrics, dialect: Dialect):
+    def __init__(
+        self,
+        *,
+        slots: SlotSource,
+        metrics: EntryMetrics,
+        dialect: Dialect,
+        stop_plan: StopPlan,
+    ):
         self._slots = slots
         self._metrics = metrics
         self._dialect = dialect
+        self._stop_plan = stop_plan
 
     def release(
         self,
@@ -46,7 +55,9 @@
             return
         outcome = Outcome(
             target=attempt_response.slot.target,
-            outcome_class=outcome_class or attempt_response.outcome_class,
+            outcome_class=self._find_blame(
+                outcome_class or attempt_response.outcome_class
+            ),
             latency_seconds=attempt_response.first_byte_at
             - attempt_response.started_at,
             deadline_seconds=max(
@@ -57,6 +68,7 @@
             load=self._dialect.read_load(attempt_response.answer.find_header),
             rate_limit=self._read_rate_limit(attempt_response),
         )
+        self._observe_seconds(request_context, attempt_response.started_at)
         self._record_attempt(
             request_context,
             attempt_response.slot,
@@ -80,6 +92,16 @@
             request_id = request_context.request.request_id
             self._slots.observe_notice(slot, notice, request_id)
 
+    def _observe_seconds(self, request_context, started_at):
+        seconds = time.monotonic() - started_at
+        self._stop_plan.observe(request_context.work_kind, seconds)
+
+    def _find_blame(self, outcome_class):
+        """Return an outcome that leaves out the end of this host as a cause."""
+        if outcome_class is OutcomeClass.TIMED_OUT and self._stop_plan.has_ended():
+            return OutcomeClass.CANCELLED
+        return outcome_class
+
     def _read_rate_limit(self, attempt_response) -> RateLimit | None:
         if attempt_response.outcome_class is OutcomeClass.DRAINING:
             # The answer may be that of another target with the same address.
@@ -125,11 +147,13 @@
         """
         outcome = Outcome(
             target=slot.target,
-            outcome_class=outcome_class,
+            outcome_class=self._find_blame(outcome_class),
             latency_seconds=time.monotonic() - started_at,
             deadline_seconds=max(request_context.deadline - started_at, 0.0),
             request_kind=request_context.spec.request_kind,
             fingerprint=request_context.fingerprint,
         )
+        if outcome_class is OutcomeClass.TIMED_OUT:
+            self._observe_seconds(request_context, started_at)
         self._record_attempt(request_context, slot, outcome, 0)
         self._slots.release(slot, outcome, 0)
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -17,9 +17,14 @@
     RetryDecision,
     decide_retry,
 )
+from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.result_codes import Ran
 from citronspan.ops.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.attempt_refusals import make_refusal, make_slot_refusal
+from citronspan.ops.attempt_refusals import (
+    STOP_REFUSED,
+    make_refusal,
+    make_slot_refusal,
+)
 from citronspan.ops.attempt_reporter import AttemptReporter
 from citronspan.ops.dialect import Dialect, TargetAttempt
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -61,6 +66,7 @@
         reuse_seconds: float,
         is_stopping: Callable[[], bool],
         has_other_target: Callable[[str, tuple[str, ...]], bool],
+        stop_plan: StopPlan | None = None,
     ):
         """Create a runner.
 
@@ -75,6 +81,7 @@
             is_stopping: Returns whether the host was told to stop.
             has_other_target: Returns whether a service has a target that stays, other
                 than the given ones.
+            stop_plan: Knows when a stop ends, None for a host that never stops.
         """
         self._dialect = dialect
         self._is_stopping = is_stopping
@@ -84,7 +91,10 @@
         self._connections = connections
         self._metrics = metrics
         self._tracer = tracer
-        self._reporter = AttemptReporter(slots=slots, metrics=metrics, dialect=dialect)
+        self._stop_plan = stop_plan or StopPlan()
+        self._reporter = AttemptReporter(
+            slots=slots, metrics=metrics, dialect=dialect, stop_plan=self._stop_plan
+        )
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
 
@@ -178,9 +188,25 @@
             goal_time=request_context.goal_time,
             is_disconnected=request_context.request.connection.is_disconnected,
             request_id=request_context.request.request_id,
+            is_too_late=lambda: self.is_too_late(request_context),
         )
+        if self.is_too_late(request_context):
+            return STOP_REFUSED
         with start_span(self._tracer, "broker-wait"):
-            return self._slots.acquire(query)
+            slot = self._slots.acquire(query)
+        if not self.is_too_late(request_context):
+            return slot
+        if isinstance(slot, Slot):
+            self._reporter.release_failed(
+                request_context, slot, time.monotonic(), OutcomeClass.NOT_USED
+            )
+        return STOP_REFUSED
+
+    def is_too_late(self, request_context: RequestContext) -> bool:
+        """Return whether the host stops before the request could end."""
+        return self._stop_plan.is_too_late(
+            request_context.work_kind, request_context.deadline
+        )
 
     def _is_last_attempt(self, request_context, tried) -> bool:
         """Return whether no retry can follow the attempt, whatever its outcome.
@@ -271,6 +297,7 @@
             request_deadline=request_context.deadline,
             limit=started_at + attempt_seconds,
             may_be_retried=lambda: not self._is_last_attempt(request_context, tried),
+            find_end=self._stop_plan.find_end,
         )
 
     def _find_retry_budget(self, request_context):
--- a/citronspan/ops/broker_client.py
+++ b/citronspan/ops/broker_client.py
@@ -75,7 +75,7 @@
 
         Returns:
             The response, or None if the broker is unreachable or does not respond, if
-            the caller disconnects, or if the deadline passes.
+            the caller disconnects, if the deadline passes, or if it is too late.
         """
         wait_seconds = compute_broker_wait_seconds(
             self._wait_seconds, request.goal_seconds, request.deadline_seconds
@@ -101,6 +101,8 @@
                 sent_at = time.monotonic()
                 if sent_at > query.deadline or query.is_disconnected():
                     return None
+                if query.is_too_late():
+                    return None
             return None
         finally:
             self._pending.close(wait_id)
--- a/citronspan/ops/caller_stream.py
+++ b/citronspan/ops/caller_stream.py
@@ -11,11 +11,13 @@
 import select
 import socket
 import time
+from collections.abc import Callable
 
 from cheroot.server import HTTPConnection
 
 # A refusal for slowness is sent after the request's deadline, so writes need more time.
 ANSWER_GRACE_SECONDS = 1.0
+READ_POLL_SECONDS = 0.1
 LINGER_SECONDS = 1.0
 LINGER_READ_BYTES = 64 * 1024
 LINGER_QUIET_SECONDS = 0.2
@@ -67,11 +69,31 @@
         is_aborted: Whether the connection is closed with a reset.
     """
 
-    def __init__(self, *, idle_seconds: float):
+    def __init__(self, *, idle_seconds: float, find_read_end: Callable[[], float]):
         self.idle_seconds = idle_seconds
+        self._find_read_end = find_read_end
         self.deadline: float | None = None
         self.is_aborted = False
 
+    def await_bytes(self, sock: socket.socket) -> None:
+        """Wait until a read from a socket returns at once.
+
+        Raises:
+            TimeoutError: If the deadline passes, if no byte comes in the idle time, or
+                if the process gives up what is not whole.
+        """
+        limit = time.monotonic() + self.idle_seconds
+        if self.deadline is not None:
+            limit = min(limit, self.deadline)
+        while True:
+            # Asked again, since the process may be told to stop meanwhile.
+            wait_seconds = min(limit, self._find_read_end()) - time.monotonic()
+            if wait_seconds <= 0:
+                # The server recognises a timeout by this text.
+                raise TimeoutError("timed out")
+            if is_readable(sock, min(wait_seconds, READ_POLL_SECONDS)):
+                return
+
     def apply(self, sock: socket.socket, grace_seconds: float) -> None:
         """Set the socket's timeout for one read or write.
 
@@ -102,6 +124,7 @@
     def readinto(self, buffer):
         if self.is_paused:
             return None
+        self._limits.await_bytes(self._limited_socket)
         self._limits.apply(self._limited_socket, 0.0)
         return super().readinto(buffer)
 
@@ -154,7 +177,9 @@
     """
 
     def __init__(self, server, sock, makefile=None):
-        self.limits = StreamLimits(idle_seconds=server.timeout)
+        self.limits = StreamLimits(
+            idle_seconds=server.timeout, find_read_end=server.find_read_end
+        )
         self.has_unread_data = False
         self.may_send_more = False
         super().__init__(server, sock, self._make_file)
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -1,6 +1,5 @@
 """The entry process: its threads, sockets and periodic tasks."""
 
-import random
 import threading
 import time
 
@@ -19,10 +18,12 @@
     EntryConfiguration,
     apply_push,
 )
+from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.settings import EntrySettings
 from citronspan.ops.dialect import DefaultDialect, Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.http_server import make_metrics_server, make_server
+from citronspan.ops.incarnation import make_incarnation
 from citronspan.ops.key_service import KeyService
 from citronspan.ops.open_requests import OpenRequests
 from citronspan.ops.peer_link import PeerLink
@@ -46,21 +47,12 @@
 TICK_INTERVAL_SECONDS = 0.02
 DRAIN_POLL_SECONDS = 0.05
 KEY_REPORT_TIMEOUT_SECONDS = 1.0
-INCARNATION_RANDOM_BITS = 8
 REFUSAL_THREADS = 8
 """Threads above the maximum of concurrent requests, which refuse further ones."""
 
 _logger = logbook.Logger("entry")
 
 
-def make_incarnation() -> int:
-    """Return an incarnation number that increases with each start on a host."""
-    milliseconds = time.time_ns() // 1_000_000
-    return (milliseconds << INCARNATION_RANDOM_BITS) + random.getrandbits(
-        INCARNATION_RANDOM_BITS
-    )
-
-
 class Entry:
     """An entry, which forwards callers' requests and reports to its agent.
 
@@ -138,6 +130,7 @@
             secret=settings.place.secret.encode(),
         )
         self._stop = threading.Event()
+        self._stop_plan = StopPlan()
         self._open_requests = OpenRequests(
             metrics=self.metrics, is_stopping=self._stop.is_set
         )
@@ -149,6 +142,7 @@
             settings.callers_address,
             self._make_handler(),
             threads=settings.worker_threads + REFUSAL_THREADS,
+            find_read_end=self._stop_plan.find_end,
         )
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.health_gossip.describe)
@@ -192,6 +186,7 @@
 
     def request_stop(self) -> None:
         """Request a graceful stop; safe in a signal handler."""
+        self._stop_plan.begin(self.settings.drain_seconds)
         self._stop.set()
 
     def _make_handler(self):
@@ -212,6 +207,7 @@
             ),
             is_stopping=self._stop.is_set,
             open_requests=self._open_requests,
+            stop_plan=self._stop_plan,
             mint_prefix=lambda: self.keys.mint_prefix(self.view.nodes),
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
@@ -348,7 +344,7 @@
     def _drain(self):
         """Leave the directory, finish the requests in flight, then stop."""
         write_event(_logger, log_events.PROCESS_STOPPING)
-        drain_deadline = time.monotonic() + self.settings.drain_seconds
+        drain_deadline = self._stop_plan.find_process_end()
         if self.state == "serving":
             self._change_state("stop")
             self._report()
@@ -356,11 +352,12 @@
             self._wait_for_directory(drain_deadline)
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
-        self._wait_until_idle(drain_deadline)
-        # Read before the server stops, which cuts the remaining requests off.
+        self._wait_until_idle(self._stop_plan.find_end())
+        # Read before their threads give them up.
         remaining = self.metrics.read_in_flight()
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
+            self._wait_until_idle(drain_deadline)
             self._open_requests.give_up_rest()
         self._wait_for_reports(drain_deadline)
         if self._relay_server is not None:
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/http_server.py
@@ -1,6 +1,7 @@
 """HTTP servers on cheroot with a WSGI gateway that exposes the connection."""
 
 import http.client
+import math
 import socket
 import threading
 import time
@@ -48,11 +49,17 @@
 
 
 class CallerServer(wsgi.Server):
-    """A server that hands a connection to a thread only once it has data to read."""
+    """A server that hands a connection to a thread only once it has data to read.
+
+    Attributes:
+        find_read_end: Returns the time of ``time.monotonic()`` at which requests that
+            are not whole are given up.
+    """
 
     def __init__(self, *arguments, **options):
         """Create a server, see the base class."""
         super().__init__(*arguments, **options)
+        self.find_read_end: Callable[[], float] = lambda: math.inf
         self._has_closed_idle = False
         self._has_ended = False
         self._idle_lock = threading.Lock()
@@ -143,7 +150,12 @@
 
 
 def make_server(
-    address: str, app: Callable, *, threads: int, idle_seconds: float = 30.0
+    address: str,
+    app: Callable,
+    *,
+    threads: int,
+    idle_seconds: float = 30.0,
+    find_read_end: Callable[[], float] = lambda: math.inf,
 ) -> wsgi.Server:
     """Make a server that listens at once and serves after ``serve`` is called.
 
@@ -152,6 +164,8 @@
         app: The WSGI application.
         threads: Maximum number of threads, each of which serves one request.
         idle_seconds: Maximum time to wait for the next bytes of a request.
+        find_read_end: Returns the time of ``time.monotonic()`` at which requests that
+            are not whole are given up.
 
     Returns:
         The server.
@@ -166,6 +180,7 @@
         request_queue_size=LISTEN_BACKLOG,
     )
     server.requests = WorkerPool(server, minimum=MINIMUM_THREADS, maximum=threads)
+    server.find_read_end = find_read_end
     server.gateway = ConnectionGateway
     server.ConnectionClass = CallerStream
     server.ConnectionClass.RequestHandlerClass = CheckedRequest
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/region_slots.py
@@ -154,6 +154,8 @@
                 )
             if response is None:
                 self._cancel_request(broker, request)
+                if query.is_too_late():
+                    return make_slot_refused(result_codes.ENTRY_STOPPING)
                 if query.is_disconnected():
                     return make_slot_refused(result_codes.CALLER_GONE)
                 self._unresponsive_brokers.add(broker)
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -15,9 +15,11 @@
 from citronspan.core.requests.account_limits import AccountLimits
 from citronspan.core.requests.entry_configuration import EntryConfiguration
 from citronspan.core.requests.route_table import choose_service, find_route
+from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
 from citronspan.ops.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.attempt_refusals import STOP_REFUSED, make_slot_refusal
 from citronspan.ops.attempts import AttemptRunner
 from citronspan.ops.caller_request import (
     CallerBody,
@@ -77,6 +79,7 @@
         tracer: trace.Tracer,
         is_stopping: Callable[[], bool],
         open_requests: OpenRequests,
+        stop_plan: StopPlan,
         mint_prefix: Callable[[], str],
         dialect: Dialect,
         reuse_seconds: float,
@@ -97,11 +100,13 @@
             reuse_seconds=reuse_seconds,
             is_stopping=is_stopping,
             has_other_target=self._has_other_target,
+            stop_plan=stop_plan,
         )
         self._metrics = metrics
         self._tracer = tracer
         self._is_stopping = is_stopping
         self._open_requests = open_requests
+        self._stop_plan = stop_plan
         self._mint_prefix = mint_prefix
         self._accounts = AccountLimits()
 
@@ -152,13 +157,18 @@
             keyed_request = None
             if needs_claim(request_context.spec, request.key):
                 with start_span(self._tracer, "key-claim"):
-                    keyed_request = claim_key(self._keys, request_context)
+                    keyed_request = self._claim_key(request_context)
             if isinstance(keyed_request, Replay):
                 return self._replay(keyed_request, start_response)
             return self._run(
                 request_context, keyed_request, start_response, received_at
             )
 
+    def _claim_key(self, request_context):
+        if self._attempts.is_too_late(request_context):
+            raise make_slot_refusal(request_context, STOP_REFUSED, may_have_run=False)
+        return claim_key(self._keys, request_context, self._stop_plan.find_end())
+
     def _run(
         self,
         request_context,
@@ -270,6 +280,9 @@
         start_response,
         received_at,
     ):
+        if self._is_stopping():
+            # The request may have begun before the stop.
+            request_context.request.connection.close_after_answer()
         headers = make_headers(request_context, attempt_response, self._name)
         reason = attempt_response.answer.reason
         status = attempt_response.answer.status
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -28,6 +28,7 @@
             worth does not depend on the time.
         is_disconnected: Returns whether the caller has disconnected.
         request_id: Identity of the request in logs.
+        is_too_late: Returns whether a slot would be of no use any more.
     """
 
     service: str
@@ -42,6 +43,7 @@
     goal_time: float = 0.0
     is_disconnected: Callable[[], bool] = lambda: False
     request_id: str = ""
+    is_too_late: Callable[[], bool] = lambda: False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
