Send nothing to a target during the time for which it wants nothing

A target that turns a request away with 503 may say for how long it takes nothing from this host. Nothing read it: alone in its service, a target got 43 orders between half a second after such an answer and the end of its 4 s (two are allowed), and callers were told to come back after 0.3 s.

The adapter reads the time from a 503 only (seconds, fractions too). Above an hour or infinite counts as an hour; what is negative or no number, such as a date, is no pause; both write line 220 with the value, at a bounded rate, and each pause line 219. Where all targets of a service pause or leave, requests are refused at once, not run, without asking a broker, with the time until the first pause ends; so is the request that was turned away.

A pause is kept by the target's name and not by its incarnation: the rule counts requests of a host to a target, and a restart of the target doesn't excuse them.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -172,6 +172,18 @@
     "NOTICE",
     "A granted slot was given back unused, as the host may not use its target.",
 )
+TARGET_PAUSED = _define(
+    219,
+    "target-paused",
+    "NOTICE",
+    "A target refused a request and takes nothing from this host for some time.",
+)
+PAUSE_UNREADABLE = _define(
+    220,
+    "pause-unreadable",
+    "WARNING",
+    "A target stated its pause in a way that was not taken as it stands.",
+)
 BROKER_HANDED_OVER = _define(
     260,
     "broker-handed-over",
--- a/citronspan/ops/attempt_refusals.py
+++ b/citronspan/ops/attempt_refusals.py
@@ -35,12 +35,15 @@
     )
 
 
-def make_refusal(outcome_class: OutcomeClass, may_have_run: bool) -> Refusal:
+def make_refusal(
+    outcome_class: OutcomeClass, may_have_run: bool, pause_seconds: float = 0.0
+) -> Refusal:
     """Return the refusal for a request whose last attempt had an outcome.
 
     Args:
         outcome_class: Outcome class of the last attempt.
         may_have_run: Whether any attempt may have run.
+        pause_seconds: Time until a target may be used again, 0 if one may be now.
     """
     ran = Ran.MAY_HAVE_RUN if may_have_run else Ran.NOT_RUN
     if not may_have_run:
@@ -53,5 +56,7 @@
         code=code,
         detail=f"last attempt: {outcome_class}",
         ran=ran,
-        retry_after_seconds=None if may_have_run else REFUSED_RETRY_AFTER_SECONDS,
+        retry_after_seconds=None
+        if may_have_run
+        else pause_seconds or REFUSED_RETRY_AFTER_SECONDS,
     )
--- a/citronspan/ops/attempt_reporter.py
+++ b/citronspan/ops/attempt_reporter.py
@@ -92,6 +92,21 @@
             request_id = request_context.request.request_id
             self._slots.observe_notice(slot, notice, request_id)
 
+    def find_pause_seconds(
+        self, request_context: RequestContext, attempt_response: AttemptResponse
+    ) -> float:
+        """Return when a request that a pausing target turned away may come back.
+
+        Returns:
+            Time until a target of the service may be used, 0 if the target didn't ask
+            for a pause or another one may be used now.
+        """
+        answer = attempt_response.answer
+        notice = self._dialect.read_notice(answer.status, answer.find_header)
+        if not notice.pause_seconds:
+            return 0.0
+        return self._slots.find_pause_seconds(request_context.service_name)
+
     def _observe_seconds(self, request_context, started_at):
         seconds = time.monotonic() - started_at
         self._stop_plan.observe(request_context.work_kind, seconds)
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -178,7 +178,11 @@
             return attempt_response
         answer.abort_response()
         self.release(request_context, attempt_response)
-        raise make_refusal(attempt_response.outcome_class, may_have_run)
+        raise make_refusal(
+            attempt_response.outcome_class,
+            may_have_run,
+            self._reporter.find_pause_seconds(request_context, attempt_response),
+        )
 
     def _acquire(
         self, request_context, excluded, has_reached_target
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -348,3 +348,23 @@
     targets = LeavingTargets([answer(status, headers, ran=True)])
     run(targets, make_request_context(idempotent=True, is_repeatable=True, attempts=1))
     assert targets.notices == [("t-0", True, 0)]
+
+
+class PausingTargets(LeavingTargets):
+    """Targets of a service of which none may be used for five seconds."""
+
+    def find_pause_seconds(self, service):
+        assert self.notices
+        return 5.0
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_caller_is_told_to_come_back_while_all_targets_pause(attempts):
+    refusal = answer(503, {**NOT_RUN, "Retry-After": "5"}, ran=False)
+    targets = PausingTargets([refusal, AttemptStep(is_slot_refused=True)])
+    context = make_request_context(
+        idempotent=False, is_repeatable=True, attempts=attempts
+    )
+    _, refusal = run(targets, context)
+    assert refusal.code == result_codes.TARGET_REFUSED
+    assert refusal.retry_after_seconds == 5.0
--- a/citronspan/ops/dialect.py
+++ b/citronspan/ops/dialect.py
@@ -24,6 +24,13 @@
 LOAD_HEADER = "Target-Load"
 RATE_LIMIT_HEADER = "Target-Rate-Limit"
 LEAVING_HEADER = "Target-Leaving"
+PAUSE_HEADER = "Target-Pause-Seconds"
+
+MAXIMUM_PAUSE_SECONDS = 3600.0
+"""Longest pause that a target can ask for; a longer one is cut to it."""
+
+MAXIMUM_SHOWN_TEXT = 40
+"""Characters of an unreadable header that a log line shows."""
 
 _COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
 
@@ -138,8 +145,11 @@
         return parse_rate(find_header(RATE_LIMIT_HEADER))
 
     def read_notice(self, status: int, find_header: FindHeader) -> TargetNotice:
-        """Read ``Target-Leaving``."""
-        return TargetNotice(is_leaving=parse_flag(find_header(LEAVING_HEADER)))
+        """Read ``Target-Leaving``, and ``Target-Pause-Seconds`` with status 503."""
+        return make_notice(
+            leaving=find_header(LEAVING_HEADER),
+            pause=find_header(PAUSE_HEADER) if status == 503 else None,
+        )
 
     def format_retry_after(self, seconds: float) -> str:
         """Return whole seconds, as RFC 9110 requires, and at least 1."""
@@ -183,6 +193,39 @@
     return text is not None and text.strip() == "1"
 
 
+def make_notice(*, leaving: str | None, pause: str | None) -> TargetNotice:
+    """Make the notice of a target from the values of two headers.
+
+    Args:
+        leaving: ``1`` if the target leaves, None if it doesn't say.
+        pause: Seconds for which it takes nothing from this host, None if it doesn't
+            say. What isn't a number of at least 0, such as a date, is no pause; more
+            than ``MAXIMUM_PAUSE_SECONDS`` is cut.
+    """
+    is_leaving = parse_flag(leaving)
+    if pause is None:
+        return TargetNotice(is_leaving=is_leaving)
+    problem = ""
+    try:
+        seconds = float(pause)
+    except ValueError:
+        # Ignored: the notice says that it isn't a number.
+        seconds = math.nan
+    if math.isnan(seconds):
+        problem = "no number"
+    elif seconds < 0:
+        problem = "negative"
+    elif seconds > MAXIMUM_PAUSE_SECONDS:
+        problem = "too long"
+    if problem in ("no number", "negative"):
+        seconds = 0.0
+    return TargetNotice(
+        is_leaving=is_leaving,
+        pause_seconds=min(seconds, MAXIMUM_PAUSE_SECONDS),
+        problem=f"{problem}: {pause[:MAXIMUM_SHOWN_TEXT]!r}" if problem else "",
+    )
+
+
 def parse_rate(text: str | None) -> float | None:
     """Parse the value of a header as a rate of requests per second.
 
--- a/citronspan/ops/notice_recorder.py
+++ b/citronspan/ops/notice_recorder.py
@@ -1,5 +1,6 @@
 """Records and logs what targets say of themselves to this host."""
 
+import threading
 from collections.abc import Mapping
 
 import logbook
@@ -9,6 +10,10 @@
 from citronspan.core.detection.target_notices import TargetNotice, TargetNotices
 from citronspan.ops.slot_source import Slot
 from citronspan.utils.logs import write_event
+from citronspan.utils.token_bucket import TokenBucket
+
+PAUSE_LINES_PER_SECOND = 2.0
+PAUSE_BURST_LINES = 20.0
 
 _logger = logbook.Logger("slots")
 
@@ -22,6 +27,10 @@
 
     def __init__(self):
         self.table = TargetNotices()
+        self._lock = threading.Lock()
+        self._pause_line_bucket = TokenBucket(
+            rate=PAUSE_LINES_PER_SECOND, burst=PAUSE_BURST_LINES
+        )
 
     def set_targets(
         self, targets_by_service: Mapping[str, tuple[TargetInfo, ...]]
@@ -66,3 +75,27 @@
                 broker=slot.broker,
                 source="answer",
             )
+        if notice.problem:
+            self._write_pause_line(
+                log_events.PAUSE_UNREADABLE, slot, notice, request_id
+            )
+        if notice.pause_seconds and self.table.record_pause(
+            slot.target, notice.pause_seconds
+        ):
+            self._write_pause_line(log_events.TARGET_PAUSED, slot, notice, request_id)
+
+    def _write_pause_line(self, event, slot, notice, request_id):
+        """Log a pause, unless a target that refuses all the time fills the log."""
+        with self._lock:
+            if not self._pause_line_bucket.take():
+                return
+        write_event(
+            _logger,
+            event,
+            id=request_id,
+            service=slot.shard.service,
+            target=slot.target,
+            broker=slot.broker,
+            seconds=notice.pause_seconds,
+            detail=notice.problem,
+        )
--- a/citronspan/ops/notice_recorder_test.py
+++ b/citronspan/ops/notice_recorder_test.py
@@ -38,3 +38,13 @@
     seen = [(line.extra["source"], line.extra["incarnation"]) for line in lines]
     assert seen == [("configuration", 7), ("answer", 7)]
     assert {line.extra["service"] for line in lines} == {"s"}
+
+
+def test_target_that_pauses_again_and_again_fills_the_log(lines):
+    recorder = NoticeRecorder()
+    for number in range(100):
+        notice = TargetNotice(pause_seconds=1.0 + number, problem="too long: '9'")
+        recorder.observe(SLOT, notice, "r-1")
+    assert lines[0].extra["detail"] == "too long: '9'"
+    assert {line.message for line in lines} == {"target-paused", "pause-unreadable"}
+    assert len(lines) < 40
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/region_slots.py
@@ -149,6 +149,30 @@
             )
         return make_slot_refused(result_codes.NO_CAPACITY)
 
+    def refuse_if_unusable(self, service: str) -> SlotRefused | None:
+        """Return a refusal if this entry may use no target of a service, else None.
+
+        Its time is that until the first pause of a target ends.
+        """
+        unusable = self._notices.find_unusable()
+        if not unusable:
+            return None
+        with self._lock:
+            groups = self._brokers.shards_by_group
+            targets = [
+                target
+                for key, shards in groups.items()
+                if key[0] == service
+                for shard in shards
+                for target in shard.targets
+            ]
+        if not targets or any(target.name not in unusable for target in targets):
+            return None
+        seconds = self._notices.find_pause_seconds(targets)
+        return make_slot_refused(
+            result_codes.NO_CAPACITY, seconds or DEFAULT_RETRY_AFTER_SECONDS
+        )
+
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this entry may use a slot's target now, and log if not."""
         reason = self._notices.find_reason(slot.target)
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -139,7 +139,9 @@
         order = list(regions)
         if len(regions) > 1 and regions[0] == self._region:
             order.append(self._region)
-        refused = None
+        refused = self._region_slots.refuse_if_unusable(query.service)
+        if refused is not None:
+            return refused
         for number, region in enumerate(order):
             has_other_region = number < len(order) - 1
             result = self._region_slots.acquire(
@@ -151,12 +153,20 @@
             if isinstance(result, Slot):
                 return result
             refused = result
-        return refused or make_slot_refused(result_codes.NO_CAPACITY)
+        if refused is None:
+            return make_slot_refused(result_codes.NO_CAPACITY)
+        # A notice may have come while the request waited for a slot.
+        return self._region_slots.refuse_if_unusable(query.service) or refused
 
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this entry may send a request to a slot's target now."""
         return self._region_slots.may_use(slot, request_id)
 
+    def find_pause_seconds(self, service: str) -> float:
+        """Return the time until this entry may use a target of a service again."""
+        refused = self._region_slots.refuse_if_unusable(service)
+        return 0.0 if refused is None else refused.retry_after_seconds
+
     def observe_notice(self, slot: Slot, notice: TargetNotice, request_id: str) -> None:
         """Take what a slot's target said of itself in an answer.
 
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -437,3 +437,57 @@
     requester.release(requester.acquire())
     seen = [(message.excluded, message.asked_before) for message in messages]
     assert seen == [((slot.target,), False)]
+
+
+PAUSES = TargetNotice(pause_seconds=60.0)
+
+
+def test_target_that_wants_nothing_for_some_time_is_granted(pair):
+    broker, requester = pair
+    slots = {slot.target: slot for slot in (requester.acquire() for _ in TARGETS)}
+    requester.slots.observe_notice(slots["t0"], PAUSES, "r-1")
+    for slot in slots.values():
+        requester.release(slot)
+    assert acquire_pairs(requester) == {"t1", "t2"}
+    assert {broker.acquire().target for _ in TARGETS} == {"t0", "t1", "t2"}
+
+
+def test_pause_keeps_a_target_unused_after_its_end(pair):
+    _, requester = pair
+    slots = [requester.acquire() for _ in TARGETS]
+    for slot in slots:
+        requester.slots.observe_notice(slot, TargetNotice(pause_seconds=0.2), "r-1")
+        requester.release(slot)
+    assert isinstance(requester.acquire(), SlotRefused)
+    time.sleep(0.2)
+    assert isinstance(requester.acquire(), Slot)
+
+
+def test_caller_is_told_to_come_back_while_all_targets_pause_or_leave(pair):
+    broker, requester = pair
+    slots = [requester.acquire() for _ in TARGETS]
+    messages = []
+    record_slot_requests(broker.slots, messages)
+    for slot, seconds in zip(slots[1:], (50.0, 60.0), strict=True):
+        notice = TargetNotice(pause_seconds=seconds)
+        requester.slots.observe_notice(slot, notice, "r-1")
+    requester.slots.observe_notice(slots[0], LEAVES, "r-1")
+    refused = requester.acquire()
+    assert refused.code == result_codes.NO_CAPACITY
+    assert 49.0 < refused.retry_after_seconds <= 50.0
+    assert messages == []
+
+
+def test_request_that_waits_for_a_pausing_target_is_told_to_come_back_early(pair):
+    _, requester = pair
+    slots = [requester.acquire() for _ in TARGETS]
+    answers = []
+    waiting = threading.Thread(target=lambda: answers.append(requester.acquire()))
+    waiting.start()
+    time.sleep(0.1)
+    for slot in slots:
+        requester.slots.observe_notice(slot, PAUSES, "r-1")
+        requester.release(slot)
+    waiting.join(DEADLINE_SECONDS)
+    assert [answer.code for answer in answers] == [result_codes.NO_CAPACITY]
+    assert answers[0].retry_after_seconds > 55.0
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -93,6 +93,12 @@
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this host may send a request to a slot's target now."""
 
+    def find_pause_seconds(self, service: str) -> float:
+        """Return the time until this host may use a target of a service again.
+
+        It is 0 if it may use one now, or if no target of the service pauses.
+        """
+
     def observe_notice(self, slot: Slot, notice: TargetNotice, request_id: str) -> None:
         """Take what a slot's target said of itself in an answer."""
 
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -7,8 +7,8 @@
 from citronspan.ops.dialect import (
     FindHeader,
     TargetAttempt,
+    make_notice,
     parse_count,
-    parse_flag,
     parse_positive,
     parse_rate,
 )
@@ -21,6 +21,7 @@
 _LOAD = "X-Citronspan-Backend-Load"
 _RATE_LIMIT = "Server-Limit"
 _LEAVING = "Server-Leaving"
+_PAUSE = "Retry-After"
 
 
 class PlatformDialect:
@@ -80,11 +81,15 @@
     def read_notice(self, status: int, find_header: FindHeader) -> TargetNotice:
         """Return what a target said of itself.
 
-        An answer with status 421 is that of another target at the address.
+        An answer with status 421 is that of another target at the address. The header
+        for a pause counts with status 503 only.
         """
         if status == 421:
             return TargetNotice()
-        return TargetNotice(is_leaving=parse_flag(find_header(_LEAVING)))
+        return make_notice(
+            leaving=find_header(_LEAVING),
+            pause=find_header(_PAUSE) if status == 503 else None,
+        )
 
     def format_retry_after(self, seconds: float) -> str:
         """Format seconds with a fraction, which the platform's callers accept."""
--- a/citronspan/platform/headers_test.py
+++ b/citronspan/platform/headers_test.py
@@ -3,6 +3,8 @@
 from citronspan.ops.dialect import (
     LEAVING_HEADER,
     LOAD_HEADER,
+    MAXIMUM_PAUSE_SECONDS,
+    PAUSE_HEADER,
     RATE_LIMIT_HEADER,
     DefaultDialect,
 )
@@ -69,3 +71,41 @@
     assert (
         not PlatformDialect().read_notice(421, {"Server-Leaving": "1"}.get).is_leaving
     )
+
+
+PAUSE_HEADER_BY_DIALECT = {
+    PlatformDialect(): "Retry-After",
+    DefaultDialect(): PAUSE_HEADER,
+}
+
+
+@pytest.mark.parametrize(("dialect", "header"), PAUSE_HEADER_BY_DIALECT.items())
+@pytest.mark.parametrize(
+    ("text", "seconds", "problem"),
+    [
+        (None, 0.0, ""),
+        ("4", 4.0, ""),
+        (" 0.25 ", 0.25, ""),
+        ("0", 0.0, ""),
+        ("3600", MAXIMUM_PAUSE_SECONDS, ""),
+        ("3600.5", MAXIMUM_PAUSE_SECONDS, "too long"),
+        ("inf", MAXIMUM_PAUSE_SECONDS, "too long"),
+        ("-1", 0.0, "negative"),
+        ("-inf", 0.0, "negative"),
+        ("nan", 0.0, "no number"),
+        ("", 0.0, "no number"),
+        ("Sat, 05 Dec 2026 08:00:00 GMT", 0.0, "no number"),
+        ("9" * 5000, MAXIMUM_PAUSE_SECONDS, "too long"),
+    ],
+)
+def test_pause_is_misread(dialect, header, text, seconds, problem):
+    notice = dialect.read_notice(503, {header: text}.get)
+    assert notice.pause_seconds == seconds
+    assert notice.problem.partition(":")[0] == problem
+    assert len(notice.problem) < 100
+
+
+@pytest.mark.parametrize(("dialect", "header"), PAUSE_HEADER_BY_DIALECT.items())
+@pytest.mark.parametrize("status", [200, 421, 429, 500])
+def test_pause_is_taken_from_an_answer_that_is_no_refusal(dialect, header, status):
+    assert dialect.read_notice(status, {header: "4"}.get).pause_seconds == 0.0
