Send peers a record that differs from any one since the last sent

What callers saw: a host started while the store showed a draining target as ready again, by an older record at a later offset, went on taking the target for ready; requests through it and through calm hosts whose broker it was reached the target until the run ended.

Cause: the reader leaves out records that equal its own copy. It had passed over the older record, so the target's next heartbeats, draining as before, said nothing new to it, and the started host, which knew the older one alone, didn't get them for up to 20 s. Likewise a change and its withdrawal in one read left out both, though a peer may have read the change by itself.

Why the fix works: a record is left out only if it equals both the own copy and the last record sent, and all records of a read are compared, not only the newest of each key. Peers at any offset between then get the newest.

The tests' reader now hands the filter the batch as read, as the product does; its checks are the same.

--- a/citronspan/core/configuration/feed_changes.py
+++ b/citronspan/core/configuration/feed_changes.py
@@ -7,17 +7,27 @@
 
 import msgspec
 
-from citronspan.core.configuration.feeds import Feed, FeedBatch, FeedRecord
+from citronspan.core.configuration.feeds import (
+    Feed,
+    FeedBatch,
+    FeedRecord,
+    drop_superseded_records,
+)
 
 REPEAT_SECONDS = 20.0
 """Time after which a record without news is sent again, in case a peer lost it."""
 
 
 class ChangeFilter:
-    """Remembers by key when a record of one feed was last sent to peers."""
+    """Remembers by key what record of one feed was last sent to peers, and when.
+
+    A peer may have read any part of the log by itself, and may know less of the past.
+    So a record is news if it differs from any record since the last one that was sent,
+    also from one that the own feed passed over as older.
+    """
 
     def __init__(self):
-        self._sent_at_by_key: dict[str, float] = {}
+        self._sent_by_key: dict[str, tuple[bytes | None, float]] = {}
 
     def drop_unchanged_records(
         self, batch: FeedBatch, feed: Feed, now: float
@@ -25,26 +35,27 @@
         """Return a batch without the records that peers need not receive.
 
         Args:
-            batch: A batch that is to be applied to the feed next, with at most one
-                record of each key.
+            batch: A batch that is to be applied to the feed next.
             feed: The feed.
             now: Present time.
 
         Returns:
-            The batch for the peers. A whole batch keeps all of its records, because a
-            key without a record counts as removed.
+            The batch for the peers, with at most one record of each key. A whole batch
+            keeps the newest of each, because a key without a record counts as removed.
         """
-        records = tuple(
-            record
+        news = {
+            record.key
             for record in batch.records
             if batch.whole or self._is_news(record, feed, now)
-        )
+        }
+        newest = drop_superseded_records(batch)
+        records = tuple(record for record in newest.records if record.key in news)
         for record in records:
-            self._sent_at_by_key[record.key] = now
+            self._sent_by_key[record.key] = (record.data, now)
         self._forget_removed_keys(feed, records)
-        if len(records) == len(batch.records):
-            return batch
-        return msgspec.structs.replace(batch, records=records)
+        if len(records) == len(newest.records):
+            return newest
+        return msgspec.structs.replace(newest, records=records)
 
     def _is_news(self, record: FeedRecord, feed: Feed, now: float) -> bool:
         if record.data is None or record.lapsed or feed.is_lapsed(record.key):
@@ -52,10 +63,13 @@
         current = feed.record_by_key.get(record.key)
         if current is None or current.data != record.data:
             return True
-        sent_at = self._sent_at_by_key.get(record.key)
-        return sent_at is None or now >= sent_at + REPEAT_SECONDS
+        sent = self._sent_by_key.get(record.key)
+        if sent is None:
+            return True
+        data, sent_at = sent
+        return data != record.data or now >= sent_at + REPEAT_SECONDS
 
     def _forget_removed_keys(self, feed, records):
         sent = {record.key for record in records}
-        for key in self._sent_at_by_key.keys() - feed.record_by_key.keys() - sent:
-            del self._sent_at_by_key[key]
+        for key in self._sent_by_key.keys() - feed.record_by_key.keys() - sent:
+            del self._sent_by_key[key]
--- a/citronspan/core/configuration/feed_changes_test.py
+++ b/citronspan/core/configuration/feed_changes_test.py
@@ -51,9 +51,8 @@
         self.sent = 0
 
     def read(self, batch, now=0.0):
-        batch = drop_superseded_records(batch)
         news = self.filter.drop_unchanged_records(batch, self.feed, now)
-        self.feed.apply(batch)
+        self.feed.apply(drop_superseded_records(batch))
         self.peer.apply(news)
         self.sent += len(news.records)
         return news
@@ -96,6 +95,45 @@
     assert "t-1" in reader.peer.record_by_key
 
 
+def test_change_that_a_peer_read_by_itself_stays_there_after_its_withdrawal(clock):
+    reader = Reader()
+    reader.read(make_batch(0, ("t-1", b"[]")))
+    reader.peer.apply(make_batch(1, ("t-1", b"[1]")))
+    reader.read(make_batch(1, ("t-1", b"[1]"), ("t-1", b"[]")))
+    assert list_data(reader.peer) == list_data(reader.feed)
+
+
+def test_peer_that_knows_an_older_copy_alone_never_gets_the_newer_one_back(clock):
+    reader = Reader()
+    reader.read(make_batch(5, ("t-1", b"[1]"), whole=True))
+    older = FeedRecord(offset=6, key="t-1", data=b"[]", version=1)
+    batch = msgspec.structs.replace(make_batch(6, ("t-1", b"[]")), records=(older,))
+    reader.peer = Feed(name=TARGETS_FEED)
+    reader.peer.apply(msgspec.structs.replace(batch, whole=True))
+    reader.read(batch)
+    reader.read(make_batch(7, ("t-1", b"[1]")))
+    assert list_data(reader.feed) == {"t-1": b"[1]"}
+    assert list_data(reader.peer) == list_data(reader.feed)
+
+
+@settings(max_examples=200)
+@given(
+    st.lists(st.sampled_from([b"[]", b"[1]", None]), min_size=1, max_size=12),
+    st.data(),
+)
+def test_peer_that_read_a_part_of_the_log_by_itself_has_other_data(log, data):
+    reader = Reader()
+    offset = 0
+    while offset < len(log):
+        end = data.draw(st.integers(offset + 1, len(log)))
+        read_ahead = data.draw(st.integers(offset, end))
+        items = [("t-1", item) for item in log[offset:end]]
+        reader.peer.apply(make_batch(offset, *items[: read_ahead - offset]))
+        reader.read(make_batch(offset, *items))
+        offset = end
+        assert list_data(reader.peer) == list_data(reader.feed)
+
+
 @settings(max_examples=200)
 @given(
     st.lists(
--- a/citronspan/core/configuration/feed_spread.py
+++ b/citronspan/core/configuration/feed_spread.py
@@ -208,11 +208,11 @@
         Returns:
             Messages to send, and the new state if it changed.
         """
-        batch = drop_superseded_records(batch)
         feed = self._feed_by_name[batch.feed]
         news = self._change_filter_by_feed[batch.feed].drop_unchanged_records(
             batch, feed, time.monotonic()
         )
+        batch = drop_superseded_records(batch)
         changed = self._apply_batch(batch)
         if changed:
             self._append_recent(news)
