Tell entries that start again of the quarantines that are in force

Cause: a notice of a quarantine went to the entries of the view in which it began, and once more each 20 s. An entry that came later knew nothing until the next renewal.

Why it works: each entry keeps which entries are new in its view. Notices say how long a quarantine has left and hold without evidence. What is passed on ends when it would have ended. Earlier versions ignore the new field, and a notice without crashes changes nothing there. Without quarantines nothing is sent.

--- a/citronspan/core/detection/poison.py
+++ b/citronspan/core/detection/poison.py
@@ -68,11 +68,14 @@
         service: Name of the service.
         fingerprint: Fingerprint of the request.
         crashes: Its crashes, at most one for each target.
+        quarantine_seconds: Time left of its quarantine at the sender, 0 without one.
+            A quarantine outlasts the evidence that began it.
     """
 
     service: str
     fingerprint: int
     crashes: tuple[CrashReport, ...]
+    quarantine_seconds: float = 0.0
 
 
 class _Crash:
@@ -287,7 +290,10 @@
             if self.is_quarantined(fingerprint):
                 quarantined.append(fingerprint)
                 continue
-            last = max(crash.at for crash in suspect.crash_by_target.values())
+            last = max(
+                (crash.at for crash in suspect.crash_by_target.values()),
+                default=-math.inf,
+            )
             if now - last > SUSPECT_SECONDS:
                 del self._suspect_by_fingerprint[fingerprint]
         return tuple(quarantined)
@@ -306,11 +312,15 @@
                 for target, crash in sorted(suspect.crash_by_target.items())
                 if now - crash.at <= SUSPECT_SECONDS
             )
-            if not crashes:
+            left = max(suspect.quarantined_at + QUARANTINE_SECONDS - now, 0.0)
+            if not crashes and not left:
                 continue
             notices.append(
                 PoisonNotice(
-                    service=self._service, fingerprint=fingerprint, crashes=crashes
+                    service=self._service,
+                    fingerprint=fingerprint,
+                    crashes=crashes,
+                    quarantine_seconds=left,
                 )
             )
         return tuple(notices)
@@ -319,11 +329,17 @@
         """Merge a notice of another process, in any order and with duplicates.
 
         Several reports on one target are combined into the strongest evidence and the
-        earliest time.
+        earliest time, several quarantines into the one that ends last.
         """
         if notice.service != self._service:
             return
         now = time.monotonic()
+        if notice.quarantine_seconds > 0:
+            left = min(notice.quarantine_seconds, QUARANTINE_SECONDS)
+            suspect = self._get_or_create_suspect(notice.fingerprint)
+            suspect.quarantined_at = max(
+                suspect.quarantined_at, now + left - QUARANTINE_SECONDS
+            )
         for report in notice.crashes:
             age_seconds = max(report.age_seconds, 0.0)
             if age_seconds > SUSPECT_SECONDS:
--- a/citronspan/core/detection/poison_test.py
+++ b/citronspan/core/detection/poison_test.py
@@ -110,9 +110,10 @@
 
 
 NOTICES = st.builds(
-    lambda fingerprint, crashes: PoisonNotice(
+    lambda fingerprint, crashes, quarantine_seconds: PoisonNotice(
         service="a",
         fingerprint=fingerprint,
+        quarantine_seconds=quarantine_seconds,
         crashes=tuple(
             CrashReport(target=f"t{target}", nats=nats, age_seconds=age)
             for target, nats, age in crashes
@@ -120,6 +121,7 @@
     ),
     st.integers(1, 3),
     st.lists(st.tuples(st.integers(0, 3), st.floats(0, 9), st.floats(0, 70))),
+    st.sampled_from([0.0, 0.0, 20.0, 299.0]),
 )
 
 
--- a/citronspan/ops/health_gossip.py
+++ b/citronspan/ops/health_gossip.py
@@ -11,6 +11,7 @@
 
 from citronspan.core.brokering.broker_set import BrokerSet
 from citronspan.core.detection.health import TargetInfo
+from citronspan.core.detection.new_entries import NewEntries
 from citronspan.core.detection.poison import PoisonNotice
 from citronspan.core.detection.verdict_schedule import (
     VerdictSchedule,
@@ -19,7 +20,7 @@
 )
 from citronspan.core.detection.verdicts import Verdict, VerdictPush, VerdictTable
 from citronspan.core.message_base import Multicast, Outgoing
-from citronspan.core.node_messages import ShardReport, TargetReport
+from citronspan.core.node_messages import NodeInfo, ShardReport, TargetReport
 from citronspan.ops.broker_log import BrokerLog
 from citronspan.ops.quarantine import Quarantine
 from citronspan.ops.shard_report import make_received_report, make_shard_report
@@ -51,6 +52,7 @@
         self._target_log = TargetLog()
         self._broker_log = BrokerLog()
         self._schedule = VerdictSchedule()
+        self._new_entries = NewEntries(name=name)
 
     def merge_verdicts(self, verdicts: tuple[Verdict, ...]) -> None:
         """Merge the verdicts of another broker."""
@@ -62,6 +64,12 @@
         with self._lock:
             self._quarantine.merge(notice)
 
+    def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> list[Outgoing]:
+        """Apply a new view; return what its new entries are told at once."""
+        with self._lock:
+            self._new_entries.set_nodes(nodes)
+            return self._quarantine.tell_new_entries(self._new_entries.list_due())
+
     def write_logs(self) -> None:
         """Log what changed at the brokers of this entry and at their targets."""
         with self._lock:
@@ -151,4 +159,7 @@
                 brokers_by_service.setdefault(service, set()).update(found)
             entries = {node.entry_peer_address for node in table.list_nodes()}
             entries.discard(self._brokers.address)
-            return self._quarantine.collect_notices(brokers_by_service, entries)
+            return [
+                *self._quarantine.collect_notices(brokers_by_service, entries),
+                *self._quarantine.tell_new_entries(self._new_entries.list_due()),
+            ]
--- a/citronspan/ops/quarantine.py
+++ b/citronspan/ops/quarantine.py
@@ -2,7 +2,8 @@
 
 A notice of crashes goes to the brokers of the service's other shards, so that crashes
 on targets of different shards are combined. A notice of a quarantine goes to every
-entry and is renewed while the quarantine lasts.
+entry and is renewed while there is evidence. An entry that is new in the view is told
+of all quarantines, for as long as they last.
 """
 
 import time
@@ -18,6 +19,9 @@
 
 RENEWAL_INTERVAL_SECONDS = 20.0
 
+MAXIMUM_TOLD_NOTICES = 64
+"""Quarantines of one service that a new entry is told of."""
+
 _logger = logbook.Logger("quarantine")
 
 
@@ -85,11 +89,30 @@
                 receivers = brokers_by_service.get(service, set()) & entries
                 if table.is_quarantined(notice.fingerprint):
                     receivers = entries
-                if self._record_if_due(notice, table):
+                if self._record_if_due(notice, table) and notice.crashes:
                     outgoing += [Outgoing(to=to, message=notice) for to in receivers]
         self._discard_expired()
         return outgoing
 
+    def tell_new_entries(self, entries: Iterable[str]) -> list[Outgoing]:
+        """Return the notices of all quarantines, for entries that are new.
+
+        Args:
+            entries: Peer addresses of the new entries.
+
+        Returns:
+            Messages to send.
+        """
+        entries = list(entries)
+        if not entries:
+            return []
+        return [
+            Outgoing(to=to, message=notice)
+            for table in self._table_by_service.values()
+            for notice in _list_newest_quarantines(table)
+            for to in entries
+        ]
+
     def _record_if_due(self, notice, table) -> bool:
         """Return whether a notice is due; if it is, record it as sent."""
         sent = self._sent_by_id.setdefault(
@@ -129,3 +152,10 @@
             table = PoisonTable(service=service)
             self._table_by_service[service] = table
         return table
+
+
+def _list_newest_quarantines(table):
+    table.list_quarantined()
+    notices = [notice for notice in table.export_notices() if notice.quarantine_seconds]
+    notices.sort(key=lambda notice: notice.quarantine_seconds)
+    return notices[-MAXIMUM_TOLD_NOTICES:]
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -258,6 +258,7 @@
         """Apply a new view and hand over each shard that has another broker now."""
         with self._lock:
             outgoing = self.brokers.set_nodes(nodes)
+            outgoing += self.health_gossip.set_nodes(nodes)
         self._send_all(outgoing)
 
     def set_services(
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -1,13 +1,20 @@
+import contextlib
 import dataclasses
 import os
 import threading
 import time
 
+import msgspec
 import pytest
 
 from citronspan.core import result_codes
 from citronspan.core.brokering.broker_messages import SlotRequest
 from citronspan.core.detection.health import TargetInfo
+from citronspan.core.detection.poison import (
+    SUSPECT_SECONDS,
+    CrashReport,
+    PoisonNotice,
+)
 from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
@@ -23,6 +30,7 @@
 # A request must receive a slot or a refusal long before its own deadline.
 DEADLINE_SECONDS = 5.0
 MAXIMUM_ACQUIRE_SECONDS = 2.0
+QUARANTINE_KNOWN_SECONDS = 5.0
 TARGETS = tuple(
     TargetInfo(
         name=f"t{number}",
@@ -81,6 +89,9 @@
         thread.start()
 
     def handle_envelope(self, envelope):
+        if isinstance(envelope.body, PoisonNotice):
+            self.slots.health_gossip.merge_notice(envelope.body)
+            return
         self.slots.handle(envelope.sender, envelope.body)
 
     def acquire(self, seconds=DEADLINE_SECONDS, excluded=(), goal_seconds=0.0):
@@ -491,3 +502,32 @@
     waiting.join(DEADLINE_SECONDS)
     assert [answer.code for answer in answers] == [result_codes.NO_CAPACITY]
     assert answers[0].retry_after_seconds > 55.0
+
+
+@pytest.mark.parametrize("age_seconds", [0.5, SUSPECT_SECONDS - 0.5])
+def test_entry_that_was_started_again_passes_on_a_quarantined_request(
+    pair, age_seconds
+):
+    broker, requester = pair
+    crashes = tuple(
+        CrashReport(target=target, nats=9.0, age_seconds=age_seconds)
+        for target in ("t0", "t1")
+    )
+    notice = PoisonNotice(service="s", fingerprint=1, crashes=crashes)
+    broker.slots.health_gossip.merge_notice(notice)
+    broker.link.send_all(broker.slots.health_gossip.collect_notices())
+    # The evidence of one of the two cases is too old by now.
+    time.sleep(1.0)
+    requester.link.close()
+    ip = requester.link.address.partition(":")[0]
+    again = RunningEntry(requester.node.name, ip)
+    node = msgspec.structs.replace(again.node, entry_incarnation=2)
+    deadline = time.monotonic() + QUARANTINE_KNOWN_SECONDS
+    with contextlib.closing(again.link):
+        for item in (broker, again):
+            item.slots.set_nodes((broker.node, node))
+        # Without services, all other requests are refused for want of capacity.
+        while again.acquire().code != result_codes.REQUEST_QUARANTINED:
+            assert time.monotonic() < deadline, "the new entry passes the request on"
+            broker.link.send_all(broker.slots.health_gossip.collect_notices())
+            time.sleep(0.1)
