Show more ways in which a stop cut requests

Reads, keyed orders, a pipelined order behind a read that began before SIGTERM, large uploads, two and all hosts that stop at once, a second SIGTERM with a SIGHUP, and quick requests of a known kind late in the stop.

--- a/citronspan_standins/planned_stop_test.py
+++ b/citronspan_standins/planned_stop_test.py
@@ -39,6 +39,14 @@
 """Times of the last bytes of requests, in seconds after SIGTERM."""
 
 
+def make_head(request_id, method, path, length, headers=""):
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"{REQUEST_ID}: {request_id}\r\nContent-Length: {length}\r\n{headers}"
+        f"X-Citronspan-Deadline-Ms: {int(DEADLINE_SECONDS * 1000)}\r\n\r\n"
+    ).encode()
+
+
 class WorkingTarget:
     """A target with a number of slots, which works for a fixed time on each request.
 
@@ -138,18 +146,22 @@
             self.process.wait()
 
     def send(
-        self, request_id, *, head_at, last_byte_at, method="POST", path="/order/1"
+        self,
+        request_id,
+        *,
+        head_at,
+        last_byte_at,
+        method="POST",
+        path="/order/1",
+        length=2,
+        headers="",
     ):
         """Send a request whose head and last byte leave at set times after SIGTERM."""
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
-            f"{REQUEST_ID}: {request_id}\r\nContent-Length: 2\r\n"
-            f"X-Citronspan-Deadline-Ms: {int(DEADLINE_SECONDS * 1000)}\r\n\r\n"
-        )
+        head = make_head(request_id, method, path, length, headers)
         self._sleep_until(head_at)
         with socket.create_connection(self.address, 1.0) as caller:
             caller.settimeout(DEADLINE_SECONDS + 2.0)
-            caller.sendall(head.encode() + b"x")
+            caller.sendall(head + b"x" * (length - 1))
             self._sleep_until(last_byte_at)
             caller.sendall(b"y")
             return request_id, read_to_end(caller)
@@ -203,7 +215,7 @@
     return broken
 
 
-def play_stop(host, last_byte_times):
+def play_stop(host, last_byte_times, prefix="id", **options):
     """Stop a host while requests arrive slowly; return their ids and responses."""
     host.stop()
     killer = threading.Thread(target=host.kill_after_grace)
@@ -212,9 +224,10 @@
         sent = [
             executor.submit(
                 host.send,
-                f"id-{number}",
+                f"{prefix}-{number}",
                 head_at=0.9 + number % 5 * 0.3,
                 last_byte_at=last_byte_at,
+                **options,
             )
             for number, last_byte_at in enumerate(last_byte_times)
         ]
@@ -235,3 +248,92 @@
     with running as ([host, _], target):
         responses = play_stop(host, LAST_BYTE_TIMES)
         assert find_broken_promises(responses, target) == []
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        {"method": "GET", "path": "/read/1"},
+        {"headers": "Idempotency-Key: k-1\r\n"},
+    ],
+)
+def test_read_or_keyed_request_is_cut_off_in_a_stop(tmp_path, options):
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.9)
+    with running as ([host], target):
+        responses = play_stop(host, LAST_BYTE_TIMES, **options)
+        assert find_broken_promises(responses, target) == []
+
+
+def test_large_upload_that_fits_is_cut_off_in_a_stop(tmp_path):
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.9)
+    with running as ([host], target):
+        responses = play_stop(host, LAST_BYTE_TIMES[:6], length=700_000)
+        assert find_broken_promises(responses, target) == []
+        assert [response.status for _, response in responses] == [200] * 6
+
+
+def test_request_behind_one_that_began_before_the_stop_is_cut_off(tmp_path):
+    """The answer to the first one has to announce the end of the connection."""
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.9)
+    with running as ([host], target):
+        with socket.create_connection(host.address, 1.0) as caller:
+            caller.settimeout(DEADLINE_SECONDS)
+            caller.sendall(make_head("first", "GET", "/read/1", 0))
+            assert wait_until(lambda: "first" in target.started_at_by_id, 1.0)
+            host.stop()
+            caller.sendall(make_head("second", "POST", "/order/1", 0))
+            response = read_to_end(caller)
+        assert response.status == 200
+        assert response.find_complete_body() == b"done"
+        assert response.header_by_name["connection"] == "close"
+        assert "second" not in target.started_at_by_id
+
+
+def test_requests_are_cut_off_when_two_hosts_stop_at_once(tmp_path):
+    running = run_host_processes(tmp_path, count=3, slots=16, work_seconds=0.9)
+    with running as (hosts, target), ThreadPoolExecutor(2) as executor:
+        first = executor.submit(play_stop, hosts[0], LAST_BYTE_TIMES, "first")
+        time.sleep(1.0)
+        second = executor.submit(play_stop, hosts[1], LAST_BYTE_TIMES, "second")
+        responses = first.result() + second.result()
+        assert find_broken_promises(responses, target) == []
+        assert {response.status for _, response in responses} <= {200, 503}
+
+
+def test_requests_are_cut_off_when_all_hosts_stop_at_once(tmp_path):
+    running = run_host_processes(tmp_path, count=2, slots=16, work_seconds=0.9)
+    with running as (hosts, target), ThreadPoolExecutor(2) as executor:
+        played = [
+            executor.submit(play_stop, host, LAST_BYTE_TIMES, f"host-{number}")
+            for number, host in enumerate(hosts)
+        ]
+        responses = [item for future in played for item in future.result()]
+        assert find_broken_promises(responses, target) == []
+        assert any(response.status == 200 for _, response in responses)
+
+
+def test_second_signal_cuts_requests_off(tmp_path):
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.9)
+    with running as ([host], target), ThreadPoolExecutor(1) as executor:
+        played = executor.submit(play_stop, host, LAST_BYTE_TIMES)
+        time.sleep(2.0)
+        host.process.send_signal(signal.SIGTERM)
+        host.process.send_signal(signal.SIGHUP)
+        assert find_broken_promises(played.result(), target) == []
+
+
+def test_quick_requests_are_refused_late_in_a_stop(tmp_path):
+    """What is known to be quick is still served, until little time is left."""
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.05)
+    with running as ([host], target):
+        host.stopped_at = time.monotonic()
+        for number in range(10):
+            host.send(
+                f"before-{number}",
+                head_at=0.0,
+                last_byte_at=0.0,
+                headers="Connection: close\r\n",
+            )
+        responses = play_stop(host, LAST_BYTE_TIMES[:-2])
+        assert find_broken_promises(responses, target) == []
+        assert {response.status for _, response in responses} == {200}
