End relayed connections of peers from the begin of a stop

What peers saw: a stopping host took connections for peers and let requests begin on idle ones until its own requests had ended; those that were still under way at its end were cut. The bytes in such a connection can't be read for requests, so the only time at which one can be ended without cutting a request is when it is idle, and the first such time after SIGTERM is the best.

A request under way gets its answer.

Not solved: a request that begins on a connection that was never idle for 0.3 s, and one that crosses its end.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -345,6 +345,9 @@
         """Leave the directory, finish the requests in flight, then stop."""
         write_event(_logger, log_events.PROCESS_STOPPING)
         drain_deadline = self._stop_plan.find_process_end()
+        # A tunnel is ended when it is idle, which may be only now.
+        relay_stop = threading.Thread(target=self._stop_relay, args=[drain_deadline])
+        relay_stop.start()
         if self.state == "serving":
             self._change_state("stop")
             self._report()
@@ -360,8 +363,7 @@
             self._wait_until_idle(drain_deadline)
             self._open_requests.give_up_rest()
         self._wait_for_reports(drain_deadline)
-        if self._relay_server is not None:
-            self._relay_server.stop(drain_deadline)
+        relay_stop.join()
         self._server.shutdown_timeout = max(drain_deadline - time.monotonic(), 1.0)
         self._server.stop()
         for server in self._side_servers:
@@ -372,6 +374,10 @@
         self.link.close()
         write_event(_logger, log_events.PROCESS_STOPPED)
 
+    def _stop_relay(self, drain_deadline):
+        if self._relay_server is not None:
+            self._relay_server.stop(drain_deadline)
+
     def _wait_for_directory(self, drain_deadline):
         """Keep accepting while callers may still use this address."""
         wait_deadline = min(
@@ -389,7 +395,5 @@
             time.sleep(DRAIN_POLL_SECONDS)
 
     def _wait_until_idle(self, drain_deadline):
-        while time.monotonic() < drain_deadline:
-            if self.metrics.read_in_flight() == 0:
-                return
+        while time.monotonic() < drain_deadline and self.metrics.read_in_flight():
             time.sleep(DRAIN_POLL_SECONDS)
--- a/citronspan_standins/planned_stop_test.py
+++ b/citronspan_standins/planned_stop_test.py
@@ -30,7 +30,8 @@
 
 ROOT = Path(__file__).parents[1]
 NETWORK = f"127.{64 + os.getpid() % 128}.43"
-PORT = 29_000 + os.getpid() % 20 * 100
+PORT = 31_000 + os.getpid() % 20 * 50
+RELAY_PORT = 8092
 STOP_SECONDS = 6.0
 START_SECONDS = 30.0
 SETTLE_SECONDS = 1.0
@@ -337,3 +338,28 @@
         responses = play_stop(host, LAST_BYTE_TIMES[:-2])
         assert find_broken_promises(responses, target) == []
         assert {response.status for _, response in responses} == {200}
+
+
+def open_tunnel(host, target):
+    """Ask the host as a peer for a tunnel; return the connection and the status."""
+    peer = socket.create_connection((host.address[0], RELAY_PORT), 1.0)
+    peer.settimeout(DEADLINE_SECONDS)
+    address = target.service.address
+    peer.sendall(f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+    return peer, int(peer.recv(65536).split(b" ", 2)[1])
+
+
+def test_peer_begins_a_request_on_a_tunnel_late_in_a_stop(tmp_path):
+    """A tunnel can't be ended later without cutting what began on it."""
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.9)
+    with running as ([host], target):
+        busy, _ = open_tunnel(host, target)
+        idle, status = open_tunnel(host, target)
+        assert status == 200
+        busy.sendall(make_head("busy", "GET", "/read/1", 0))
+        assert wait_until(lambda: "busy" in target.started_at_by_id, 1.0)
+        host.stop()
+        assert idle.recv(65536) == b""
+        assert time.monotonic() - host.stopped_at < 1.0
+        assert open_tunnel(host, target)[1] == 503
+        assert busy.recv(65536).startswith(b"HTTP/1.1 200")
