Wait for a target in a stop for as long as an answer can be written

Cause: one time served both for what may still begin and for what is given up.

Why it works: what is to begin, or to be read whole, has to fit until 0.2 s before the bound, as before. What is at a target is waited for until 0.2 s after it; a host is killed 0.4 s after it, so that the answers are still written.

--- a/citronspan/core/requests/stop_plan.py
+++ b/citronspan/core/requests/stop_plan.py
@@ -12,9 +12,13 @@
 from collections import deque
 from dataclasses import dataclass
 
-ANSWER_SECONDS = 0.2
-"""Time before the end of a stop at which what is still open is given up, so that the
-answers that say so are written."""
+PLAN_MARGIN_SECONDS = 0.2
+"""Time before the bound on a stop by which requests are to have ended. What is not read
+by then is refused."""
+
+GIVE_UP_SECONDS = 0.2
+"""Time after the bound at which what is at a target is given up. A host is killed twice
+as long after the bound, so that the answers that say so are still written."""
 
 RECENT_ATTEMPTS = 128
 MINIMUM_ATTEMPTS = 8
@@ -52,8 +56,8 @@
         self._lock = threading.Lock()
         self._recent_by_kind: dict[WorkKind, deque[float]] = {}
         self._begun_at = math.inf
-        self._ends_at = math.inf
-        self._process_ends_at = math.inf
+        self._planned_end = math.inf
+        self._bound = math.inf
 
     def begin(self, stop_seconds: float) -> None:
         """Note that the host was told to stop; a second call changes nothing.
@@ -61,26 +65,30 @@
         It takes no lock, since a signal handler calls it.
 
         Args:
-            stop_seconds: Time after which the process ends.
+            stop_seconds: Bound on the stop.
         """
         if self._begun_at < math.inf:
             return
         self._begun_at = time.monotonic()
-        answer_seconds = min(ANSWER_SECONDS, stop_seconds / 2)
-        self._process_ends_at = self._begun_at + stop_seconds
-        self._ends_at = self._process_ends_at - answer_seconds
+        margin_seconds = min(PLAN_MARGIN_SECONDS, stop_seconds / 2)
+        self._bound = self._begun_at + stop_seconds
+        self._planned_end = self._bound - margin_seconds
+
+    def find_planned_end(self) -> float:
+        """Return when requests are to have ended, infinity while there is no stop."""
+        return self._planned_end
+
+    def find_bound(self) -> float:
+        """Return the bound on the stop, infinity while there is none."""
+        return self._bound
 
     def find_end(self) -> float:
         """Return when open requests are given up, infinity while there is no stop."""
-        return self._ends_at
-
-    def find_process_end(self) -> float:
-        """Return when the process ends, infinity while there is no stop."""
-        return self._process_ends_at
+        return self._bound + GIVE_UP_SECONDS
 
     def has_ended(self) -> bool:
         """Return whether open requests are to be given up now."""
-        return time.monotonic() >= self._ends_at
+        return time.monotonic() >= self.find_end()
 
     def observe(self, kind: WorkKind, seconds: float) -> None:
         """Add the time that an attempt took, with its answer.
@@ -103,20 +111,20 @@
             request_deadline: Time of ``time.monotonic()`` at which the request is given
                 up anyway.
         """
-        if request_deadline <= self._ends_at:
+        if request_deadline <= self._planned_end:
             return False
         return time.monotonic() > self._find_latest_start(kind)
 
     def _find_latest_start(self, kind):
-        half = self._begun_at + UNKNOWN_SHARE * (self._ends_at - self._begun_at)
+        half = self._begun_at + UNKNOWN_SHARE * (self._planned_end - self._begun_at)
         with self._lock:
             recent = list(self._recent_by_kind.get(kind, ()))
         if len(recent) < MINIMUM_ATTEMPTS:
             return half
-        latest = self._ends_at - _add_margin(max(recent))
+        latest = self._planned_end - _add_margin(max(recent))
         if latest >= half:
             return latest
-        return min(half, self._ends_at - _add_margin(statistics.median(recent)))
+        return min(half, self._planned_end - _add_margin(statistics.median(recent)))
 
 
 def _add_margin(seconds):
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -18,7 +18,7 @@
     EntryConfiguration,
     apply_push,
 )
-from citronspan.core.requests.stop_plan import StopPlan
+from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
 from citronspan.core.settings import EntrySettings
 from citronspan.ops.dialect import DefaultDialect, Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -142,7 +142,7 @@
             settings.callers_address,
             self._make_handler(),
             threads=settings.worker_threads + REFUSAL_THREADS,
-            find_read_end=self._stop_plan.find_end,
+            find_read_end=self._stop_plan.find_planned_end,
         )
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.health_gossip.describe)
@@ -344,7 +344,7 @@
     def _drain(self):
         """Leave the directory, finish the requests in flight, then stop."""
         write_event(_logger, log_events.PROCESS_STOPPING)
-        drain_deadline = self._stop_plan.find_process_end()
+        drain_deadline = self._stop_plan.find_bound()
         # A tunnel is ended when it is idle, which may be only now.
         relay_stop = threading.Thread(target=self._stop_relay, args=[drain_deadline])
         relay_stop.start()
@@ -355,12 +355,12 @@
             self._wait_for_directory(drain_deadline)
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
-        self._wait_until_idle(self._stop_plan.find_end())
+        self._wait_until_idle(self._stop_plan.find_planned_end())
         # Read before their threads give them up.
         remaining = self.metrics.read_in_flight()
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
-            self._wait_until_idle(drain_deadline)
+            self._wait_until_idle(self._stop_plan.find_end() + GIVE_UP_SECONDS)
             self._open_requests.give_up_rest()
         self._wait_for_reports(drain_deadline)
         relay_stop.join()
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -167,7 +167,9 @@
     def _claim_key(self, request_context):
         if self._attempts.is_too_late(request_context):
             raise make_slot_refusal(request_context, STOP_REFUSED, may_have_run=False)
-        return claim_key(self._keys, request_context, self._stop_plan.find_end())
+        return claim_key(
+            self._keys, request_context, self._stop_plan.find_planned_end()
+        )
 
     def _run(
         self,
--- a/citronspan_standins/planned_stop_test.py
+++ b/citronspan_standins/planned_stop_test.py
@@ -363,3 +363,28 @@
         assert time.monotonic() - host.stopped_at < 1.0
         assert open_tunnel(host, target)[1] == 503
         assert busy.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_open_requests_get_no_answer_at_the_end_of_a_stop(tmp_path):
+    running = run_host_processes(tmp_path, slots=16, work_seconds=7.5)
+    with running as ([host], target):
+        responses = play_stop(host, (1.0, 1.5, 2.0, 2.3, 5.3))
+        assert [response.status for _, response in responses] == [504] * 4 + [503]
+        assert all(response.find_complete_body() for _, response in responses)
+        assert set(target.started_at_by_id) == {f"id-{number}" for number in range(4)}
+
+
+def test_request_that_is_never_whole_gets_no_answer_at_the_end_of_a_stop(tmp_path):
+    running = run_host_processes(tmp_path, slots=16, work_seconds=0.05)
+    with running as ([host], target), ThreadPoolExecutor(1) as executor:
+        with socket.create_connection(host.address, 1.0) as caller:
+            caller.settimeout(DEADLINE_SECONDS)
+            caller.sendall(make_head("half", "POST", "/order/1", 2) + b"x")
+            time.sleep(0.5)
+            host.stop()
+            killed = executor.submit(host.kill_after_grace)
+            response = read_to_end(caller)
+        killed.result()
+        assert (response.status, response.ran) == (408, "not-run")
+        assert response.find_complete_body()
+        assert target.started_at_by_id == {}
