--- a/citronspan_standins/planned_stop_test.py
+++ b/citronspan_standins/planned_stop_test.py
@@ -26,7 +26,7 @@
     make_configuration,
 )
 from citronspan_standins.raw_caller import read_to_end
-from citronspan_standins.store_service import StoreService, wait_until
+from citronspan_standins.store_service import StoreService, StoreSwitches, wait_until
 
 ROOT = Path(__file__).parents[1]
 NETWORK = f"127.{64 + os.getpid() % 128}.43"
@@ -53,15 +53,15 @@
 
     Attributes:
         started_at_by_id: Time at which the work on each request began.
-        broken_off: Ids of the requests whose connection ended during the work.
+        store: The store in which the target is registered.
     """
 
-    def __init__(self, *, name, port, slots, work_seconds):
+    def __init__(self, *, name, port, slots, work_seconds, store):
         self.name = name
+        self.store = store
         self.slots = slots
         self.work_seconds = work_seconds
         self.started_at_by_id: dict[str, float] = {}
-        self.broken_off: list[str] = []
         self.service = Service(
             address=f"127.0.0.1:{port}", handler=self.handle, threads=32
         )
@@ -179,7 +179,7 @@
     )
     store_service.start()
     target = WorkingTarget(
-        name="i-0", port=PORT + 1, slots=slots, work_seconds=work_seconds
+        name="i-0", port=PORT + 1, slots=slots, work_seconds=work_seconds, store=store
     )
     store.put(OPERATOR, "config", make_configuration(timeoutSeconds=DEADLINE_SECONDS))
     store.put(TARGETS, target.name, target.make_registration())
@@ -388,3 +388,39 @@
         assert (response.status, response.ran) == (408, "not-run")
         assert response.find_complete_body()
         assert target.started_at_by_id == {}
+
+
+def test_requests_are_cut_off_in_a_stop_beside_a_store_that_is_away(tmp_path):
+    running = run_host_processes(tmp_path, count=2, slots=16, work_seconds=0.9)
+    with running as ([host, _], target):
+        target.store.replace_switches(StoreSwitches(down=True))
+        time.sleep(1.0)
+        responses = play_stop(host, LAST_BYTE_TIMES)
+        assert find_broken_promises(responses, target) == []
+        assert responses[0][1].status == 200
+
+
+def test_request_at_a_host_that_stops_before_it_serves_gets_no_answer(tmp_path):
+    host = HostProcess(number=1, folder=tmp_path, store_address=f"127.0.0.1:{PORT}")
+    try:
+        assert wait_until(lambda: is_accepting(host.address), START_SECONDS)
+        with socket.create_connection(host.address, 1.0) as caller:
+            caller.settimeout(DEADLINE_SECONDS)
+            caller.sendall(make_head("early", "POST", "/order/1", 2) + b"x")
+            time.sleep(SETTLE_SECONDS)
+            host.stop()
+            caller.sendall(b"y")
+            response = read_to_end(caller)
+        assert (response.status, response.ran) == (503, "not-run")
+        assert host.process.wait(STOP_SECONDS) == 0
+    finally:
+        host.process.kill()
+        host.process.wait()
+
+
+def is_accepting(address):
+    try:
+        socket.create_connection(address, 1.0).close()
+    except OSError:
+        return False
+    return True
