Report a stop to the owner of a key by a code that all versions know

An entry of an earlier version that waits for the key takes a number that it does not know for a request that may have run (3015 is new). It gets 3002, which is as true for it: its own entry does not stop. Found by reading. The new test failed before, passes now.

--- a/citronspan/ops/keyed_request.py
+++ b/citronspan/ops/keyed_request.py
@@ -58,6 +58,10 @@
         if not self._mark_reported():
             return
         if code.ran is Ran.NOT_RUN and (ran or code.ran) is Ran.NOT_RUN:
+            # Other entries that wait for the key do not stop; an earlier one does not
+            # know the code.
+            if code is result_codes.ENTRY_STOPPING:
+                code = result_codes.NO_CAPACITY
             self._keys.report_not_run(self._permission, code)
             return
         self._keys.report_lost(self._permission)
--- /dev/null
+++ b/citronspan/ops/keyed_request_test.py
@@ -0,0 +1,16 @@
+"""Tests what an entry reports of a keyed request."""
+
+from unittest import mock
+
+from citronspan.core import result_codes
+from citronspan.ops.keyed_request import KeyedRequest
+
+
+def test_entry_of_an_earlier_version_takes_a_stop_for_a_run():
+    """It takes a code that it does not know for one that may have run."""
+    keys = mock.Mock()
+    request = KeyedRequest(keys=keys, permission=mock.sentinel.permission)
+    request.report_refused(result_codes.ENTRY_STOPPING, None)
+    keys.report_not_run.assert_called_once_with(
+        mock.sentinel.permission, result_codes.NO_CAPACITY
+    )
