Keep a removed key away though its last record comes again

Cause: a record counted as an older copy of a removed one only below the removed version, not at it. And peers knew a lower version than the reader: records without news are left out of what is sent to them, and the removal named none, so that at peers the copy was newer than what was removed.

Why the fix works: a target writes a higher sequence each time, so that the version that was removed can come from a copy alone, and the removal states the newest version to peers.

test_removed_key_does_not_return_with_an_older_version let the removed version return; it now demands that it doesn't, and that the next one does. It failed before, as did the test of very many registrations; test_peer_takes_an_older_copy_of_a_removed_key_for_a_new_one fails (2 and 4 of 6 cases) with the version left out of removals in part or in whole.

--- a/citronspan/core/configuration/feed_changes.py
+++ b/citronspan/core/configuration/feed_changes.py
@@ -18,6 +18,26 @@
 """Time after which a record without news is sent again, in case a peer lost it."""
 
 
+def state_removed_versions(batch: FeedBatch, feed: Feed) -> FeedBatch:
+    """Return a batch whose removals have the newest version that they removed.
+
+    Peers hold older versions, since they don't get records without news.
+
+    Args:
+        batch: A batch that is to be applied to the feed next.
+        feed: The feed.
+    """
+    version_by_key: dict[str, int] = {}
+    records = []
+    for record in batch.records:
+        version = version_by_key.get(record.key) or feed.find_version(record.key)
+        version_by_key[record.key] = max(version, record.version)
+        if record.data is None:
+            record = msgspec.structs.replace(record, version=version)
+        records.append(record)
+    return msgspec.structs.replace(batch, records=tuple(records))
+
+
 class ChangeFilter:
     """Remembers by key what record of one feed was last sent to peers, and when.
 
--- a/citronspan/core/configuration/feed_changes_test.py
+++ b/citronspan/core/configuration/feed_changes_test.py
@@ -5,7 +5,11 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from citronspan.core.configuration.feed_changes import REPEAT_SECONDS, ChangeFilter
+from citronspan.core.configuration.feed_changes import (
+    REPEAT_SECONDS,
+    ChangeFilter,
+    state_removed_versions,
+)
 from citronspan.core.configuration.feed_messages import FeedUpdate
 from citronspan.core.configuration.feed_spread_test import Fleet
 from citronspan.core.configuration.feeds import (
@@ -51,6 +55,7 @@
         self.sent = 0
 
     def read(self, batch, now=0.0):
+        batch = state_removed_versions(batch, self.feed)
         news = self.filter.drop_unchanged_records(batch, self.feed, now)
         self.feed.apply(drop_superseded_records(batch))
         self.peer.apply(news)
@@ -116,6 +121,27 @@
     assert list_data(reader.peer) == list_data(reader.feed)
 
 
+@pytest.mark.parametrize("reads", [1, 2])
+@pytest.mark.parametrize("copied", [6, 7, 8])
+def test_peer_takes_an_older_copy_of_a_removed_key_for_a_new_one(clock, copied, reads):
+    reader = Reader()
+    reader.read(make_batch(5, ("t-1", b"[]"), whole=True))
+    reader.read(make_batch(6, ("t-1", b"[]")))
+    last = make_batch(7, ("t-1", b"[]"))
+    removal = FeedRecord(offset=8, key="t-1")
+    if reads == 2:
+        reader.read(last)
+        last = make_batch(8)
+    records = (*last.records, removal)
+    reader.read(msgspec.structs.replace(last, next_offset=9, records=records))
+    older = FeedRecord(offset=9, key="t-1", data=b"[]", version=copied)
+    batch = make_batch(9, ("t-1", b"[]"))
+    reader.read(msgspec.structs.replace(batch, records=(older,)))
+    assert list_data(reader.feed) == list_data(reader.peer) == {}
+    reader.read(make_batch(10, ("t-1", b"[]")))
+    assert list_data(reader.feed) == list_data(reader.peer) == {"t-1": b"[]"}
+
+
 @settings(max_examples=200)
 @given(
     st.lists(st.sampled_from([b"[]", b"[1]", None]), min_size=1, max_size=12),
--- a/citronspan/core/configuration/feed_spread.py
+++ b/citronspan/core/configuration/feed_spread.py
@@ -22,7 +22,10 @@
 )
 from citronspan.core.configuration.config_state import ConfigState
 from citronspan.core.configuration.copy_age import CopyAge
-from citronspan.core.configuration.feed_changes import ChangeFilter
+from citronspan.core.configuration.feed_changes import (
+    ChangeFilter,
+    state_removed_versions,
+)
 from citronspan.core.configuration.feed_messages import (
     FeedOffsets,
     FeedPull,
@@ -209,6 +212,7 @@
             Messages to send, and the new state if it changed.
         """
         feed = self._feed_by_name[batch.feed]
+        batch = state_removed_versions(batch, feed)
         news = self._change_filter_by_feed[batch.feed].drop_unchanged_records(
             batch, feed, time.monotonic()
         )
--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -58,7 +58,7 @@
             comes back.
         version: Number that the writer of the key raises with each record, 0 if it
             has none. A store that was restored from a copy may hold an older version
-            at a later offset.
+            at a later offset. A removal may have the version that it removed.
     """
 
     offset: int
@@ -202,22 +202,33 @@
         removal_at = time.monotonic() + REMOVAL_GRACE_SECONDS
         self._removal_at_by_key.setdefault(key, removal_at)
 
-    def _remove(self, key):
+    def find_version(self, key: str) -> int:
+        """Return the newest known version of a key or a removed key, 0 if none."""
+        current = self.record_by_key.get(key)
+        version = 0 if current is None else current.version
+        return max(version, self._removed_version_by_key.get(key, 0))
+
+    def _remove(self, key, version=0):
         self._removal_at_by_key.pop(key, None)
-        removed = self.record_by_key.pop(key, None)
-        if removed is None or not removed.version:
+        version = max(version, self.find_version(key))
+        self.record_by_key.pop(key, None)
+        if not version:
             return
-        self._removed_version_by_key[key] = removed.version
+        self._removed_version_by_key[key] = version
         while len(self._removed_version_by_key) > MAXIMUM_REMOVED_KEYS:
             del self._removed_version_by_key[next(iter(self._removed_version_by_key))]
 
     def _is_older_version(self, record, current):
-        """Return whether a record is older than one that was stored or removed."""
+        """Return whether a record is older than one that was stored or removed.
+
+        The removal came after the record that it removed, so that the same version
+        again is an older copy, too.
+        """
         if not record.version:
             return False
         if current is not None:
             return record.version < current.version
-        return record.version < self._removed_version_by_key.get(record.key, 0)
+        return record.version <= self._removed_version_by_key.get(record.key, 0)
 
     def _apply_record(self, record):
         current = self.record_by_key.get(record.key)
@@ -227,7 +238,7 @@
             self._removal_at_by_key.pop(record.key, None)
             return
         if record.data is None and not record.lapsed:
-            self._remove(record.key)
+            self._remove(record.key, record.version)
             return
         if record.data is not None:
             self.record_by_key[record.key] = record
--- a/citronspan/core/configuration/feeds_test.py
+++ b/citronspan/core/configuration/feeds_test.py
@@ -270,6 +270,8 @@
     feed.apply(make_versioned_batch(1, offset=100, data=b"d"))
     assert not feed.record_by_key
     feed.apply(make_versioned_batch(2, offset=101, data=b"d"))
+    assert not feed.record_by_key
+    feed.apply(make_versioned_batch(3, offset=102, data=b"d"))
     assert feed.record_by_key
 
 
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -214,11 +214,15 @@
 def read_target_version(data: bytes) -> int:
     """Return a number that a target raises with each registration and each start.
 
+    It is 0 for a target that has registered ``SEQUENCES_PER_START`` times or more.
+
     Raises:
         CitronspanError: If the value cannot be decoded.
     """
     registration = _decode(data, _RegistrationVersion)
-    sequence = min(registration.status.sequence, SEQUENCES_PER_START - 1)
+    sequence = registration.status.sequence
+    if sequence >= SEQUENCES_PER_START:
+        return 0
     return registration.born * SEQUENCES_PER_START + sequence
 
 
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -28,6 +28,7 @@
 )
 from citronspan.platform.feeds import PlatformFeeds
 from citronspan.platform.records import (
+    SEQUENCES_PER_START,
     make_resource_name,
     read_configuration,
     read_target,
@@ -130,6 +131,16 @@
         read_target_version(data)
 
 
+def test_target_that_registered_very_often_never_returns_after_its_removal():
+    """Its registrations would all have the version that was removed."""
+    registration = {"born": 7, "status": {"sequence": SEQUENCES_PER_START}}
+    assert read_target_version(json.dumps(registration).encode()) == 0
+    registration["status"]["sequence"] -= 1
+    before_start = read_target_version(json.dumps(registration).encode())
+    registration = {"born": 8, "status": {"sequence": 1}}
+    assert before_start < read_target_version(json.dumps(registration).encode())
+
+
 class FakeStoreClient:
     """A store client whose topic holds the given values, each with its own key."""
 
