Prefer other targets at brokers to one that has said that it leaves

A broker didn't know what targets say of themselves: it granted a leaving target to other hosts first, and let requests of a host wait for a target that wants nothing from that host, until their turn came.

Outcomes now carry both, in two new fields with defaults, which a landed host ignores; its own outcomes decode without them (tested against the landed shape, both encodings). A target that told any host that it leaves ranks last for all hosts until it starts again. It is not excluded: what one host claims must not empty a service on the others (docs/design/brokers.md). A pause excludes the target for the queued requests of the host that was turned away, which are refused if nothing else is eligible.

Three of the new tests of the broker fail with the fields but without the logic: first grants went to a, not b (both rankings), and the waiting request stayed in the queue. They and the other tests in core/brokering pass now.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -211,7 +211,7 @@
             case SlotRequest():
                 self._handle_request(sender, message, now)
             case SlotRelease():
-                self._handle_release(message, now)
+                self._handle_release(sender, message, now)
             case SlotCancel():
                 self._handle_cancel(message, now)
             case BrokerHandover():
@@ -338,13 +338,14 @@
             request.request_kind, request.worth, request.body_bytes
         )
 
-    def _handle_release(self, release, now):
+    def _handle_release(self, sender, release, now):
         attempt_id = release.attempt_id
         if self._attempt_cache.has_ended(attempt_id):
             return
         grant = self._grant_table.end(attempt_id, now)
         self._attempt_cache.record_attempt_end(attempt_id, now)
         self._outcomes.record(release, grant, now)
+        self._waiting.heed_pause(sender, release.outcome)
         if self.successor:
             self._answers.send(self.successor, release)
         self._serve_waiting(now)
--- a/citronspan/core/brokering/broker_outcomes.py
+++ b/citronspan/core/brokering/broker_outcomes.py
@@ -63,6 +63,8 @@
                     grant.request_kind, release.answer_bytes
                 )
         if usage is not None:
+            if outcome.leaving_incarnation is not None:
+                usage.leaving_incarnation = outcome.leaving_incarnation
             usage.apply_outcome(outcome, load_age_seconds, now)
 
     def _count_served(self, outcome, grant, now):
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -201,7 +201,8 @@
     ) -> TargetUsage | None:
         """Choose a target with a free slot for a request.
 
-        Targets of equal rank are chosen in rotation by attempt ID.
+        Targets of equal rank are chosen in rotation by attempt ID. A target that told
+        any entry that it leaves is the last choice.
 
         Args:
             request: The request.
@@ -236,14 +237,15 @@
             )
             rotation = (index + request.attempt_id) % count
             if limit.failure_probability is None:
-                rank = (*rank_by_free_share(request, candidate), rotation)
+                rank = rank_by_free_share(request, candidate)
             else:
                 cost = compute_cost(
                     request, candidate, preferred_idle_seconds=preferred_idle_seconds
                 )
                 if cost > acceptable_cost:
                     continue
-                rank = (cost, rotation)
+                rank = (cost,)
+            rank = (usage.is_said_to_leave, *rank, rotation)
             if best is not None and rank >= best_rank:
                 continue
             best = usage
@@ -263,7 +265,7 @@
         usages = [
             usage
             for usage, limit in self._usages_with_limits
-            if usage.compute_usable_slots(limit, now) > 0
+            if usage.compute_usable_slots(limit, now) > 0 and not usage.is_said_to_leave
         ]
         idle = [usage for usage in usages if _is_idle(usage, now)]
         allowed_idle = count_allowed_idle_targets(
--- a/citronspan/core/brokering/broker_target_usage.py
+++ b/citronspan/core/brokering/broker_target_usage.py
@@ -47,6 +47,7 @@
         self.granted = 0
         self.granted_at = now
         self.failed_at = -math.inf
+        self.leaving_incarnation: int | None = None
         self._external_usage = 0
         self._external_usage_until = now
         self._backoff_until = now
@@ -55,6 +56,11 @@
         self._previous_peak = 0
         self._peak = 0
 
+    @property
+    def is_said_to_leave(self) -> bool:
+        """Whether the target told an entry that it leaves, and didn't restart since."""
+        return self.leaving_incarnation == self.target_info.incarnation
+
     def compute_usable_slots(self, limit: TargetLimit, now: float) -> int:
         """Return how many slots of the target all brokers together may use.
 
--- a/citronspan/core/brokering/broker_test.py
+++ b/citronspan/core/brokering/broker_test.py
@@ -1,8 +1,10 @@
 """Tests of single rules of a broker."""
 
+import dataclasses
 from dataclasses import dataclass, field
 
 import freezegun
+import msgspec
 import pytest
 
 from citronspan.core import result_codes
@@ -372,3 +374,86 @@
         )
     # 4 requests a second take 0.5 s each; the deadline is in 2 s.
     assert sum(isinstance(answer, SlotRefusal) for answer in answers) >= 12
+
+
+def tell(release, **notice):
+    """Add what a target said of itself to the release of a slot."""
+    return msgspec.structs.replace(
+        release, outcome=msgspec.structs.replace(release.outcome, **notice)
+    )
+
+
+def set_failure_probabilities(health, *names):
+    for name in names:
+        health.limit_by_target[name] = TargetLimit(
+            target=name, slots=2, failure_probability=0.0
+        )
+
+
+@pytest.mark.parametrize("has_failure_probabilities", [False, True])
+def test_target_that_told_one_host_that_it_leaves_is_granted_first(
+    clock, has_failure_probabilities
+):
+    health = FakeHealth()
+    leaving = make_target("a")
+    broker = make_broker(clock, leaving, make_target("b"), health=health)
+    if has_failure_probabilities:
+        set_failure_probabilities(health, "a", "b")
+    told = tell(make_release(100, "a"), leaving_incarnation=leaving.incarnation)
+    broker.handle("entry-2", told)
+    granted = [request_slot(broker, number)[0].target for number in range(4)]
+    # The claim of one host doesn't empty the service on the others.
+    assert granted == ["b", "b", "a", "a"]
+
+
+def test_target_stays_the_last_choice_after_its_restart(clock):
+    leaving, other = make_target("a"), make_target("b")
+    broker = make_broker(clock, leaving, other)
+    told = tell(make_release(100, "a"), leaving_incarnation=leaving.incarnation)
+    broker.handle("entry-2", told)
+    broker.set_targets((dataclasses.replace(leaving, incarnation=2), other))
+    granted = {request_slot(broker, number)[0].target for number in range(2)}
+    assert granted == {"a", "b"}
+
+
+def test_request_waits_for_a_target_that_pauses_for_its_host(clock):
+    broker = make_broker(clock, make_target("a", slots=1))
+    (grant,) = request_slot(broker, 1)
+    request_slot(broker, 2)
+    broker.handle("entry-2", make_request(3))
+    release = make_release(grant.attempt_id, "a", OutcomeClass.TARGET_ERROR)
+    sent = broker.handle("entry-1", tell(release, pause_seconds=4.0))
+    answers = {item.message.attempt_id: item.message for item in sent}
+    assert answers[2].code == result_codes.NO_CAPACITY.number
+    # The target takes requests of other hosts.
+    assert isinstance(answers[3], SlotGrant)
+
+
+class LandedOutcome(msgspec.Struct, frozen=True, kw_only=True):
+    """An outcome as hosts know it that run the build before the notices."""
+
+    target: str
+    outcome_class: OutcomeClass
+    latency_seconds: float
+    deadline_seconds: float
+    request_kind: str = ""
+    fingerprint: int = 0
+    load: int = -1
+    rate_limit: RateLimit | None = None
+
+
+def test_outcome_is_unreadable_for_a_host_with_another_build():
+    known = {
+        "target": "a",
+        "outcome_class": OutcomeClass.OK,
+        "latency_seconds": 0.1,
+        "deadline_seconds": 2.0,
+        "rate_limit": RateLimit(requests_per_second=2.0),
+    }
+    outcome = Outcome(**known, leaving_incarnation=7, pause_seconds=4.0)
+    for codec in (msgspec.msgpack, msgspec.json):
+        landed = codec.decode(codec.encode(outcome), type=LandedOutcome)
+        assert landed == LandedOutcome(**known)
+        decoded = codec.decode(codec.encode(landed), type=Outcome)
+        assert decoded == Outcome(**known)
+        assert codec.decode(codec.encode(outcome), type=Outcome) == outcome
--- a/citronspan/core/brokering/slot_queue.py
+++ b/citronspan/core/brokering/slot_queue.py
@@ -1,8 +1,10 @@
 """Queue of requests that wait for a slot, by descending worth, then by deadline."""
 
+import dataclasses
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import msgspec
 from sortedcontainers import SortedKeyList
 
 from citronspan.core.brokering.broker_messages import SlotRequest
@@ -82,6 +84,17 @@
         self._sorted_requests.add(waiting)
         self._waiting_by_id[waiting.request.attempt_id] = waiting
 
+    def exclude_target(self, sender: str, target: str) -> None:
+        """Add a target to the excluded ones of an entry's requests."""
+        for waiting in self.list_from_position(0):
+            request = waiting.request
+            if waiting.sender != sender or target in request.excluded:
+                continue
+            self.remove(request.attempt_id)
+            excluded = (*request.excluded, target)
+            request = msgspec.structs.replace(request, excluded=excluded)
+            self.add(dataclasses.replace(waiting, request=request))
+
     def remove(self, attempt_id: int) -> WaitingRequest | None:
         """Remove a request.
 
--- a/citronspan/core/brokering/waiting_requests.py
+++ b/citronspan/core/brokering/waiting_requests.py
@@ -9,6 +9,7 @@
 from citronspan.core.brokering.slot_granter import SlotGranter
 from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
 from citronspan.core.brokering.wait_estimates import WaitEstimates
+from citronspan.core.outcomes import Outcome
 
 
 class WaitingRequests:
@@ -56,6 +57,11 @@
         self._answers.send(waiting.sender, SlotWaiting(attempt_id=request.attempt_id))
         self.refuse_unservable(now, position=position + 1)
 
+    def heed_pause(self, sender: str, outcome: Outcome) -> None:
+        """Let requests of an entry no longer wait for a target that it may not use."""
+        if outcome.pause_seconds > 0:
+            self._queue.exclude_target(sender, outcome.target)
+
     def refuse_unservable(self, now: float, *, position: int = 0) -> None:
         """Refuse queued requests that cannot be served, from a queue position on.
 
--- a/citronspan/core/outcomes.py
+++ b/citronspan/core/outcomes.py
@@ -52,6 +52,10 @@
         load: Number of slots in use as reported by the target, -1 if not reported.
         rate_limit: What the target stated about its request rate, None without an
             answer of the target.
+        leaving_incarnation: Incarnation of the target that said that it leaves, None
+            if it didn't.
+        pause_seconds: Time for which the target takes nothing from the sender of the
+            outcome, 0 if it didn't say so.
     """
 
     target: str
@@ -62,3 +66,5 @@
     fingerprint: int = 0
     load: int = -1
     rate_limit: RateLimit | None = None
+    leaving_incarnation: int | None = None
+    pause_seconds: float = 0.0
--- a/citronspan/ops/attempt_reporter.py
+++ b/citronspan/ops/attempt_reporter.py
@@ -53,6 +53,8 @@
         """
         if attempt_response.is_released:
             return
+        answer = attempt_response.answer
+        notice = self._dialect.read_notice(answer.status, answer.find_header)
         outcome = Outcome(
             target=attempt_response.slot.target,
             outcome_class=self._find_blame(
@@ -67,6 +69,10 @@
             fingerprint=request_context.fingerprint,
             load=self._dialect.read_load(attempt_response.answer.find_header),
             rate_limit=self._read_rate_limit(attempt_response),
+            leaving_incarnation=attempt_response.slot.incarnation
+            if notice.is_leaving
+            else None,
+            pause_seconds=notice.pause_seconds,
         )
         self._observe_seconds(request_context, attempt_response.started_at)
         self._record_attempt(
