Show operators which targets leave or pause by their own word

Tests of explain and of the recorder pass; that of explain needs the new rule, as a refused request names no target.

--- a/citronspan/core/requests/explain.py
+++ b/citronspan/core/requests/explain.py
@@ -16,7 +16,10 @@
 CONTEXT_SECONDS = 10.0
 """Time before the first line of a request from which context lines are included."""
 
-_CONTEXT_EVENTS = frozenset(
+_NOTICE_EVENTS = frozenset({"target-leaves", "target-paused", "pause-unreadable"})
+"""Events of targets that a request's own lines may not name: it was kept from them."""
+
+_CONTEXT_EVENTS = _NOTICE_EVENTS | frozenset(
     {
         "target-state-changed",
         "target-doubt-changed",
@@ -118,7 +121,7 @@
     names_of_line = {str(line.fields.get(key)) for key in ("target", "shard")} - {
         "None"
     }
-    if names_of_line:
+    if names_of_line and line.event not in _NOTICE_EVENTS:
         return bool(names_of_line & names)
     return _find_host(line) in hosts
 
--- a/citronspan/core/requests/explain_test.py
+++ b/citronspan/core/requests/explain_test.py
@@ -47,3 +47,15 @@
 def test_format_line_shows_time_host_number_event_and_fields():
     text = format_line(read_line(TEXTS[0]))
     assert text == "00:00:31.000 host-1 1 request-refused id=r-1 code=3002"
+
+
+def test_refusal_beside_targets_that_leave_or_pause_is_not_explained():
+    texts = [
+        make_line(25, "host-1", "target-leaves", target="t-1", service="s"),
+        make_line(26, "host-1", "target-paused", id="r-0", target="t-2", seconds=4),
+        make_line(27, "host-2", "target-paused", id="r-0", target="t-2", seconds=4),
+        TEXTS[0],
+    ]
+    explanation = explain("r-1", [read_line(text) for text in texts])
+    context = [(line.event, line.source) for line in explanation.context_lines]
+    assert context == [("target-leaves", "host-1"), ("target-paused", "host-1")]
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -5,6 +5,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from citronspan.core.detection.target_notices import TargetNotices
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
@@ -109,6 +110,15 @@
         )
         gauge.set_function(rate_limits.count_limited)
 
+    def watch_notices(self, notices: TargetNotices) -> None:
+        """Register gauges for the targets that leave or pause by their own word."""
+        for name, meaning, count in (
+            ("leaving", "Targets that leave by their answers.", "count_said_leaving"),
+            ("paused", "Targets that want nothing from this entry.", "count_paused"),
+        ):
+            gauge = Gauge(f"citronspan_targets_{name}", meaning, registry=self.registry)
+            gauge.set_function(getattr(notices, count))
+
     def watch_link(self, link: PeerLink) -> None:
         """Register gauges for the traffic that the peer link has sent and received."""
         read_by_name = {
--- a/citronspan/ops/notice_recorder_test.py
+++ b/citronspan/ops/notice_recorder_test.py
@@ -6,6 +6,7 @@
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.target_notices import TargetNotice
+from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.notice_recorder import NoticeRecorder
 from citronspan.ops.slot_source import Slot
 
@@ -48,3 +49,13 @@
     assert lines[0].extra["detail"] == "too long: '9'"
     assert {line.message for line in lines} == {"target-paused", "pause-unreadable"}
     assert len(lines) < 40
+
+
+def test_gauges_miss_targets_that_leave_or_pause():
+    recorder, metrics = NoticeRecorder(), EntryMetrics()
+    metrics.watch_notices(recorder.table)
+    recorder.set_targets({"s": (TARGET,)})
+    notice = TargetNotice(is_leaving=True, pause_seconds=60.0)
+    recorder.observe(SLOT, notice, "r-1")
+    for name in ("leaving", "paused"):
+        assert metrics.registry.get_sample_value(f"citronspan_targets_{name}") == 1.0
