--- a/citronspan_standins/leaving_targets_test.py
+++ b/citronspan_standins/leaving_targets_test.py
@@ -13,6 +13,9 @@
 from citronspan_standins.platform_test import REQUEST_ID, PlatformTarget, run_host
 
 REQUESTS_PER_SECOND = 30
+# Two targets with 4 slots each carry 80 requests of this length a second, one 40.
+OVERLOAD_REQUESTS_PER_SECOND = 100
+WORK_SECONDS = 0.1
 DRAIN_SECONDS = 2.5
 PAUSE_SECONDS = 4.0
 SETTLING_SECONDS = 0.5
@@ -35,6 +38,7 @@
         self.refused_at: list[float] = []
         self.is_leaving = False
         self.pause_seconds = 0.0
+        self.work_seconds = 0.0
         super().__init__(name=name, port=port)
 
     def handle(self, exchange):
@@ -50,13 +54,14 @@
             exchange.answer(503, b"", headers)
             self.refused_at.append(time.monotonic())
             return
+        time.sleep(self.work_seconds)
         headers.append(("X-Citronspan-Backend-Signature", f"{self.name}.{request_id}"))
         if self.is_leaving:
             headers.append(("Server-Leaving", "1"))
         exchange.answer(200, b"", headers)
 
 
-def send_steadily(running, seconds):
+def send_steadily(running, seconds, requests_per_second=REQUESTS_PER_SECOND):
     """Send orders at a steady rate; return when each was sent, and the answers."""
     sent_at_by_id, passed_on_at_by_target = {}, {}
     lock = threading.Lock()
@@ -71,10 +76,10 @@
                 passed_on_at_by_target.setdefault(name, time.monotonic())
 
     threads = []
-    for _ in range(int(seconds * REQUESTS_PER_SECOND)):
+    for _ in range(int(seconds * requests_per_second)):
         threads.append(threading.Thread(target=send))
         threads[-1].start()
-        time.sleep(1 / REQUESTS_PER_SECOND)
+        time.sleep(1 / requests_per_second)
     for thread in threads:
         thread.join()
     return sent_at_by_id, passed_on_at_by_target
@@ -117,6 +122,34 @@
         assert find_late_arrivals(leaving, sent_at_by_id, known_at) == []
 
 
+def test_leaving_target_gets_requests_that_waited_for_a_slot():
+    with run_host(11, target_type=TellingTarget, target_count=2) as running:
+        for target in running.targets:
+            target.work_seconds = WORK_SECONDS
+        send_steadily(running, 1.0, OVERLOAD_REQUESTS_PER_SECOND)
+        leaving = find_busiest(running)
+        leaving.is_leaving = True
+        sent_at_by_id, passed_on_at = send_steadily(
+            running, DRAIN_SECONDS + 2.5, OVERLOAD_REQUESTS_PER_SECOND
+        )
+        assert list(passed_on_at) == [leaving.name]
+        known_at = passed_on_at[leaving.name]
+        assert find_late_arrivals(leaving, sent_at_by_id, known_at) == []
+
+
+def test_pausing_targets_get_requests_that_waited_for_a_slot():
+    with run_host(12, target_type=TellingTarget, target_count=2) as running:
+        for target in running.targets:
+            target.work_seconds = WORK_SECONDS
+        send_steadily(running, 1.0, OVERLOAD_REQUESTS_PER_SECOND)
+        for target in running.targets:
+            target.pause_seconds = PAUSE_SECONDS
+        send_steadily(running, PAUSE_SECONDS + 2.0, OVERLOAD_REQUESTS_PER_SECOND)
+        for target in running.targets:
+            assert target.refused_at
+            assert count_most_arrivals_in_a_pause(target) <= MAXIMUM_ARRIVALS
+
+
 @pytest.mark.parametrize("target_count", [1, 2, 4])
 def test_target_that_wants_nothing_for_some_time_gets_requests(target_count):
     with run_host(12, target_type=TellingTarget, target_count=target_count) as running:
