Count no target that leaves or pauses as another one to go to

What callers saw: a read whose target works for more than half of its time got 504 or 502, although the only other target had said that it leaves, so that no retry could follow.

Cause: whether another attempt may follow was decided by the configuration alone, beside the one decision on which targets this host may use.

The names of removed targets are kept for 60 s in place of 10, since a broker that stood still for longer may still grant them; they cost nothing.

--- a/citronspan/core/detection/target_notices.py
+++ b/citronspan/core/detection/target_notices.py
@@ -20,8 +20,9 @@
 MAXIMUM_NOTICES = 10_000
 """Statements of each kind that are kept; the oldest are dropped first."""
 
-REMOVED_SECONDS = 10.0
-"""Time for which brokers may still have a target that the configuration has lost."""
+REMOVED_SECONDS = 60.0
+"""Time for which brokers may still have a target that the configuration has lost, also
+brokers that stood still meanwhile."""
 
 
 class UnusableReason(enum.StrEnum):
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/request_handler.py
@@ -102,6 +102,7 @@
             has_other_target=self._has_other_target,
             stop_plan=stop_plan,
         )
+        self._slots = slots
         self._metrics = metrics
         self._tracer = tracer
         self._is_stopping = is_stopping
@@ -251,9 +252,12 @@
 
     def _has_other_target(self, service, names):
         targets = self._find_configuration().targets_by_service.get(service, ())
-        return any(
-            not target.leaving and target.name not in names for target in targets
-        )
+        for target in targets:
+            if target.leaving or target.name in names:
+                continue
+            if self._slots.is_usable(target.name):
+                return True
+        return False
 
     def _check_account(self, configuration, request):
         if not request.account:
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -162,6 +162,10 @@
         """Return whether this entry may send a request to a slot's target now."""
         return self._region_slots.may_use(slot, request_id)
 
+    def is_usable(self, target: str) -> bool:
+        """Return whether this entry may use a target now, by its name."""
+        return self.notices.table.find_reason(target) is None
+
     def find_pause_seconds(self, service: str) -> float:
         """Return the time until this entry may use a target of a service again."""
         refused = self._region_slots.refuse_if_unusable(service)
--- a/citronspan/ops/slot_source.py
+++ b/citronspan/ops/slot_source.py
@@ -93,6 +93,9 @@
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this host may send a request to a slot's target now."""
 
+    def is_usable(self, target: str) -> bool:
+        """Return whether this host may use a target now, by its name."""
+
     def find_pause_seconds(self, service: str) -> float:
         """Return the time until this host may use a target of a service again.
 
--- a/citronspan_standins/leaving_targets_test.py
+++ b/citronspan_standins/leaving_targets_test.py
@@ -18,6 +18,9 @@
 WORK_SECONDS = 0.1
 DRAIN_SECONDS = 2.5
 PAUSE_SECONDS = 4.0
+LONG_WORK_SECONDS = 1.6
+"""More than half of the time that the callers have."""
+
 SETTLING_SECONDS = 0.5
 MAXIMUM_ARRIVALS = 2
 
@@ -122,6 +125,19 @@
         assert find_late_arrivals(leaving, sent_at_by_id, known_at) == []
 
 
+def test_read_is_given_up_for_a_target_that_has_said_that_it_leaves():
+    with run_host(11, target_type=TellingTarget, target_count=2) as running:
+        send_steadily(running, 1.0)
+        leaving = find_busiest(running)
+        leaving.is_leaving = True
+        send_steadily(running, 1.0)
+        (other,) = [target for target in running.targets if target is not leaving]
+        other.work_seconds = LONG_WORK_SECONDS
+        request_id, status, _, _ = running.send("/read/1")
+        arrivals = [item.request_id for item in other.arrivals]
+        assert (status, arrivals.count(request_id)) == (200, 1)
+
+
 def test_leaving_target_gets_requests_that_waited_for_a_slot():
     with run_host(11, target_type=TellingTarget, target_count=2) as running:
         for target in running.targets:
