Heed what a target said across its listing and its removal

Cause: the word was kept for an incarnation of 0 in the first case, and the removal for a time in the second, though it has no end.

Why it works: what an unlisted target says passes to the first incarnation that is listed, and removed names are kept until they are listed again, 10,000 at most.

--- a/citronspan/core/detection/target_notices.py
+++ b/citronspan/core/detection/target_notices.py
@@ -3,10 +3,11 @@
 A target can say in any answer that it leaves, and in a refusal that it takes nothing
 from this host for some time. The first holds for good, for the incarnation that said
 it, whatever configuration arrives later. The second holds by the name of the target,
-since a restart doesn't lift it. The configuration says which targets leave, too, and a
-target that it no longer lists isn't used either, though a broker with an older view may
-still grant it. A target that it doesn't list yet may be used: a broker that grants it
-has a newer view.
+since a restart doesn't lift it. The configuration says which targets leave, too. A
+target that it no longer lists isn't used until it lists it again, though a broker with
+an older view may still grant it. A target that it never listed may be used: a broker
+that grants it has a newer view. What such a target says holds for the incarnation that
+the configuration lists first.
 """
 
 import enum
@@ -20,9 +21,9 @@
 MAXIMUM_NOTICES = 10_000
 """Statements of each kind that are kept; the oldest are dropped first."""
 
-REMOVED_SECONDS = 60.0
-"""Time for which brokers may still have a target that the configuration has lost, also
-brokers that stood still meanwhile."""
+
+UNLISTED_INCARNATION = -1
+"""Stands for the incarnation of a target that the configuration doesn't list."""
 
 
 class UnusableReason(enum.StrEnum):
@@ -57,7 +58,7 @@
         self._lock = threading.Lock()
         self._info_by_name: dict[str, TargetInfo] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._removed_at_by_name: dict[str, float] = {}
+        self._removed_names: dict[str, None] = {}
         self._said_leaving: dict[tuple[str, int], None] = {}
         self._said_leaving_names: frozenset[str] = frozenset()
         self._paused_until_by_name: dict[str, float] = {}
@@ -68,7 +69,6 @@
         Returns:
             The targets that leave by this configuration and did not by the last one.
         """
-        now = time.monotonic()
         info_by_name = {target.name: target for target in targets}
         with self._lock:
             previous_by_name = self._info_by_name
@@ -76,13 +76,12 @@
             self._leaving = frozenset(
                 name for name, info in info_by_name.items() if info.leaving
             )
-            self._removed_at_by_name = {
-                name: removed_at
-                for name, removed_at in self._removed_at_by_name.items()
-                if now < removed_at + REMOVED_SECONDS and name not in info_by_name
-            }
             for name in previous_by_name.keys() - info_by_name.keys():
-                self._removed_at_by_name[name] = now
+                self._removed_names[name] = None
+            for name in info_by_name:
+                self._removed_names.pop(name, None)
+            _drop_oldest(self._removed_names)
+            self._adopt_unlisted()
             self._update_said_leaving()
         return [
             info
@@ -91,9 +90,9 @@
         ]
 
     def find_incarnation(self, target: str) -> int:
-        """Return a target's incarnation by the configuration, 0 if it is unknown."""
+        """Return a target's incarnation by the configuration, -1 if it is unknown."""
         info = self._info_by_name.get(target)
-        return 0 if info is None else info.incarnation
+        return UNLISTED_INCARNATION if info is None else info.incarnation
 
     def record_leaving(self, target: str, incarnation: int) -> bool:
         """Record that an incarnation of a target said that it leaves.
@@ -107,6 +106,7 @@
                 return False
             self._said_leaving[key] = None
             _drop_oldest(self._said_leaving)
+            self._adopt_unlisted()
             self._update_said_leaving()
         return True
 
@@ -139,8 +139,7 @@
                 return UnusableReason.SAID_LEAVING
             if now < self._paused_until_by_name.get(target, now):
                 return UnusableReason.PAUSED
-            removed_at = self._removed_at_by_name.get(target)
-            if removed_at is not None and now < removed_at + REMOVED_SECONDS:
+            if target in self._removed_names:
                 return UnusableReason.REMOVED
         return None
 
@@ -177,6 +176,14 @@
         with self._lock:
             return len(self._list_paused(time.monotonic()))
 
+    def _adopt_unlisted(self):
+        """Take what a target said before it was listed for its listed incarnation."""
+        for name, incarnation in list(self._said_leaving):
+            info = self._info_by_name.get(name)
+            if incarnation == UNLISTED_INCARNATION and info is not None:
+                del self._said_leaving[name, incarnation]
+                self._said_leaving[name, info.incarnation] = None
+
     def _update_said_leaving(self):
         self._said_leaving_names = frozenset(
             name
--- a/citronspan/core/detection/target_notices_test.py
+++ b/citronspan/core/detection/target_notices_test.py
@@ -6,7 +6,7 @@
 from citronspan.core.detection import target_notices
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.target_notices import (
-    REMOVED_SECONDS,
+    UNLISTED_INCARNATION,
     TargetNotices,
     UnusableReason,
 )
@@ -47,7 +47,7 @@
     ),
     st.builds(SaysLeaving, st.sampled_from(NAMES), st.integers(1, 3)),
     st.builds(Refuses, st.sampled_from(NAMES), st.sampled_from([0.0, 0.5, 4.0, 60.0])),
-    st.builds(Wait, st.sampled_from([0.25, 1.0, 3.75, REMOVED_SECONDS])),
+    st.builds(Wait, st.sampled_from([0.25, 1.0, 3.75, 600.0])),
 )
 
 
@@ -69,13 +69,12 @@
     def __init__(self):
         self.now = 0.0
         self.configuration = Configuration({}, frozenset())
-        self.removals, self.leaving, self.refusals = [], [], []
+        self.ever_listed = set()
+        self.leaving, self.refusals = [], []
 
     def apply(self, event):
         if isinstance(event, Configuration):
-            lost = set(self.configuration.incarnation_by_name)
-            lost -= set(event.incarnation_by_name)
-            self.removals += [(name, self.now) for name in lost]
+            self.ever_listed |= set(event.incarnation_by_name)
             self.configuration = event
         elif isinstance(event, SaysLeaving):
             self.leaving.append((event.name, event.incarnation))
@@ -92,10 +91,7 @@
         ):
             return False
         if present is None:
-            return not any(
-                name == lost and self.now < at + REMOVED_SECONDS
-                for lost, at in self.removals
-            )
+            return name not in self.ever_listed
         if name in self.configuration.leaving:
             return False
         return (name, present) not in self.leaving
@@ -138,6 +134,31 @@
     notices = TargetNotices()
     notices.record_leaving("t-1", notices.find_incarnation("t-1"))
     assert notices.find_reason("t-1") is UnusableReason.SAID_LEAVING
+    notices.set_targets([make_info("t-1", 7)])
+    assert notices.find_reason("t-1") is UnusableReason.SAID_LEAVING
+    notices.set_targets([make_info("t-1", 8)])
+    assert notices.find_reason("t-1") is None
+    notices.record_leaving("t-1", UNLISTED_INCARNATION)
+    assert notices.find_reason("t-1") is UnusableReason.SAID_LEAVING
+
+
+def test_word_without_an_incarnation_is_passed_to_a_later_start():
+    notices = TargetNotices()
+    notices.set_targets([make_info("t-1", 0)])
+    notices.record_leaving("t-1", notices.find_incarnation("t-1"))
+    notices.set_targets([make_info("t-1", 1)])
+    assert notices.find_reason("t-1") is None
+
+
+def test_target_that_left_is_used_again_by_an_old_grant():
+    with freezegun.freeze_time("2026-01-01") as frozen:
+        notices = TargetNotices()
+        notices.set_targets([make_info("t-0", 7), make_info("t-1", leaving=True)])
+        notices.record_leaving("t-0", 7)
+        notices.set_targets([])
+        frozen.tick(600.0)
+        assert notices.find_reason("t-0") is UnusableReason.REMOVED
+        assert notices.find_reason("t-1") is UnusableReason.REMOVED
 
 
 def test_notices_grow_without_bound(monkeypatch):
