Show that targets stay while the store lacks them after an outage

The test looked at the targets only after the store had them again. With the line of _apply_batch that sets is_after_outage taken out, it failed at both gaps.

--- a/citronspan/core/configuration/feed_spread_test.py
+++ b/citronspan/core/configuration/feed_spread_test.py
@@ -179,7 +179,8 @@
     assert fleet.list_nodes_with_targets() == []
 
 
-def test_target_is_gone_for_a_moment_after_an_outage_of_the_store(fleet):
+@pytest.mark.parametrize("gap_seconds", [1.0, 1.5])
+def test_target_is_gone_for_a_moment_after_an_outage_of_the_store(fleet, gap_seconds):
     fleet.write(TARGETS_FEED, b"[]")
     fleet.run(1.0)
     fleet.rejected_by_store = set(fleet.spread_by_name)
@@ -187,7 +188,9 @@
     fleet.write(TARGETS_FEED, None)
     fleet.has_truncated_log = True
     fleet.rejected_by_store = set()
-    fleet.run(1.0)
+    for _ in range(round(gap_seconds / STEP_SECONDS)):
+        fleet.step()
+        assert len(fleet.list_nodes_with_targets()) == len(fleet.spread_by_name)
     fleet.write(TARGETS_FEED, b"[]")
     fleet.run(0.8)
     assert len(fleet.list_nodes_with_targets()) == len(fleet.spread_by_name)
