--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -411,6 +411,32 @@
     assert requester.acquire().target == "t2"
 
 
+def test_unused_slot_of_a_host_without_a_broker_stays_taken(pair, monkeypatch):
+    _, requester = pair
+    chooser = requester.slots.local_chooser
+    choose = chooser.choose
+    chosen = []
+
+    def choose_and_notice(*arguments):
+        target = choose(*arguments)
+        if not chosen:
+            requester.slots.notices.table.record_leaving(target.name, 0)
+        chosen.append(target)
+        return target
+
+    monkeypatch.setattr(chooser, "choose", choose_and_notice)
+    requester.link.cut = True
+    requester.slots.set_nodes(())
+    slot = requester.acquire()
+    assert (slot.broker, slot.target) == ("", chosen[1].name)
+    requester.release(slot)
+    restarted = tuple(dataclasses.replace(item, incarnation=2) for item in TARGETS)
+    requester.slots.set_services({"s": ServiceSpec()}, {"s": restarted}, frozenset())
+    slots = [requester.acquire() for _ in TARGETS]
+    assert all(isinstance(slot, Slot) for slot in slots)
+    assert {slot.target for slot in slots} == {"t0", "t1", "t2"}
+
+
 def test_notice_survives_neither_removal_nor_an_older_copy_of_the_store(pair):
     _, requester = pair
     slots = {slot.target: slot for slot in (requester.acquire() for _ in TARGETS)}
