Show that the end of a stop blames no target and returns late slots

With CANCELLED taken out of _find_blame, the first test failed: the target was released as timed out. The second failed in two trials: with the question to the plan after the grant taken out of _acquire, the request was sent, and with only the release of the slot taken out, the slot was kept.

--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -7,6 +7,7 @@
 import time
 from types import SimpleNamespace
 
+import freezegun
 import pytest
 from hypothesis import given, strategies as st
 from opentelemetry import trace
@@ -14,6 +15,7 @@
 from citronspan.core import result_codes
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
 from citronspan.ops.attempt_context import RequestContext
@@ -158,7 +160,7 @@
     )
 
 
-def run(targets, request_context):
+def run(targets, request_context, stop_plan=None):
     runner = AttemptRunner(
         slots=targets,
         connections=targets,
@@ -168,6 +170,7 @@
         reuse_seconds=5.0,
         is_stopping=lambda: False,
         has_other_target=lambda service, names: True,
+        stop_plan=stop_plan,
     )
     try:
         return runner.run(request_context), None
@@ -368,3 +371,54 @@
     _, refusal = run(targets, context)
     assert refusal.code == result_codes.TARGET_REFUSED
     assert refusal.retry_after_seconds == 5.0
+
+
+STOP_SECONDS = 10.0
+
+
+class StoppingTargets(FakeTargets):
+    """Targets whose host is told to stop, with time passing at a step of an attempt."""
+
+    def __init__(self, steps, clock, *, slot_seconds=0.0, answer_seconds=0.0):
+        super().__init__(steps)
+        self.clock = clock
+        self.slot_seconds = slot_seconds
+        self.answer_seconds = answer_seconds
+        self.stop_plan = StopPlan()
+        self.stop_plan.begin(STOP_SECONDS)
+
+    def acquire(self, query):
+        self.clock.tick(self.slot_seconds)
+        return super().acquire(query)
+
+    def send(self, address, request, caller):
+        self.clock.tick(self.answer_seconds)
+        return super().send(address, request, caller)
+
+
+@pytest.mark.parametrize(
+    ("answer_seconds", "outcome_class"),
+    [
+        (STOP_SECONDS, OutcomeClass.TIMED_OUT),
+        (STOP_SECONDS + GIVE_UP_SECONDS, OutcomeClass.CANCELLED),
+    ],
+)
+def test_target_is_blamed_for_the_end_of_a_stop(answer_seconds, outcome_class):
+    hang = AttemptStep(failure=OutcomeClass.TIMED_OUT, ran=True)
+    with freezegun.freeze_time("2026-01-01") as clock:
+        targets = StoppingTargets([hang], clock, answer_seconds=answer_seconds)
+        context = make_request_context(idempotent=False, is_repeatable=True, attempts=1)
+        run(targets, context, targets.stop_plan)
+    assert targets.released == [("t-0", outcome_class)]
+
+
+def test_slot_that_is_granted_too_late_in_a_stop_is_kept_or_used():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        steps = [answer(200, SIGNED, ran=True)]
+        targets = StoppingTargets(steps, clock, slot_seconds=0.6 * STOP_SECONDS)
+        context = make_request_context(idempotent=False, is_repeatable=True, attempts=1)
+        response, refusal = run(targets, context, targets.stop_plan)
+    assert response is None
+    assert refusal.code == result_codes.ENTRY_STOPPING
+    assert targets.sent == []
+    assert targets.released == [("t-0", OutcomeClass.NOT_USED)]
