--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/http_server_test.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from citronspan.ops import worker_pool
+from citronspan.ops import http_server, worker_pool
 from citronspan.ops.http_server import make_server
 from citronspan_standins.raw_caller import read_to_end
 from citronspan_standins.scripted_targets import find_free_addresses
@@ -94,6 +94,25 @@
         assert answer.getheader("Connection") == "close"
 
 
+def test_request_that_arrives_at_the_very_close_is_cut_off(server, monkeypatch):
+    connection = connect(server)
+    connection.request("GET", "/")
+    assert connection.getresponse().read() == b"done"
+    # No time is left to wait for requests, so that only the last look can see this one.
+    monkeypatch.setattr(http_server, "ARRIVAL_SECONDS", 0.0)
+    stop_selector = server._connections.stop
+
+    def stop_and_send():
+        stop_selector()
+        connection.request("GET", "/slow")
+
+    monkeypatch.setattr(server._connections, "stop", stop_and_send)
+    server.stop_accepting()
+    answer = connection.getresponse()
+    assert answer.read() == b"done"
+    assert answer.getheader("Connection") == "close"
+
+
 def test_request_on_a_connection_that_its_thread_still_holds_is_dropped(
     server, monkeypatch
 ):
