Keep the configuration where a whole copy holds one that can't be read

Cause: a record that can't be read is left out, and a whole copy without a key removes it.

Evidence: the new test failed for the whole copy before ([True]; [False] held).

Why it works: a configuration is replaced by the next one and never removed, so that a copy without one removes none.

--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -186,8 +186,11 @@
         """Remove or let lapse the stored keys that a whole batch lacks or lets lapse.
 
         A replica that got no records without news holds older offsets of the same
-        keys, so its lapsed records count whatever their offsets.
+        keys, so its lapsed records count whatever their offsets. A configuration is
+        replaced and never removed: a copy without one holds one that can't be read.
         """
+        if self.name == CONFIGURATION_FEED:
+            return
         kept = {record.key for record in batch.records if not record.lapsed}
         lapsed = {record.key for record in batch.records if record.lapsed}
         for key in self.record_by_key.keys() - kept:
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -329,3 +329,16 @@
         assert not name or NAME_PATTERN.fullmatch(result)
         if NAME_PATTERN.fullmatch(name):
             assert result == name
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_configuration_that_cannot_be_read_removes_the_last_one(whole):
+    feed = Feed(name=CONFIGURATION_FEED)
+    feeds = make_feeds(encode_configuration(ROUTE), key="config")
+    feed.apply(feeds.read_newest(CONFIGURATION_FEED))
+    unreadable = make_feeds(b"{", key="config").read_newest(CONFIGURATION_FEED)
+    batch = msgspec.structs.replace(
+        unreadable, whole=whole, from_offset=1, next_offset=2
+    )
+    assert feed.apply(batch)
+    assert list(feed.record_by_key) == ["config"]
