Relay no peer to a target that wants nothing from this host

By reading: a host that has passed on that a target leaves, or was told to send it nothing, still relayed connections to it for a peer that is cut off, and the peer's requests reach the target from this host.

Cause: the relay asked the configuration whether an address is a target, and not the one decision on which targets this host may use.

Why it works: the peer gets the answer for a target that can't be reached and takes another one. What remains: relayed connections that are open already.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -224,6 +224,7 @@
             connector=self._connector,
             reachability=self._reachability,
             is_target=lambda address: address in self.slots.list_target_addresses(),
+            may_use=lambda address: self.slots.is_address_usable(address),
         )
 
     def _find_entry_address(self, name):
--- a/citronspan/ops/relay_server.py
+++ b/citronspan/ops/relay_server.py
@@ -173,6 +173,7 @@
         connector: TargetConnector,
         reachability: TargetReachability,
         is_target: Callable[[str], bool],
+        may_use: Callable[[str], bool] = lambda address: True,
     ):
         """Create a server that listens at once.
 
@@ -181,10 +182,12 @@
             connector: Connects to targets directly.
             reachability: Whether this host reaches targets.
             is_target: Returns whether an address is that of a known target.
+            may_use: Returns whether this host may use the target at an address now.
         """
         self._connector = connector
         self._reachability = reachability
         self._is_target = is_target
+        self._may_use = may_use
         self._lock = threading.Lock()
         self._tunnels: set[_Tunnel] = set()
         self._is_stopping = False
@@ -207,13 +210,15 @@
 
         Returns:
             The status for the peer, and the connection, None unless it is 200: 403 for
-            an unknown target, 502 if it can't be reached, 503 if this host relays
-            nothing now.
+            an unknown target, 502 if it can't be reached or wants nothing from this
+            host, 503 if this host relays nothing now.
         """
         if not self._is_target(address):
             return http.HTTPStatus.FORBIDDEN, None
         if self._is_refusing():
             return http.HTTPStatus.SERVICE_UNAVAILABLE, None
+        if not self._may_use(address):
+            return http.HTTPStatus.BAD_GATEWAY, None
         try:
             connection = self._connector.connect(address, CONNECT_TIMEOUT_SECONDS)
         except (OSError, urllib3.exceptions.HTTPError) as error:
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/relay_server_test.py
@@ -61,11 +61,13 @@
         self.target = f"{host}:{port}"
         (self.address,) = find_free_addresses(1)
         self.reachability = TargetReachability()
+        self.unusable: set[str] = set()
         self.server = RelayServer(
             address=self.address,
             connector=DirectConnector(),
             reachability=self.reachability,
             is_target=lambda address: address == self.target,
+            may_use=lambda address: address not in self.unusable,
         )
         self.thread = threading.Thread(target=self.server.serve, daemon=True)
         self.thread.start()
@@ -235,6 +237,14 @@
         assert peer.getresponse().status == 403
 
 
+def test_peer_reaches_a_target_that_wants_nothing_from_the_relaying_host(relay):
+    relay.unusable.add(relay.target)
+    with pytest.raises(ConnectionRefusedError):
+        relay.connector.connect(relay.target, TIMEOUT_SECONDS)
+    relay.unusable.clear()
+    relay.open()
+
+
 def test_host_of_a_place_that_is_cut_off_asks_another_region(relay):
     peers = [
         make_node(f"h-{number}", f"127.0.0.1:{number}") for number in range(10, 20)
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -166,6 +166,13 @@
         """Return whether this entry may use a target now, by its name."""
         return self.notices.table.find_reason(target) is None
 
+    def is_address_usable(self, address: str) -> bool:
+        """Return whether this entry may use a target at an address now."""
+        for _, target in list(self._target_by_name.values()):
+            if target.address == address and self.is_usable(target.name):
+                return True
+        return False
+
     def find_pause_seconds(self, service: str) -> float:
         """Return the time until this entry may use a target of a service again."""
         refused = self._region_slots.refuse_if_unusable(service)
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -382,6 +382,8 @@
     for slot in slots.values():
         requester.release(slot)
     assert acquire_pairs(requester) == {"t1", "t2"}
+    usable = [requester.slots.is_address_usable(info.address) for info in TARGETS]
+    assert usable == [False, True, True]
     # Another host has not been told.
     assert {broker.acquire().target for _ in TARGETS} == {"t0", "t1", "t2"}
 
