--- a/citronspan_standins/upgrade_test.py
+++ b/citronspan_standins/upgrade_test.py
@@ -30,7 +30,7 @@
 from citronspan_standins.store_service import StoreService, wait_until
 
 ROOT = Path(__file__).parents[1]
-EARLIER_COMMIT = "170e430"
+EARLIER_COMMITS = ("170e430", "6e7957e")
 NETWORK = f"127.{64 + os.getpid() % 128}.41"
 TARGET_PORT = 28_000 + os.getpid() % 20 * 100
 HOSTS = 3
@@ -41,14 +41,14 @@
 PAUSE_SECONDS = 0.03
 
 
-@pytest.fixture(scope="module")
-def earlier_root(tmp_path_factory):
+@pytest.fixture(scope="module", params=EARLIER_COMMITS)
+def earlier_root(tmp_path_factory, request):
     folder = tmp_path_factory.mktemp("earlier")
     archive = folder / "earlier.tar"
-    command = ["git", "archive", "-o", str(archive), EARLIER_COMMIT, "citronspan"]
+    command = ["git", "archive", "-o", str(archive), request.param, "citronspan"]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     if done.returncode:
-        pytest.fail(f"The history lacks {EARLIER_COMMIT}: {done.stderr.strip()}")
+        pytest.fail(f"The history lacks {request.param}: {done.stderr.strip()}")
     with tarfile.open(archive) as tar:
         tar.extractall(folder, filter="data")
     return folder
