Say again that a stop reached its limit where its last request is not whole

What operators saw: no event 203 for a stop at whose end an upload was still being read; the request was counted as refused or given up, but the stop looked like one that had ended in time.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -358,8 +358,9 @@
             self._wait_for_directory(drain_deadline)
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
-        self._wait_until_idle(self._stop_plan.find_planned_end())
-        # Read before their threads give them up.
+        # Read before the threads of requests that are not whole give them up.
+        limit = self._stop_plan.find_planned_end() - 2 * DRAIN_POLL_SECONDS
+        self._wait_until_idle(limit)
         remaining = self.metrics.read_in_flight()
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
