Give targets behind hung requests others within the time of the floor

Cause: a broker took a target for used while a grant of it was open. A request whose path is cut hangs until its caller leaves, 5 to 6 s later; so the target did not count as idle, was suspect since its answers were overdue, and, with all slots held by such grants, could not be granted at all. A connect that failed counted as a request as well.

Why the fix works: a grant counts for the floor for two mean hold times, then only if its outcome shows that the request arrived. A target that is due a request for the floor can be granted one beside open grants: at most one a hold time, and the target refuses it if it is full after all.

--- a/citronspan/core/brokering/broker_floor_test.py
+++ b/citronspan/core/brokering/broker_floor_test.py
@@ -27,6 +27,7 @@
 FAILED_SECONDS = 2.0
 REQUEST_INTERVAL_SECONDS = 0.05
 REQUEST_SECONDS = 0.2
+DEADLINE_SECONDS = 5.0
 WARM_UP_SECONDS = 3.0
 
 
@@ -48,13 +49,17 @@
         granted: Time and target of each grant.
         failed: Time and target of each failure.
         failing: Names of the targets that fail each request now.
+        cut_share: Share of the requests that come from hosts which reach no target, and
+            hang.
     """
 
-    def __init__(self, clock, *, targets):
+    def __init__(self, clock, *, targets, seed=0):
         self.targets = tuple(f"t-{number}" for number in range(targets))
         self.granted = []
         self.failed = []
         self.failing = set()
+        self.cut_share = 0.0
+        self._random = random.Random(seed)
         self._clock = clock
         self._attempt_id = 0
         self._running = []
@@ -77,7 +82,7 @@
                 service="s",
                 region="r",
                 shard=0,
-                deadline_seconds=5.0,
+                deadline_seconds=DEADLINE_SECONDS,
                 goal_seconds=2.0,
                 connected=connected,
                 data_centre="r-1",
@@ -114,6 +119,11 @@
             if not isinstance(item.message, SlotGrant):
                 continue
             name = item.message.target
+            if self._random.random() < self.cut_share:
+                self._running.append(
+                    (now + DEADLINE_SECONDS, item.message, False, DEADLINE_SECONDS)
+                )
+                continue
             self.granted.append((now, name))
             failed = name in self.failing
             seconds = 0.01 if failed else REQUEST_SECONDS
@@ -126,11 +136,14 @@
         for _, grant, failed, seconds in finished:
             if failed:
                 self.failed.append((now, grant.target))
+            outcome_class = OutcomeClass.TARGET_ERROR if failed else OutcomeClass.OK
+            if seconds >= DEADLINE_SECONDS:
+                outcome_class = OutcomeClass.CANCELLED
             outcome = Outcome(
                 target=grant.target,
-                outcome_class=OutcomeClass.TARGET_ERROR if failed else OutcomeClass.OK,
+                outcome_class=outcome_class,
                 latency_seconds=seconds,
-                deadline_seconds=5.0,
+                deadline_seconds=DEADLINE_SECONDS,
             )
             release = SlotRelease(
                 attempt_id=grant.attempt_id,
@@ -155,6 +168,24 @@
         assert load.find_smallest_share(start) >= FLOOR
 
 
+@pytest.mark.parametrize("targets", [4, 7, 9])
+@pytest.mark.parametrize("cut_share", [0.25, 0.4])
+@pytest.mark.parametrize("cut_seconds", [0.5, 1.0])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_targets_get_requests_while_those_of_some_hosts_hang(
+    targets, cut_share, cut_seconds, seed
+):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=targets, seed=seed)
+        load.run(WARM_UP_SECONDS)
+        start = time.monotonic()
+        load.cut_share = cut_share
+        load.run(cut_seconds)
+        load.cut_share = 0.0
+        load.run(DEADLINE_SECONDS + WINDOW_SECONDS)
+        assert load.find_smallest_share(start) >= FLOOR
+
+
 def test_targets_without_open_connection_get_requests_at_low_load():
     with freezegun.freeze_time("2026-01-01") as clock:
         load = BrokerUnderLoad(clock, targets=8)
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -10,6 +10,7 @@
     FAILED_IDLE_SECONDS,
     FLOOR_IDLE_SECONDS,
     IDLE_TARGET_SECONDS,
+    TRUSTED_HOLD_TIMES,
     Candidate,
     compute_cost,
     rank_by_free_share,
@@ -169,9 +170,15 @@
             for usage, limit in self._usages_with_limits
         )
 
-    def _count_grantable_slots(self, usage, limit, now):
-        """Return the free slots of a target, 0 while its rate limit lets it wait."""
+    def _count_grantable_slots(self, usage, limit, now, *, is_due=False):
+        """Return the free slots of a target, 0 while its rate limit lets it wait.
+
+        A target that is due a request for the floor has one, though grants whose
+        requests may hang hold all its slots.
+        """
         free_slots = usage.compute_free_slots(limit, now)
+        if is_due and usage.has_slots_beside_grants(limit, now):
+            free_slots = max(1, free_slots)
         if free_slots <= 0:
             return free_slots
         name = usage.target_info.name
@@ -218,30 +225,28 @@
         best = None
         best_rank = None
         count = len(self._usage_by_target)
-        preferred_idle_seconds = self._find_preferred_idle_seconds(
-            request, high_unserved_share, now
-        )
+        due_targets = self._find_targets_due_for_floor(request, now)
         for index, (usage, limit) in enumerate(self._usages_with_limits):
             if usage.target_info.name in request.excluded:
                 continue
             if limit.trial and not _may_use_trial(request, limit):
                 continue
-            free_slots = self._count_grantable_slots(usage, limit, now)
+            is_due = usage.target_info.name in due_targets
+            free_slots = self._count_grantable_slots(usage, limit, now, is_due=is_due)
             if free_slots <= 0:
                 continue
+            is_idle = usage.compute_idle_seconds(now) > IDLE_TARGET_SECONDS
             candidate = Candidate(
                 usage=usage,
                 limit=limit,
                 free_slots=free_slots,
-                idle_seconds=usage.compute_idle_seconds(now),
+                is_preferred=is_due or (high_unserved_share and is_idle),
             )
             rotation = (index + request.attempt_id) % count
             if limit.failure_probability is None:
                 rank = rank_by_free_share(request, candidate)
             else:
-                cost = compute_cost(
-                    request, candidate, preferred_idle_seconds=preferred_idle_seconds
-                )
+                cost = compute_cost(request, candidate)
                 if cost > acceptable_cost:
                     continue
                 rank = (cost,)
@@ -252,35 +257,33 @@
             best_rank = rank
         return best
 
-    def _find_preferred_idle_seconds(self, request, high_unserved_share, now):
-        """Return the time without requests after which a target is preferred."""
-        if high_unserved_share:
-            return IDLE_TARGET_SECONDS
-        if not request.is_retry and self._is_below_floor(now):
-            return FLOOR_IDLE_SECONDS
-        return math.inf
-
-    def _is_below_floor(self, now):
-        """Return whether more of the usable targets are idle than the floor allows."""
-        usages = [
-            usage
-            for usage, limit in self._usages_with_limits
-            if usage.compute_usable_slots(limit, now) > 0 and not usage.is_said_to_leave
-        ]
-        idle = [usage for usage in usages if _is_idle(usage, now)]
+    def _find_targets_due_for_floor(self, request, now):
+        """Return the idle targets if they are more than the floor allows, else none."""
+        if request.is_retry or not self.has_failure_probabilities:
+            return frozenset()
+        trusted_seconds = max(
+            IDLE_TARGET_SECONDS, TRUSTED_HOLD_TIMES * self._estimate_hold_seconds()
+        )
+        due_targets = set()
+        usable_count = 0
+        idle_count = 0
+        for usage, limit in self._usages_with_limits:
+            unreached_seconds = usage.compute_unreached_seconds(now, trusted_seconds)
+            is_idle = unreached_seconds > FLOOR_IDLE_SECONDS
+            if is_idle:
+                due_targets.add(usage.target_info.name)
+            is_usable = usage.compute_usable_slots(limit, now) > 0
+            if not is_usable or usage.is_said_to_leave:
+                continue
+            usable_count += 1
+            has_just_failed = now - usage.failed_at <= FAILED_IDLE_SECONDS
+            idle_count += is_idle and not has_just_failed
         allowed_idle = count_allowed_idle_targets(
             floor=self._floor,
-            targets=len(usages),
+            targets=usable_count,
             preceding_targets=self._count_preceding_targets(),
         )
-        return len(idle) > allowed_idle
-
-
-def _is_idle(usage: TargetUsage, now: float) -> bool:
-    """Return whether a target had no request recently, nor failed a little earlier."""
-    if now - usage.failed_at <= FAILED_IDLE_SECONDS:
-        return False
-    return usage.compute_idle_seconds(now) > FLOOR_IDLE_SECONDS
+        return due_targets if idle_count > allowed_idle else frozenset()
 
 
 def _may_use_trial(request: SlotRequest, limit: TargetLimit) -> bool:
--- a/citronspan/core/brokering/broker_target_usage.py
+++ b/citronspan/core/brokering/broker_target_usage.py
@@ -28,6 +28,14 @@
 PEAK_HALF_WINDOW_SECONDS = 0.25
 """Half of the window over which the peak of own grants is kept."""
 
+_UNREACHED_CLASSES = {
+    OutcomeClass.CONNECT_FAILED,
+    OutcomeClass.TIMED_OUT,
+    OutcomeClass.CANCELLED,
+    OutcomeClass.NOT_USED,
+}
+"""Classes of outcomes that do not show whether the target got the request."""
+
 _OWN_FAILURE_CLASSES = {OutcomeClass.TARGET_ERROR, OutcomeClass.ANSWER_LOST}
 
 
@@ -38,6 +46,8 @@
         target_info: The target as configured.
         granted: Number of own grants that are open.
         granted_at: Time of the last grant, or of creation before the first.
+        reached_at: Time of the last grant whose request is known to have arrived at the
+            target, or of creation before the first.
         failed_at: Time of the last outcome if it was the target's own failure, else
             -inf.
     """
@@ -46,6 +56,7 @@
         self.target_info = target_info
         self.granted = 0
         self.granted_at = now
+        self.reached_at = now
         self.failed_at = -math.inf
         self.leaving_incarnation: int | None = None
         self._external_usage = 0
@@ -95,6 +106,22 @@
         """Return the time since the last grant, 0 while a grant is open."""
         return 0.0 if self.granted else now - self.granted_at
 
+    def compute_unreached_seconds(self, now: float, trusted_seconds: float) -> float:
+        """Return the time since the last request that has, or may have, arrived.
+
+        Args:
+            now: Present time.
+            trusted_seconds: Age up to which a grant counts though nothing is known of
+                its request. An older one may hang on its way to the target.
+        """
+        if now - self.granted_at <= trusted_seconds:
+            return now - self.granted_at
+        return now - self.reached_at
+
+    def has_slots_beside_grants(self, limit: TargetLimit, now: float) -> bool:
+        """Return whether the target would have a free slot without the own grants."""
+        return self.compute_free_slots(limit, now) + self.granted > 0
+
     def count_grant(self, now: float) -> None:
         """Count a grant."""
         self.granted += 1
@@ -129,6 +156,9 @@
         """
         has_failed = outcome.outcome_class in _OWN_FAILURE_CLASSES
         self.failed_at = now if has_failed else -math.inf
+        if outcome.outcome_class not in _UNREACHED_CLASSES:
+            granted_at = now - load_age_seconds - outcome.latency_seconds
+            self.reached_at = max(self.reached_at, granted_at)
         if outcome.outcome_class is OutcomeClass.DRAINING:
             self._backoff_until = now + DRAINING_BACKOFF_SECONDS
             return
--- a/citronspan/core/brokering/placement.py
+++ b/citronspan/core/brokering/placement.py
@@ -34,8 +34,12 @@
 """Time without requests after which a target is idle while many requests fail."""
 
 FLOOR_IDLE_SECONDS = 1.6
-"""Time without requests after which a target counts as idle for the floor, which users
-measure over 2 s."""
+"""Time without a new request after which a target counts as idle for the floor, which
+users measure over 2 s."""
+
+TRUSTED_HOLD_TIMES = 2.0
+"""Age, in mean hold times, up to which a grant counts for the floor though its request
+may hang on its way to the target."""
 
 FAILED_IDLE_SECONDS = 3.4
 """Time after a failure during which a target does not count as idle for the floor.
@@ -68,13 +72,13 @@
         usage: Usage of the target.
         limit: Slot limit and failure probability that detection sets.
         free_slots: Number of free slots.
-        idle_seconds: Time since its last request, 0 while it is running one.
+        is_preferred: Whether it is preferred to others because it is idle.
     """
 
     usage: TargetUsage
     limit: TargetLimit
     free_slots: int
-    idle_seconds: float = 0.0
+    is_preferred: bool = False
 
 
 def rank_by_free_share(request: SlotRequest, candidate: Candidate) -> tuple:
@@ -96,19 +100,12 @@
     return (not limit.trial, is_restricted, -candidate.free_slots / limit.slots)
 
 
-def compute_cost(
-    request: SlotRequest,
-    candidate: Candidate,
-    *,
-    preferred_idle_seconds: float = math.inf,
-) -> float:
+def compute_cost(request: SlotRequest, candidate: Candidate) -> float:
     """Compute the expected cost of sending a request to a target.
 
     Args:
         request: Request that needs a slot.
         candidate: Target to rate.
-        preferred_idle_seconds: Time without requests after which a target is preferred
-            to others.
 
     Returns:
         Cost as a fraction of the request's worth.
@@ -129,7 +126,7 @@
         cost += UNREACHABLE_TARGET_COST
     if limit.never_used and not candidate.usage.granted:
         cost += UNTRIED_TARGET_COST
-    if candidate.idle_seconds > preferred_idle_seconds:
+    if candidate.is_preferred:
         cost += IDLE_TARGET_COST
     return cost
 
