Count notices of targets by service

The gauges of targets that leave or pause were one number for the host, so that an operator with several services could not see whose targets they were.

citronspan_targets_leaving and citronspan_targets_paused keep their names, labels and meaning: a label would change the series that readers ask for. New beside them, by service: citronspan_service_targets_leaving, citronspan_service_targets_paused, citronspan_unreadable_pauses_total and citronspan_returned_slots_total. A target that the configuration doesn't list is in the number of the host only.

The decision on a slot's target, with its line and counter, moves to the recorder of notices.

--- a/citronspan/core/detection/target_notices.py
+++ b/citronspan/core/detection/target_notices.py
@@ -167,14 +167,22 @@
             ]
         return min((left for left in remaining_seconds if left > 0), default=0.0)
 
+    def list_said_leaving(self) -> frozenset[str]:
+        """Return the names of the configured targets that leave by their answers."""
+        return self._said_leaving_names
+
+    def list_paused(self) -> frozenset[str]:
+        """Return the names of the targets that take nothing from this host now."""
+        with self._lock:
+            return frozenset(self._list_paused(time.monotonic()))
+
     def count_said_leaving(self) -> int:
         """Return the number of configured targets that leave by their answers."""
         return len(self._said_leaving_names)
 
     def count_paused(self) -> int:
         """Return the number of targets that take nothing from this host now."""
-        with self._lock:
-            return len(self._list_paused(time.monotonic()))
+        return len(self.list_paused())
 
     def _adopt_unlisted(self):
         """Take what a target said before it was listed for its listed incarnation."""
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -151,7 +151,7 @@
         self.metrics.watch_reachability(self._reachability)
         self.metrics.watch_relay(self._relay_connector, self._relay_server)
         self.metrics.watch_rate_limits(self.slots.rate_limits)
-        self.metrics.watch_notices(self.slots.notices.table)
+        self.metrics.watch_notices(self.slots.notices)
         self._side_servers = [
             make_metrics_server(settings.metrics_address, self.metrics.registry)
         ]
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -5,10 +5,11 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from citronspan.core.detection.target_notices import TargetNotices
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
+from citronspan.ops.notice_metrics import NoticeCollector
+from citronspan.ops.notice_recorder import NoticeRecorder
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.relay_connector import RelayConnector
 from citronspan.ops.relay_server import RelayServer
@@ -110,14 +111,15 @@
         )
         gauge.set_function(rate_limits.count_limited)
 
-    def watch_notices(self, notices: TargetNotices) -> None:
-        """Register gauges for the targets that leave or pause by their own word."""
+    def watch_notices(self, recorder: NoticeRecorder) -> None:
+        """Register metrics of the targets that leave or pause by their own word."""
+        self.registry.register(NoticeCollector(recorder=recorder))
         for name, meaning, count in (
             ("leaving", "Targets that leave by their answers.", "count_said_leaving"),
             ("paused", "Targets that want nothing from this entry.", "count_paused"),
         ):
             gauge = Gauge(f"citronspan_targets_{name}", meaning, registry=self.registry)
-            gauge.set_function(getattr(notices, count))
+            gauge.set_function(getattr(recorder.table, count))
 
     def watch_link(self, link: PeerLink) -> None:
         """Register gauges for the traffic that the peer link has sent and received."""
--- a/citronspan/ops/notice_recorder.py
+++ b/citronspan/ops/notice_recorder.py
@@ -1,6 +1,7 @@
 """Records and logs what targets say of themselves to this host."""
 
 import threading
+from collections import Counter
 from collections.abc import Mapping
 
 import logbook
@@ -28,6 +29,9 @@
     def __init__(self):
         self.table = TargetNotices()
         self._lock = threading.Lock()
+        self._names_by_service: dict[str, frozenset[str]] = {}
+        self._unreadable_by_service: Counter[str] = Counter()
+        self._returned_by_service: Counter[str] = Counter()
         self._pause_line_bucket = TokenBucket(
             rate=PAUSE_LINES_PER_SECOND, burst=PAUSE_BURST_LINES
         )
@@ -41,6 +45,10 @@
             for service, targets in targets_by_service.items()
             for target in targets
         }
+        self._names_by_service = {
+            service: frozenset(target.name for target in targets)
+            for service, targets in targets_by_service.items()
+        }
         leaving = self.table.set_targets(
             target for targets in targets_by_service.values() for target in targets
         )
@@ -76,6 +84,8 @@
                 source="answer",
             )
         if notice.problem:
+            with self._lock:
+                self._unreadable_by_service[slot.shard.service] += 1
             self._write_pause_line(
                 log_events.PAUSE_UNREADABLE, slot, notice, request_id
             )
@@ -84,6 +94,51 @@
         ):
             self._write_pause_line(log_events.TARGET_PAUSED, slot, notice, request_id)
 
+    def may_use(self, slot: Slot, request_id: str) -> bool:
+        """Return whether this entry may use a slot's target now, and log if not."""
+        reason = self.table.find_reason(slot.target)
+        if reason is None:
+            return True
+        with self._lock:
+            self._returned_by_service[slot.shard.service] += 1
+        write_event(
+            _logger,
+            log_events.SLOT_RETURNED,
+            id=request_id,
+            service=slot.shard.service,
+            target=slot.target,
+            broker=slot.broker,
+            reason=reason,
+        )
+        return False
+
+    def count_said_leaving_by_service(self) -> dict[str, int]:
+        """Return the number of targets of each service that leave by their answers."""
+        return self._count_by_service(self.table.list_said_leaving())
+
+    def count_paused_by_service(self) -> dict[str, int]:
+        """Return the number of targets of each service that want nothing now."""
+        return self._count_by_service(self.table.list_paused())
+
+    def count_unreadable_pauses_by_service(self) -> dict[str, int]:
+        """Return the number of pauses so far that were not taken as they stand.
+
+        Pauses whose log line was left out count, too.
+        """
+        with self._lock:
+            return dict(self._unreadable_by_service)
+
+    def count_returned_slots_by_service(self) -> dict[str, int]:
+        """Return the number of slots so far whose target might not be used."""
+        with self._lock:
+            return dict(self._returned_by_service)
+
+    def _count_by_service(self, names):
+        return {
+            service: len(service_names & names)
+            for service, service_names in self._names_by_service.items()
+        }
+
     def _write_pause_line(self, event, slot, notice, request_id):
         """Log a pause, unless a target that refuses all the time fills the log."""
         with self._lock:
--- a/citronspan/ops/notice_recorder_test.py
+++ b/citronspan/ops/notice_recorder_test.py
@@ -53,9 +53,45 @@
 
 def test_gauges_miss_targets_that_leave_or_pause():
     recorder, metrics = NoticeRecorder(), EntryMetrics()
-    metrics.watch_notices(recorder.table)
+    metrics.watch_notices(recorder)
     recorder.set_targets({"s": (TARGET,)})
     notice = TargetNotice(is_leaving=True, pause_seconds=60.0)
     recorder.observe(SLOT, notice, "r-1")
     for name in ("leaving", "paused"):
         assert metrics.registry.get_sample_value(f"citronspan_targets_{name}") == 1.0
+
+
+def read_by_service(metrics, name):
+    labels = [{"service": service} for service in ("s", "other")]
+    return [metrics.registry.get_sample_value(name, label) for label in labels]
+
+
+def test_targets_that_leave_or_pause_count_for_another_service():
+    recorder, metrics = NoticeRecorder(), EntryMetrics()
+    metrics.watch_notices(recorder)
+    other = dataclasses.replace(TARGET, name="u")
+    recorder.set_targets({"s": (TARGET,), "other": (other,)})
+    notice = TargetNotice(is_leaving=True, pause_seconds=60.0)
+    recorder.observe(SLOT, notice, "r-1")
+    for name in ("leaving", "paused"):
+        values = read_by_service(metrics, f"citronspan_service_targets_{name}")
+        assert values == [1.0, 0.0]
+
+
+def test_unreadable_pause_whose_line_is_left_out_is_not_counted(lines):
+    recorder, metrics = NoticeRecorder(), EntryMetrics()
+    metrics.watch_notices(recorder)
+    for _ in range(100):
+        recorder.observe(SLOT, TargetNotice(problem="not a number"), "r-1")
+    assert len(lines) < 100
+    assert read_by_service(metrics, "citronspan_unreadable_pauses_total")[0] == 100.0
+
+
+def test_slot_that_is_given_back_is_not_counted():
+    recorder, metrics = NoticeRecorder(), EntryMetrics()
+    metrics.watch_notices(recorder)
+    recorder.set_targets({"s": (TARGET,)})
+    assert recorder.may_use(SLOT, "r-1")
+    recorder.observe(SLOT, TargetNotice(is_leaving=True), "r-1")
+    assert not recorder.may_use(SLOT, "r-1")
+    assert read_by_service(metrics, "citronspan_returned_slots_total")[0] == 1.0
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/region_slots.py
@@ -24,13 +24,13 @@
 from citronspan.core.brokering.broker_set import BrokerSet
 from citronspan.core.brokering.rate_pacer import divide_fallback_share
 from citronspan.core.brokering.shards import Shard, ShardKey, choose_shard
-from citronspan.core.detection.target_notices import TargetNotices
 from citronspan.core.message_base import Message
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER, ResultCode
 from citronspan.ops.broker_client import BrokerClient
 from citronspan.ops.local_chooser import LocalChooser
+from citronspan.ops.notice_recorder import NoticeRecorder
 from citronspan.ops.peer_link import PeerLink
 from citronspan.ops.recent_names import RecentNames
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
@@ -64,7 +64,7 @@
         brokers: BrokerSet,
         local_chooser: LocalChooser,
         rate_limits: RateLimitTable,
-        notices: TargetNotices,
+        notices: NoticeRecorder,
         find_spec: Callable[[str], ServiceSpec],
         list_connected_addresses: Callable[[], frozenset[str]],
     ):
@@ -93,7 +93,8 @@
         self._brokers = brokers
         self._local_chooser = local_chooser
         self._rate_limits = rate_limits
-        self._notices = notices
+        self._notice_recorder = notices
+        self._notices = notices.table
         self._find_spec = find_spec
         self._list_connected_addresses = list_connected_addresses
         self._unreachable_targets = RecentNames(seconds=UNREACHABLE_TARGET_SECONDS)
@@ -140,7 +141,7 @@
             )
             if not isinstance(result, Slot):
                 return result
-            if self.may_use(result, query.request_id):
+            if self._notice_recorder.may_use(result, query.request_id):
                 return result
             self._return_slot(result)
             asked_before = True
@@ -173,22 +174,6 @@
             result_codes.NO_CAPACITY, seconds or DEFAULT_RETRY_AFTER_SECONDS
         )
 
-    def may_use(self, slot: Slot, request_id: str) -> bool:
-        """Return whether this entry may use a slot's target now, and log if not."""
-        reason = self._notices.find_reason(slot.target)
-        if reason is None:
-            return True
-        write_event(
-            _logger,
-            log_events.SLOT_RETURNED,
-            id=request_id,
-            service=slot.shard.service,
-            target=slot.target,
-            broker=slot.broker,
-            reason=reason,
-        )
-        return False
-
     def _return_slot(self, slot):
         """Give back a slot that was not used."""
         if not slot.broker:
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slot_service.py
@@ -101,7 +101,7 @@
             brokers=self.brokers,
             local_chooser=self.local_chooser,
             rate_limits=self.rate_limits,
-            notices=self.notices.table,
+            notices=self.notices,
             find_spec=lambda service: self._spec_by_service[service],
             list_connected_addresses=list_connected_addresses,
         )
@@ -160,7 +160,7 @@
 
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this entry may send a request to a slot's target now."""
-        return self._region_slots.may_use(slot, request_id)
+        return self.notices.may_use(slot, request_id)
 
     def is_usable(self, target: str) -> bool:
         """Return whether this entry may use a target now, by its name."""
