Count retries that never reach a target no longer

What callers saw: a service whose targets say that they leave or pause loses retries that never reached a target, so that failed requests are passed on which a retry could have mended.

Cause: the broker counts a retry in its retry window when it grants the slot. An entry that may not use the target, or whose caller has left, gives the slot back, and the count stays for the whole window.

The fix: the grant keeps the bucket that counted it. A release with the outcome not-used, sent only before the first byte, takes the retry out of that bucket. So does a cancel that says that no slot is used for the attempt (is_abandoned, a new field). A plain cancel doesn't: an entry that gives up one broker may use another broker's slot for the same attempt.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -342,7 +342,7 @@
         attempt_id = release.attempt_id
         if self._attempt_cache.has_ended(attempt_id):
             return
-        grant = self._grant_table.end(attempt_id, now)
+        grant = self._granter.end_grant(release, now)
         self._attempt_cache.record_attempt_end(attempt_id, now)
         self._outcomes.record(release, grant, now)
         self._waiting.heed_pause(sender, release.outcome)
@@ -356,7 +356,7 @@
             return
         self._attempt_cache.record_attempt_end(attempt_id, now)
         self._queue.remove(attempt_id)
-        self._grant_table.end(attempt_id, now)
+        self._granter.end_grant(cancel, now)
         if self.successor:
             self._answers.send(self.successor, cancel)
         self._serve_waiting(now)
--- a/citronspan/core/brokering/broker_grants.py
+++ b/citronspan/core/brokering/broker_grants.py
@@ -21,6 +21,8 @@
         lease_seconds: Time from the grant to the end of the lease.
         crosses_link: Whether the grant was charged to the link budget.
         is_retryable: Whether the request may be retried if this attempt fails.
+        retry_bucket: Number of the bucket of the retry window that counts the grant,
+            None if it isn't counted here.
     """
 
     usage: TargetUsage
@@ -29,6 +31,7 @@
     lease_seconds: float
     crosses_link: bool = False
     is_retryable: bool = False
+    retry_bucket: int | None = None
 
 
 class GrantTable:
--- a/citronspan/core/brokering/broker_messages.py
+++ b/citronspan/core/brokering/broker_messages.py
@@ -174,12 +174,16 @@
         service: Name of the service.
         region: Region of the shard.
         shard: Number of the shard.
+        is_abandoned: Whether no broker's slot is used for the attempt. An entry that
+            only stops waiting for one broker may use a slot of another, or one whose
+            grant comes late, for the same attempt.
     """
 
     attempt_id: int
     service: str
     region: str
     shard: int
+    is_abandoned: bool = False
 
 
 class HandoverGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/citronspan/core/brokering/broker_test.py
+++ b/citronspan/core/brokering/broker_test.py
@@ -95,8 +95,10 @@
     )
 
 
-def make_cancel(attempt_id):
-    return SlotCancel(attempt_id=attempt_id, service="shop", region="svea", shard=0)
+def make_cancel(attempt_id, **fields):
+    return SlotCancel(
+        attempt_id=attempt_id, service="shop", region="svea", shard=0, **fields
+    )
 
 
 @pytest.fixture
--- a/citronspan/core/brokering/retry_window.py
+++ b/citronspan/core/brokering/retry_window.py
@@ -6,6 +6,10 @@
 granted, so until it has been the broker for a whole window its slack is divided by the
 number of possible brokers. The same applies to requests that it serves as a fallback
 broker, because several may serve a shard at once.
+
+A retry whose slot is given back unused is taken out of the bucket that counted it. All
+retries that reach a target in a window were counted together at the grant of the last
+one, so the limit holds for those that arrive, too.
 """
 
 import math
@@ -77,10 +81,26 @@
             slack /= max(self._count_possible_brokers(), 1)
         return retries + 1 <= self._ratio * requests + slack
 
-    def count_retry(self) -> None:
-        """Count a granted retry."""
-        self._get_current_bucket()[2] += 1
+    def count_retry(self) -> int:
+        """Count a granted retry.
+
+        Returns:
+            Number of the bucket that counts it.
+        """
+        bucket = self._get_current_bucket()
+        bucket[2] += 1
         self.total_retries += 1
+        return bucket[0]
+
+    def discount_retry(self, bucket_number: int) -> None:
+        """Take out a granted retry that will never reach a target.
+
+        Args:
+            bucket_number: What ``count_retry`` returned for it.
+        """
+        for bucket in self._buckets:
+            if bucket[0] == bucket_number:
+                bucket[2] -= 1
 
     def _get_current_bucket(self):
         now = time.monotonic()
--- a/citronspan/core/brokering/slot_granter.py
+++ b/citronspan/core/brokering/slot_granter.py
@@ -7,7 +7,7 @@
     Grant,
     GrantTable,
 )
-from citronspan.core.brokering.broker_messages import SlotGrant
+from citronspan.core.brokering.broker_messages import SlotCancel, SlotGrant, SlotRelease
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.broker_target_usage import TargetUsage
 from citronspan.core.brokering.placement import compute_acceptable_cost
@@ -15,6 +15,7 @@
 from citronspan.core.brokering.slot_queue import WaitingRequest
 from citronspan.core.brokering.unserved_share import UnservedShare
 from citronspan.core.detection.health import Health
+from citronspan.core.outcomes import OutcomeClass
 
 
 class SlotGranter:
@@ -90,14 +91,13 @@
             lease_seconds=lease_seconds,
             crosses_link=bool(request.from_region),
             is_retryable=request.idempotent and not request.is_retry,
+            retry_bucket=self._count_retry(request),
         )
         self._add_grant(request.attempt_id, grant, now)
         if is_trial:
             self._health.record_trial(usage.target_info.name)
         self._pool.count_request(usage.target_info.name)
         self.grant_count += 1
-        if self._retry_window is not None and request.is_retry:
-            self._retry_window.count_retry()
         self._answers.record_decision(waiting, now, target=usage.target_info.name)
         answer = SlotGrant(
             attempt_id=request.attempt_id,
@@ -112,6 +112,18 @@
             waiting.sender, answer, lease_seconds + ATTEMPT_CACHE_SECONDS, now
         )
 
+    def end_grant(self, message: SlotRelease | SlotCancel, now: float) -> Grant | None:
+        """Free the slot of an attempt that has ended.
+
+        Returns:
+            Its grant, or None if it had no open grant.
+        """
+        grant = self._grant_table.end(message.attempt_id, now)
+        if grant is None or grant.retry_bucket is None or not _is_unused(message):
+            return grant
+        self._retry_window.discount_retry(grant.retry_bucket)
+        return grant
+
     def repeat_grant(self, sender: str, attempt_id: int, now: float) -> None:
         """Tell an entry of an open grant that the previous broker gave."""
         grant = self._grant_table.find(attempt_id)
@@ -124,6 +136,11 @@
         )
         self._answers.send_final(sender, answer, remaining + ATTEMPT_CACHE_SECONDS, now)
 
+    def _count_retry(self, request):
+        if self._retry_window is None or not request.is_retry:
+            return None
+        return self._retry_window.count_retry()
+
     def _add_grant(self, attempt_id, grant, now):
         self._grant_table.add(attempt_id, grant, now)
         overdue_seconds = self._health.find_overdue_seconds(grant.request_kind)
@@ -141,3 +158,10 @@
             goal_seconds=max(request.goal_seconds - waited_seconds, 0.0),
             deadline_seconds=waiting.deadline_at - now,
         )
+
+
+def _is_unused(message):
+    """Return whether the attempt that a message ends never reached a target."""
+    if isinstance(message, SlotCancel):
+        return message.is_abandoned
+    return message.outcome.outcome_class is OutcomeClass.NOT_USED
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/region_slots.py
@@ -184,6 +184,7 @@
             service=slot.shard.service,
             region=slot.shard.region,
             shard=slot.shard.number,
+            is_abandoned=True,
         )
         self._send(slot.broker, cancel)
 
@@ -216,11 +217,10 @@
                     response.retry_after_seconds,
                 )
             if response is None:
-                self._cancel_request(broker, request)
-                if query.is_too_late():
-                    return make_slot_refused(result_codes.ENTRY_STOPPING)
-                if query.is_disconnected():
-                    return make_slot_refused(result_codes.CALLER_GONE)
+                end_code = _find_end_code(query)
+                self._cancel_request(broker, request, is_abandoned=end_code is not None)
+                if end_code is not None:
+                    return make_slot_refused(end_code)
                 self._unresponsive_brokers.add(broker)
                 request = msgspec.structs.replace(request, asked_before=True)
                 continue
@@ -304,7 +304,7 @@
             incarnation=self._notices.find_incarnation(grant.target),
         )
 
-    def _cancel_request(self, broker, request):
+    def _cancel_request(self, broker, request, *, is_abandoned):
         write_event(
             _logger,
             log_events.BROKER_UNREACHABLE,
@@ -317,6 +317,7 @@
             service=request.service,
             region=request.region,
             shard=request.shard,
+            is_abandoned=is_abandoned,
         )
         self._send(broker, cancel)
 
@@ -344,6 +345,15 @@
         )
 
 
+def _find_end_code(query) -> ResultCode | None:
+    """Return why no further slot is asked for, or None if one may be."""
+    if query.is_too_late():
+        return result_codes.ENTRY_STOPPING
+    if query.is_disconnected():
+        return result_codes.CALLER_GONE
+    return None
+
+
 def _list_usable(shards, unusable):
     """Return the shards that have a target which this entry may use."""
     if not unusable:
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from citronspan.core import result_codes
-from citronspan.core.brokering.broker_messages import SlotRequest
+from citronspan.core.brokering.broker_messages import SlotCancel, SlotRequest
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.poison import (
     SUSPECT_SECONDS,
@@ -94,7 +94,9 @@
             return
         self.slots.handle(envelope.sender, envelope.body)
 
-    def acquire(self, seconds=DEADLINE_SECONDS, excluded=(), goal_seconds=0.0):
+    def acquire(
+        self, seconds=DEADLINE_SECONDS, excluded=(), goal_seconds=0.0, **fields
+    ):
         return self.slots.acquire(
             SlotQuery(
                 service="s",
@@ -107,6 +109,7 @@
                 body_bytes=0,
                 is_retry=False,
                 goal_time=time.monotonic() + goal_seconds if goal_seconds else 0.0,
+                **fields,
             )
         )
 
@@ -292,11 +295,11 @@
     assert messages == []
 
 
-def record_slot_requests(slots, messages):
+def record_slot_requests(slots, messages, kind=SlotRequest):
     handle = slots.handle
 
     def record(sender, message):
-        if isinstance(message, SlotRequest):
+        if isinstance(message, kind):
             messages.append(message)
         handle(sender, message)
 
@@ -366,6 +369,42 @@
     assert {broker.acquire().target for _ in TARGETS} == {"t0", "t1", "t2"}
 
 
+def wait_for_cancels(messages):
+    deadline = time.monotonic() + MAXIMUM_ACQUIRE_SECONDS
+    while not messages and time.monotonic() < deadline:
+        time.sleep(0.005)
+    return [message.is_abandoned for message in messages]
+
+
+def test_broker_is_not_told_that_a_slot_was_never_used(pair):
+    broker, requester = pair
+    messages = []
+    record_slot_requests(broker.slots, messages, SlotCancel)
+    requester.slots.set_services({"s": ServiceSpec()}, {"s": TARGETS[1:]}, frozenset())
+    acquire_pairs(requester)
+    assert set(wait_for_cancels(messages)) == {True}
+
+
+def test_broker_is_not_told_that_a_caller_left_while_it_waited(pair):
+    broker, requester = pair
+    for _ in TARGETS:
+        broker.acquire()
+    messages = []
+    record_slot_requests(broker.slots, messages, SlotCancel)
+    refused = requester.acquire(is_disconnected=lambda: True)
+    assert refused.code == result_codes.CALLER_GONE
+    assert wait_for_cancels(messages) == [True]
+
+
+def test_broker_takes_an_attempt_that_goes_on_elsewhere_for_an_unused_one(pair):
+    broker, requester = pair
+    messages = []
+    record_slot_requests(broker.slots, messages, SlotCancel)
+    broker.link.cut = True
+    assert requester.acquire().broker == requester.link.address
+    assert wait_for_cancels(messages) == [False]
+
+
 def test_broker_with_a_newer_view_is_not_believed(pair):
     broker, requester = pair
     new = dataclasses.replace(TARGETS[0], name="t9", address=f"{NETWORK}.31.9:9")
