Pass on a failed attempt's answer if its retry's slot is withdrawn

What callers saw: a request whose first attempt got an answer that may be passed on, such as a 500 of the target, and whose retry's target said after the connect that it leaves or pauses, was answered with this host's own refusal (answer lost, may have run).

Cause: the kept answer was dropped as soon as a slot for the retry was granted, before the question whether its target may be used. Where the retry then got no other slot, or was withdrawn too often, no answer was left.

The fix: the answer is kept in a module of its own until the target of the retry may be sent the first byte. It is dropped at that moment, as it was at the grant before, or when the retry fails otherwise, so its connection stays open for the connect only.

--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/attempts.py
@@ -1,6 +1,5 @@
 """Sends a request to targets and decides whether a failed attempt is retried."""
 
-import dataclasses
 import math
 import threading
 import time
@@ -28,6 +27,7 @@
 from citronspan.ops.attempt_reporter import AttemptReporter
 from citronspan.ops.dialect import Dialect, TargetAttempt
 from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.fallback_answer import FallbackAnswer
 from citronspan.ops.open_requests import Stage
 from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
 from citronspan.ops.target_connection import (
@@ -120,7 +120,7 @@
         withdrawn: tuple[str, ...] = ()
         may_have_run = False
         has_reached_target = False
-        fallback_response: AttemptResponse | None = None
+        fallback = FallbackAnswer()
         budget = self._find_retry_budget(request_context)
         with self._lock:
             budget.count_first_attempt()
@@ -128,24 +128,22 @@
             excluded = (*tried, *withdrawn)
             slot = self._acquire(request_context, excluded, has_reached_target)
             if isinstance(slot, SlotRefused):
-                if fallback_response is not None:
-                    return self._accept_response(
-                        request_context, fallback_response, may_have_run
-                    )
+                attempt_response = fallback.take()
+                if attempt_response is not None:
+                    break
                 raise make_slot_refusal(request_context, slot, may_have_run)
-            if fallback_response is not None:
-                fallback_response.answer.abort_response()
-                fallback_response = None
             tried = (*tried, slot.target)
             attempt_response = None
             try:
-                attempt_response = self._attempt(request_context, slot, tried)
+                attempt_response = self._attempt(request_context, slot, tried, fallback)
                 last_class = attempt_response.outcome_class
             except AttemptFailedError as error:
                 last_class = error.outcome_class
                 if error.is_withdrawn and len(withdrawn) < MAXIMUM_WITHDRAWN_SLOTS:
                     tried, withdrawn = tried[:-1], (*withdrawn, slot.target)
                     continue
+                if not error.is_withdrawn:
+                    fallback.drop()
             may_have_run = (
                 may_have_run or RAN_BY_OUTCOME_CLASS[last_class] is not Ran.NOT_RUN
             )
@@ -156,13 +154,11 @@
                 break
             if attempt_response is not None:
                 # Release first, so that the broker has the failed outcome when it
-                # chooses the next target. The response is the fallback in case no
-                # other target is available.
+                # chooses the next target.
                 self.release(request_context, attempt_response)
-                fallback_response = dataclasses.replace(
-                    attempt_response, is_released=True
-                )
+                fallback.keep(attempt_response)
             self._metrics.count_retry(request_context.service_name)
+        attempt_response = attempt_response or fallback.take()
         if attempt_response is None:
             raise make_refusal(last_class, may_have_run)
         return self._accept_response(request_context, attempt_response, may_have_run)
@@ -235,14 +231,18 @@
         )
 
     def _attempt(
-        self, request_context: RequestContext, slot: Slot, tried: tuple[str, ...]
+        self,
+        request_context: RequestContext,
+        slot: Slot,
+        tried: tuple[str, ...],
+        fallback: FallbackAnswer,
     ) -> AttemptResponse:
         started_at = time.monotonic()
         request_context.open_request.stage = Stage.AT_TARGET
         try:
             with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
-                answer = self._send(request_context, slot, started_at, tried)
+                answer = self._send(request_context, slot, started_at, tried, fallback)
                 first_byte_at = time.monotonic()
                 body_start, is_whole = _read_ahead(answer)
                 outcome_class = self._dialect.classify(
@@ -254,6 +254,7 @@
             )
             raise
         except BaseException:
+            fallback.drop()
             self._reporter.release_failed(
                 request_context, slot, started_at, OutcomeClass.CANCELLED
             )
@@ -268,7 +269,7 @@
             first_byte_at=first_byte_at,
         )
 
-    def _send(self, request_context, slot, started_at, tried):
+    def _send(self, request_context, slot, started_at, tried, fallback):
         remaining_seconds = request_context.deadline - started_at
         headers = dict(request_context.request.headers)
         # The target may use all of the time: an attempt that is given up before is
@@ -289,9 +290,7 @@
             else self._reuse_seconds,
             deadline=self._make_deadline(request_context, slot, started_at, tried),
             request_id=request_context.request.request_id,
-            may_send=lambda: self._slots.may_use(
-                slot, request_context.request.request_id
-            ),
+            may_send=lambda: self._may_send(request_context, slot, fallback),
         )
         answer = self._connections.send(
             slot.address, request, request_context.request.connection
@@ -305,6 +304,13 @@
             )
         return answer
 
+    def _may_send(self, request_context, slot, fallback) -> bool:
+        """Return whether to send an attempt, whose answer replaces an earlier one."""
+        if not self._slots.may_use(slot, request_context.request.request_id):
+            return False
+        fallback.drop()
+        return True
+
     def _make_deadline(self, request_context, slot, started_at, tried):
         attempt_seconds = slot.attempt_seconds or (
             (request_context.deadline - started_at) * ATTEMPT_DEADLINE_SHARE
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -334,6 +334,71 @@
     assert len(targets.queries) <= 3 + 2
 
 
+class WithdrawnRetries(WithdrawingTargets):
+    """Targets of which only the first one, or the one of a late slot, may be used."""
+
+    def __init__(self, steps, withdrawn_count, *, is_late_slot_usable=False):
+        super().__init__(steps, withdrawn_count)
+        self.answers = []
+        self.is_late_slot_usable = is_late_slot_usable
+
+    def may_use(self, slot, request_id):
+        if len(self.queries) > 1 + self.withdrawn_count:
+            return self.is_late_slot_usable
+        return len(self.queries) == 1
+
+    def acquire(self, query):
+        slot = super().acquire(query)
+        is_late = len(self.queries) > 1 + self.withdrawn_count
+        if is_late and not self.is_late_slot_usable:
+            return SlotRefused(code=result_codes.NO_CAPACITY, retry_after_seconds=0.5)
+        return slot
+
+    def send(self, address, request, caller):
+        self.answers.append(super().send(address, request, caller))
+        return self.answers[-1]
+
+
+@pytest.mark.parametrize("withdrawn_count", [0, 1, 3, 100])
+def test_answer_is_lost_when_the_slot_of_its_retry_is_withdrawn(withdrawn_count):
+    failed = answer(500, SIGNED, ran=True)
+    targets = WithdrawnRetries([failed, failed], withdrawn_count)
+    context = make_request_context(idempotent=True, is_repeatable=True, attempts=2)
+    attempt_response, refusal = run(targets, context)
+    assert refusal is None
+    assert attempt_response.answer is targets.answers[0]
+    assert attempt_response.is_released
+    assert not attempt_response.answer.is_aborted
+    outcome_classes = [outcome_class for _, outcome_class in targets.released]
+    withdrawn_classes = [OutcomeClass.NOT_USED] * (len(outcome_classes) - 1)
+    assert outcome_classes == [OutcomeClass.TARGET_ERROR, *withdrawn_classes]
+
+
+@pytest.mark.parametrize("withdrawn_count", [0, 1, 3])
+def test_answer_of_a_failed_attempt_is_left_open_once_its_retry_is_sent(
+    withdrawn_count,
+):
+    steps = [answer(500, SIGNED, ran=True), answer(200, SIGNED, ran=True)]
+    targets = WithdrawnRetries(steps, withdrawn_count, is_late_slot_usable=True)
+    context = make_request_context(idempotent=True, is_repeatable=True, attempts=2)
+    attempt_response, _ = run(targets, context)
+    assert attempt_response.answer.status == 200
+    assert [item.is_aborted for item in targets.answers] == [True, False]
+
+
+def test_answer_of_a_failed_attempt_is_left_open_after_a_failed_connect():
+    steps = [
+        answer(500, SIGNED, ran=True),
+        AttemptStep(failure=OutcomeClass.CONNECT_FAILED),
+    ]
+    targets = WithdrawnRetries(steps, 0, is_late_slot_usable=True)
+    context = make_request_context(idempotent=True, is_repeatable=True, attempts=2)
+    attempt_response, refusal = run(targets, context)
+    assert attempt_response is None
+    assert refusal.ran is Ran.MAY_HAVE_RUN
+    assert [item.is_aborted for item in targets.answers] == [True]
+
+
 class LeavingTargets(FakeTargets):
     """Records what the targets said of themselves, and how it was ordered."""
 
