Find out without the brokers' lock whether a service has a usable target

Each request asks first whether this host may use any target of its service. While a target of any service left or paused, that listed the targets of the service under the lock of the brokers, which all requests share.

The names of a service's targets are now a set that changes with the configuration. The configuration sets it together with the brokers' targets, so the answers are the same.

--- a/citronspan/core/detection/target_notices.py
+++ b/citronspan/core/detection/target_notices.py
@@ -160,12 +160,12 @@
         now = time.monotonic()
         with self._lock:
             leaving = self._leaving.union(self._said_leaving_names)
-            remaining_seconds = [
-                self._paused_until_by_name.get(target.name, now) - now
-                for target in targets
-                if target.name not in leaving
+            names = {target.name for target in targets} - leaving
+            ends = [
+                self._paused_until_by_name[name]
+                for name in names & self._paused_until_by_name.keys()
             ]
-        return min((left for left in remaining_seconds if left > 0), default=0.0)
+        return min([end for end in ends if end > now], default=now) - now
 
     def list_said_leaving(self) -> frozenset[str]:
         """Return the names of the configured targets that leave by their answers."""
--- a/citronspan/ops/notice_recorder.py
+++ b/citronspan/ops/notice_recorder.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self.table = TargetNotices()
         self._lock = threading.Lock()
+        self._targets_by_service: dict[str, tuple[TargetInfo, ...]] = {}
         self._names_by_service: dict[str, frozenset[str]] = {}
         self._unreadable_by_service: Counter[str] = Counter()
         self._returned_by_service: Counter[str] = Counter()
@@ -45,6 +46,7 @@
             for service, targets in targets_by_service.items()
             for target in targets
         }
+        self._targets_by_service = dict(targets_by_service)
         self._names_by_service = {
             service: frozenset(target.name for target in targets)
             for service, targets in targets_by_service.items()
@@ -94,6 +96,19 @@
         ):
             self._write_pause_line(log_events.TARGET_PAUSED, slot, notice, request_id)
 
+    def may_use_any(self, service: str) -> bool:
+        """Return whether this entry may use any target of a service now.
+
+        Each request asks this. Without targets in the configuration it is True, as a
+        broker may know more.
+        """
+        names = self._names_by_service.get(service)
+        return not names or not names <= self.table.find_unusable()
+
+    def find_pause_seconds(self, service: str) -> float:
+        """Return the time until the first pause of a service's target ends, or 0."""
+        return self.table.find_pause_seconds(self._targets_by_service.get(service, ()))
+
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this entry may use a slot's target now, and log if not."""
         reason = self.table.find_reason(slot.target)
--- a/citronspan/ops/notice_recorder_test.py
+++ b/citronspan/ops/notice_recorder_test.py
@@ -95,3 +95,25 @@
     recorder.observe(SLOT, TargetNotice(is_leaving=True), "r-1")
     assert not recorder.may_use(SLOT, "r-1")
     assert read_by_service(metrics, "citronspan_returned_slots_total")[0] == 1.0
+
+
+def test_service_without_a_usable_target_is_served_or_another_one_is_refused():
+    recorder = NoticeRecorder()
+    leaving, paused, next_target, new = (
+        dataclasses.replace(TARGET, name=name, leaving=name == "t")
+        for name in ("t", "u", "v", "w")
+    )
+    targets_by_service = {"s": (leaving, paused), "other": (), "next": (next_target,)}
+    recorder.set_targets(targets_by_service)
+    assert recorder.may_use_any("s")
+    recorder.table.record_pause("u", 60.0)
+    recorder.table.record_pause("v", 30.0)
+    usable = [
+        name for name in ("s", "other", "next", "x") if recorder.may_use_any(name)
+    ]
+    assert usable == ["other", "x"]
+    assert 59.0 < recorder.find_pause_seconds("s") <= 60.0
+    recorder.set_targets({"s": (leaving,), "next": (next_target, new)})
+    usable = [name for name in ("s", "next") if recorder.may_use_any(name)]
+    assert usable == ["next"]
+    assert recorder.find_pause_seconds("s") == 0.0
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/region_slots.py
@@ -155,21 +155,9 @@
 
         Its time is that until the first pause of a target ends.
         """
-        unusable = self._notices.find_unusable()
-        if not unusable:
-            return None
-        with self._lock:
-            groups = self._brokers.shards_by_group
-            targets = [
-                target
-                for key, shards in groups.items()
-                if key[0] == service
-                for shard in shards
-                for target in shard.targets
-            ]
-        if not targets or any(target.name not in unusable for target in targets):
+        if self._notice_recorder.may_use_any(service):
             return None
-        seconds = self._notices.find_pause_seconds(targets)
+        seconds = self._notice_recorder.find_pause_seconds(service)
         return make_slot_refused(
             result_codes.NO_CAPACITY, seconds or DEFAULT_RETRY_AFTER_SECONDS
         )
