Send keyed requests in the soak and judge what hosts say of keys

Four of ten orders of a soak carry a key of a directory's prefix now; six of ten of these repeat the request of any caller with its key, also while it runs, at any host.

Judged: a key runs at most once, an answer to it is that of its only run, a key that was said never to run has not run, one that was said to have run has, and a repeat isn't taken for another request. promises_test.py shows that each can fail.

--- a/citronspan_standins/promises_test.py
+++ b/citronspan_standins/promises_test.py
@@ -122,3 +122,45 @@
     assert judge(CUT, ARRIVAL, **frozen) == []
     frozen = {"disruptions": [Span(name="host-1", start=6.0, end=6.5)]}
     assert judge(CUT, ARRIVAL, **frozen) == ["LOST"]
+
+
+FIRST = replace(REQUEST, key="k1-p.s1")
+REPEAT = replace(
+    FIRST, request_id="id-2", began_at=12.0, last_byte_at=12.1, ended_at=13
+)
+REPEATED_ARRIVAL = replace(ARRIVAL, request_id="id-2", at=12.2, ended_at=12.4)
+
+
+def judge_key(repeat, *arrivals):
+    return judge(FIRST, *arrivals, requests=[FIRST, repeat])
+
+
+@pytest.mark.parametrize(
+    "repeat",
+    [
+        REPEAT,
+        replace(REPEAT, status=503, signature="", body=b""),
+        replace(REPEAT, status=409, signature="", body=b"", result=4006),
+        replace(REPEAT, status=409, signature="", body=b"", result=4005),
+    ],
+)
+def test_kept_promise_on_a_key_counts_as_broken(repeat):
+    assert judge_key(repeat, ARRIVAL) == []
+
+
+@pytest.mark.parametrize(
+    ("promises", "repeat", "arrivals"),
+    [
+        (["KEYED", "KEYED"], REPEAT, [ARRIVAL, REPEATED_ARRIVAL]),
+        (["MIXED"], replace(REPEAT, signature="i-2.id-2"), [ARRIVAL]),
+        (["MIXED"], replace(REPEAT, body=b"id-2 "), [ARRIVAL]),
+        (["KEYED"], replace(REPEAT, status=409, result=4003), [ARRIVAL]),
+        (["KEYED"], replace(REPEAT, status=409, result=4004), [ARRIVAL]),
+        (["KEYED"], replace(REPEAT, status=503, result=4007), [ARRIVAL]),
+        (["KEYED"], replace(REPEAT, status=409, result=4010), [ARRIVAL]),
+        (["KEYED"], replace(REPEAT, status=422, result=4008), [ARRIVAL]),
+        (["MIXED", "KEYED"], replace(REPEAT, status=409, result=4006), []),
+    ],
+)
+def test_broken_promise_on_a_key_is_not_noticed(promises, repeat, arrivals):
+    assert judge_key(repeat, *arrivals) == promises
--- a/citronspan_standins/soak.py
+++ b/citronspan_standins/soak.py
@@ -34,6 +34,7 @@
     SoakTarget,
     make_network,
 )
+from citronspan_standins.soak_keys import KeyBook
 from citronspan_standins.store_service import (
     StoreService,
     StoreSwitches,
@@ -174,6 +175,7 @@
     def _play(self):
         self._started_at = time.monotonic()
         is_ended = threading.Event()
+        keys = KeyBook(hosts=self._hosts)
         callers = [
             threading.Thread(
                 target=Caller(
@@ -183,6 +185,7 @@
                     hosts=self._hosts,
                     history=self._history,
                     is_ended=is_ended,
+                    keys=keys,
                 ).run
             )
             for number in range(self._plan.load.callers)
@@ -329,7 +332,7 @@
 def describe_end(request: SentRequest) -> str:
     """Return how a request ended, for the counts of a soak."""
     if request.is_whole:
-        return str(request.status)
+        return f"{request.status} keyed" if request.key else str(request.status)
     if request.last_byte_at is None:
         return "not sent whole"
     return "behind a close" if request.follows_close else "closed"
--- a/citronspan_standins/soak_callers.py
+++ b/citronspan_standins/soak_callers.py
@@ -11,6 +11,7 @@
 
 from citronspan_standins.promises import History, SentRequest
 from citronspan_standins.soak_fleet import REQUEST_ID, SoakHost
+from citronspan_standins.soak_keys import KeyBook
 
 CONNECT_SECONDS = 1.0
 CALLER_SECONDS = 3.0
@@ -57,6 +58,7 @@
         hosts: list[SoakHost],
         history: History,
         is_ended: threading.Event,
+        keys: KeyBook,
     ):
         """Create a caller.
 
@@ -67,8 +69,11 @@
             hosts: Hosts to choose from, stopping ones too.
             history: Where requests are noted.
             is_ended: Ends the caller after the requests under way.
+            keys: Keys of all callers.
         """
         self._draw = random.Random(f"{seed}-{number}")
+        self._key_draw = random.Random(f"keys-{seed}-{number}")
+        self._keys = keys
         self._ids = (f"r{seed}-{number}-{count}" for count in itertools.count())
         self._plan = plan
         self._hosts = hosts
@@ -117,7 +122,7 @@
         work = round(self._draw.random() ** 2 * self._plan.work_seconds, 3)
         path = "/read/1" if is_idempotent else "/order/1"
         sent_bytes = 0 if is_idempotent else self._draw.choice((0, 2, 500, 40_000))
-        return SentRequest(
+        request = SentRequest(
             request_id=next(self._ids),
             host=host.name,
             uri=f"{path}?work={work}&size={size}",
@@ -129,6 +134,9 @@
             deadline_at=0.0,
             ended_at=0.0,
         )
+        if is_idempotent:
+            return request
+        return self._keys.add_key(request, self._key_draw)
 
     def _play(self, connection, reader, batch, host):
         """Send requests and read their answers meanwhile; return whether to go on."""
@@ -246,6 +254,8 @@
         f"{REQUEST_ID}: {request.request_id}",
         f"X-Citronspan-Deadline-Ms: {int(CALLER_SECONDS * 1000)}",
     ]
+    if request.key:
+        lines.append(f"Idempotency-Key: {request.key}")
     body = request.sent_body
     if is_chunked:
         lines.append("Transfer-Encoding: chunked")
@@ -272,6 +282,7 @@
             request,
             status=status,
             signature=header_by_name.get("x-citronspan-backend-signature", ""),
+            result=int(header_by_name.get("citronspan-result", "0").split()[0]),
         )
     except (OSError, ValueError):
         return replace(request, ended_at=time.monotonic()), False
--- a/citronspan_standins/soak_callers_test.py
+++ b/citronspan_standins/soak_callers_test.py
@@ -10,6 +10,7 @@
 from citronspan_standins.scripted_targets import find_free_addresses
 from citronspan_standins.soak_callers import Caller, LoadPlan
 from citronspan_standins.soak_fleet import REQUEST_ID
+from citronspan_standins.soak_keys import KeyBook
 
 CALLERS = 8
 SECONDS = 4.0
@@ -64,6 +65,7 @@
             hosts=[host],
             history=history,
             is_ended=is_ended,
+            keys=KeyBook(hosts=[host]),
         )
         for number in range(CALLERS)
     ]
