Take a copy for fresh only once it has reached the end that the store stated

By tests: a host that reads a long part of the log in pages counts as up to date after the first page. If it isn't the reader, it stops reading there for 1.0 to 1.8 s, and says to its peers that its copy is fresh. Changes in the later pages, drains and configurations too, are late by that time for each page.

Cause: a page begins with the end of the log. It was skipped, and any answer counted as all that the store had.

Evidence: a store that gives one record of five at a time: age of the copy 0.0 s after the first page, though four records were missing.

Why the fix works: a copy was up to date at a read if it has reached the end that this read stated, also where the log has grown since. A host whose copy is old goes on reading, and no message changes.

The stand-in of the store heeds `maxKb` now, as the store does.

--- a/citronspan/core/configuration/copy_age.py
+++ b/citronspan/core/configuration/copy_age.py
@@ -3,6 +3,9 @@
 A store that came back may lack the keys of live targets for some time, and so may a
 whole copy of it. A node can tell from the age of its copy: while the store answers any
 host, updates or own reads keep the copy younger than ``OUTAGE_AGE_SECONDS``.
+
+A read may end before the feed does, since the store cuts long answers. The copy is then
+as old as the last read that stated an end which it has reached by now.
 """
 
 import math
@@ -48,3 +51,34 @@
         if self.seconds > OUTAGE_AGE_SECONDS:
             self._returned_at = read_elapsed_seconds()
         self.fresh_at = fresh_at
+
+
+class StatedEnd:
+    """An end of a feed that the store stated, until what is read has reached it."""
+
+    def __init__(self):
+        self._end_offset = 0
+        self._stated_at = -math.inf
+
+    def find_fresh_at(
+        self, *, next_offset: int, end_offset: int, answered_at: float
+    ) -> float:
+        """Return when the store had no more than what is read now.
+
+        Args:
+            next_offset: Offset after the last record of an answer.
+            end_offset: End of the feed in that answer.
+            answered_at: Time of the answer, by ``read_elapsed_seconds``.
+
+        Returns:
+            The latest such time that is known, by the same clock; minus infinity if
+            there is none.
+        """
+        if next_offset >= end_offset:
+            return answered_at
+        if next_offset < self._end_offset:
+            return -math.inf
+        fresh_at = self._stated_at
+        self._end_offset = end_offset
+        self._stated_at = answered_at
+        return fresh_at
--- a/citronspan/core/configuration/feed_spread.py
+++ b/citronspan/core/configuration/feed_spread.py
@@ -206,7 +206,8 @@
         Args:
             batch: Everything up to the end of the feed at the time of the read; empty
                 if there was nothing new.
-            age_seconds: Time since the store answered.
+            age_seconds: Time since the store had no more than that; infinite if it
+                had more when it answered.
 
         Returns:
             Messages to send, and the new state if it changed.
@@ -221,7 +222,9 @@
         if changed:
             self._append_recent(news)
         if feed.next_offset >= batch.next_offset:
-            self._read_at_by_feed[batch.feed] = read_elapsed_seconds() - age_seconds
+            read_at = read_elapsed_seconds() - age_seconds
+            read_at = max(read_at, self._read_at_by_feed[batch.feed])
+            self._read_at_by_feed[batch.feed] = read_at
             self._copy_age.advance(min(self._read_at_by_feed.values()))
         if not changed and not self._has_freshness_gain():
             return SpreadResult()
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from citronspan.core import log_events
+from citronspan.core.configuration.copy_age import StatedEnd
 from citronspan.core.configuration.feed_messages import FeedPull, FeedUpdate
 from citronspan.core.configuration.feed_spread import FeedSpread
 from citronspan.core.configuration.feeds import (
@@ -65,6 +66,25 @@
     """The store was restored from a copy, which may lack the newest keys."""
 
 
+class FeedPage(msgspec.Struct, frozen=True, kw_only=True):
+    """What one read of a feed found.
+
+    Attributes:
+        batch: The records that were found.
+        end_offset: End of the feed when the store answered. It is after the batch if
+            the store has cut a long answer.
+    """
+
+    batch: FeedBatch
+    end_offset: int = 0
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the store had more records, and gave some of them."""
+        batch = self.batch
+        return batch.from_offset < batch.next_offset < self.end_offset
+
+
 class FeedStore(Protocol):
     """Reads the feeds from the platform's store.
 
@@ -74,7 +94,7 @@
 
     unreadable_records: int
 
-    def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedBatch:
+    def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedPage:
         """Read the records from an offset on, and wait if there are none yet.
 
         Args:
@@ -83,7 +103,7 @@
             wait_seconds: Maximum time that the store waits for a first record.
 
         Returns:
-            The records that were found.
+            The records that were found, and the end of the feed.
 
         Raises:
             StoreUnavailableError: If the store gave no valid answer.
@@ -132,6 +152,8 @@
         self._unavailable_since_by_feed: dict[str, float | None] = dict.fromkeys(FEEDS)
         self._answered_at_by_feed = dict.fromkeys(FEEDS, time.monotonic())
         self._recovered_at_by_feed = dict.fromkeys(FEEDS, float("-inf"))
+        self._stated_end_by_feed = {feed: StatedEnd() for feed in FEEDS}
+        self._cut_feeds: set[str] = set()
 
     @property
     def read_status(self) -> LogReadStatus:
@@ -175,8 +197,8 @@
         wait_seconds = self._get_wait_seconds()
         started_at = read_elapsed_seconds()
         try:
-            batch = (
-                self._store.read_newest(feed)
+            page = (
+                FeedPage(batch=self._store.read_newest(feed))
                 if is_reload
                 else self._fetch(feed, wait_seconds)
             )
@@ -187,13 +209,26 @@
             return False
         # A read that took longer was held up, and the store answered before that.
         held_up_seconds = read_elapsed_seconds() - started_at - wait_seconds
-        age_seconds = max(0.0, held_up_seconds)
+        age_seconds = self._find_age_seconds(feed, page, max(0.0, held_up_seconds))
         apply = self._spread.apply_store_batch
         if is_reload:
             apply = self._spread.apply_redecoded_batch
-        self._apply_batch(feed, batch, lambda batch: apply(batch, age_seconds))
+        self._apply_batch(feed, page.batch, lambda batch: apply(batch, age_seconds))
         return True
 
+    def _find_age_seconds(self, feed, page, answer_age_seconds):
+        """Return the time since the store had no more than a page gave."""
+        self._cut_feeds.discard(feed)
+        if page.is_cut:
+            self._cut_feeds.add(feed)
+        now = read_elapsed_seconds()
+        fresh_at = self._stated_end_by_feed[feed].find_fresh_at(
+            next_offset=page.batch.next_offset,
+            end_offset=page.end_offset,
+            answered_at=now - answer_age_seconds,
+        )
+        return now - fresh_at
+
     def request_reload(self) -> None:
         """Request a reload of the configuration because its decoding has changed."""
         self._reload_requested.set()
@@ -243,6 +278,8 @@
                 started_at = time.monotonic()
                 if self.read_feed(feed):
                     backoff_seconds = INITIAL_BACKOFF_SECONDS
+                    if feed in self._cut_feeds:
+                        continue
                     is_empty = self._spread.offsets.get_offset(feed) == 0
                     minimum_seconds = (
                         EMPTY_FEED_READ_SECONDS
@@ -266,17 +303,18 @@
             return False
         return self._reload_requested.is_set() or self._spread.is_due_to_read()
 
-    def _fetch(self, feed, wait_seconds) -> FeedBatch:
+    def _fetch(self, feed, wait_seconds) -> FeedPage:
         from_offset = self._spread.offsets.get_offset(feed)
         if from_offset == 0:
-            return self._store.read_newest(feed)
+            return FeedPage(batch=self._store.read_newest(feed))
         try:
             return self._store.read(feed, from_offset, wait_seconds)
         except FeedTruncatedError as error:
             # Ignored: the newest record of each key is read instead; nothing is lost.
             batch = self._store.read_newest(feed)
             is_restored = isinstance(error, StoreRestoredError)
-            return msgspec.structs.replace(batch, is_after_outage=is_restored)
+            batch = msgspec.structs.replace(batch, is_after_outage=is_restored)
+            return FeedPage(batch=batch)
 
     def _get_wait_seconds(self):
         # A node that is no reader does not wait: it reads the records that exist and
--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/feed_source_test.py
@@ -1,5 +1,7 @@
 """Tests of when a starting host serves what it read from the platform's feeds."""
 
+import time
+
 import freezegun
 
 from citronspan.core.configuration.feeds import (
@@ -14,6 +16,7 @@
 from citronspan.core.resources import Kind, Resource, ServiceSpec
 from citronspan.ops.feed_source import (
     PEER_FALLBACK_SECONDS,
+    FeedPage,
     FeedSource,
     StoreUnavailableError,
 )
@@ -51,6 +54,17 @@
         )
 
 
+class CutStore(PartialStore):
+    """A store whose pages hold one record of the first offsets each."""
+
+    end_offset = 5
+
+    def read(self, feed, from_offset, wait_seconds):
+        next_offset = min(from_offset + 1, self.end_offset)
+        batch = FeedBatch(feed=feed, from_offset=from_offset, next_offset=next_offset)
+        return FeedPage(batch=batch, end_offset=self.end_offset)
+
+
 def make_source(*, store):
     """Return a source that has read each feed once."""
     source = FeedSource(
@@ -130,3 +144,49 @@
         assert source.age_seconds >= 7.0
         source.check_startup_gate((OWN,))
         assert not source.active_config.ready
+
+
+def test_copy_is_fresh_though_the_store_cut_what_it_read():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        source = make_source(store=CutStore(answered_feeds=set(FEEDS)))
+        clock.tick(3.0)
+        ages = []
+        for _ in range(4):
+            for feed in FEEDS:
+                source.read_feed(feed)
+            ages.append(round(source.age_seconds, 1))
+    assert ages == [3.0, 3.0, 3.0, 0.0]
+
+
+def test_copy_never_gets_fresh_while_the_feed_grows_as_fast_as_it_is_read():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        store = CutStore(answered_feeds=set(FEEDS))
+        source = make_source(store=store)
+        ages = []
+        for _ in range(12):
+            clock.tick(0.5)
+            store.end_offset += 1
+            for feed in FEEDS:
+                source.read_feed(feed)
+            ages.append(source.age_seconds)
+    assert max(ages) < 4.0
+
+
+def test_host_pauses_between_the_parts_of_a_cut_read():
+    class CountingStore(CutStore):
+        end_offset = 40
+        offsets = []
+
+        def read(self, feed, from_offset, wait_seconds):
+            if from_offset == self.end_offset:
+                source.stop()
+            self.offsets.append(from_offset)
+            return super().read(feed, from_offset, wait_seconds)
+
+    store = CountingStore(answered_feeds=set(FEEDS))
+    source = make_source(store=store)
+    source.read_feed(CONFIGURATION_FEED)
+    started_at = time.monotonic()
+    dict(source.list_tasks())[f"feed-{TARGETS_FEED}"]()
+    assert time.monotonic() - started_at < 4.0
+    assert store.offsets[-2:] == [39, 40]
--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -11,6 +11,7 @@
     encode_resources,
 )
 from citronspan.core.host_settings import ServiceRules
+from citronspan.ops.feed_source import FeedPage
 from citronspan.platform.records import (
     read_configuration,
     read_configuration_version,
@@ -49,16 +50,17 @@
         """Set the service rules that apply to records read from now on."""
         self._rules = rules
 
-    def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedBatch:
+    def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedPage:
         """Read the records from an offset on; see ``FeedStore``."""
         topic = _TOPIC_BY_FEED[feed]
         page = self._client.read(topic, from_offset, wait_seconds)
-        return FeedBatch(
+        batch = FeedBatch(
             feed=feed,
             from_offset=from_offset,
             next_offset=page.next_offset,
             records=self._translate(feed, page),
         )
+        return FeedPage(batch=batch, end_offset=page.end_offset)
 
     def read_newest(self, feed: str) -> FeedBatch:
         """Read the newest record of each key; see ``FeedStore``."""
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -59,10 +59,13 @@
         next_offset: Offset after the last record that was read; malformed records
             count, too, but are left out of ``records``.
         records: The records, in order of their offsets.
+        end_offset: End of the topic when the store answered, after ``next_offset`` if
+            the store cut the page. 0 for the newest records, which are whole.
     """
 
     next_offset: int
     records: tuple[KeyedRecord, ...]
+    end_offset: int = 0
 
 
 class _NewestItem(msgspec.Struct, frozen=True):
@@ -123,7 +126,7 @@
             raise StoreUnavailableError(f"status {answer.status}")
         if _read_era(answer) != era:
             raise StoreRestoredError(f"{topic}: the store was restored from a copy")
-        return _parse_page(answer.data, from_offset)
+        return _parse_page(answer.data, from_offset, era * ERA_OFFSETS)
 
     def read_newest(self, topic: str) -> KeyedPage:
         """Read the newest record of each key.
@@ -183,9 +186,10 @@
     return int(text)
 
 
-def _parse_page(data: bytes, from_offset: int) -> KeyedPage:
+def _parse_page(data: bytes, from_offset: int, first_offset: int) -> KeyedPage:
     if len(data) < _PAGE_HEADER.size:
         raise StoreUnavailableError("answer is shorter than its header of offsets")
+    end, _ = _PAGE_HEADER.unpack_from(data)
     records = []
     position = _PAGE_HEADER.size
     offset = from_offset
@@ -202,7 +206,9 @@
         if record is not None:
             records.append(record)
         offset += 1
-    return KeyedPage(next_offset=offset, records=tuple(records))
+    return KeyedPage(
+        next_offset=offset, records=tuple(records), end_offset=first_offset + end
+    )
 
 
 def _parse_record(offset: int, content: bytes) -> KeyedRecord | None:
--- a/citronspan_standins/store_service.py
+++ b/citronspan_standins/store_service.py
@@ -18,6 +18,7 @@
 
 MAXIMUM_WAIT_SECONDS = 30.0
 PAGE_ITEMS = 500
+MAXIMUM_PAGE_KB = 1024
 _PAGE_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 
@@ -171,7 +172,11 @@
             exchange.answer_json(410, {"firstOffset": first}, self._make_headers())
             return
         parts = [_PAGE_HEADER.pack(end, first)]
-        for content in records:
+        room_bytes = int(query.get("maxKb", MAXIMUM_PAGE_KB)) * 1024
+        for number, content in enumerate(records):
+            room_bytes -= _RECORD_LENGTH.size + len(content)
+            if number and room_bytes < 0:
+                break
             parts += [_RECORD_LENGTH.pack(len(content)), content]
         exchange.answer(200, b"".join(parts), self._make_headers())
 
--- a/citronspan_standins/store_service_test.py
+++ b/citronspan_standins/store_service_test.py
@@ -36,6 +36,24 @@
     assert found == [(1, "b", b"2"), (2, "a", None)]
 
 
+def test_page_that_the_store_cuts_counts_as_read_to_the_end(store):
+    for number in range(3):
+        store.put("keyed.t", f"k{number}", b"v" * 600_000)
+    pages = [store.client.read("keyed.t", start, 0.0) for start in range(3)]
+    assert [page.next_offset for page in pages] == [1, 2, 3]
+    assert [page.end_offset for page in pages] == [3, 3, 3]
+
+
+def test_stated_end_of_a_restored_store_lies_before_what_was_read(store):
+    store.save_copy()
+    store.restore_copy()
+    store.put("keyed.t", "a", b"1")
+    start = store.client.read_newest("keyed.t").next_offset
+    store.put("keyed.t", "b", b"2")
+    page = store.client.read("keyed.t", start, 0.0)
+    assert page.end_offset == page.next_offset == start + 1
+
+
 def test_read_newest_collects_every_page(store):
     store.replace_switches(StoreSwitches(page_items=2))
     for number in range(5):
