Measure an outage by the age of the copy at a host that reads seldom

By a test: a host that isn't the reader fails one read of the store, reads again, and finds the removal of a target. It goes on using that target for 2 s more. It reads only when its copy is 1.0 to 1.8 s old, so that more than the 2.5 s of the drain time pass.

Cause: a removal after a long outage waits for 2 s, in case the key comes back. The length of the outage was measured from the host's own last good read. A host that reads seldom may have made that hours ago, so that each failed read was a long outage.

Evidence: a host that peers kept up to date for 60 s, reads that fail for 1.6 s, then a removal: it took effect 2 s later before, and at once after.

Why the fix works: while peers tell that the copy is fresh, the store answers them. So the outage is no longer than the greatest age of the copy, and counts as long from 2.0 s on, as it does for whole copies. A host whose own last answer is the latest that it knows measures as before: outages of 1.2 s at the reader and of 2.4 s elsewhere still let removals lapse.

test_removal_is_late_at_a_host_whose_rare_read_failed[60.0-1.6-True] failed before; the three other cases held before as well.

--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from citronspan.core import log_events
-from citronspan.core.configuration.copy_age import StatedEnd
+from citronspan.core.configuration.copy_age import OUTAGE_AGE_SECONDS, StatedEnd
 from citronspan.core.configuration.feed_messages import FeedPull, FeedUpdate
 from citronspan.core.configuration.feed_spread import FeedSpread
 from citronspan.core.configuration.feeds import (
@@ -152,6 +152,7 @@
         self._unavailable_since_by_feed: dict[str, float | None] = dict.fromkeys(FEEDS)
         self._answered_at_by_feed = dict.fromkeys(FEEDS, time.monotonic())
         self._recovered_at_by_feed = dict.fromkeys(FEEDS, float("-inf"))
+        self._oldest_age_by_feed = dict.fromkeys(FEEDS, 0.0)
         self._stated_end_by_feed = {feed: StatedEnd() for feed in FEEDS}
         self._cut_feeds: set[str] = set()
 
@@ -329,8 +330,12 @@
         self.active_config.run_step(lambda: apply(batch))
 
     def _record_unavailable(self, feed, error):
+        age_seconds = self._spread.age_seconds
         if self._unavailable_since_by_feed[feed] is not None:
+            oldest_seconds = max(age_seconds, self._oldest_age_by_feed[feed])
+            self._oldest_age_by_feed[feed] = oldest_seconds
             return
+        self._oldest_age_by_feed[feed] = age_seconds
         self._unavailable_since_by_feed[feed] = time.monotonic()
         write_event(_logger, log_events.LOG_SERVICE_AWAY, feed=feed, reason=str(error))
 
@@ -342,9 +347,7 @@
         if since is None:
             return
         self._unavailable_since_by_feed[feed] = None
-        # The first failed read may come long after the outage began, so its length is
-        # measured from the last answer.
-        if now - answered_at >= LONG_OUTAGE_SECONDS:
+        if self._was_away_long(feed, now - answered_at):
             self._recovered_at_by_feed[feed] = now
         write_event(
             _logger,
@@ -353,6 +356,18 @@
             away_seconds=round(now - since, 3),
         )
 
+    def _was_away_long(self, feed, unanswered_seconds):
+        """Return whether records of live targets may have expired in an outage.
+
+        The first failed read may come long after the outage began, so that its length
+        is measured from the last answer. A node that reads seldom knows of later
+        answers from its peers: the store was away no longer than its copy got old.
+        """
+        oldest_seconds = max(self._spread.age_seconds, self._oldest_age_by_feed[feed])
+        if oldest_seconds + MINIMUM_READ_INTERVAL_SECONDS < unanswered_seconds:
+            return oldest_seconds > OUTAGE_AGE_SECONDS
+        return unanswered_seconds >= LONG_OUTAGE_SECONDS
+
 
 def _mark_removals_lapsed(batch: FeedBatch) -> FeedBatch:
     """Mark the removals of a batch as lapsed, so that they take effect later."""
--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/feed_source_test.py
@@ -3,7 +3,9 @@
 import time
 
 import freezegun
+import pytest
 
+from citronspan.core.configuration.feed_messages import FeedUpdate
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
     FEEDS,
@@ -190,3 +192,54 @@
     dict(source.list_tasks())[f"feed-{TARGETS_FEED}"]()
     assert time.monotonic() - started_at < 4.0
     assert store.offsets[-2:] == [39, 40]
+
+
+class RemovalStore(PartialStore):
+    """A store that removes the only key of each feed after its first answer."""
+
+    def read(self, feed, from_offset, wait_seconds):
+        if feed not in self.answered_feeds:
+            raise StoreUnavailableError("status 503")
+        record = FeedRecord(offset=from_offset, key="k")
+        batch = FeedBatch(
+            feed=feed,
+            from_offset=from_offset,
+            next_offset=from_offset + 1,
+            records=(record,),
+        )
+        return FeedPage(batch=batch, end_offset=from_offset + 1)
+
+
+def play_removal_after_outage(*, told_seconds, failed_seconds):
+    """Return whether a removal takes effect as soon as the store answers again.
+
+    Args:
+        told_seconds: Time for which only a peer tells that the copy is fresh.
+        failed_seconds: Time for which reads fail after that.
+    """
+    with freezegun.freeze_time("2026-01-01") as clock:
+        store = RemovalStore(answered_feeds=set(FEEDS))
+        source = make_source(store=store)
+        clock.tick(told_seconds)
+        if told_seconds:
+            update = FeedUpdate(offsets=source._spread.offsets, age_seconds=0.0)
+            source._spread.handle_message(update, "127.0.0.1:9")
+        store.answered_feeds = set()
+        for _ in range(4):
+            clock.tick(failed_seconds / 4)
+            source.read_feed(TARGETS_FEED)
+        store.answered_feeds = set(FEEDS)
+        source.read_feed(TARGETS_FEED)
+        return not source._spread._feed_by_name[TARGETS_FEED].record_by_key
+
+
+@pytest.mark.parametrize(
+    ("told_seconds", "failed_seconds", "is_removed"),
+    [(60.0, 1.6, True), (60.0, 2.4, False), (0.0, 0.8, True), (0.0, 1.2, False)],
+)
+def test_removal_is_late_at_a_host_whose_rare_read_failed(
+    told_seconds, failed_seconds, is_removed
+):
+    assert is_removed == play_removal_after_outage(
+        told_seconds=told_seconds, failed_seconds=failed_seconds
+    )
