Take no wait off the age of a read of the newest records

By a test: a reader whose answers were held up for 0.7 s each took its copy for fresher by 0.8 s than it was, and told its peers so.

Cause: a read that took longer than the store may wait counts as held up by the rest. A read of the newest records doesn't wait, but the wait was taken off all the same.

Evidence: both feeds read by their newest records, 0.7 s each: age 0.7 s before (the time of the second read), 1.4 s after.

Why the fix works: nothing is taken off for a whole batch.

test_held_up_answer_counts_as_fresher_since_the_store_could_have_waited failed before.

--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/feed_source.py
@@ -208,8 +208,10 @@
                 self._reload_requested.set()
             self._record_unavailable(feed, error)
             return False
-        # A read that took longer was held up, and the store answered before that.
-        held_up_seconds = read_elapsed_seconds() - started_at - wait_seconds
+        # A read that took longer was held up, and the store answered before that. It
+        # waits for new records only.
+        waited_seconds = 0.0 if page.batch.whole else wait_seconds
+        held_up_seconds = read_elapsed_seconds() - started_at - waited_seconds
         age_seconds = self._find_age_seconds(feed, page, max(0.0, held_up_seconds))
         apply = self._spread.apply_store_batch
         if is_reload:
--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/feed_source_test.py
@@ -20,6 +20,7 @@
     PEER_FALLBACK_SECONDS,
     FeedPage,
     FeedSource,
+    FeedTruncatedError,
     StoreUnavailableError,
 )
 from citronspan.utils import clocks
@@ -55,6 +56,9 @@
             feed=feed, from_offset=0, next_offset=1, records=(record,), whole=True
         )
 
+    def raise_truncated(self, feed, from_offset, wait_seconds):
+        raise FeedTruncatedError(feed)
+
 
 class CutStore(PartialStore):
     """A store whose pages hold one record of the first offsets each."""
@@ -243,3 +247,17 @@
     assert is_removed == play_removal_after_outage(
         told_seconds=told_seconds, failed_seconds=failed_seconds
     )
+
+
+def test_held_up_answer_counts_as_fresher_since_the_store_could_have_waited():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        store = PartialStore(answered_feeds=set(FEEDS))
+        source = make_source(store=store)
+        source._spread.set_nodes((OWN,))
+        assert source.is_reader
+        clock.tick(5.0)
+        store.read = store.raise_truncated
+        store.hold_up = lambda: clock.tick(0.7)
+        for feed in FEEDS:
+            source.read_feed(feed)
+        assert source.age_seconds >= 1.4
