Let a started host take the newer records that its peers kept

By a test: the started host keeps the older record until the key changes again.

Cause: a host that starts reads the store, which holds the older record. Its peers know the newer version, but their offsets are the same, so that they send nothing, and a copy that isn't ahead was ignored. Whole copies didn't have the versions of removed keys.

Evidence: six nodes, versions 7, 8, 7 or 7, a removal, 7; one node started again reads the last. After 2 s all have version 8, or none where it was removed; before, the started one kept version 7 in 6 of 6 cases.

Why the fix works: a host whose first copy of a feed is its own read asks for a whole copy, at most three times. It takes from it what the peer kept although it had read past the own record. The cost is one whole copy for each host that starts and reads by itself.

Not run: the trial on real processes.

test_started_node_keeps_an_older_record_that_its_peers_do_not failed before in 6 of 6 cases; the other new tests guard the bounds.

--- a/citronspan/core/configuration/feed_spread.py
+++ b/citronspan/core/configuration/feed_spread.py
@@ -22,6 +22,7 @@
 )
 from citronspan.core.configuration.config_state import ConfigState
 from citronspan.core.configuration.copy_age import CopyAge
+from citronspan.core.configuration.copy_check import CopyCheck
 from citronspan.core.configuration.feed_changes import (
     ChangeFilter,
     state_removed_versions,
@@ -118,6 +119,7 @@
         self._offset_by_address: dict[str, int] = {}
         self._read_at_by_feed = dict.fromkeys(FEEDS, -math.inf)
         self._copy_age = CopyAge()
+        self._copy_check = CopyCheck()
         self._announced_fresh_at = -math.inf
         self._last_compared_at = -math.inf
         self._last_pulled_at = -math.inf
@@ -218,6 +220,8 @@
             batch, feed, time.monotonic()
         )
         batch = drop_superseded_records(batch)
+        if not feed.next_offset:
+            self._copy_check.note_first_read()
         changed = self._apply_batch(batch)
         if changed:
             self._append_recent(news)
@@ -297,6 +301,7 @@
         )
         for batch in new_batches:
             self._append_recent(batch)
+        installed_state = self._take_newer_versions(update.batches)
         if self._has_reached(offsets):
             age_seconds = update.age_seconds + transit_seconds
             self._copy_age.advance(read_elapsed_seconds() - age_seconds)
@@ -311,9 +316,25 @@
             replies = [self._make_pull_answer(offsets, sender)]
         return SpreadResult(
             outgoing=(*result.outgoing, *replies),
-            installed_state=result.installed_state,
+            installed_state=result.installed_state or installed_state,
         )
 
+    def _take_newer_versions(self, batches):
+        """Take what a peer knows better at the same offsets.
+
+        Returns the new state, None if nothing changed.
+
+        It isn't sent on: a peer that lacks it asks by itself after its start.
+        """
+        whole_batches = [batch for batch in batches if batch.whole]
+        if any(batch.from_offset == 0 for batch in batches):
+            self._copy_check.note_whole_copy()
+        changes = [
+            self._feed_by_name[batch.feed].take_newer_versions(batch)
+            for batch in whole_batches
+        ]
+        return self._rebuild_state() if any(changes) else None
+
     def _apply_batch(self, batch):
         """Apply a batch to its feed; return whether that advanced."""
         if batch.whole and self._copy_age.is_after_outage:
@@ -426,7 +447,7 @@
 
     def _list_batches_since(self, feed, offset):
         recent = self._recent_by_feed[feed.name]
-        if not recent or recent[0].from_offset > offset:
+        if offset == 0 or not recent or recent[0].from_offset > offset:
             return [feed.export()]
         return [batch for batch in recent if batch.next_offset > offset]
 
@@ -449,6 +470,8 @@
         if not candidates:
             return ()
         message = self._make_update((), wants_answer=True)
+        if self.has_configuration and self._copy_check.take_question():
+            message = FeedPull(offsets=FeedOffsets())
         to = self._random.choice(candidates)
         self._asked_at_by_address[to] = now
         return (Outgoing(to=to, message=message),)
--- a/citronspan/core/configuration/feed_spread_test.py
+++ b/citronspan/core/configuration/feed_spread_test.py
@@ -3,6 +3,7 @@
 import freezegun
 import pytest
 
+from citronspan.core.configuration.feed_messages import FeedPull
 from citronspan.core.configuration.feed_spread import STALE_SECONDS, FeedSpread
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
@@ -40,6 +41,20 @@
         self.in_flight = []
         self.held_up_name = ""
         self.held_up = []
+        self.version_by_offset = {}
+
+    def start_again(self, name):
+        """Start a node that holds nothing."""
+        self.stopped.discard(name)
+        infos = tuple(self.info_by_name.values())
+        spread = FeedSpread(own=self.info_by_name[name], seed=1)
+        spread.set_nodes(infos)
+        self.spread_by_name[name] = spread
+
+    def get_target_data(self, name):
+        feed = self.spread_by_name[name]._feed_by_name[TARGETS_FEED]
+        record = feed.record_by_key.get("k")
+        return None if record is None else record.data
 
     def write(self, feed, data):
         self.log_by_feed[feed].append(data)
@@ -71,7 +86,7 @@
         start = spread.offsets.get_offset(feed)
         log = self.log_by_feed[feed]
         if self.has_truncated_log and start < len(log):
-            newest = FeedRecord(offset=len(log) - 1, key="k", data=log[-1])
+            newest = self._make_record(feed, len(log) - 1)
             return FeedBatch(
                 feed=feed,
                 from_offset=0,
@@ -80,13 +95,17 @@
                 whole=True,
             )
         records = tuple(
-            FeedRecord(offset=offset, key="k", data=log[offset])
-            for offset in range(start, len(log))
+            self._make_record(feed, offset) for offset in range(start, len(log))
         )
         return FeedBatch(
             feed=feed, from_offset=start, next_offset=len(log), records=records
         )
 
+    def _make_record(self, feed, offset):
+        version = self.version_by_offset.get(offset, 0) if feed == TARGETS_FEED else 0
+        data = self.log_by_feed[feed][offset]
+        return FeedRecord(offset=offset, key="k", data=data, version=version)
+
     def _send(self, name, result):
         self.in_flight.extend((name, item) for item in result.outgoing)
 
@@ -278,3 +297,41 @@
     fleet.run(PROPAGATION_LIMIT_SECONDS + 1.0)
     assert fleet.list_lagging_nodes() == []
     assert counts["total"] <= 2 * len(fleet.spread_by_name)
+
+
+@pytest.mark.parametrize("newest_data", [b"new", None])
+@pytest.mark.parametrize("seed", range(3))
+def test_started_node_keeps_an_older_record_that_its_peers_do_not(newest_data, seed):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = Fleet(clock, nodes=6)
+        name = f"host-{seed:02}"
+        fleet.stopped.add(name)
+        for feed in FEEDS:
+            fleet.write(feed, b"[]")
+        fleet.run(3.0)
+        for version, data in ((7, b"old"), (8, newest_data), (7, b"old")):
+            fleet.version_by_offset[len(fleet.log_by_feed[TARGETS_FEED])] = version
+            fleet.write(TARGETS_FEED, data)
+            fleet.run(1.0)
+        fleet.start_again(name)
+        fleet.has_truncated_log = True
+        fleet.run(0.1)
+        fleet.has_truncated_log = False
+        assert fleet.get_target_data(name) == b"old"
+        fleet.run(2.0)
+        found = {fleet.get_target_data(node) for node in fleet.spread_by_name}
+    assert found == {newest_data}
+
+
+def test_many_started_nodes_ask_for_whole_copies_for_ever():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = Fleet(clock)
+        for feed in FEEDS:
+            fleet.write(feed, b"[]")
+        pulls = 0
+        for _ in range(100):
+            fleet.step()
+            pulls += sum(
+                isinstance(item.message, FeedPull) for _, item in fleet.in_flight
+            )
+    assert pulls <= 3 * len(fleet.spread_by_name)
--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -20,6 +20,8 @@
     ResourceKey,
     StoredResource,
 )
+from citronspan.core.configuration.feed_records import FeedBatch, FeedRecord
+from citronspan.core.configuration.record_versions import RecordVersions, is_known_older
 from citronspan.core.errors import CitronspanError
 from citronspan.core.resources import Resource, decode_resource, encode_resource
 from citronspan.utils.logs import write_event
@@ -39,58 +41,9 @@
 REMOVAL_GRACE_SECONDS = 2.0
 """Time after the store's return for a lapsed key to come back before its removal."""
 
-MAXIMUM_REMOVED_KEYS = 1000
-"""Removed keys whose version is remembered, so that a restored store does not bring
-them back."""
-
 _logger = logbook.Logger("feeds")
 
 
-class FeedRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The newest record of one key of a feed.
-
-    Attributes:
-        offset: Offset in the feed.
-        key: The key.
-        data: Resources encoded by ``encode_resources``, None if the key was removed.
-        lapsed: Whether the key was removed while the store was unavailable. Its last
-            data then stays in force for ``REMOVAL_GRACE_SECONDS``, in case the key
-            comes back.
-        version: Number that the writer of the key raises with each record, 0 if it
-            has none. A store that was restored from a copy may hold an older version
-            at a later offset. A removal may have the version that it removed.
-    """
-
-    offset: int
-    key: str
-    data: bytes | None = None
-    lapsed: bool = False
-    version: int = 0
-
-
-class FeedBatch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A range of offsets of one feed, with its records.
-
-    Attributes:
-        feed: Name of the feed.
-        from_offset: First offset that was read.
-        next_offset: Offset after the last one that was read.
-        records: The records, in order of their offsets.
-        whole: Whether the batch holds the newest record of every key, so that a
-            key without a record no longer exists.
-        is_after_outage: Whether the store came back so recently that a key without a
-            record may still come back. A whole batch then lets the key lapse, and
-            otherwise removes it.
-    """
-
-    feed: str
-    from_offset: int
-    next_offset: int
-    records: tuple[FeedRecord, ...] = ()
-    whole: bool = False
-    is_after_outage: bool = False
-
-
 class Feed:
     """The replica of one feed at one node.
 
@@ -107,7 +60,7 @@
         self.expired_records = 0
         self.record_by_key: dict[str, FeedRecord] = {}
         self._removal_at_by_key: dict[str, float] = {}
-        self._removed_version_by_key: dict[str, int] = {}
+        self._versions = RecordVersions()
 
     def apply(self, batch: FeedBatch) -> bool:
         """Apply a batch.
@@ -124,12 +77,40 @@
         if not batch.whole and batch.from_offset > self.next_offset:
             return False
         if batch.whole:
+            self.take_newer_versions(batch)
             self._remove_missing_keys(batch)
         for record in batch.records:
             self._apply_record(record)
         self.next_offset = batch.next_offset
         return True
 
+    def take_newer_versions(self, batch: FeedBatch) -> bool:
+        """Take what a peer's whole copy knows better, though at earlier offsets.
+
+        Args:
+            batch: The batch. It is ignored if it is not whole.
+
+        Returns:
+            Whether any record changed.
+        """
+        has_changed = False
+        for record in batch.records if batch.whole else ():
+            current = self.record_by_key.get(record.key)
+            if current is None and record.data is None:
+                self._remove(record.key, record.version)
+                continue
+            if current is None or not is_known_older(
+                current, record, batch.next_offset
+            ):
+                continue
+            has_changed = True
+            if record.data is None:
+                self._remove(record.key, record.version)
+                continue
+            kept = msgspec.structs.replace(record, offset=current.offset, lapsed=False)
+            self.record_by_key[record.key] = kept
+        return has_changed
+
     def is_lapsed(self, key: str) -> bool:
         """Return whether a key is about to be removed unless it comes back."""
         return key in self._removal_at_by_key
@@ -155,12 +136,13 @@
         return has_changed
 
     def export(self) -> FeedBatch:
-        """Return all stored records as one whole batch."""
+        """Return all stored records, and the last removals, as one whole batch."""
         records = [
             msgspec.structs.replace(record, lapsed=key in self._removal_at_by_key)
             for key, record in self.record_by_key.items()
         ]
         records.sort(key=lambda record: record.offset)
+        records += self._versions.list_removals(self.record_by_key, self.next_offset)
         return FeedBatch(
             feed=self.name,
             from_offset=0,
@@ -209,35 +191,19 @@
         """Return the newest known version of a key or a removed key, 0 if none."""
         current = self.record_by_key.get(key)
         version = 0 if current is None else current.version
-        return max(version, self._removed_version_by_key.get(key, 0))
+        return max(version, self._versions.find_removed_version(key))
 
     def _remove(self, key, version=0):
         self._removal_at_by_key.pop(key, None)
         version = max(version, self.find_version(key))
         self.record_by_key.pop(key, None)
-        if not version:
-            return
-        self._removed_version_by_key[key] = version
-        while len(self._removed_version_by_key) > MAXIMUM_REMOVED_KEYS:
-            del self._removed_version_by_key[next(iter(self._removed_version_by_key))]
-
-    def _is_older_version(self, record, current):
-        """Return whether a record is older than one that was stored or removed.
-
-        The removal came after the record that it removed, so that the same version
-        again is an older copy, too.
-        """
-        if not record.version:
-            return False
-        if current is not None:
-            return record.version < current.version
-        return record.version <= self._removed_version_by_key.get(record.key, 0)
+        self._versions.remember_removal(key, version)
 
     def _apply_record(self, record):
         current = self.record_by_key.get(record.key)
         if current is not None and record.offset < current.offset:
             return
-        if record.data is not None and self._is_older_version(record, current):
+        if record.data is not None and self._versions.is_older(record, current):
             self._removal_at_by_key.pop(record.key, None)
             return
         if record.data is None and not record.lapsed:
