Take an impossible offset or count of restores for no answer of the store

What callers saw: nothing yet; found by a test of the decoder with odd numbers. A host whose store once answers with such a number would hold an offset that no message can carry, and tell its peers nothing of configuration and targets from then on.

Cause: the count of restores was taken with any number of digits. More than 4,300 raise ValueError, which no reader of the store expects; 2^23 and more, and an offset of 2^64 and more in an answer, give offsets beyond 64 bits, which cannot be encoded.

Evidence: before, the two new tests failed with "Exceeds the limit (4300 digits)" and "can't serialize ints < -2**63 or > 2**64 - 1" (three of three cases); now they pass.

Why it works: a count has at most six digits and an offset lies below the offsets that belong to one restore, so that an offset is below 2^61. Another answer counts as none, another item of a page as void, like all that cannot be read. The store's own offsets lie far below: it holds 400 MB.

--- a/citronspan/ops/spoiled_input_test.py
+++ b/citronspan/ops/spoiled_input_test.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from citronspan.core.configuration.config_record import (
     ChangeRecord,
@@ -37,9 +37,9 @@
 )
 from citronspan.core.settings import EntrySettings, decode_settings
 from citronspan.ops.dialect import DefaultDialect
-from citronspan.ops.feed_source import StoreUnavailableError
+from citronspan.ops.feed_source import FeedTruncatedError, StoreUnavailableError
 from citronspan.platform.headers import PlatformDialect
-from citronspan.platform.store import StoreClient
+from citronspan.platform.store import ERA_OFFSETS, StoreClient
 
 MAXIMUM_CHANGES = 4
 ODD_PARTS = st.one_of(
@@ -198,3 +198,50 @@
         assert dialect.read_timeout_seconds(text) > 0
     except CitronspanError as error:
         assert error.code.number == 3008
+
+
+ODD_NUMBERS = st.one_of(
+    st.integers(-1, 1 << 70).map(str),
+    st.sampled_from(["9" * 5000, "1e9", "\u0663", "", "-1", " 1", "1_0"]),
+)
+
+
+@pytest.mark.parametrize("is_newest", [False, True])
+def test_odd_count_of_restores_raises_what_the_readers_of_the_store_do_not_expect(
+    is_newest,
+):
+    @given(ODD_NUMBERS)
+    @example("9" * 5000)
+    @example(str(1 << 40))
+    def check(era):
+        data = NEWEST if is_newest else PAGE
+        answer = SimpleNamespace(status=200, data=data, headers={"Store-Era": era})
+        client = StoreClient(address="127.0.0.1:1")
+        client._pool = SimpleNamespace(request=lambda *args, **options: answer)
+        try:
+            if is_newest:
+                page = client.read_newest("keyed.t")
+            else:
+                era_offset = int(era[:9]) * ERA_OFFSETS if era.isdecimal() else 0
+                page = client.read("keyed.t", era_offset, 0.0)
+        except (StoreUnavailableError, FeedTruncatedError):
+            return
+        assert msgspec.msgpack.encode(FeedOffsets(targets=page.next_offset))
+
+    check()
+
+
+@given(ODD_NUMBERS, ODD_NUMBERS)
+@example(str(1 << 64), "0")
+@example("0", str(1 << 64))
+def test_odd_offset_of_the_store_cannot_be_sent_to_peers(offset, end):
+    items = b'{"key": "a", "value": "MQ==", "offset": %s}' % offset.encode()
+    data = b'{"items": [%s], "hasMore": false, "endOffset": %s}' % (items, end.encode())
+    answer = SimpleNamespace(status=200, data=data, headers={})
+    client = StoreClient(address="127.0.0.1:1")
+    client._pool = SimpleNamespace(request=lambda *args, **options: answer)
+    try:
+        page = client.read_newest("keyed.t")
+    except StoreUnavailableError:
+        return
+    assert msgspec.msgpack.encode(page)
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -5,8 +5,10 @@
 """
 
 import base64
+import re
 import struct
 import time
+from typing import Annotated
 from urllib.parse import urlencode
 
 import logbook
@@ -34,10 +36,15 @@
 _logger = logbook.Logger("platform")
 
 _ERA = "Store-Era"
+# With more restores, offsets would no longer fit into what hosts send each other.
+_ERA_PATTERN = re.compile(r"[0-9]{1,6}")
 _PAGE_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 
 
+_StoreOffset = Annotated[int, msgspec.Meta(ge=0, lt=ERA_OFFSETS)]
+
+
 class KeyedRecord(msgspec.Struct, frozen=True, kw_only=True):
     """A record of a keyed topic.
 
@@ -71,13 +78,13 @@
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str
     value: str
-    offset: int
+    offset: _StoreOffset
 
 
 class _NewestPage(msgspec.Struct, frozen=True):
     items: tuple[msgspec.Raw, ...]
     hasMore: bool  # noqa: N815 - the platform's name.
-    endOffset: int  # noqa: N815 - the platform's name.
+    endOffset: _StoreOffset  # noqa: N815 - the platform's name.
 
 
 class StoreClient:
@@ -181,8 +188,8 @@
 def _read_era(answer) -> int:
     """Return how often the store was restored from a copy, 0 if it does not say."""
     text = answer.headers.get(_ERA, "0")
-    if not (text.isascii() and text.isdigit()):
-        raise StoreUnavailableError(f"{_ERA}: {text!r} is no number")
+    if not _ERA_PATTERN.fullmatch(text):
+        raise StoreUnavailableError(f"{_ERA}: {text[:20]!r} is no possible number")
     return int(text)
 
 
