Test the decoders that no test fed with spoiled input

Settings of the agent and of a host on a platform, answers of the log, the host list, chunks of a body, heads of requests and of answers, and the records of peers that are merged into the configuration. Arbitrary and nearly valid input gives a result or an error that the reader expects; a spoiled record hides no other.

--- a/citronspan/ops/spoiled_input_test.py
+++ b/citronspan/ops/spoiled_input_test.py
@@ -4,12 +4,19 @@
 """
 
 import base64
+import contextlib
+import http.client
+import io
 import json
+import socket
 import struct
+import time
 from types import SimpleNamespace
 
 import msgspec
 import pytest
+import urllib3
+from cheroot import errors
 from hypothesis import example, given, settings, strategies as st
 
 from citronspan.core.configuration.config_record import (
@@ -24,9 +31,19 @@
 )
 from citronspan.core.configuration.config_state import ConfigState
 from citronspan.core.configuration.feed_messages import FeedOffsets, FeedUpdate
+from citronspan.core.configuration.feeds import (
+    TARGETS_FEED,
+    Feed,
+    FeedBatch,
+    FeedMerger,
+    FeedRecord,
+    encode_resources,
+)
 from citronspan.core.errors import CitronspanError
+from citronspan.core.host_settings import HostSettings
 from citronspan.core.keys.key_token import mint_prefix, parse_key
 from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.core.requests.explain import read_line
 from citronspan.core.resources import (
     Kind,
@@ -35,9 +52,18 @@
     decode_resource,
     encode_resource,
 )
-from citronspan.core.settings import EntrySettings, decode_settings
+from citronspan.core.settings import AgentSettings, EntrySettings, decode_settings
+from citronspan.ops.answer_stream import CheckedResponse
+from citronspan.ops.chunked_body import ChunkedBody
 from citronspan.ops.dialect import DefaultDialect
 from citronspan.ops.feed_source import FeedTruncatedError, StoreUnavailableError
+from citronspan.ops.host_list import HostListReader
+from citronspan.ops.log_client import (
+    HttpLogStore,
+    LogTruncatedError,
+    LogUnavailableError,
+)
+from citronspan.ops.request_head import StrictHeaderReader
 from citronspan.platform.headers import PlatformDialect
 from citronspan.platform.store import ERA_OFFSETS, StoreClient
 
@@ -87,6 +113,31 @@
         "metricsAddress": "127.0.0.1:4",
     }
 ).encode()
+AGENT_SETTINGS = json.dumps(
+    {
+        "place": {"name": "h", "region": "r", "dataCentre": "a", "fleet": "f"},
+        "peerAddress": "127.0.0.1:3",
+        "apiAddress": "127.0.0.1:5",
+        "logUrl": "http://127.0.0.1:6",
+        "entryPeerAddress": "127.0.0.1:8",
+        "entryCallersAddress": "127.0.0.1:9",
+        "metricsAddress": "127.0.0.1:10",
+        "seeds": ["127.0.0.1:7"],
+    }
+).encode()
+HOST_SETTINGS = json.dumps(
+    {
+        "place": {"name": "h", "region": "r", "dataCentre": "a", "fleet": "f"},
+        "address": "127.0.0.1",
+        "callersAddress": "127.0.0.1:1",
+        "readinessAddress": "127.0.0.1:2",
+        "directoryAddress": "127.0.0.1:3",
+        "apiAddress": "127.0.0.1:4",
+        "peerPorts": [5, 9],
+        "storeAddress": "127.0.0.1:10",
+        "seedApiAddresses": ["127.0.0.1:11"],
+    }
+).encode()
 LINE = b'host-1 {"at":"2026-01-01T00:00:00.000+00:00","event":"e","number":200}'
 
 
@@ -101,9 +152,27 @@
             SETTINGS,
             CitronspanError,
         ),
+        (
+            lambda data: decode_settings(data, AgentSettings, path="p"),
+            AGENT_SETTINGS,
+            CitronspanError,
+        ),
+        (
+            lambda data: decode_settings(data, HostSettings, path="p"),
+            HOST_SETTINGS,
+            CitronspanError,
+        ),
         (lambda data: read_line(data.decode("latin-1")), LINE, ()),
     ],
-    ids=["resource", "record", "envelope", "settings", "log-line"],
+    ids=[
+        "resource",
+        "record",
+        "envelope",
+        "settings",
+        "agent-settings",
+        "host-settings",
+        "log-line",
+    ],
 )
 def test_spoiled_input_raises_what_its_readers_do_not_expect(decode, valid, errors):
     decode(valid)
@@ -245,3 +314,128 @@
     except StoreUnavailableError:
         return
     assert msgspec.msgpack.encode(page)
+
+
+LOG_PAGE = b'{"first": 0, "next": 2, "records": [{"offset": 1, "data": "MQ=="}]}'
+
+
+@pytest.mark.parametrize("status", [200, 201, 410, 503])
+def test_spoiled_answer_of_the_log_raises_what_its_readers_do_not_expect(status):
+    @given(CHANGES)
+    def check(changes):
+        data = spoil(LOG_PAGE, changes)
+        answer = SimpleNamespace(status=status, data=data)
+        log = HttpLogStore(url="http://127.0.0.1:1")
+        log._pool = SimpleNamespace(request=lambda *args, **options: answer)
+        for call in (lambda: log.read(0), lambda: log.append(b"a")):
+            with contextlib.suppress(LogUnavailableError, LogTruncatedError):
+                call()
+
+    check()
+
+
+HOSTS = (
+    b'{"hosts": [{"name": "a", "address": "b", "role": "target", "state": "leaving"}]}'
+)
+
+
+@given(CHANGES, st.sampled_from([200, 500]))
+def test_spoiled_host_list_ends_the_reading_of_it(changes, status):
+    data = spoil(HOSTS, changes)
+    answer = SimpleNamespace(status=status, data=data)
+    reader = HostListReader(url="http://127.0.0.1:1")
+    reader._http = SimpleNamespace(request=lambda *args, **options: answer)
+    reader.poll()
+    assert reader.failures or status == 200
+
+
+BODY = b"4\r\nabcd\r\nA;x=1\r\n0123456789\r\n0\r\nT: 1\r\n\r\n"
+
+
+@settings(max_examples=300)
+@given(st.one_of(CHANGES.map(lambda changes: spoil(BODY, changes)), st.binary()))
+def test_spoiled_chunks_raise_what_the_reader_of_a_body_does_not_expect(data):
+    body = ChunkedBody(rfile=io.BytesIO(data))
+    try:
+        while body.read(100):
+            continue
+    except (EOFError, ValueError):
+        assert not body.is_ended
+        return
+    assert body.is_ended
+
+
+HEADERS = b"Host: a\r\nContent-Length: 3\r\nX-A: b\r\n\r\n"
+
+
+@settings(max_examples=300)
+@given(st.one_of(CHANGES.map(lambda changes: spoil(HEADERS, changes)), st.binary()))
+def test_spoiled_headers_raise_what_the_reader_of_a_head_does_not_expect(data):
+    try:
+        headers = StrictHeaderReader()(io.BytesIO(data))
+    except (ValueError, errors.MaxSizeExceeded):
+        return
+    for name, value in headers.items():
+        assert not set(b"\r\n\0") & set(name + value)
+
+
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Citronspan-Request-Id: i\r\n"
+    b"Content-Length: 3\r\nKeep-Alive: timeout=3\r\n\r\nabc"
+)
+CHUNKED_ANSWER = (
+    b"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+)
+ANSWER_ERRORS = (
+    OSError,
+    ValueError,
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+)
+
+
+@settings(max_examples=300)
+@given(
+    st.one_of(
+        st.builds(spoil, st.sampled_from([ANSWER, CHUNKED_ANSWER]), CHANGES),
+        st.binary(max_size=40),
+    ),
+    st.booleans(),
+)
+def test_spoiled_answer_raises_what_its_readers_do_not_expect(data, is_reused):
+    target, entry = socket.socketpair()
+    with target, entry:
+        target.sendall(data[:60_000])
+        target.shutdown(socket.SHUT_WR)
+        response = CheckedResponse(
+            entry,
+            method="GET",
+            deadline=AttemptDeadline(request_deadline=time.monotonic() + 5.0),
+            id_header="X-Citronspan-Request-Id",
+            expected_id="i",
+            is_reused=is_reused,
+        )
+        with contextlib.closing(response), contextlib.suppress(*ANSWER_ERRORS):
+            response.begin()
+            response.read()
+
+
+RECORD = encode_resources([Resource(kind=Kind.ROUTE, name="r", spec=ROUTE)] * 40)
+
+
+@settings(max_examples=300)
+@given(CHANGES, st.booleans())
+def test_spoiled_record_of_a_peer_hides_the_other_records(changes, is_long):
+    data = RECORD if is_long else b"[%s]" % RESOURCE
+    feed = Feed(name=TARGETS_FEED)
+    records = (
+        FeedRecord(offset=0, key="a", data=spoil(data, changes)),
+        FeedRecord(offset=1, key="b", data=encode_resources([OTHER_RESOURCE])),
+    )
+    feed.apply(FeedBatch(feed=feed.name, from_offset=0, next_offset=2, records=records))
+    state = FeedMerger().merge_feeds([feed], before=ConfigState())
+    assert "other" in {key.name for key in state.resource_by_key}
+
+
+OTHER_RESOURCE = Resource(kind=Kind.ROUTE, name="other", spec=ROUTE)
