Test the shares of a split and the time of an attempt against their rules

The choice of a route had its model already; the choice among the parts of a split had no test. An attempt's time is compared with the rule over any course of other targets that come and go and of a stop. No fault was found.

--- a/citronspan/core/requests/attempt_deadline_test.py
+++ b/citronspan/core/requests/attempt_deadline_test.py
@@ -2,6 +2,7 @@
 
 import freezegun
 import pytest
+from hypothesis import given, strategies as st
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 
@@ -45,3 +46,41 @@
 @pytest.mark.parametrize("limit", [6.0, 7.0])
 def test_attempt_outlasts_its_request(limit):
     assert AttemptDeadline(request_deadline=6.0, limit=limit).find() == 6.0
+
+
+SECONDS = st.floats(0.0, 20.0)
+STEPS = st.lists(
+    st.tuples(st.floats(0.0, 2.0), st.booleans(), st.booleans()),
+    min_size=1,
+    max_size=12,
+)
+
+
+@given(request_seconds=SECONDS, limit_seconds=SECONDS, end_seconds=SECONDS, steps=STEPS)
+def test_attempt_is_given_up_at_another_time_than_the_rules_say(
+    request_seconds, limit_seconds, end_seconds, steps
+):
+    # It may use all of its request's time, unless another attempt may follow and it
+    # has not outlasted its own time while none could. The end of a stop ends all.
+    with freezegun.freeze_time("2026-01-01") as clock:
+        begun_at = time.monotonic()
+        may_follow = False
+        end = begun_at + 100.0
+        deadline = AttemptDeadline(
+            request_deadline=begun_at + request_seconds,
+            limit=begun_at + limit_seconds,
+            may_be_retried=lambda: may_follow,
+            find_end=lambda: end,
+        )
+        has_outlasted = False
+        for seconds, may_follow, is_stopping in steps:
+            clock.tick(seconds)
+            if is_stopping:
+                end = begun_at + end_seconds
+            is_past = time.monotonic() >= begun_at + limit_seconds
+            has_outlasted = has_outlasted or (is_past and not may_follow)
+            is_limited = may_follow and not has_outlasted
+            expected = begun_at + request_seconds
+            if is_limited:
+                expected = min(expected, begun_at + limit_seconds)
+            assert deadline.find() == min(expected, end)
--- a/citronspan/core/requests/route_table_test.py
+++ b/citronspan/core/requests/route_table_test.py
@@ -1,8 +1,13 @@
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import assume, given, strategies as st
 
-from citronspan.core.requests.route_table import Route, build_route_table, find_route
-from citronspan.core.resources import RouteSpec
+from citronspan.core.requests.route_table import (
+    Route,
+    build_route_table,
+    choose_service,
+    find_route,
+)
+from citronspan.core.resources import RouteSpec, ServiceShare
 
 SEGMENT = st.sampled_from(["a", "b", "ab"])
 PATH = st.lists(SEGMENT, max_size=4).map(lambda parts: "/" + "/".join(parts))
@@ -63,3 +68,31 @@
     table = build_route_table(routes)
     route = find_route(table, "shop.example", path)
     assert (route and route.name) == name
+
+
+DRAWS = 400
+
+
+@given(st.lists(st.integers(0, 20), min_size=1, max_size=4))
+def test_service_of_a_split_gets_another_share_than_its_weight(weights):
+    assume(sum(weights))
+    shares = tuple(
+        ServiceShare(service=f"s{number}", weight=weight)
+        for number, weight in enumerate(weights)
+    )
+    spec = RouteSpec(path_prefix="/", service="s0", request_kind="k", shares=shares)
+    chosen = [choose_service(spec, (n + 0.5) / DRAWS) for n in range(DRAWS)]
+    for share in shares:
+        expected = DRAWS * share.weight / sum(weights)
+        assert abs(chosen.count(share.service) - expected) <= 1
+
+
+@given(st.lists(st.floats(0.001, 1e9), max_size=4), st.floats(0, 1))
+def test_request_of_a_split_goes_to_a_service_that_is_no_part_of_it(weights, draw):
+    shares = tuple(
+        ServiceShare(service=f"s{number}", weight=weight)
+        for number, weight in enumerate(weights)
+    )
+    spec = RouteSpec(path_prefix="/", service="s0", request_kind="k", shares=shares)
+    names = {share.service for share in shares} or {"s0"}
+    assert choose_service(spec, draw) in names
