Stretch the times of the test of a broker that stalls

All times of the test are six times as long now, with the same ratios: stall to least wait 2, longest wait to stall 2, time to the goal to least wait 6. So it asks the same, and a pause must be six times as long to spoil it.

With the wait for patient requests switched off in core/brokering/broker_wait.py the new form fails, as the old one did.

--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -66,11 +66,11 @@
 class RunningEntry:
     """Slot service of an entry with its link and a receiving thread."""
 
-    def __init__(self, name, ip, region="r"):
+    def __init__(self, name, ip, region="r", wait_seconds=WAIT_SECONDS):
         address = f"{ip}:7950"
         self.link = LossyLink(fleet="f", address=address, incarnation=1)
         self.slots = SlotService(
-            name=name, region=region, link=self.link, wait_seconds=WAIT_SECONDS
+            name=name, region=region, link=self.link, wait_seconds=wait_seconds
         )
         self.node = NodeInfo(
             name=name,
@@ -124,11 +124,12 @@
 
 
 @pytest.fixture
-def pair():
+def pair(request):
     """The entry that is the broker of the only shard, and another entry."""
+    wait_seconds = getattr(request, "param", WAIT_SECONDS)
     running = [
-        RunningEntry("a", f"{NETWORK}.31.1"),
-        RunningEntry("b", f"{NETWORK}.31.2"),
+        RunningEntry("a", f"{NETWORK}.31.1", wait_seconds=wait_seconds),
+        RunningEntry("b", f"{NETWORK}.31.2", wait_seconds=wait_seconds),
     ]
     nodes = tuple(item.node for item in running)
     for item in running:
@@ -188,10 +189,11 @@
         time.sleep(0.1)
 
 
-STALL_SECONDS = 0.1
+STALL_SECONDS = 0.6
 
 
-@pytest.mark.parametrize(("goal_seconds", "is_patient"), [(0.0, True), (0.3, False)])
+@pytest.mark.parametrize("pair", [STALL_SECONDS / 2], indirect=True)
+@pytest.mark.parametrize(("goal_seconds", "is_patient"), [(0.0, True), (1.8, False)])
 def test_broker_that_stalls_for_a_moment_is_taken_for_lost(
     pair, goal_seconds, is_patient
 ):
@@ -203,7 +205,7 @@
         handle(sender, message)
 
     broker.slots.handle = stall
-    slot = requester.acquire(goal_seconds=goal_seconds)
+    slot = requester.acquire(seconds=20 * STALL_SECONDS, goal_seconds=goal_seconds)
     granted_by = broker if is_patient else requester
     assert slot.broker == granted_by.link.address
 
