Lead no host to an idle target that it failed to reach

What callers saw: while hosts had lost the path to some targets, they were granted idle targets again within 3 s of a failed connect to them, in vain, and the targets idled on.

Cause: the preference for idle targets outweighed the cost of a target that the entry recently failed to reach.

Why the fix works: the preference now leaves out targets that the request avoids, so that the next request of another host goes there. Without idle targets nothing changes.

The test failed before.

--- a/citronspan/core/brokering/broker_floor_test.py
+++ b/citronspan/core/brokering/broker_floor_test.py
@@ -71,7 +71,7 @@
         self._brokers.set_nodes([make_node("host-1", region="r")])
         self._brokers.set_service("s", SPEC, infos)
 
-    def run(self, seconds, *, connected=()):
+    def run(self, seconds, *, connected=(), avoided=()):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             self._clock.tick(REQUEST_INTERVAL_SECONDS)
@@ -85,6 +85,7 @@
                 deadline_seconds=DEADLINE_SECONDS,
                 goal_seconds=2.0,
                 connected=connected,
+                avoided=avoided,
                 data_centre="r-1",
             )
             self._record_grants(self._brokers.handle("e", request))
@@ -186,6 +187,15 @@
         assert load.find_smallest_share(start) >= FLOOR
 
 
+def test_hosts_that_reach_an_idle_target_get_it():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=4)
+        load.run(WARM_UP_SECONDS, avoided=load.targets[:1])
+        assert load.targets[0] not in {name for _, name in load.granted}
+        load.run(REQUEST_INTERVAL_SECONDS)
+        assert load.granted[-1][1] == load.targets[0]
+
+
 def test_targets_without_open_connection_get_requests_at_low_load():
     with freezegun.freeze_time("2026-01-01") as clock:
         load = BrokerUnderLoad(clock, targets=8)
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -258,7 +258,10 @@
         return best
 
     def _find_targets_due_for_floor(self, request, now):
-        """Return the idle targets if they are more than the floor allows, else none."""
+        """Return the idle targets if they are more than the floor allows, else none.
+
+        Those that the entry failed to reach are left to the requests of others.
+        """
         if request.is_retry or not self.has_failure_probabilities:
             return frozenset()
         trusted_seconds = max(
@@ -270,7 +273,7 @@
         for usage, limit in self._usages_with_limits:
             unreached_seconds = usage.compute_unreached_seconds(now, trusted_seconds)
             is_idle = unreached_seconds > FLOOR_IDLE_SECONDS
-            if is_idle:
+            if is_idle and usage.target_info.name not in request.avoided:
                 due_targets.add(usage.target_info.name)
             is_usable = usage.compute_usable_slots(limit, now) > 0
             if not is_usable or usage.is_said_to_leave:
--- a/citronspan/core/brokering/placement.py
+++ b/citronspan/core/brokering/placement.py
@@ -122,11 +122,11 @@
         cost += (
             CROSS_DATA_CENTRE_COST + CROSS_DATA_CENTRE_BYTE_COST * request.body_bytes
         )
-    if target_info.name in request.avoided:
-        cost += UNREACHABLE_TARGET_COST
     if limit.never_used and not candidate.usage.granted:
         cost += UNTRIED_TARGET_COST
-    if candidate.is_preferred:
+    if target_info.name in request.avoided:
+        cost += UNREACHABLE_TARGET_COST
+    elif candidate.is_preferred:
         cost += IDLE_TARGET_COST
     return cost
 
