Take the records of a target that started again on a clock that is behind

By tests: a target that starts again while its clock is behind goes on with its old registration at every host. Its drain is passed over, and requests reach it as long as its entry stays. If the entry was removed in between, the target gets no request until its clock has caught up.

Cause: the version of a record is the target's start time and sequence, so that an older copy changes nothing.

Why the fix works: a copy stays as it is. Two records of one other start, the second later than the first, have a writer that is alive. Versions of the start that is known, and of configurations, are compared as before.

--- a/citronspan/core/configuration/feed_spread_test.py
+++ b/citronspan/core/configuration/feed_spread_test.py
@@ -12,6 +12,7 @@
     FeedBatch,
     FeedRecord,
 )
+from citronspan.core.configuration.record_versions import VERSIONS_PER_START
 from citronspan.core.node_messages import NodeInfo
 
 STEP_SECONDS = 0.1
@@ -335,3 +336,19 @@
                 isinstance(item.message, FeedPull) for _, item in fleet.in_flight
             )
     assert pulls <= 3 * len(fleet.spread_by_name)
+
+
+def test_peers_pass_over_what_the_reader_took_for_a_new_start(fleet):
+    written = [
+        (9, 40, b"before"),
+        (8, 0, b"ready"),
+        (8, 1, b"ready"),
+        (8, 2, b"drains"),
+    ]
+    for start, sequence, data in written:
+        offset = len(fleet.log_by_feed[TARGETS_FEED])
+        fleet.version_by_offset[offset] = start * VERSIONS_PER_START + sequence
+        fleet.write(TARGETS_FEED, data)
+        fleet.run(1.5)
+    found = {fleet.get_target_data(name) for name in fleet.spread_by_name}
+    assert found == {b"drains"}
--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -60,7 +60,7 @@
         self.expired_records = 0
         self.record_by_key: dict[str, FeedRecord] = {}
         self._removal_at_by_key: dict[str, float] = {}
-        self._versions = RecordVersions()
+        self._versions = RecordVersions(has_starts=name == TARGETS_FEED)
 
     def apply(self, batch: FeedBatch) -> bool:
         """Apply a batch.
@@ -203,7 +203,7 @@
         current = self.record_by_key.get(record.key)
         if current is not None and record.offset < current.offset:
             return
-        if record.data is not None and self._versions.is_older(record, current):
+        if record.data is not None and self._versions.pass_over(record, current):
             self._removal_at_by_key.pop(record.key, None)
             return
         if record.data is None and not record.lapsed:
--- a/citronspan/core/configuration/feeds_test.py
+++ b/citronspan/core/configuration/feeds_test.py
@@ -7,6 +7,7 @@
 
 from citronspan.core.configuration.config_state import ConfigState
 from citronspan.core.configuration.feeds import (
+    CONFIGURATION_FEED,
     REMOVAL_GRACE_SECONDS,
     TARGETS_FEED,
     Feed,
@@ -16,6 +17,7 @@
     drop_superseded_records,
     encode_resources,
 )
+from citronspan.core.configuration.record_versions import VERSIONS_PER_START
 from citronspan.core.resources import Kind, Resource, TargetSpec
 
 KEYS = ("i-1", "i-2", "i-3")
@@ -284,3 +286,54 @@
         records=(record,),
         whole=True,
     )
+
+
+def make_start_version(start, sequence):
+    return start * VERSIONS_PER_START + sequence
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_target_started_again_by_an_earlier_clock_counts_as_an_older_copy(is_removed):
+    feed = Feed(name=TARGETS_FEED)
+    written = [(make_start_version(9, 40), b"before")]
+    written += [(0, None)] * is_removed
+    written += [(make_start_version(8, 0), b"ready")]
+    written += [(make_start_version(8, 1), b"ready")]
+    written += [(make_start_version(8, 2), b"drains")]
+    found = []
+    for offset, (version, data) in enumerate(written):
+        feed.apply(make_versioned_batch(version, offset=offset, data=data))
+        record = feed.record_by_key.get("k")
+        found.append(record and record.data)
+    assert found[-2:] == [b"ready", b"drains"]
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+@pytest.mark.parametrize(
+    "versions",
+    [
+        [make_start_version(9, 38), make_start_version(9, 39)],
+        [make_start_version(8, 5), make_start_version(8, 5)],
+        [make_start_version(8, 5), make_start_version(8, 4), make_start_version(8, 5)],
+        [make_start_version(7, 5), make_start_version(8, 5)],
+    ],
+)
+def test_late_records_of_an_earlier_time_count_as_a_new_start(versions, is_removed):
+    feed = Feed(name=TARGETS_FEED)
+    feed.apply(make_versioned_batch(make_start_version(9, 40), offset=0, data=b"d"))
+    if is_removed:
+        feed.apply(make_versioned_batch(0, offset=1, data=None))
+    for offset, version in enumerate(versions, start=2):
+        feed.apply(make_versioned_batch(version, offset=offset, data=b"late"))
+    record = feed.record_by_key.get("k")
+    assert (record and record.data) == (None if is_removed else b"d")
+
+
+def test_configuration_with_growing_older_versions_comes_into_force():
+    feed = Feed(name=CONFIGURATION_FEED)
+    for offset, start in enumerate((9, 7, 8)):
+        batch = make_versioned_batch(
+            make_start_version(start, 0), offset=offset, data=b"%d" % start
+        )
+        feed.apply(msgspec.structs.replace(batch, feed=CONFIGURATION_FEED))
+    assert feed.record_by_key["k"].data == b"9"
--- a/citronspan/core/configuration/record_versions_test.py
+++ b/citronspan/core/configuration/record_versions_test.py
@@ -9,7 +9,7 @@
 
 
 def test_whole_copy_tells_of_all_removals_ever():
-    versions = RecordVersions()
+    versions = RecordVersions(has_starts=True)
     for number in range(MAXIMUM_TOLD_REMOVALS + 50):
         versions.remember_removal(f"i-{number}", 1)
     versions.remember_removal("i-0", 2)
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from citronspan.core import result_codes
+from citronspan.core.configuration.record_versions import VERSIONS_PER_START
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
 from citronspan.core.resources import (
@@ -28,7 +29,7 @@
 )
 from citronspan.utils.validation import DECODING_ERRORS, describe_error
 
-SEQUENCES_PER_START = 1 << 20
+SEQUENCES_PER_START = VERSIONS_PER_START
 """More registrations than a target makes between two starts."""
 
 MAXIMUM_INTEGER = (1 << 63) - 1
