--- a/citronspan_standins/scripted_targets.py
+++ b/citronspan_standins/scripted_targets.py
@@ -47,6 +47,7 @@
         target: Name of the target.
         method: HTTP method.
         path: Path of the request.
+        uri: Path and query, as they were received.
         header_by_name: Headers with lower-case names.
         body: The received part of the body.
         is_complete: Whether the body is complete by its framing.
@@ -55,6 +56,7 @@
     target: str
     method: str
     path: str
+    uri: str
     header_by_name: dict[str, str]
     body: bytes
     is_complete: bool
@@ -143,6 +145,7 @@
             target=name,
             method=method,
             path=plain_path,
+            uri=path,
             header_by_name=header_by_name,
             body=body,
             is_complete=is_complete,
@@ -178,7 +181,7 @@
         if not line.endswith(b"\r\n"):
             return None
         key, _, value = line.decode("latin-1").partition(":")
-        header_by_name[key.lower()] = value.strip()
+        header_by_name[key.lower()] = value.strip(" \t\r\n")
     return method, path, header_by_name
 
 
