--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 import time
 from types import SimpleNamespace
 
@@ -21,6 +22,7 @@
 from citronspan.ops.attempt_context import RequestContext
 from citronspan.ops.attempts import AttemptRunner
 from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.open_requests import OpenRequest
 from citronspan.ops.refusals import Refusal
 from citronspan.ops.slot_source import Slot, SlotRefused
 from citronspan.ops.target_connection import AttemptFailedError
@@ -29,6 +31,7 @@
 SIGNED = {"X-Citronspan-Backend-Signature": "s"}
 NOT_RUN = {"X-Citronspan-Not-Executed": "busy"}
 DEADLINE_SECONDS = 30.0
+REUSE_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,6 +98,7 @@
         self.steps = list(steps)
         self.attempt_seconds = attempt_seconds
         self.allowed_seconds = []
+        self.reuse_seconds = []
         self.queries = []
         self.sent = []
         self.released = []
@@ -120,6 +124,7 @@
     def send(self, address, request, caller):
         step = self.steps.pop(0)
         self.sent.append(step)
+        self.reuse_seconds.append(request.reuse_seconds)
         self.allowed_seconds.append(request.deadline.find() - time.monotonic())
         if step.failure is not None:
             raise AttemptFailedError(outcome_class=step.failure, detail="")
@@ -157,6 +162,7 @@
         deadline=deadline,
         goal_time=deadline,
         fingerprint=1,
+        open_request=OpenRequest(received_at=time.monotonic()),
     )
 
 
@@ -167,7 +173,7 @@
         metrics=EntryMetrics(),
         tracer=trace.get_tracer("test"),
         dialect=PlatformDialect(),
-        reuse_seconds=5.0,
+        reuse_seconds=REUSE_SECONDS,
         is_stopping=lambda: False,
         has_other_target=lambda service, names: True,
         stop_plan=stop_plan,
@@ -294,6 +300,20 @@
     assert targets.allowed_seconds == pytest.approx([DEADLINE_SECONDS], abs=1.0)
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "reuse_seconds"), [(True, math.inf), (False, REUSE_SECONDS)]
+)
+def test_request_that_may_run_once_only_is_sent_on_an_old_connection(
+    idempotent, reuse_seconds
+):
+    targets = FakeTargets([answer(200, SIGNED, ran=True)])
+    context = make_request_context(
+        idempotent=idempotent, is_repeatable=True, attempts=2
+    )
+    run(targets, context)
+    assert targets.reuse_seconds == [reuse_seconds]
+
+
 class WithdrawingTargets(FakeTargets):
     """Targets of which the first ones may not be used once a connection is open."""
 
@@ -487,3 +507,29 @@
     assert refusal.code == result_codes.ENTRY_STOPPING
     assert targets.sent == []
     assert targets.released == [("t-0", OutcomeClass.NOT_USED)]
+
+
+class SlowTargets(FakeTargets):
+    """Targets that answer after some time, and record the time that they were told."""
+
+    def __init__(self, steps, clock, seconds):
+        super().__init__(steps)
+        self.clock = clock
+        self.seconds = seconds
+        self.told_milliseconds = []
+
+    def send(self, address, request, caller):
+        told = request.headers["x-citronspan-deadline-ms"]
+        self.told_milliseconds.append(int(told))
+        self.clock.tick(self.seconds)
+        return super().send(address, request, caller)
+
+
+def test_target_of_a_retry_is_told_the_time_that_the_first_one_had():
+    steps = [answer(500, SIGNED, ran=True)] * 2 + [answer(200, SIGNED, ran=True)]
+    with freezegun.freeze_time("2026-01-01") as clock:
+        targets = SlowTargets(steps, clock, 9.0)
+        context = make_request_context(idempotent=True, is_repeatable=True, attempts=3)
+        run(targets, context)
+    expected = [30_000, 21_000, 12_000]
+    assert targets.told_milliseconds == pytest.approx(expected, abs=1)
--- a/citronspan/ops/bad_requests_test.py
+++ b/citronspan/ops/bad_requests_test.py
@@ -268,6 +268,21 @@
     assert running.targets.count_runs(path) == 0
 
 
+def test_upload_that_stalls_at_a_target_is_refused_as_not_run(running):
+    path = running.make_path("quick")
+    running.targets.set_scripts(path, ANSWER)
+    head = f"PUT {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {1 << 21}\r\n\r\n"
+    with running.open() as caller:
+        caller.sendall(head.encode() + b"c" * (MAXIMUM_BUFFERED_BODY_BYTES + 50_000))
+        response = read_to_end(caller)
+    deadline = time.monotonic() + TEST_TIMEOUT_SECONDS
+    while not running.targets.find_received(path):
+        assert time.monotonic() < deadline, "no target got a part of the upload"
+        time.sleep(POLL_SECONDS)
+    assert response.status in (502, 504)
+    assert response.ran == "may-have-run"
+
+
 @pytest.mark.parametrize(
     "request_bytes",
     [
--- a/citronspan/ops/target_connection_test.py
+++ b/citronspan/ops/target_connection_test.py
@@ -5,6 +5,7 @@
 import time
 from types import SimpleNamespace
 
+import freezegun
 import pytest
 
 from citronspan.core.outcomes import OutcomeClass
@@ -130,6 +131,109 @@
     assert answer.status == 503
 
 
+LARGE_BODY = b"b" * (64 << 20)
+"""More than the system holds for a target that doesn't read."""
+
+
+def test_connection_is_kept_though_its_target_answered_before_the_body_was_sent(
+    targets,
+):
+    (address, *_) = targets.address_by_name.values()
+    early = TargetScript(parts=(RESULT % b"a",), end="hold", read_body=False)
+    targets.set_scripts("/early", early)
+    connections = TargetConnections(id_header="X-Id")
+    request = dataclasses.replace(
+        make_request("/early", 5.0, "a"),
+        body=SimpleNamespace(buffer=LARGE_BODY, length=len(LARGE_BODY)),
+    )
+    answer = connections.send(address, request, None)
+    assert answer.read(2) == b"ok"
+    answer.finish()
+    assert connections.list_idle_addresses() == frozenset()
+
+
+def count_connects(connections):
+    """Return a list that grows with each new connection."""
+    opened = []
+    connect = connections._connect
+    connections._connect = lambda *arguments: opened.append(1) or connect(*arguments)
+    return opened
+
+
+@pytest.mark.parametrize("reuse_seconds", [0.0, 5.0])
+def test_request_that_may_run_once_is_sent_on_a_connection_that_was_idle_too_long(
+    targets, reuse_seconds
+):
+    (address, *_) = targets.address_by_name.values()
+    connections = open_kept_connection(targets, address)
+    time.sleep(RUN_SECONDS)
+    targets.set_scripts("/b", TargetScript(parts=(RESULT % b"b",), end="keep"))
+    request = dataclasses.replace(
+        make_request("/b", 5.0, "b"), reuse_seconds=reuse_seconds
+    )
+    opened = count_connects(connections)
+    assert connections.send(address, request, None).read(2) == b"ok"
+    assert bool(opened) == (reuse_seconds == 0.0)
+
+
+def test_connection_is_used_again_whose_target_sent_more_than_its_answer(targets):
+    (address, *_) = targets.address_by_name.values()
+    targets.set_scripts("/a", TargetScript(parts=(ANSWER + b"x",), end="keep"))
+    targets.set_scripts("/b", TargetScript(parts=(ANSWER,), end="keep"))
+    connections = TargetConnections()
+    answer = connections.send(address, make_request("/a", 5.0), None)
+    assert (answer.read(2), answer.read(2)) == (b"ok", b"")
+    answer.finish()
+    opened = count_connects(connections)
+    assert connections.send(address, make_request("/b", 5.0), None).read(2) == b"ok"
+    assert opened
+
+
+KEPT = b"HTTP/1.1 200 OK\r\n%b\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    ("header", "is_kept"),
+    [
+        (b"Connection: close", False),
+        (b"Connection: Close, x-a", False),
+        (b"Keep-Alive: timeout=0", False),
+        (b"Keep-Alive: max=5, timeout=1", False),
+        (b"Keep-Alive: timeout=9", True),
+        (b"Keep-Alive: timeout=" + b"9" * 5000, True),
+        (b"X-A: b", True),
+    ],
+)
+def test_connection_is_used_longer_than_its_target_keeps_it(targets, header, is_kept):
+    (address, *_) = targets.address_by_name.values()
+    script = TargetScript(parts=(KEPT % header,), end="hold")
+    targets.set_scripts("/a", script)
+    connections = TargetConnections()
+    answer = connections.send(address, make_request("/a", 5.0), None)
+    assert (answer.read(2), answer.read(2)) == (b"ok", b"")
+    with freezegun.freeze_time("2026-01-01") as clock:
+        answer.finish()
+        clock.tick(0.8)
+        assert bool(connections.list_idle_addresses()) == is_kept
+
+
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_answer_without_a_length_looks_complete_after_a_reset(targets, end):
+    (address, *_) = targets.address_by_name.values()
+    parts = (b"HTTP/1.1 200 OK\r\n\r\n", b"ok")
+    script = TargetScript(parts=parts, end=end, pause_seconds=RUN_SECONDS)
+    targets.set_scripts("/a", script)
+    answer = TargetConnections().send(address, make_request("/a", 5.0), None)
+    assert not answer.is_framed
+    if end == "close":
+        assert answer.read(9) + answer.read(9) + answer.read(9) == b"ok"
+        return
+    with pytest.raises(AttemptFailedError) as caught:
+        while answer.read(9):
+            continue
+    assert caught.value.outcome_class is OutcomeClass.ANSWER_LOST
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: b\r\nX-Signature: s\r\n\r\n"
 
 
--- a/citronspan/platform/headers_test.py
+++ b/citronspan/platform/headers_test.py
@@ -109,3 +109,10 @@
 @pytest.mark.parametrize("status", [200, 421, 429, 500])
 def test_pause_is_taken_from_an_answer_that_is_no_refusal(dialect, header, status):
     assert dialect.read_notice(status, {header: "4"}.get).pause_seconds == 0.0
+
+
+@pytest.mark.parametrize(
+    ("seconds", "text"), [(0.3, "0.30"), (2.125, "2.12"), (0.0, "0.05"), (-1.0, "0.05")]
+)
+def test_caller_is_told_to_come_back_a_whole_second_later(seconds, text):
+    assert PlatformDialect().format_retry_after(seconds) == text
