Let a failed connect not stand for the request that the floor asks for

Cause: a grant counted as a request for 0.8 s and more though its connect had failed. So a target to which only such requests went was not idle for the count, the next idle target was within the allowance again, and neither got any.

Evidence: i-a01db1dfce got three connects that failed, 0.8 s apart, by three hosts, from 22.96 to 26.5 s, while i-50b9cfbc16 beside it was granted none from 22.9 to 26.3 s.

Why the fix works: once a grant is known to be lost, its target is idle since its last request that arrived. It is due again after a pause that is a quarter of that time, 0.4 s at first, 1.6 s at most, so that a target that is down does not get each request.

--- a/citronspan/core/brokering/broker_floor_test.py
+++ b/citronspan/core/brokering/broker_floor_test.py
@@ -28,6 +28,9 @@
 REQUEST_INTERVAL_SECONDS = 0.05
 REQUEST_SECONDS = 0.2
 DEADLINE_SECONDS = 5.0
+CONNECT_SECONDS = 0.25
+AVOIDED_SECONDS = 3.0
+HOSTS = 12
 WARM_UP_SECONDS = 3.0
 
 
@@ -51,6 +54,7 @@
         failing: Names of the targets that fail each request now.
         cut_share: Share of the requests that come from hosts which reach no target, and
             hang.
+        cut_hosts: Number of hosts, of ``HOSTS``, that fail to connect to any target.
     """
 
     def __init__(self, clock, *, targets, seed=0):
@@ -59,10 +63,14 @@
         self.failed = []
         self.failing = set()
         self.cut_share = 0.0
+        self.cut_hosts = 0
+        self._failed_connects = {}
+        self._host_by_attempt = {}
         self._random = random.Random(seed)
         self._clock = clock
         self._attempt_id = 0
         self._running = []
+        self._lost = set()
         infos = [
             TargetInfo(name=name, address=name, region="r", data_centre="r-1", slots=6)
             for name in self.targets
@@ -77,6 +85,8 @@
             self._clock.tick(REQUEST_INTERVAL_SECONDS)
             self._release_finished()
             self._attempt_id += 1
+            host = self._random.randrange(HOSTS)
+            self._host_by_attempt[self._attempt_id] = host
             request = SlotRequest(
                 attempt_id=self._attempt_id,
                 service="s",
@@ -85,7 +95,7 @@
                 deadline_seconds=DEADLINE_SECONDS,
                 goal_seconds=2.0,
                 connected=connected,
-                avoided=avoided,
+                avoided=avoided or self._list_avoided(host),
                 data_centre="r-1",
             )
             self._record_grants(self._brokers.handle("e", request))
@@ -120,16 +130,34 @@
             if not isinstance(item.message, SlotGrant):
                 continue
             name = item.message.target
-            if self._random.random() < self.cut_share:
-                self._running.append(
-                    (now + DEADLINE_SECONDS, item.message, False, DEADLINE_SECONDS)
-                )
+            seconds = self._draw_lost_seconds(item.message)
+            if seconds:
+                self._running.append((now + seconds, item.message, False, seconds))
+                self._lost.add(item.message.attempt_id)
                 continue
             self.granted.append((now, name))
             failed = name in self.failing
             seconds = 0.01 if failed else REQUEST_SECONDS
             self._running.append((now + seconds, item.message, failed, seconds))
 
+    def _draw_lost_seconds(self, grant):
+        """Return the time after which a request ends without arriving, else 0."""
+        if self._random.random() < self.cut_share:
+            return DEADLINE_SECONDS
+        host = self._host_by_attempt[grant.attempt_id]
+        if host >= self.cut_hosts:
+            return 0.0
+        self._failed_connects[host, grant.target] = time.monotonic()
+        return CONNECT_SECONDS
+
+    def _list_avoided(self, host):
+        oldest = time.monotonic() - AVOIDED_SECONDS
+        return tuple(
+            target
+            for (other, target), failed_at in self._failed_connects.items()
+            if other == host and failed_at > oldest
+        )
+
     def _release_finished(self):
         now = time.monotonic()
         finished = [item for item in self._running if item[0] <= now]
@@ -138,8 +166,11 @@
             if failed:
                 self.failed.append((now, grant.target))
             outcome_class = OutcomeClass.TARGET_ERROR if failed else OutcomeClass.OK
-            if seconds >= DEADLINE_SECONDS:
-                outcome_class = OutcomeClass.CANCELLED
+            if grant.attempt_id in self._lost:
+                hung = seconds >= DEADLINE_SECONDS
+                outcome_class = (
+                    OutcomeClass.CANCELLED if hung else OutcomeClass.CONNECT_FAILED
+                )
             outcome = Outcome(
                 target=grant.target,
                 outcome_class=outcome_class,
@@ -187,6 +218,21 @@
         assert load.find_smallest_share(start) >= FLOOR
 
 
+@pytest.mark.parametrize("targets", [4, 7, 9])
+@pytest.mark.parametrize("cut_hosts", [2, 4])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_targets_get_requests_while_some_hosts_fail_to_connect(
+    targets, cut_hosts, seed
+):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=targets, seed=seed)
+        load.run(WARM_UP_SECONDS)
+        start = time.monotonic()
+        load.cut_hosts = cut_hosts
+        load.run(8.0)
+        assert load.find_smallest_share(start) >= FLOOR
+
+
 def test_hosts_that_reach_an_idle_target_get_it():
     with freezegun.freeze_time("2026-01-01") as clock:
         load = BrokerUnderLoad(clock, targets=4)
--- a/citronspan/core/brokering/broker_outcomes.py
+++ b/citronspan/core/brokering/broker_outcomes.py
@@ -17,6 +17,14 @@
     OutcomeClass.NOT_USED,
 }
 
+_CLASSES_WITHOUT_ARRIVAL = {
+    OutcomeClass.CONNECT_FAILED,
+    OutcomeClass.TIMED_OUT,
+    OutcomeClass.CANCELLED,
+    OutcomeClass.NOT_USED,
+}
+"""Classes of outcomes that do not show whether the target got the request."""
+
 
 class OutcomeRecorder:
     """Passes outcomes on to detection and to the estimates of one broker."""
@@ -45,6 +53,9 @@
             now: Present time.
         """
         outcome = release.outcome
+        if grant is not None:
+            has_arrived = outcome.outcome_class not in _CLASSES_WITHOUT_ARRIVAL
+            grant.usage.record_arrival(grant.granted_at, has_arrived=has_arrived)
         if outcome.outcome_class is OutcomeClass.NOT_USED:
             return
         if outcome.rate_limit is not None:
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -10,6 +10,7 @@
     FAILED_IDLE_SECONDS,
     FLOOR_IDLE_SECONDS,
     IDLE_TARGET_SECONDS,
+    LOST_REQUEST_PAUSE_SHARE,
     TRUSTED_HOLD_TIMES,
     Candidate,
     compute_cost,
@@ -260,7 +261,8 @@
     def _find_targets_due_for_floor(self, request, now):
         """Return the idle targets if they are more than the floor allows, else none.
 
-        Those that the entry failed to reach are left to the requests of others.
+        Those that the entry failed to reach are left to the requests of others, and
+        those whose last request was lost just now are not due again yet.
         """
         if request.is_retry or not self.has_failure_probabilities:
             return frozenset()
@@ -273,7 +275,12 @@
         for usage, limit in self._usages_with_limits:
             unreached_seconds = usage.compute_unreached_seconds(now, trusted_seconds)
             is_idle = unreached_seconds > FLOOR_IDLE_SECONDS
-            if is_idle and usage.target_info.name not in request.avoided:
+            pause_seconds = min(
+                FLOOR_IDLE_SECONDS, LOST_REQUEST_PAUSE_SHARE * unreached_seconds
+            )
+            has_just_been_granted = now - usage.granted_at <= pause_seconds
+            is_avoided = usage.target_info.name in request.avoided
+            if is_idle and not has_just_been_granted and not is_avoided:
                 due_targets.add(usage.target_info.name)
             is_usable = usage.compute_usable_slots(limit, now) > 0
             if not is_usable or usage.is_said_to_leave:
--- a/citronspan/core/brokering/broker_target_usage.py
+++ b/citronspan/core/brokering/broker_target_usage.py
@@ -28,14 +28,6 @@
 PEAK_HALF_WINDOW_SECONDS = 0.25
 """Half of the window over which the peak of own grants is kept."""
 
-_UNREACHED_CLASSES = {
-    OutcomeClass.CONNECT_FAILED,
-    OutcomeClass.TIMED_OUT,
-    OutcomeClass.CANCELLED,
-    OutcomeClass.NOT_USED,
-}
-"""Classes of outcomes that do not show whether the target got the request."""
-
 _OWN_FAILURE_CLASSES = {OutcomeClass.TARGET_ERROR, OutcomeClass.ANSWER_LOST}
 
 
@@ -57,6 +49,7 @@
         self.granted = 0
         self.granted_at = now
         self.reached_at = now
+        self._is_last_grant_lost = False
         self.failed_at = -math.inf
         self.leaving_incarnation: int | None = None
         self._external_usage = 0
@@ -111,11 +104,12 @@
 
         Args:
             now: Present time.
-            trusted_seconds: Age up to which a grant counts though nothing is known of
-                its request. An older one may hang on its way to the target.
+            trusted_seconds: Age up to which the last grant counts while nothing is
+                known of its request. An older one may hang on its way to the target.
         """
-        if now - self.granted_at <= trusted_seconds:
-            return now - self.granted_at
+        granted_seconds = now - self.granted_at
+        if granted_seconds <= trusted_seconds and not self._is_last_grant_lost:
+            return granted_seconds
         return now - self.reached_at
 
     def has_slots_beside_grants(self, limit: TargetLimit, now: float) -> bool:
@@ -126,6 +120,7 @@
         """Count a grant."""
         self.granted += 1
         self.granted_at = now
+        self._is_last_grant_lost = False
         self._roll_peak_window(now)
         self._peak = max(self._peak, self.granted)
 
@@ -142,6 +137,13 @@
         """Mark the external usage as known after a handover, which ends the ramp."""
         self._usage_unknown_since = -math.inf
 
+    def record_arrival(self, granted_at: float, *, has_arrived: bool) -> None:
+        """Record whether the request of a grant is known to have arrived."""
+        if has_arrived:
+            self.reached_at = max(self.reached_at, granted_at)
+        elif granted_at == self.granted_at:
+            self._is_last_grant_lost = True
+
     def apply_outcome(
         self, outcome: Outcome, load_age_seconds: float, now: float
     ) -> None:
@@ -156,9 +158,6 @@
         """
         has_failed = outcome.outcome_class in _OWN_FAILURE_CLASSES
         self.failed_at = now if has_failed else -math.inf
-        if outcome.outcome_class not in _UNREACHED_CLASSES:
-            granted_at = now - load_age_seconds - outcome.latency_seconds
-            self.reached_at = max(self.reached_at, granted_at)
         if outcome.outcome_class is OutcomeClass.DRAINING:
             self._backoff_until = now + DRAINING_BACKOFF_SECONDS
             return
--- a/citronspan/core/brokering/placement.py
+++ b/citronspan/core/brokering/placement.py
@@ -41,6 +41,10 @@
 """Age, in mean hold times, up to which a grant counts for the floor though its request
 may hang on its way to the target."""
 
+LOST_REQUEST_PAUSE_SHARE = 0.25
+"""Pause after a request for the floor that did not arrive, as a share of the time for
+which the target is idle: short at first, since another host may reach it."""
+
 FAILED_IDLE_SECONDS = 3.4
 """Time after a failure during which a target does not count as idle for the floor.
 Users take a target that failed for healthy again after 2 s."""
