Test on real processes that hosts in trouble heed what targets say

Three hosts under more load than their targets can take, a host that chooses alone while the other four are frozen, and a host that is cut off from its targets and reaches them through peers in another region; each with a target that says in its answers that it leaves, its entry in the store staying ready, and with one that answers 503 with Retry-After. The oracle is the two rules, host by host.

The tests of a cut run a host program that refuses its own connections to targets while a file exists.

--- /dev/null
+++ b/citronspan_standins/cut_off_host.py
@@ -0,0 +1,49 @@
+"""Host program that reaches no target while a file exists beside its settings.
+
+The file has the name of the settings file with ``CUT_SUFFIX`` in place of its suffix.
+
+Its connections to targets end when the file appears, and new ones are refused. All
+other connections work, as in a cut of the links to the targets alone.
+"""
+
+import contextlib
+import socket
+import sys
+import threading
+import time
+from pathlib import Path
+
+from citronspan.ops.target_connector import DirectConnector
+from citronspan.scripts import host
+
+CUT_SUFFIX = ".cut"
+POLL_SECONDS = 0.05
+
+
+def main() -> None:
+    """Run a host whose direct connections to targets can be cut."""
+    cut_file = Path(sys.argv[1]).with_suffix(CUT_SUFFIX)
+    connect = DirectConnector.connect
+    sockets = []
+
+    def connect_unless_cut(self, address, timeout_seconds):
+        if cut_file.exists():
+            raise ConnectionRefusedError("cut off")
+        connection = connect(self, address, timeout_seconds)
+        sockets.append(connection.sock)
+        return connection
+
+    def end_connections_in_cuts():
+        while True:
+            time.sleep(POLL_SECONDS)
+            while cut_file.exists() and sockets:
+                with contextlib.suppress(OSError):
+                    sockets.pop().shutdown(socket.SHUT_RDWR)
+
+    DirectConnector.connect = connect_unless_cut
+    threading.Thread(target=end_connections_in_cuts, daemon=True).start()
+    host.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/citronspan_standins/host_processes.py
+++ b/citronspan_standins/host_processes.py
@@ -86,15 +86,32 @@
         ).encode()
 
 
+REGION_BY_DATA_CENTRE = {"a": "r", "b": "s"}
+HOST_PROGRAM = "citronspan.scripts.host"
+
+
 class HostProcess:
     """One host as a process on loopback addresses."""
 
-    def __init__(self, *, number, folder, store_address):
+    def __init__(
+        self,
+        *,
+        number,
+        folder,
+        store_address,
+        data_centre="a",
+        program=HOST_PROGRAM,
+    ):
         ip = f"{NETWORK}.{number}"
         name = f"host-{number}"
+        self.name = name
         self.address = (ip, 8080)
         settings = {
-            "place": {"name": name, "region": "r", "dataCentre": "a"},
+            "place": {
+                "name": name,
+                "region": REGION_BY_DATA_CENTRE[data_centre],
+                "dataCentre": data_centre,
+            },
             "address": ip,
             "callersAddress": f"{ip}:8080",
             "readinessAddress": f"{ip}:8081",
@@ -102,7 +119,7 @@
             "apiAddress": f"{ip}:8083",
             "peerPorts": [8090, 8095],
             "seedApiAddresses": [f"{NETWORK}.1:8083"],
-            "regionByDataCentre": {"a": "r"},
+            "regionByDataCentre": REGION_BY_DATA_CENTRE,
             "storeAddress": store_address,
             "stopSeconds": STOP_SECONDS,
         }
@@ -111,7 +128,7 @@
         self.log_path = folder / f"{name}.log"
         log = self.log_path.open("a")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "citronspan.scripts.host", str(path)],
+            [sys.executable, "-m", program, str(path)],
             cwd=ROOT,
             stdout=log,
             stderr=log,
