Ignore a rate of a target that no target can state

What callers saw: nothing yet; found by odd messages to a broker. Rates are passed on from host to host. One that is not a number kept a target of a broker without a grant for as long as was tried (4,000 s), and one with a negative age hid all later statements.

Cause: what a target states is checked where its answer is read; what a peer passes on was taken as it came, and passed on again.

Evidence: a slot request with the rate NaN, then 4,000 s, then a sound request: it waited; with the rates 0, -1, 5 and infinity it was granted.

Why it works: the table, through which each host takes and passes on rates, ignores a rate that is not at least 0 and finite, and counts a negative age as none.

--- a/citronspan/core/rate_limits.py
+++ b/citronspan/core/rate_limits.py
@@ -6,6 +6,7 @@
 so that every holder of a copy keeps the newest statement.
 """
 
+import math
 import threading
 import time
 from collections.abc import Iterable, Set
@@ -60,14 +61,20 @@
 
         Args:
             target: Name of the target.
-            rate_limit: The statement.
+            rate_limit: The statement, perhaps passed on by a peer. One with a rate
+                that no target can state is ignored, a negative age counts as none.
 
         Returns:
             The change of the limit, or None if it stays.
         """
+        rate = rate_limit.requests_per_second
+        # The condition is written as a negation so that it also catches NaN.
+        if rate is not None and not 0 <= rate < math.inf:
+            return None
+        # In this order the larger of NaN and 0 is 0.
+        age_seconds = max(0.0, rate_limit.age_seconds)
         statement = _Statement(
-            requests_per_second=rate_limit.requests_per_second,
-            stated_at=time.monotonic() - rate_limit.age_seconds,
+            requests_per_second=rate, stated_at=time.monotonic() - age_seconds
         )
         with self._lock:
             known = self._statement_by_target.get(target)
--- a/citronspan/core/rate_limits_test.py
+++ b/citronspan/core/rate_limits_test.py
@@ -1,3 +1,5 @@
+import math
+
 import freezegun
 import pytest
 
@@ -35,3 +37,20 @@
         table.observe(f"t-{number}", RateLimit(requests_per_second=1.0))
     table.retain({"t-1"})
     assert table.count_limited() == 1
+
+
+@pytest.mark.parametrize("rate", [math.nan, math.inf, -math.inf, -1.0])
+def test_impossible_rate_that_a_peer_passes_on_counts(clock, rate):
+    table = RateLimitTable()
+    assert table.observe("t", RateLimit(requests_per_second=rate)) is None
+    assert table.find("t") is None
+    assert table.export(["t"]) == {}
+
+
+@pytest.mark.parametrize("age_seconds", [-60.0, -math.inf, math.nan, math.inf])
+def test_statement_of_an_impossible_age_hides_later_ones(clock, age_seconds):
+    table = RateLimitTable()
+    table.observe("t", RateLimit(requests_per_second=5.0, age_seconds=age_seconds))
+    clock.tick(1.0)
+    table.observe("t", RateLimit(requests_per_second=2.0))
+    assert table.find("t") == 2.0
--- a/citronspan/ops/odd_messages_test.py
+++ b/citronspan/ops/odd_messages_test.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 import typing
 
 import freezegun
@@ -134,12 +135,25 @@
     gossip.describe_received()
 
 
+def is_possible(rate_limit):
+    rate = rate_limit.requests_per_second
+    return rate is None or (0 <= rate < math.inf and rate_limit.age_seconds >= 0)
+
+
 def address_to_broker(message):
-    """Address a message to the only broker, and state no rate of its target."""
+    """Address a message to the only broker, and state no possible rate of its target.
+
+    A target whose rate is next to nothing gets next to nothing.
+    """
     fields = {"service": "s", "region": "r", "shard": 0}
     if isinstance(message, SlotRequest):
-        fields["rate_limits"] = {}
-    if outcome := getattr(message, "outcome", None):
+        fields["rate_limits"] = {
+            target: rate_limit
+            for target, rate_limit in message.rate_limits.items()
+            if not is_possible(rate_limit)
+        }
+    outcome = getattr(message, "outcome", None)
+    if outcome and outcome.rate_limit and is_possible(outcome.rate_limit):
         fields["outcome"] = msgspec.structs.replace(outcome, rate_limit=None)
     return msgspec.structs.replace(message, **fields)
 
