--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/http_server_test.py
@@ -94,6 +94,23 @@
         assert answer.getheader("Connection") == "close"
 
 
+def test_request_that_arrives_shortly_after_the_stop_is_cut_off(server, monkeypatch):
+    connection = connect(server)
+    connection.request("GET", "/")
+    assert connection.getresponse().read() == b"done"
+    # Longer than in the product, so that a busy machine sends the request in time.
+    monkeypatch.setattr(http_server, "ARRIVAL_SECONDS", 5.0)
+    stop_selector = server._connections.stop
+
+    def stop_and_send_later():
+        stop_selector()
+        threading.Timer(0.2, connection.request, ("GET", "/slow")).start()
+
+    monkeypatch.setattr(server._connections, "stop", stop_and_send_later)
+    server.stop_accepting()
+    assert connection.getresponse().read() == b"done"
+
+
 def test_request_that_arrives_at_the_very_close_is_cut_off(server, monkeypatch):
     connection = connect(server)
     connection.request("GET", "/")
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slot_service_test.py
@@ -224,6 +224,20 @@
         assert answer.broker == requester.link.address
 
 
+def test_request_waits_for_a_slot_after_its_caller_has_left(pair):
+    broker, requester = pair
+    slots = [broker.acquire() for _ in TARGETS]
+    broker.release(slots.pop())
+    slots.append(broker.acquire())
+    started_at = time.monotonic()
+    refused = requester.acquire(is_disconnected=lambda: True)
+    assert refused.code is result_codes.CALLER_GONE
+    assert time.monotonic() - started_at < MAXIMUM_ACQUIRE_SECONDS
+    # Its place in the queue is free, and its broker still counts as one that responds.
+    broker.release(slots.pop())
+    assert requester.acquire().broker == broker.link.address
+
+
 def test_leaving_target_is_never_granted(pair):
     broker, requester = pair
     for item in pair:
