--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/attempts_test.py
@@ -166,7 +166,14 @@
     )
 
 
-def run(targets, request_context, stop_plan=None):
+def run(
+    targets,
+    request_context,
+    stop_plan=None,
+    *,
+    is_stopping=False,
+    has_other_target=True,
+):
     runner = AttemptRunner(
         slots=targets,
         connections=targets,
@@ -174,8 +181,8 @@
         tracer=trace.get_tracer("test"),
         dialect=PlatformDialect(),
         reuse_seconds=REUSE_SECONDS,
-        is_stopping=lambda: False,
-        has_other_target=lambda service, names: True,
+        is_stopping=lambda: is_stopping,
+        has_other_target=lambda service, names: has_other_target,
         stop_plan=stop_plan,
     )
     try:
@@ -509,6 +516,27 @@
     assert targets.released == [("t-0", OutcomeClass.NOT_USED)]
 
 
+@given(
+    idempotent=st.booleans(),
+    is_repeatable=st.booleans(),
+    attempts=st.integers(1, 3),
+    is_stopping=st.booleans(),
+    has_other_target=st.booleans(),
+)
+def test_first_attempt_is_given_up_early_though_no_other_may_follow_or_the_reverse(
+    idempotent, is_repeatable, attempts, is_stopping, has_other_target
+):
+    targets = FakeTargets([answer(200, SIGNED, ran=True)], 4.0)
+    context = make_request_context(
+        idempotent=idempotent, is_repeatable=is_repeatable, attempts=attempts
+    )
+    run(targets, context, is_stopping=is_stopping, has_other_target=has_other_target)
+    may_follow = idempotent and is_repeatable and attempts > 1
+    may_follow = may_follow and has_other_target and not is_stopping
+    expected = 4.0 if may_follow else DEADLINE_SECONDS
+    assert targets.allowed_seconds == pytest.approx([expected], abs=1.0)
+
+
 class SlowTargets(FakeTargets):
     """Targets that answer after some time, and record the time that they were told."""
 
