--- a/citronspan/ops/whole_answers_test.py
+++ b/citronspan/ops/whole_answers_test.py
@@ -183,6 +183,18 @@
     assert response.ran == "may-have-run"
 
 
+@pytest.mark.parametrize("lengths", [b"5", b"5, 5", b"11"])
+def test_answer_that_two_readers_frame_differently_is_forwarded(running, lengths):
+    path = running.make_path("write")
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: %b\r\n"
+    body = b"5\r\nfinal\r\n0\r\n\r\n"
+    script = TargetScript(parts=(head % lengths + b"\r\n" + body,))
+    running.targets.set_scripts(path, script)
+    response = running.request("POST", path)
+    assert response.result, response.data[:300]
+    assert response.ran == "may-have-run"
+
+
 @pytest.mark.parametrize(
     "header", [b"Keep-Alive: timeout=%b", b"Target-Load: %b/6", b"Retry-After: %b"]
 )
