Cut hosts of the soak off from their targets in every third seed

In these seeds the last host is in a region without targets, and one host after the other reaches no target for 1 to 6 s, so that its peers relay its connections.

A first trial of seed 6 ended with a host killed by SIGHUP: the program that can be cut off did not ignore that signal before its imports, as the host program does.

--- a/citronspan_standins/cut_off_host.py
+++ b/citronspan_standins/cut_off_host.py
@@ -7,14 +7,19 @@
 """
 
 import contextlib
+import signal
 import socket
 import sys
 import threading
 import time
 from pathlib import Path
 
-from citronspan.ops.target_connector import DirectConnector
-from citronspan.scripts import host
+if __name__ == "__main__":
+    # Before the imports, as the host program does it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from citronspan.ops.target_connector import DirectConnector  # noqa: E402
+from citronspan.scripts import host  # noqa: E402
 
 CUT_SUFFIX = ".cut"
 POLL_SECONDS = 0.05
--- a/citronspan_standins/soak.py
+++ b/citronspan_standins/soak.py
@@ -27,8 +27,10 @@
 )
 from citronspan_standins.soak_callers import Caller, LoadPlan
 from citronspan_standins.soak_fleet import (
+    CUT_OFF_PROGRAM,
     FIRST_TARGET_PORT,
     GRACE_SECONDS,
+    HOST_PROGRAM,
     STORE_PORT,
     SoakHost,
     SoakTarget,
@@ -48,6 +50,10 @@
 """Time for which a target serves after it has said that it drains."""
 
 RESTART_SECONDS = 1.0
+CALM_SECONDS = (1.0, 6.0)
+CUT_SECONDS = (1.0, 6.0)
+"""Ranges of the times between the cuts of hosts from targets, and of the cuts."""
+
 MAXIMUM_HOSTS = 4
 
 
@@ -59,6 +65,8 @@
         hosts: Number of hosts, at most ``MAXIMUM_HOSTS``.
         targets: Number of targets.
         slots: Slots of each target; few of them make requests wait.
+        has_cuts: Whether hosts are cut off from targets, and one is in a region
+            without targets.
         seconds: Time in which events begin.
         load: What callers send.
     """
@@ -66,17 +74,20 @@
     hosts: int = 3
     targets: int = 4
     slots: int = 8
+    has_cuts: bool = False
     seconds: float = 20.0
     load: LoadPlan = LoadPlan()
 
 
 def draw_plan(seed: int, seconds: float, late_seconds: float) -> SoakPlan:
-    """Return the plan of a seed; every third one has scarce slots."""
+    """Return the plan of a seed; every third one has scarce slots, or cuts."""
     draw = random.Random(f"plan-{seed}")
     return SoakPlan(
         hosts=draw.choice((2, 3, 3, 4)),
         targets=draw.choice((2, 4)),
         slots=draw.choice((1, 4, 8)),
+        # A cut excuses much, so that most seeds have none.
+        has_cuts=seed % 3 == 0,
         seconds=seconds,
         load=LoadPlan(late_seconds=late_seconds),
     )
@@ -131,6 +142,8 @@
                 network=self._network,
                 folder=folder,
                 history=self._history,
+                data_centre="b" if plan.has_cuts and number == plan.hosts else "a",
+                program=CUT_OFF_PROGRAM if plan.has_cuts else HOST_PROGRAM,
             )
             for number in range(1, min(plan.hosts, MAXIMUM_HOSTS) + 1)
         ]
@@ -192,6 +205,8 @@
         ]
         for caller in callers:
             caller.start()
+        if self._plan.has_cuts:
+            self._start_thread(self._cut_hosts_off)
         while time.monotonic() < self._started_at + self._plan.seconds:
             self._do_something()
             time.sleep(self._draw.uniform(0.2, 2.0))
@@ -242,6 +257,17 @@
         self._note(f"{host.name}: frozen for {seconds:.1f} s")
         self._start_thread(host.freeze, seconds)
 
+    def _cut_hosts_off(self):
+        """Cut one host after the other off from all targets, beside other events."""
+        draw = random.Random(f"cuts-{self._seed}")
+        while True:
+            time.sleep(draw.uniform(*CALM_SECONDS))
+            if time.monotonic() > self._started_at + self._plan.seconds:
+                return
+            host, seconds = draw.choice(self._hosts), draw.uniform(*CUT_SECONDS)
+            self._note(f"{host.name}: reaches no target for {seconds:.1f} s")
+            host.cut_off(seconds)
+
     def _disturb_store(self):
         switches = self._draw.choice(
             (
--- a/citronspan_standins/soak_fleet.py
+++ b/citronspan_standins/soak_fleet.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 
+from citronspan_standins.cut_off_host import CUT_SUFFIX
 from citronspan_standins.http_service import Service
 from citronspan_standins.promises import (
     ANSWERED,
@@ -26,11 +27,14 @@
 from citronspan_standins.store_service import StoreService
 
 ROOT = Path(__file__).parents[1]
+HOST_PROGRAM = "citronspan.scripts.host"
+CUT_OFF_PROGRAM = "citronspan_standins.cut_off_host"
 GRACE_SECONDS = 6.0
 REQUEST_ID = "X-Citronspan-Request-Id"
 CALLERS_PORT = 8080
 STORE_PORT = 7000
 FIRST_TARGET_PORT = 7001
+REGION_BY_DATA_CENTRE = {"a": "r", "b": "s"}
 BORN = 1_790_000_000_000
 POLL_SECONDS = 0.05
 CHUNK_BYTES = 20_000
@@ -155,8 +159,18 @@
         ends: Descriptions of ends that nobody asked for.
     """
 
-    def __init__(self, *, number: int, network: str, folder: Path, history: History):
+    def __init__(
+        self,
+        *,
+        number: int,
+        network: str,
+        folder: Path,
+        history: History,
+        data_centre: str = "a",
+        program: str = HOST_PROGRAM,
+    ):
         """Create a host that does not run yet."""
+        self._program = program
         self.name = f"host-{number}"
         self.address = (f"{network}.{number}", CALLERS_PORT)
         self.stopped_at: float | None = None
@@ -168,7 +182,11 @@
         self._started_at = 0.0
         ip = self.address[0]
         self._settings = {
-            "place": {"name": self.name, "region": "r", "dataCentre": "a"},
+            "place": {
+                "name": self.name,
+                "region": REGION_BY_DATA_CENTRE[data_centre],
+                "dataCentre": data_centre,
+            },
             "address": ip,
             "callersAddress": f"{ip}:{CALLERS_PORT}",
             "readinessAddress": f"{ip}:8081",
@@ -176,7 +194,7 @@
             "apiAddress": f"{ip}:8083",
             "peerPorts": [8090, 8095],
             "seedApiAddresses": [f"{network}.1:8083"],
-            "regionByDataCentre": {"a": "r"},
+            "regionByDataCentre": REGION_BY_DATA_CENTRE,
             "storeAddress": f"{network}.100:{STORE_PORT}",
             "stopSeconds": GRACE_SECONDS,
         }
@@ -186,7 +204,7 @@
         self._write_settings()
         self._started_at = time.monotonic()
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "citronspan.scripts.host", str(self._path)],
+            [sys.executable, "-m", self._program, str(self._path)],
             cwd=ROOT,
             stdout=self._log,
             stderr=self._log,
@@ -246,6 +264,19 @@
         span = Span(name=self.name, start=started_at, end=time.monotonic())
         self._history.disruptions.append(span)
 
+    def cut_off(self, seconds: float) -> None:
+        """End the connections of the host to targets, and refuse new ones for a time.
+
+        Its peers relay connections for it meanwhile.
+        """
+        started_at = time.monotonic()
+        cut_file = self._path.with_suffix(CUT_SUFFIX)
+        cut_file.touch()
+        time.sleep(seconds)
+        cut_file.unlink()
+        span = Span(name=self.name, start=started_at, end=time.monotonic())
+        self._history.disruptions.append(span)
+
     def change_settings(self, keep_seconds: float) -> None:
         """Change the settings file and send SIGHUP."""
         self._settings["keepSeconds"] = keep_seconds
--- a/citronspan_standins/soak_test.py
+++ b/citronspan_standins/soak_test.py
@@ -8,7 +8,7 @@
 LATE_SECONDS = 2.0
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [1, 2, 3])
 def test_overlapping_events_break_a_promise(tmp_path, seed):
     plan = draw_plan(seed, SECONDS, LATE_SECONDS)
     result = Soak(seed=seed, plan=plan, folder=tmp_path).run()
