Ask no leaving target for more than its slots for the floor

A target that told an entry that it leaves ranks last, but if idle it was due a request for the floor like the others, beyond its slots if grants held them all.

Cause: who is due was worked out before what a target said of itself was looked at.

Why the fix works: targets that leave or are not usable are left out of the floor on both sides, in the count and among those that are due.

The new test holds the case of one target whose slots are full: asked beyond its slots if it stays, not if it leaves. It passed before as well, since one leaving target is no idle one.

--- a/citronspan/core/brokering/broker_floor_test.py
+++ b/citronspan/core/brokering/broker_floor_test.py
@@ -31,6 +31,7 @@
 CONNECT_SECONDS = 0.25
 AVOIDED_SECONDS = 3.0
 HOSTS = 12
+TARGET_SLOTS = 6
 WARM_UP_SECONDS = 3.0
 
 
@@ -72,7 +73,13 @@
         self._running = []
         self._lost = set()
         infos = [
-            TargetInfo(name=name, address=name, region="r", data_centre="r-1", slots=6)
+            TargetInfo(
+                name=name,
+                address=name,
+                region="r",
+                data_centre="r-1",
+                slots=TARGET_SLOTS,
+            )
             for name in self.targets
         ]
         self._brokers = BrokerSet(address="host-1:2", make_health=make_health)
@@ -124,6 +131,29 @@
             start += 2 * REQUEST_INTERVAL_SECONDS
         return min(shares)
 
+    def count_running(self):
+        return len(self._running)
+
+    def say_that_it_leaves(self, target):
+        self._attempt_id += 1
+        outcome = Outcome(
+            target=target,
+            outcome_class=OutcomeClass.SHED,
+            latency_seconds=0.0,
+            deadline_seconds=DEADLINE_SECONDS,
+            leaving_incarnation=TargetInfo(
+                name=target, address=target, region="r", data_centre="r-1", slots=1
+            ).incarnation,
+        )
+        release = SlotRelease(
+            attempt_id=self._attempt_id,
+            service="s",
+            region="r",
+            shard=0,
+            outcome=outcome,
+        )
+        self._record_grants(self._brokers.handle("e", release))
+
     def _record_grants(self, outgoing):
         now = time.monotonic()
         for item in outgoing:
@@ -233,6 +263,19 @@
         assert load.find_smallest_share(start) >= FLOOR
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_target_that_leaves_gets_requests_beyond_its_slots(leaves):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=1)
+        load.cut_share = 1.0
+        load.run(1.0)
+        assert load.count_running() == TARGET_SLOTS
+        if leaves:
+            load.say_that_it_leaves(load.targets[0])
+        load.run(3.0)
+        assert (load.count_running() == TARGET_SLOTS) == leaves
+
+
 def test_hosts_that_reach_an_idle_target_get_it():
     with freezegun.freeze_time("2026-01-01") as clock:
         load = BrokerUnderLoad(clock, targets=4)
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -236,12 +236,15 @@
             free_slots = self._count_grantable_slots(usage, limit, now, is_due=is_due)
             if free_slots <= 0:
                 continue
-            is_idle = usage.compute_idle_seconds(now) > IDLE_TARGET_SECONDS
             candidate = Candidate(
                 usage=usage,
                 limit=limit,
                 free_slots=free_slots,
-                is_preferred=is_due or (high_unserved_share and is_idle),
+                is_preferred=is_due
+                or (
+                    high_unserved_share
+                    and usage.compute_idle_seconds(now) > IDLE_TARGET_SECONDS
+                ),
             )
             rotation = (index + request.attempt_id) % count
             if limit.failure_probability is None:
@@ -273,21 +276,23 @@
         usable_count = 0
         idle_count = 0
         for usage, limit in self._usages_with_limits:
+            is_usable = usage.compute_usable_slots(limit, now) > 0
+            if not is_usable or usage.is_said_to_leave:
+                continue
+            usable_count += 1
             unreached_seconds = usage.compute_unreached_seconds(now, trusted_seconds)
-            is_idle = unreached_seconds > FLOOR_IDLE_SECONDS
+            due_seconds = unreached_seconds - FLOOR_IDLE_SECONDS
+            if due_seconds <= 0:
+                continue
+            has_just_failed = now - usage.failed_at <= FAILED_IDLE_SECONDS
+            idle_count += not has_just_failed
             pause_seconds = min(
                 FLOOR_IDLE_SECONDS, LOST_REQUEST_PAUSE_SHARE * unreached_seconds
             )
-            has_just_been_granted = now - usage.granted_at <= pause_seconds
+            due_seconds = min(due_seconds, now - usage.granted_at - pause_seconds)
             is_avoided = usage.target_info.name in request.avoided
-            if is_idle and not has_just_been_granted and not is_avoided:
+            if due_seconds > 0 and not is_avoided:
                 due_targets.add(usage.target_info.name)
-            is_usable = usage.compute_usable_slots(limit, now) > 0
-            if not is_usable or usage.is_said_to_leave:
-                continue
-            usable_count += 1
-            has_just_failed = now - usage.failed_at <= FAILED_IDLE_SECONDS
-            idle_count += is_idle and not has_just_failed
         allowed_idle = count_allowed_idle_targets(
             floor=self._floor,
             targets=usable_count,
