Leave idle targets first to hosts that reach all targets

Cause: requests of hosts that avoid the good targets wait in the queue for an acceptable cost, and are there first when an idle target is due. So those that go for the floor came from hosts that do not reach it.

Evidence: from 22.8 to 26.1 s all eleven grants of the idle i-830ea8fd4d, i-8939fc11ba and i-d23d0dae5f but one were of waiting requests of edge-gbg-a-5, a-7 and b-3, three of sixteen hosts there; ten failed to connect or hung.

Why the fix works: for 0.4 s a target that is due is left to requests that avoid no target of the shard; then any may have it, as in a fleet of few hosts, or where all hosts lost a target. Nothing changes while no entry avoids a target.

The new test failed before.

--- a/citronspan/core/brokering/broker_floor_test.py
+++ b/citronspan/core/brokering/broker_floor_test.py
@@ -14,6 +14,10 @@
     SlotRequest,
 )
 from citronspan.core.brokering.broker_set import BrokerSet
+from citronspan.core.brokering.placement import (
+    FLOOR_IDLE_SECONDS,
+    PRECEDENCE_SECONDS,
+)
 from citronspan.core.brokering.shards_test import make_node
 from citronspan.core.detection.episode_health import EpisodeHealth
 from citronspan.core.detection.health import TargetInfo
@@ -285,6 +289,20 @@
         assert load.granted[-1][1] == load.targets[0]
 
 
+def test_hosts_that_reach_all_targets_get_an_idle_one_first():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        load = BrokerUnderLoad(clock, targets=4)
+        idle, other = load.targets[:2]
+        load.run(WARM_UP_SECONDS, avoided=(idle,))
+        load.run(REQUEST_INTERVAL_SECONDS)
+        load.run(FLOOR_IDLE_SECONDS, avoided=(idle,))
+        start = len(load.granted)
+        load.run(PRECEDENCE_SECONDS / 2, avoided=(other,))
+        assert idle not in {name for _, name in load.granted[start:]}
+        load.run(REQUEST_INTERVAL_SECONDS)
+        assert load.granted[-1][1] == idle
+
+
 def test_targets_without_open_connection_get_requests_at_low_load():
     with freezegun.freeze_time("2026-01-01") as clock:
         load = BrokerUnderLoad(clock, targets=8)
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -11,6 +11,7 @@
     FLOOR_IDLE_SECONDS,
     IDLE_TARGET_SECONDS,
     LOST_REQUEST_PAUSE_SHARE,
+    PRECEDENCE_SECONDS,
     TRUSTED_HOLD_TIMES,
     Candidate,
     compute_cost,
@@ -265,13 +266,16 @@
         """Return the idle targets if they are more than the floor allows, else none.
 
         Those that the entry failed to reach are left to the requests of others, and
-        those whose last request was lost just now are not due again yet.
+        all of them for some time if it failed to reach any. Those whose last request
+        was lost just now are not due again yet.
         """
         if request.is_retry or not self.has_failure_probabilities:
             return frozenset()
         trusted_seconds = max(
             IDLE_TARGET_SECONDS, TRUSTED_HOLD_TIMES * self._estimate_hold_seconds()
         )
+        has_lost_a_path = not self._usage_by_target.keys().isdisjoint(request.avoided)
+        least_due_seconds = PRECEDENCE_SECONDS if has_lost_a_path else 0.0
         due_targets = set()
         usable_count = 0
         idle_count = 0
@@ -291,7 +295,7 @@
             )
             due_seconds = min(due_seconds, now - usage.granted_at - pause_seconds)
             is_avoided = usage.target_info.name in request.avoided
-            if due_seconds > 0 and not is_avoided:
+            if due_seconds > least_due_seconds and not is_avoided:
                 due_targets.add(usage.target_info.name)
         allowed_idle = count_allowed_idle_targets(
             floor=self._floor,
--- a/citronspan/core/brokering/placement.py
+++ b/citronspan/core/brokering/placement.py
@@ -45,6 +45,10 @@
 """Pause after a request for the floor that did not arrive, as a share of the time for
 which the target is idle: short at first, since another host may reach it."""
 
+PRECEDENCE_SECONDS = 0.4
+"""Time for which a target that is due a request for the floor is left to entries that
+reach all targets. Requests of the others wait longer, and would come first."""
+
 FAILED_IDLE_SECONDS = 3.4
 """Time after a failure during which a target does not count as idle for the floor.
 Users take a target that failed for healthy again after 2 s."""
