Keep open tunnels to targets that the relaying host may not use

Cause: a relay sees bytes and not requests. A tunnel counts as idle 0.3 s after the last byte of an answer, also where the answer only pauses, so that the claim that no request under way is cut was wrong. What the change was for is small: the user of a tunnel reads the target's answers itself, and heeds what they say.

--- a/citronspan/ops/relay_server.py
+++ b/citronspan/ops/relay_server.py
@@ -13,7 +13,6 @@
 import fcntl
 import http
 import http.server
-import math
 import socket
 import struct
 import termios
@@ -36,9 +35,6 @@
 QUIET_SECONDS = 0.3
 """Time after the last byte of an answer after which a tunnel counts as idle."""
 
-CHECK_INTERVAL_SECONDS = 0.2
-"""Time between two checks whether open tunnels lead to targets that may be used."""
-
 STOP_POLL_SECONDS = 0.05
 COPY_BYTES = 64 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -48,20 +44,9 @@
 
 
 class _Tunnel:
-    """Copies bytes between a peer and a target until either side ends.
-
-    Attributes:
-        address: ``IP:PORT`` of the target.
-    """
+    """Copies bytes between a peer and a target until either side ends."""
 
-    def __init__(
-        self,
-        *,
-        address: str,
-        peer_socket: socket.socket,
-        target_socket: socket.socket,
-    ):
-        self.address = address
+    def __init__(self, *, peer_socket: socket.socket, target_socket: socket.socket):
         self._peer_socket = peer_socket
         self._target_socket = target_socket
         self._awaits_answer = False
@@ -158,7 +143,7 @@
         if connection is None:
             return
         try:
-            self.relay.run_tunnel(self.path, self.connection, connection.sock)
+            self.relay.run_tunnel(self.connection, connection.sock)
         finally:
             connection.close()
 
@@ -169,15 +154,6 @@
 class _Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 64
-    relay: "RelayServer"
-
-    def service_actions(self):
-        """Check the open tunnels; the loop calls this at least at each interval."""
-        try:
-            self.relay.close_unusable()
-        except Exception:
-            _logger.exception("check of open tunnels raised an exception")
-            write_event(_logger, log_events.BACKGROUND_TASK_FAILED, task="relay")
 
     def shutdown_request(self, request):
         """Close a connection without a shutdown, which would hide a reset."""
@@ -216,13 +192,11 @@
         self._tunnels: set[_Tunnel] = set()
         self._is_stopping = False
         handler = type("Handler", (_TunnelHandler,), {"relay": self})
-        self._checked_at = -math.inf
         self._server = _Server(split_address(address), handler)
-        self._server.relay = self
 
     def serve(self) -> None:
         """Serve until ``stop``."""
-        self._server.serve_forever(CHECK_INTERVAL_SECONDS)
+        self._server.serve_forever()
 
     def count_tunnels(self) -> int:
         """Return the number of open tunnels."""
@@ -259,18 +233,10 @@
         return http.HTTPStatus.OK, connection
 
     def run_tunnel(
-        self, address: str, peer_socket: socket.socket, target_socket: socket.socket
+        self, peer_socket: socket.socket, target_socket: socket.socket
     ) -> None:
-        """Copy bytes between a peer and a target until either side ends.
-
-        Args:
-            address: ``IP:PORT`` of the target.
-            peer_socket: Connection of the peer.
-            target_socket: Connection to the target.
-        """
-        tunnel = _Tunnel(
-            address=address, peer_socket=peer_socket, target_socket=target_socket
-        )
+        """Copy bytes between a peer and a target until either side ends."""
+        tunnel = _Tunnel(peer_socket=peer_socket, target_socket=target_socket)
         with self._lock:
             self._tunnels.add(tunnel)
         try:
@@ -279,25 +245,6 @@
             with self._lock:
                 self._tunnels.discard(tunnel)
 
-    def close_unusable(self) -> None:
-        """End the idle tunnels to targets that this host may not use now.
-
-        A busy one ends when it becomes idle: its peer reads the target's answers.
-        """
-        now = time.monotonic()
-        if now < self._checked_at + CHECK_INTERVAL_SECONDS:
-            return
-        self._checked_at = now
-        tunnels = self._list_tunnels()
-        unusable = {
-            address
-            for address in {tunnel.address for tunnel in tunnels}
-            if not self._may_use(address)
-        }
-        for tunnel in tunnels:
-            if tunnel.address in unusable and tunnel.is_idle():
-                tunnel.close()
-
     def stop(self, deadline: float) -> None:
         """Accept no more tunnels, and end the open ones once they are idle.
 
