Break lines of the product on purpose and name what no test notices

`make proofs` applies each mutation of a list to a copy of the source tree of its own and runs its tests there. A text that is no longer found, or is found twice, is an error that says so. The tests run on an unbroken copy first, since one that fails anyway shows nothing.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(VENV)/bin
 export PYTHONHASHSEED = 0
 
-.PHONY: venv test lint format demo up tables capacity measure
+.PHONY: venv test lint format demo up tables proofs capacity measure
 
 venv: $(VENV)/.installed
 
@@ -29,6 +29,10 @@
 tables: venv
 	$(BIN)/python -m citronspan.scripts.tables
 
+# Breaks lines of the product, each in a copy, and names what no test noticed. Takes long.
+proofs: venv
+	$(BIN)/python -m citronspan_standins.proofs
+
 demo: venv
 	$(BIN)/python -m citronspan_standins.demo
 
