--- a/citronspan_standins/cut_off_host.py
+++ b/citronspan_standins/cut_off_host.py
@@ -6,18 +6,19 @@
 other connections work, as in a cut of the links to the targets alone.
 """
 
-import contextlib
 import signal
-import socket
-import sys
-import threading
-import time
-from pathlib import Path
 
 if __name__ == "__main__":
-    # Before the imports, as the host program does it.
+    # Before the other imports, which take longer, as the host program does it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import contextlib  # noqa: E402
+import socket  # noqa: E402
+import sys  # noqa: E402
+import threading  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+
 from citronspan.ops.target_connector import DirectConnector  # noqa: E402
 from citronspan.scripts import host  # noqa: E402
 
