--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -29,7 +29,7 @@
     MemberSync,
 )
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.peers.peer_link import PeerLink
 from citronspan_standins.http_service import Service
 from citronspan_standins.store_service import StoreService, wait_until
 
--- a/bench/keys.py
+++ b/bench/keys.py
@@ -25,8 +25,8 @@
 from citronspan.core.keys.key_table import KeyTable
 from citronspan.core.keys.key_token import mint_prefix, parse_key
 from citronspan.core.node_messages import EntryReport, NodeInfo
-from citronspan.ops.key_service import KeyService
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.callers.key_service import KeyService
+from citronspan.ops.peers.peer_link import PeerLink
 
 FLEET = "bench"
 ADDRESS_BY_NAME = {
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -32,7 +32,7 @@
 
 from citronspan.core.configuration.config_record import ChangeRecord, encode_record
 from citronspan.core.resources import Kind, Resource, ServiceSpec
-from citronspan.ops.api_client import ApiClient
+from citronspan.ops.operators.api_client import ApiClient
 
 LOG_ADDRESS = "127.0.50.250:7000"
 IDLE_SECONDS = 20.0
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -24,21 +24,21 @@
 from citronspan.core.resources import Kind, decode_resource
 from citronspan.core.settings import AgentSettings
 from citronspan.ops.agent_entry import EntryFeed
-from citronspan.ops.agent_metrics import register_agent
-from citronspan.ops.agent_status import (
+from citronspan.ops.callers.http_server import make_metrics_server, make_server
+from citronspan.ops.operators.agent_metrics import register_agent
+from citronspan.ops.operators.agent_status import (
     FleetStatus,
     TargetStatus,
     make_status,
     make_target_status,
 )
-from citronspan.ops.agent_view import MembershipView
-from citronspan.ops.config_source import ConfigSource
-from citronspan.ops.http_server import make_metrics_server, make_server
-from citronspan.ops.log_client import HttpLogStore, LogStore
-from citronspan.ops.log_source import LogSource
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.peer_log import PeerLog
-from citronspan.ops.resource_api import ResourceApi, make_application
+from citronspan.ops.operators.resource_api import ResourceApi, make_application
+from citronspan.ops.peers.agent_view import MembershipView
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.peers.peer_log import PeerLog
+from citronspan.ops.store.config_source import ConfigSource
+from citronspan.ops.store.log_client import HttpLogStore, LogStore
+from citronspan.ops.store.log_source import LogSource
 from citronspan.utils.logs import write_event
 
 TICK_SECONDS = 0.2
--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -15,7 +15,7 @@
     NodeInfo,
     ViewPush,
 )
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.peers.peer_link import PeerLink
 from citronspan.utils.logs import write_event
 
 # A push that no report of the entry confirms within this time is considered lost.
--- a/citronspan/ops/agent_test.py
+++ b/citronspan/ops/agent_test.py
@@ -16,11 +16,15 @@
 from citronspan.core.node_messages import ConfigurationPush, EntryReport, ViewPush
 from citronspan.core.resources import Kind, Resource, ServiceSpec
 from citronspan.core.settings import AgentSettings, NodeIdentity
-from citronspan.ops import config_tail, config_tail_retention, config_tail_writer
 from citronspan.ops.agent import Agent
-from citronspan.ops.api_client import ApiClient
-from citronspan.ops.log_client import LogPage, LogTruncatedError, LogUnavailableError
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.operators.api_client import ApiClient
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.store import config_tail, config_tail_retention, config_tail_writer
+from citronspan.ops.store.log_client import (
+    LogPage,
+    LogTruncatedError,
+    LogUnavailableError,
+)
 
 DEADLINE_SECONDS = 20.0
 # Each process uses its own loopback network, so that concurrent runs do not collide.
@@ -367,7 +371,7 @@
     log = InMemoryLog()
     log.fault = "away"
     fleet(1, log)
-    with mock.patch("citronspan.ops.resource_api.READY_TIMEOUT_SECONDS", 0.2):
+    with mock.patch("citronspan.ops.operators.resource_api.READY_TIMEOUT_SECONDS", 0.2):
         assert expect_error_code(lambda: connect(1).list_resources("Service")) == 2012
     assert not connect(1).find_status().ready
 
--- a/citronspan/ops/bad_requests_test.py
+++ b/citronspan/ops/callers/bad_requests_test.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from citronspan.core import result_codes
-from citronspan.ops.caller_request import MAXIMUM_BUFFERED_BODY_BYTES
+from citronspan.ops.callers.caller_request import MAXIMUM_BUFFERED_BODY_BYTES
 from citronspan.ops.conftest import POLL_SECONDS, TEST_TIMEOUT_SECONDS
 from citronspan_standins.raw_caller import read_to_end
 from citronspan_standins.scripted_targets import RESET_ON_CLOSE, TargetScript
--- a/citronspan/ops/caller_connection.py
+++ b/citronspan/ops/callers/caller_connection.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 
-from citronspan.ops.caller_stream import is_ended
+from citronspan.ops.callers.caller_stream import is_ended
 
 # A linger time of zero makes close() send a reset, which a caller cannot mistake for
 # the orderly end of an answer.
--- a/citronspan/ops/caller_request.py
+++ b/citronspan/ops/callers/caller_request.py
@@ -6,7 +6,7 @@
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
-from citronspan.ops.dialect import Dialect
+from citronspan.ops.targets.dialect import Dialect
 
 MAXIMUM_BUFFERED_BODY_BYTES = 512 * 1024
 """Bodies up to this size are read completely before a slot is requested, so that a slow
--- a/citronspan/ops/chunked_body_test.py
+++ b/citronspan/ops/callers/chunked_body_test.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from citronspan.ops.chunked_body import ChunkedBody
+from citronspan.ops.callers.chunked_body import ChunkedBody
 
 BODY_PARTS = st.lists(st.binary(min_size=1, max_size=40), max_size=8)
 
--- a/citronspan/ops/forwarded_answer.py
+++ b/citronspan/ops/callers/forwarded_answer.py
@@ -6,15 +6,15 @@
 
 from citronspan.core import log_events
 from citronspan.core.outcomes import OutcomeClass
-from citronspan.ops.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.caller_request import DROPPED_HEADERS
-from citronspan.ops.refusals import (
+from citronspan.ops.callers.caller_request import DROPPED_HEADERS
+from citronspan.ops.callers.refusals import (
     ENTRY_HEADER,
     RAN_HEADER,
     REPLAYED_HEADER,
     RESULT_HEADER,
     TARGET_HEADER,
 )
+from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.utils.logs import write_event
 
 _logger = logbook.Logger("request")
--- a/citronspan/ops/http_server.py
+++ b/citronspan/ops/callers/http_server.py
@@ -13,10 +13,10 @@
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
-from citronspan.ops.caller_connection import CallerConnection
-from citronspan.ops.caller_stream import CallerStream, is_ended
-from citronspan.ops.request_head import CheckedRequest
-from citronspan.ops.worker_pool import WorkerPool
+from citronspan.ops.callers.caller_connection import CallerConnection
+from citronspan.ops.callers.caller_stream import CallerStream, is_ended
+from citronspan.ops.callers.request_head import CheckedRequest
+from citronspan.ops.callers.worker_pool import WorkerPool
 from citronspan.utils.addresses import split_address
 
 MAXIMUM_HEADER_BYTES = 64 * 1024
--- a/citronspan/ops/http_server_test.py
+++ b/citronspan/ops/callers/http_server_test.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from citronspan.ops import http_server, worker_pool
-from citronspan.ops.http_server import make_server
+from citronspan.ops.callers import http_server, worker_pool
+from citronspan.ops.callers.http_server import make_server
 from citronspan_standins.raw_caller import read_to_end
 from citronspan_standins.scripted_targets import find_free_addresses
 
--- a/citronspan/ops/key_service.py
+++ b/citronspan/ops/callers/key_service.py
@@ -32,8 +32,8 @@
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.result_codes import ResultCode
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.pending_answers import PendingAnswers
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.peers.pending_answers import PendingAnswers
 from citronspan.utils.logs import write_event
 
 ATTEMPT_ID_BYTES = 12
--- a/citronspan/ops/key_service_test.py
+++ b/citronspan/ops/callers/key_service_test.py
@@ -10,8 +10,8 @@
 from citronspan.core.keys.key_protocol_results import Permission, Replay
 from citronspan.core.keys.key_token import mint_prefix
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops.key_service import KeyService
-from citronspan.ops.pending_answers import PendingAnswers
+from citronspan.ops.callers.key_service import KeyService
+from citronspan.ops.peers.pending_answers import PendingAnswers
 
 WAIT_SECONDS = 10.0
 HEADERS = (("Content-Type", "text/plain"),)
--- a/citronspan/ops/keyed_request.py
+++ b/citronspan/ops/callers/keyed_request.py
@@ -14,9 +14,9 @@
 )
 from citronspan.core.keys.key_token import compute_fingerprint
 from citronspan.core.result_codes import Ran, ResultCode
-from citronspan.ops.attempt_context import RequestContext
-from citronspan.ops.key_service import ANSWER_DIGEST_BYTES, KeyService
-from citronspan.ops.refusals import Refusal
+from citronspan.ops.callers.key_service import ANSWER_DIGEST_BYTES, KeyService
+from citronspan.ops.callers.refusals import Refusal
+from citronspan.ops.targets.attempt_context import RequestContext
 
 
 class KeyedRequest:
--- a/citronspan/ops/keyed_request_test.py
+++ b/citronspan/ops/callers/keyed_request_test.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from citronspan.core import result_codes
-from citronspan.ops.keyed_request import KeyedRequest
+from citronspan.ops.callers.keyed_request import KeyedRequest
 
 
 def test_entry_of_an_earlier_version_takes_a_stop_for_a_run():
--- a/citronspan/ops/open_requests_test.py
+++ b/citronspan/ops/callers/open_requests_test.py
@@ -1,7 +1,7 @@
 """Tests what the register of open requests tells of a stop."""
 
+from citronspan.ops.callers.open_requests import OpenRequests, StopResult
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.open_requests import OpenRequests, StopResult
 
 
 def read_counts(metrics):
--- a/citronspan/ops/readiness.py
+++ b/citronspan/ops/callers/readiness.py
@@ -5,7 +5,7 @@
 
 from cheroot import wsgi
 
-from citronspan.ops.http_server import make_server
+from citronspan.ops.callers.http_server import make_server
 
 READINESS_THREADS = 2
 
--- a/citronspan/ops/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -18,31 +18,31 @@
 from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
-from citronspan.ops.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.attempt_refusals import STOP_REFUSED, make_slot_refusal
-from citronspan.ops.attempts import AttemptRunner
-from citronspan.ops.caller_request import (
+from citronspan.ops.callers.caller_request import (
     CallerBody,
     CallerRequest,
     find_environ_key,
     read_caller_request,
 )
-from citronspan.ops.dialect import Dialect
-from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.forwarded_answer import log_answer, make_headers
-from citronspan.ops.key_service import KeyService
-from citronspan.ops.keyed_request import KeyedRequest, claim_key
-from citronspan.ops.open_requests import OpenRequest, OpenRequests, StopResult
-from citronspan.ops.refusals import (
+from citronspan.ops.callers.forwarded_answer import log_answer, make_headers
+from citronspan.ops.callers.key_service import KeyService
+from citronspan.ops.callers.keyed_request import KeyedRequest, claim_key
+from citronspan.ops.callers.open_requests import OpenRequest, OpenRequests, StopResult
+from citronspan.ops.callers.refusals import (
     ENTRY_HEADER,
     REPLAYED_HEADER,
     Refusal,
     answer_refusal,
     format_status,
 )
-from citronspan.ops.slot_source import SlotSource
-from citronspan.ops.streamed_answer import StreamedAnswer
-from citronspan.ops.target_connection import TargetConnections
+from citronspan.ops.callers.streamed_answer import StreamedAnswer
+from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.slots.slot_source import SlotSource
+from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.targets.attempt_refusals import STOP_REFUSED, make_slot_refusal
+from citronspan.ops.targets.attempts import AttemptRunner
+from citronspan.ops.targets.dialect import Dialect
+from citronspan.ops.targets.target_connection import TargetConnections
 from citronspan.utils.logs import write_event
 from citronspan.utils.traces import start_span
 
--- a/citronspan/ops/request_head.py
+++ b/citronspan/ops/callers/request_head.py
@@ -13,8 +13,8 @@
 
 from citronspan.core import result_codes
 from citronspan.core.result_codes import Ran
-from citronspan.ops.chunked_body import ChunkedBody
-from citronspan.ops.refusals import RAN_HEADER, RESULT_HEADER, format_status
+from citronspan.ops.callers.chunked_body import ChunkedBody
+from citronspan.ops.callers.refusals import RAN_HEADER, RESULT_HEADER, format_status
 
 HEAD_TIMEOUT_SECONDS = 5.0
 MAXIMUM_HEADER_LINES = 200
--- a/citronspan/ops/streamed_answer.py
+++ b/citronspan/ops/callers/streamed_answer.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 
 from citronspan.core.outcomes import OutcomeClass
-from citronspan.ops.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.attempts import AttemptRunner
-from citronspan.ops.caller_request import READ_BYTES
+from citronspan.ops.callers.caller_request import READ_BYTES
+from citronspan.ops.callers.keyed_request import KeyedRequest
+from citronspan.ops.callers.open_requests import OpenRequests, StopResult
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.keyed_request import KeyedRequest
-from citronspan.ops.open_requests import OpenRequests, StopResult
-from citronspan.ops.target_connection import AttemptFailedError
+from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.targets.attempts import AttemptRunner
+from citronspan.ops.targets.target_connection import AttemptFailedError
 
 
 class StreamedAnswer:
--- a/citronspan/ops/streamed_answer_test.py
+++ b/citronspan/ops/callers/streamed_answer_test.py
@@ -1,8 +1,8 @@
 import pytest
 
 from citronspan.core.outcomes import OutcomeClass
-from citronspan.ops.streamed_answer import StreamedAnswer
-from citronspan.ops.target_connection import AttemptFailedError
+from citronspan.ops.callers.streamed_answer import StreamedAnswer
+from citronspan.ops.targets.target_connection import AttemptFailedError
 
 
 class Recorder:
--- a/citronspan/ops/conftest.py
+++ b/citronspan/ops/conftest.py
@@ -21,7 +21,7 @@
 )
 from citronspan.core.settings import EntrySettings, NodeIdentity
 from citronspan.ops.entry import Entry
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.peers.peer_link import PeerLink
 from citronspan_standins.raw_caller import CallerResponse, read_to_end
 from citronspan_standins.scripted_targets import (
     EMPTY_ANSWER,
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -20,23 +20,23 @@
 )
 from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
 from citronspan.core.settings import EntrySettings
-from citronspan.ops.dialect import DefaultDialect, Dialect
+from citronspan.ops.callers.http_server import make_metrics_server, make_server
+from citronspan.ops.callers.key_service import KeyService
+from citronspan.ops.callers.open_requests import OpenRequests
+from citronspan.ops.callers.readiness import make_readiness_server
+from citronspan.ops.callers.request_handler import RequestHandler
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.http_server import make_metrics_server, make_server
-from citronspan.ops.incarnation import make_incarnation
-from citronspan.ops.key_service import KeyService
-from citronspan.ops.open_requests import OpenRequests
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.readiness import make_readiness_server
-from citronspan.ops.relay_connector import RelayConnector
-from citronspan.ops.relay_server import RelayServer
-from citronspan.ops.request_handler import RequestHandler
-from citronspan.ops.shard_metrics import ShardCollector
-from citronspan.ops.slot_service import SlotService
-from citronspan.ops.target_connection import TargetConnections
-from citronspan.ops.target_connector import DirectConnector, TargetConnector
-from citronspan.ops.target_paths import TargetPaths
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.peers.incarnation import make_incarnation
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.slots.shard_metrics import ShardCollector
+from citronspan.ops.slots.slot_service import SlotService
+from citronspan.ops.targets.dialect import DefaultDialect, Dialect
+from citronspan.ops.targets.relay_connector import RelayConnector
+from citronspan.ops.targets.relay_server import RelayServer
+from citronspan.ops.targets.target_connection import TargetConnections
+from citronspan.ops.targets.target_connector import DirectConnector, TargetConnector
+from citronspan.ops.targets.target_paths import TargetPaths
+from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.logs import write_event
 from citronspan.utils.statecharts import accepts_event, load_chart, step_chart
 from citronspan.utils.traces import start_tracing
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -8,12 +8,12 @@
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
-from citronspan.ops.notice_metrics import NoticeCollector
-from citronspan.ops.notice_recorder import NoticeRecorder
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.relay_connector import RelayConnector
-from citronspan.ops.relay_server import RelayServer
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.targets.notice_metrics import NoticeCollector
+from citronspan.ops.targets.notice_recorder import NoticeRecorder
+from citronspan.ops.targets.relay_connector import RelayConnector
+from citronspan.ops.targets.relay_server import RelayServer
+from citronspan.ops.targets.target_reachability import TargetReachability
 
 LATENCY_BUCKETS_SECONDS = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
--- a/citronspan/ops/host.py
+++ b/citronspan/ops/host.py
@@ -7,10 +7,10 @@
 from citronspan.core import log_events
 from citronspan.core.host_settings import HostSettings
 from citronspan.ops.agent import Agent
-from citronspan.ops.agent_metrics import register_agent
-from citronspan.ops.dialect import Dialect
 from citronspan.ops.entry import Entry
-from citronspan.ops.feed_source import FeedSource, FeedStore
+from citronspan.ops.operators.agent_metrics import register_agent
+from citronspan.ops.store.feed_source import FeedSource, FeedStore
+from citronspan.ops.targets.dialect import Dialect
 from citronspan.utils.logs import write_event
 
 AGENT_STOP_TIMEOUT_SECONDS = 1.0
--- /dev/null
+++ b/citronspan/ops/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The resource API, its client, and what operators see of a process."""
--- a/citronspan/ops/agent_status.py
+++ b/citronspan/ops/operators/agent_status.py
@@ -7,8 +7,8 @@
 
 from citronspan.core.configuration.config_state import find_warnings
 from citronspan.core.node_messages import EntryReport, NodeInfo, TargetReport
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.config_source import LogReadStatus
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.config_source import LogReadStatus
 
 MAXIMUM_WARNINGS = 20
 
--- a/citronspan/ops/api_client.py
+++ b/citronspan/ops/operators/api_client.py
@@ -13,8 +13,8 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.resources import Resource
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER
-from citronspan.ops.agent_status import FleetStatus
-from citronspan.ops.resource_api_types import (
+from citronspan.ops.operators.agent_status import FleetStatus
+from citronspan.ops.operators.resource_api_types import (
     ChangeAnswer,
     ErrorAnswer,
     ListAnswer,
--- a/citronspan/ops/api_client_tables.py
+++ b/citronspan/ops/operators/api_client_tables.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from citronspan.ops.agent_status import FleetStatus, TargetStatus
-from citronspan.ops.resource_api_types import ResourceAnswer
+from citronspan.ops.operators.agent_status import FleetStatus, TargetStatus
+from citronspan.ops.operators.resource_api_types import ResourceAnswer
 
 # Limits the node table to about one screen; nodes with problems come first.
 MAXIMUM_NODE_ROWS = 40
--- a/citronspan/ops/api_client_tables_test.py
+++ b/citronspan/ops/operators/api_client_tables_test.py
@@ -1,12 +1,12 @@
 import msgspec
 
-from citronspan.ops.agent_status import FleetStatus, NodeStatus, TargetStatus
-from citronspan.ops.api_client_tables import (
+from citronspan.ops.operators.agent_status import FleetStatus, NodeStatus, TargetStatus
+from citronspan.ops.operators.api_client_tables import (
     find_problems,
     format_resources,
     format_status,
 )
-from citronspan.ops.resource_api_types import ResourceAnswer, ResourceStatus
+from citronspan.ops.operators.resource_api_types import ResourceAnswer, ResourceStatus
 
 
 def make_node(name, **changes):
--- a/citronspan/ops/resource_api.py
+++ b/citronspan/ops/operators/resource_api.py
@@ -22,15 +22,8 @@
 )
 from citronspan.core.errors import CitronspanError
 from citronspan.core.resources import Kind
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.agent_status import TargetStatus
-from citronspan.ops.config_tail_writer import (
-    AcceptedChange,
-    read_unix_seconds,
-    submit_change,
-)
-from citronspan.ops.log_client import LogStore
-from citronspan.ops.resource_api_types import (
+from citronspan.ops.operators.agent_status import TargetStatus
+from citronspan.ops.operators.resource_api_types import (
     ApiAnswer,
     ApiRequest,
     ChangeAnswer,
@@ -43,6 +36,13 @@
     StoredSpec,
     WatchLine,
 )
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.config_tail_writer import (
+    AcceptedChange,
+    read_unix_seconds,
+    submit_change,
+)
+from citronspan.ops.store.log_client import LogStore
 from citronspan.utils.validation import DECODING_ERRORS, describe_error
 
 MAXIMUM_BODY_BYTES = 1 << 20
--- a/citronspan/ops/resource_api_types.py
+++ b/citronspan/ops/operators/resource_api_types.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from citronspan.ops.agent_status import TargetStatus
+from citronspan.ops.operators.agent_status import TargetStatus
 
 JSON_TYPE = "application/json"
 
--- /dev/null
+++ b/citronspan/ops/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the fleet, and the view of its members."""
--- a/citronspan/ops/odd_messages_test.py
+++ b/citronspan/ops/peers/odd_messages_test.py
@@ -43,7 +43,7 @@
 from citronspan.core.messages import Envelope, encode_envelope
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.resources import Detection, ServiceSpec
-from citronspan.ops.slot_service import SlotService
+from citronspan.ops.slots.slot_service import SlotService
 
 NAMES = ("s", "r", "t0", "a", "b", "1.1.1.1:1", "1.1.1.1:2", "1.1.1.1:9")
 FEED_NAMES = (CONFIGURATION_FEED, TARGETS_FEED, "k")
--- a/citronspan/ops/peer_link_test.py
+++ b/citronspan/ops/peers/peer_link_test.py
@@ -9,7 +9,7 @@
 
 from citronspan.core.message_base import Multicast, Outgoing
 from citronspan.core.node_messages import EntryReport
-from citronspan.ops.peer_link import PeerLink
+from citronspan.ops.peers.peer_link import PeerLink
 
 REPORT = EntryReport(name="a", state="serving", offset=3)
 # Concurrent runs of the suite on one machine need different addresses.
@@ -99,7 +99,7 @@
 def test_link_starts_threads_for_each_core_of_the_machine():
     code = (
         "import os\n"
-        "from citronspan.ops.peer_link import PeerLink\n"
+        "from citronspan.ops.peers.peer_link import PeerLink\n"
         f"link = PeerLink(fleet='f', address='{NETWORK}.30.9:7901', incarnation=1)\n"
         "print(len(os.listdir('/proc/self/task')))\n"
     )
--- a/citronspan/ops/peer_log.py
+++ b/citronspan/ops/peers/peer_log.py
@@ -3,7 +3,7 @@
 import logbook
 
 from citronspan.core import log_events
-from citronspan.ops.agent_view import MembershipView
+from citronspan.ops.peers.agent_view import MembershipView
 from citronspan.utils.logs import write_event
 
 _logger = logbook.Logger("peers")
--- a/citronspan/ops/silent_connections_test.py
+++ b/citronspan/ops/peers/silent_connections_test.py
@@ -14,7 +14,7 @@
 
 from citronspan.core.node_messages import EntryReport
 from citronspan.ops.agent import Agent
-from citronspan.ops.peer_link import MINIMUM_CONNECTION_SECONDS, PeerLink
+from citronspan.ops.peers.peer_link import MINIMUM_CONNECTION_SECONDS, PeerLink
 from citronspan.utils.addresses import split_address
 
 REPORT = EntryReport(name="a", state="serving", offset=3)
--- a/citronspan/ops/broker_client.py
+++ b/citronspan/ops/slots/broker_client.py
@@ -13,8 +13,8 @@
 )
 from citronspan.core.brokering.broker_wait import compute_broker_wait_seconds
 from citronspan.core.message_base import Message
-from citronspan.ops.pending_answers import PendingAnswers
-from citronspan.ops.slot_source import SlotQuery
+from citronspan.ops.peers.pending_answers import PendingAnswers
+from citronspan.ops.slots.slot_source import SlotQuery
 
 # A queued request is sent again at this interval to detect a broker that froze.
 SLOT_RETRY_SECONDS = 0.25
--- a/citronspan/ops/health_gossip.py
+++ b/citronspan/ops/slots/health_gossip.py
@@ -21,10 +21,10 @@
 from citronspan.core.detection.verdicts import Verdict, VerdictPush, VerdictTable
 from citronspan.core.message_base import Multicast, Outgoing
 from citronspan.core.node_messages import NodeInfo, ShardReport, TargetReport
-from citronspan.ops.broker_log import BrokerLog
-from citronspan.ops.quarantine import Quarantine
-from citronspan.ops.shard_report import make_received_report, make_shard_report
-from citronspan.ops.target_log import TargetLog
+from citronspan.ops.slots.broker_log import BrokerLog
+from citronspan.ops.slots.quarantine import Quarantine
+from citronspan.ops.slots.shard_report import make_received_report, make_shard_report
+from citronspan.ops.slots.target_log import TargetLog
 
 FindTarget = Callable[[str], tuple[str, TargetInfo] | None]
 """Returns the service and the target of a target's name, None if unknown."""
--- a/citronspan/ops/quarantine_test.py
+++ b/citronspan/ops/slots/quarantine_test.py
@@ -11,7 +11,7 @@
 )
 from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
 from citronspan.core.outcomes import Outcome, OutcomeClass
-from citronspan.ops.quarantine import MAXIMUM_TOLD_NOTICES, Quarantine
+from citronspan.ops.slots.quarantine import MAXIMUM_TOLD_NOTICES, Quarantine
 
 FINGERPRINT = 7
 
--- a/citronspan/ops/rate_limit_fleet_test.py
+++ b/citronspan/ops/slots/rate_limit_fleet_test.py
@@ -12,9 +12,9 @@
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimit
 from citronspan.core.resources import Detection, ServiceSpec
-from citronspan.ops import broker_client
-from citronspan.ops.slot_service import SlotService
-from citronspan.ops.slot_source import SlotQuery, SlotRefused
+from citronspan.ops.slots import broker_client
+from citronspan.ops.slots.slot_service import SlotService
+from citronspan.ops.slots.slot_source import SlotQuery, SlotRefused
 
 HOSTS_PER_REGION = 18
 REGIONS = ("r-1", "r-2")
--- a/citronspan/ops/region_slots.py
+++ b/citronspan/ops/slots/region_slots.py
@@ -28,12 +28,12 @@
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import ServiceSpec
 from citronspan.core.result_codes import RESULT_CODE_BY_NUMBER, ResultCode
-from citronspan.ops.broker_client import BrokerClient
-from citronspan.ops.local_chooser import LocalChooser
-from citronspan.ops.notice_recorder import NoticeRecorder
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.recent_names import RecentNames
-from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.peers.recent_names import RecentNames
+from citronspan.ops.slots.broker_client import BrokerClient
+from citronspan.ops.slots.local_chooser import LocalChooser
+from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused
+from citronspan.ops.targets.notice_recorder import NoticeRecorder
 from citronspan.utils.logs import write_event
 
 ATTEMPT_BITS = 63
--- a/citronspan/ops/slot_service.py
+++ b/citronspan/ops/slots/slot_service.py
@@ -31,14 +31,14 @@
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import Detection, ServiceSpec
-from citronspan.ops.decision_log import log_decisions
-from citronspan.ops.health_gossip import HealthGossip
-from citronspan.ops.local_chooser import LocalChooser
-from citronspan.ops.notice_recorder import NoticeRecorder
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.quarantine import Quarantine
-from citronspan.ops.region_slots import RegionSlots, make_slot_refused
-from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.slots.decision_log import log_decisions
+from citronspan.ops.slots.health_gossip import HealthGossip
+from citronspan.ops.slots.local_chooser import LocalChooser
+from citronspan.ops.slots.quarantine import Quarantine
+from citronspan.ops.slots.region_slots import RegionSlots, make_slot_refused
+from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused
+from citronspan.ops.targets.notice_recorder import NoticeRecorder
 from citronspan.utils.logs import write_event
 
 LARGE_BODY_BYTES = 20_000
--- a/citronspan/ops/slot_service_test.py
+++ b/citronspan/ops/slots/slot_service_test.py
@@ -19,10 +19,10 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.resources import ServiceSpec
-from citronspan.ops.peer_link import MINIMUM_CONNECTION_SECONDS, PeerLink
-from citronspan.ops.region_slots import BROKER_SKIP_SECONDS
-from citronspan.ops.slot_service import SlotService
-from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused
+from citronspan.ops.peers.peer_link import MINIMUM_CONNECTION_SECONDS, PeerLink
+from citronspan.ops.slots.region_slots import BROKER_SKIP_SECONDS
+from citronspan.ops.slots.slot_service import SlotService
+from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused
 
 # Concurrent runs of the suite on one machine need different addresses.
 NETWORK = f"127.{64 + os.getpid() % 128}"
--- a/citronspan/ops/spoiled_input_test.py
+++ b/citronspan/ops/spoiled_input_test.py
@@ -53,17 +53,17 @@
     encode_resource,
 )
 from citronspan.core.settings import AgentSettings, EntrySettings, decode_settings
-from citronspan.ops.answer_stream import CheckedResponse
-from citronspan.ops.chunked_body import ChunkedBody
-from citronspan.ops.dialect import DefaultDialect
-from citronspan.ops.feed_source import FeedTruncatedError, StoreUnavailableError
-from citronspan.ops.host_list import HostListReader
-from citronspan.ops.log_client import (
+from citronspan.ops.callers.chunked_body import ChunkedBody
+from citronspan.ops.callers.request_head import StrictHeaderReader
+from citronspan.ops.store.feed_source import FeedTruncatedError, StoreUnavailableError
+from citronspan.ops.store.host_list import HostListReader
+from citronspan.ops.store.log_client import (
     HttpLogStore,
     LogTruncatedError,
     LogUnavailableError,
 )
-from citronspan.ops.request_head import StrictHeaderReader
+from citronspan.ops.targets.answer_stream import CheckedResponse
+from citronspan.ops.targets.dialect import DefaultDialect
 from citronspan.platform.headers import PlatformDialect
 from citronspan.platform.store import ERA_OFFSETS, StoreClient
 
--- a/citronspan/ops/config_tail.py
+++ b/citronspan/ops/store/config_tail.py
@@ -7,10 +7,10 @@
 from citronspan.core import log_events
 from citronspan.core.configuration.config_record import LogBatch
 from citronspan.core.configuration.config_snapshots import TruncatedLogReader
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.config_source import LogReadStatus
-from citronspan.ops.config_tail_retention import RetentionKeeper
-from citronspan.ops.log_client import (
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.config_source import LogReadStatus
+from citronspan.ops.store.config_tail_retention import RetentionKeeper
+from citronspan.ops.store.log_client import (
     LogPage,
     LogStore,
     LogTruncatedError,
--- a/citronspan/ops/config_tail_retention.py
+++ b/citronspan/ops/store/config_tail_retention.py
@@ -24,8 +24,8 @@
     split_snapshot,
 )
 from citronspan.core.errors import CitronspanError
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.log_client import LogPage, LogStore, LogUnavailableError
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.log_client import LogPage, LogStore, LogUnavailableError
 from citronspan.utils.logs import write_event
 
 CHECK_SECONDS = 5.0
--- a/citronspan/ops/config_tail_writer.py
+++ b/citronspan/ops/store/config_tail_writer.py
@@ -13,8 +13,8 @@
 from citronspan.core.configuration.config_record import ChangeRecord, encode_record
 from citronspan.core.configuration.config_state import ChangeOutcome, ChangeVerdict
 from citronspan.core.errors import CitronspanError
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.log_client import LogStore, LogUnavailableError
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.log_client import LogStore, LogUnavailableError
 
 RECHECK_SECONDS = 2.0
 READ_BACK_SECONDS = 4.0
--- a/citronspan/ops/feed_source.py
+++ b/citronspan/ops/store/feed_source.py
@@ -25,8 +25,8 @@
 )
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.config_source import LogReadStatus
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.config_source import LogReadStatus
 from citronspan.utils.clocks import read_elapsed_seconds
 from citronspan.utils.logs import write_event
 
--- a/citronspan/ops/feed_source_test.py
+++ b/citronspan/ops/store/feed_source_test.py
@@ -16,7 +16,7 @@
 )
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.resources import Kind, Resource, ServiceSpec
-from citronspan.ops.feed_source import (
+from citronspan.ops.store.feed_source import (
     PEER_FALLBACK_SECONDS,
     FeedPage,
     FeedSource,
--- a/citronspan/ops/log_source.py
+++ b/citronspan/ops/store/log_source.py
@@ -13,13 +13,13 @@
 )
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops.active_config import ActiveConfig
-from citronspan.ops.agent_view import MembershipView
-from citronspan.ops.config_source import CONFIG_MESSAGE_TYPES, LogReadStatus
-from citronspan.ops.config_tail import ConfigTail
-from citronspan.ops.config_tail_retention import RetentionKeeper
-from citronspan.ops.host_list import HostListReader
-from citronspan.ops.log_client import LogStore
+from citronspan.ops.peers.agent_view import MembershipView
+from citronspan.ops.store.active_config import ActiveConfig
+from citronspan.ops.store.config_source import CONFIG_MESSAGE_TYPES, LogReadStatus
+from citronspan.ops.store.config_tail import ConfigTail
+from citronspan.ops.store.config_tail_retention import RetentionKeeper
+from citronspan.ops.store.host_list import HostListReader
+from citronspan.ops.store.log_client import LogStore
 
 
 class LogSource:
--- a/citronspan/ops/attempt_context.py
+++ b/citronspan/ops/targets/attempt_context.py
@@ -6,14 +6,14 @@
 from citronspan.core.requests.route_table import Route
 from citronspan.core.requests.stop_plan import WorkKind
 from citronspan.core.resources import RouteSpec, ServiceSpec
-from citronspan.ops.caller_request import (
+from citronspan.ops.callers.caller_request import (
     MAXIMUM_BUFFERED_BODY_BYTES,
     CallerBody,
     CallerRequest,
 )
-from citronspan.ops.open_requests import OpenRequest
-from citronspan.ops.slot_source import Slot
-from citronspan.ops.target_connection import TargetAnswer
+from citronspan.ops.callers.open_requests import OpenRequest
+from citronspan.ops.slots.slot_source import Slot
+from citronspan.ops.targets.target_connection import TargetAnswer
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/ops/attempt_refusals.py
+++ b/citronspan/ops/targets/attempt_refusals.py
@@ -3,9 +3,9 @@
 from citronspan.core import result_codes
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.result_codes import Ran
-from citronspan.ops.attempt_context import RequestContext
-from citronspan.ops.refusals import Refusal
-from citronspan.ops.slot_source import SlotRefused
+from citronspan.ops.callers.refusals import Refusal
+from citronspan.ops.slots.slot_source import SlotRefused
+from citronspan.ops.targets.attempt_context import RequestContext
 
 REFUSED_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` after all targets refused; by then one may have free capacity."""
--- a/citronspan/ops/attempt_reporter.py
+++ b/citronspan/ops/targets/attempt_reporter.py
@@ -9,11 +9,11 @@
 from citronspan.core.outcomes import Outcome, OutcomeClass
 from citronspan.core.rate_limits import RateLimit
 from citronspan.core.requests.stop_plan import StopPlan
-from citronspan.ops.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.dialect import Dialect
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.slot_source import Slot, SlotSource
-from citronspan.ops.target_connection import TargetAnswer
+from citronspan.ops.slots.slot_source import Slot, SlotSource
+from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.targets.dialect import Dialect
+from citronspan.ops.targets.target_connection import TargetAnswer
 from citronspan.utils.logs import write_event
 
 _logger = logbook.Logger("attempts")
--- a/citronspan/ops/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -18,19 +18,19 @@
 )
 from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.result_codes import Ran
-from citronspan.ops.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.attempt_refusals import (
+from citronspan.ops.callers.open_requests import Stage
+from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
+from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.targets.attempt_refusals import (
     STOP_REFUSED,
     make_refusal,
     make_slot_refusal,
 )
-from citronspan.ops.attempt_reporter import AttemptReporter
-from citronspan.ops.dialect import Dialect, TargetAttempt
-from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.fallback_answer import FallbackAnswer
-from citronspan.ops.open_requests import Stage
-from citronspan.ops.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
-from citronspan.ops.target_connection import (
+from citronspan.ops.targets.attempt_reporter import AttemptReporter
+from citronspan.ops.targets.dialect import Dialect, TargetAttempt
+from citronspan.ops.targets.fallback_answer import FallbackAnswer
+from citronspan.ops.targets.target_connection import (
     AttemptFailedError,
     TargetAnswer,
     TargetConnections,
--- a/citronspan/ops/attempts_test.py
+++ b/citronspan/ops/targets/attempts_test.py
@@ -19,13 +19,13 @@
 from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.core.result_codes import Ran
-from citronspan.ops.attempt_context import RequestContext
-from citronspan.ops.attempts import AttemptRunner
+from citronspan.ops.callers.open_requests import OpenRequest
+from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.open_requests import OpenRequest
-from citronspan.ops.refusals import Refusal
-from citronspan.ops.slot_source import Slot, SlotRefused
-from citronspan.ops.target_connection import AttemptFailedError
+from citronspan.ops.slots.slot_source import Slot, SlotRefused
+from citronspan.ops.targets.attempt_context import RequestContext
+from citronspan.ops.targets.attempts import AttemptRunner
+from citronspan.ops.targets.target_connection import AttemptFailedError
 from citronspan.platform.headers import PlatformDialect
 
 SIGNED = {"X-Citronspan-Backend-Signature": "s"}
--- a/citronspan/ops/cut_hosts_test.py
+++ b/citronspan/ops/targets/cut_hosts_test.py
@@ -25,8 +25,8 @@
 )
 from citronspan.core.settings import EntrySettings, NodeIdentity
 from citronspan.ops.entry import Entry
-from citronspan.ops.peer_link import PeerLink
-from citronspan.ops.target_connector import DirectConnector
+from citronspan.ops.peers.peer_link import PeerLink
+from citronspan.ops.targets.target_connector import DirectConnector
 
 HOSTS = 36
 TARGETS = 6
--- a/citronspan/ops/endless_answers_test.py
+++ b/citronspan/ops/targets/endless_answers_test.py
@@ -7,8 +7,8 @@
 import pytest
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.answer_stream import MAXIMUM_BODY_BYTES, MAXIMUM_HEAD_BYTES
-from citronspan.ops.target_connection import (
+from citronspan.ops.targets.answer_stream import MAXIMUM_BODY_BYTES, MAXIMUM_HEAD_BYTES
+from citronspan.ops.targets.target_connection import (
     AttemptFailedError,
     TargetConnections,
     TargetRequest,
--- a/citronspan/ops/fallback_answer.py
+++ b/citronspan/ops/targets/fallback_answer.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from citronspan.ops.attempt_context import AttemptResponse
+from citronspan.ops.targets.attempt_context import AttemptResponse
 
 
 class FallbackAnswer:
--- a/citronspan/ops/notice_metrics.py
+++ b/citronspan/ops/targets/notice_metrics.py
@@ -8,7 +8,7 @@
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from citronspan.ops.notice_recorder import NoticeRecorder
+from citronspan.ops.targets.notice_recorder import NoticeRecorder
 
 
 class NoticeCollector:
--- a/citronspan/ops/notice_recorder.py
+++ b/citronspan/ops/targets/notice_recorder.py
@@ -9,7 +9,7 @@
 from citronspan.core import log_events
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.target_notices import TargetNotice, TargetNotices
-from citronspan.ops.slot_source import Slot
+from citronspan.ops.slots.slot_source import Slot
 from citronspan.utils.logs import write_event
 from citronspan.utils.token_bucket import TokenBucket
 
--- a/citronspan/ops/notice_recorder_test.py
+++ b/citronspan/ops/targets/notice_recorder_test.py
@@ -7,8 +7,8 @@
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.notice_recorder import NoticeRecorder
-from citronspan.ops.slot_source import Slot
+from citronspan.ops.slots.slot_source import Slot
+from citronspan.ops.targets.notice_recorder import NoticeRecorder
 
 TARGET = TargetInfo(
     name="t", address="a", region="r", data_centre="d", slots=1, incarnation=7
--- a/citronspan/ops/relay_connector.py
+++ b/citronspan/ops/targets/relay_connector.py
@@ -8,7 +8,7 @@
 from urllib3.connection import HTTPConnection
 
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops.recent_names import RecentNames
+from citronspan.ops.peers.recent_names import RecentNames
 from citronspan.utils.addresses import split_address
 from citronspan.utils.rendezvous import compute_score
 
--- a/citronspan/ops/relay_server.py
+++ b/citronspan/ops/targets/relay_server.py
@@ -24,8 +24,11 @@
 import urllib3.exceptions
 
 from citronspan.core import log_events
-from citronspan.ops.target_connector import CONNECT_TIMEOUT_SECONDS, TargetConnector
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.targets.target_connector import (
+    CONNECT_TIMEOUT_SECONDS,
+    TargetConnector,
+)
+from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.addresses import split_address
 from citronspan.utils.logs import write_event
 
--- a/citronspan/ops/relay_server_test.py
+++ b/citronspan/ops/targets/relay_server_test.py
@@ -13,12 +13,12 @@
 import pytest
 
 from citronspan.core.node_messages import NodeInfo
-from citronspan.ops import relay_server
-from citronspan.ops.relay_connector import RelayConnector, RelayError
-from citronspan.ops.relay_server import RelayServer
-from citronspan.ops.target_connector import DirectConnector
-from citronspan.ops.target_paths import TargetPaths
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.targets import relay_server
+from citronspan.ops.targets.relay_connector import RelayConnector, RelayError
+from citronspan.ops.targets.relay_server import RelayServer
+from citronspan.ops.targets.target_connector import DirectConnector
+from citronspan.ops.targets.target_paths import TargetPaths
+from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.addresses import split_address
 from citronspan_standins.scripted_targets import find_free_addresses
 
@@ -29,9 +29,9 @@
 
 RELAY_PROGRAM = """
 import sys
-from citronspan.ops.relay_server import RelayServer
-from citronspan.ops.target_connector import DirectConnector
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.targets.relay_server import RelayServer
+from citronspan.ops.targets.target_connector import DirectConnector
+from citronspan.ops.targets.target_reachability import TargetReachability
 
 server = RelayServer(
     address=sys.argv[1],
--- a/citronspan/ops/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -21,13 +21,13 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.answer_stream import CheckedResponse
-from citronspan.ops.caller_connection import CallerConnection
-from citronspan.ops.caller_request import CallerBody
-from citronspan.ops.dialect import parse_count
-from citronspan.ops.relay_connector import RelayError
-from citronspan.ops.target_connector import DirectConnector
-from citronspan.ops.target_paths import TargetPaths
+from citronspan.ops.callers.caller_connection import CallerConnection
+from citronspan.ops.callers.caller_request import CallerBody
+from citronspan.ops.targets.answer_stream import CheckedResponse
+from citronspan.ops.targets.dialect import parse_count
+from citronspan.ops.targets.relay_connector import RelayError
+from citronspan.ops.targets.target_connector import DirectConnector
+from citronspan.ops.targets.target_paths import TargetPaths
 
 MAXIMUM_IDLE_CONNECTIONS_PER_TARGET = 4
 POOL_IDLE_SECONDS = 4.0
--- a/citronspan/ops/target_connection_test.py
+++ b/citronspan/ops/targets/target_connection_test.py
@@ -10,14 +10,14 @@
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.target_connection import (
+from citronspan.ops.targets.target_connection import (
     POOL_IDLE_SECONDS,
     AttemptFailedError,
     TargetConnections,
     TargetRequest,
 )
-from citronspan.ops.target_connector import DirectConnector
-from citronspan.ops.target_paths import TargetPaths
+from citronspan.ops.targets.target_connector import DirectConnector
+from citronspan.ops.targets.target_paths import TargetPaths
 from citronspan_standins.scripted_targets import ScriptedTargets, TargetScript
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/citronspan/ops/target_paths.py
+++ b/citronspan/ops/targets/target_paths.py
@@ -10,9 +10,12 @@
 from urllib3.connection import HTTPConnection
 
 from citronspan.core import log_events
-from citronspan.ops.relay_connector import RelayConnector, RelayedConnection
-from citronspan.ops.target_connector import CONNECT_TIMEOUT_SECONDS, TargetConnector
-from citronspan.ops.target_reachability import TargetReachability
+from citronspan.ops.targets.relay_connector import RelayConnector, RelayedConnection
+from citronspan.ops.targets.target_connector import (
+    CONNECT_TIMEOUT_SECONDS,
+    TargetConnector,
+)
+from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.logs import write_event
 
 RELAY_TIMEOUT_SECONDS = 0.6
--- a/citronspan/ops/target_reachability.py
+++ b/citronspan/ops/targets/target_reachability.py
@@ -15,7 +15,7 @@
 import logbook
 
 from citronspan.core import log_events
-from citronspan.ops.recent_names import RecentNames
+from citronspan.ops.peers.recent_names import RecentNames
 from citronspan.utils.logs import write_event
 
 FAILED_TARGETS = 3
--- a/citronspan/ops/target_reachability_test.py
+++ b/citronspan/ops/targets/target_reachability_test.py
@@ -1,6 +1,9 @@
 import freezegun
 
-from citronspan.ops.target_reachability import FAILURE_SECONDS, TargetReachability
+from citronspan.ops.targets.target_reachability import (
+    FAILURE_SECONDS,
+    TargetReachability,
+)
 
 
 def test_one_dead_target_is_not_taken_for_a_cut():
--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -11,7 +11,7 @@
     encode_resources,
 )
 from citronspan.core.host_settings import ServiceRules
-from citronspan.ops.feed_source import FeedPage
+from citronspan.ops.store.feed_source import FeedPage
 from citronspan.platform.records import (
     read_configuration,
     read_configuration_version,
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -4,7 +4,7 @@
 
 from citronspan.core.detection.target_notices import TargetNotice
 from citronspan.core.outcomes import OutcomeClass
-from citronspan.ops.dialect import (
+from citronspan.ops.targets.dialect import (
     FindHeader,
     TargetAttempt,
     make_notice,
--- a/citronspan/platform/headers_test.py
+++ b/citronspan/platform/headers_test.py
@@ -1,6 +1,6 @@
 import pytest
 
-from citronspan.ops.dialect import (
+from citronspan.ops.targets.dialect import (
     LEAVING_HEADER,
     LOAD_HEADER,
     MAXIMUM_PAUSE_SECONDS,
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -16,7 +16,7 @@
 import urllib3
 
 from citronspan.core import log_events
-from citronspan.ops.feed_source import (
+from citronspan.ops.store.feed_source import (
     FeedTruncatedError,
     StoreRestoredError,
     StoreUnavailableError,
--- a/citronspan/scripts/cli.py
+++ b/citronspan/scripts/cli.py
@@ -12,10 +12,10 @@
 from citronspan.core.errors import CitronspanError, InvalidInputGroup
 from citronspan.core.requests.explain import explain, format_line
 from citronspan.core.resources import Kind
-from citronspan.ops.api_client import ApiClient, find_version
-from citronspan.ops.api_client_files import check_file, read_resources
-from citronspan.ops.api_client_tables import format_resources, format_status
-from citronspan.ops.log_files import read_log
+from citronspan.ops.operators.api_client import ApiClient, find_version
+from citronspan.ops.operators.api_client_files import check_file, read_resources
+from citronspan.ops.operators.api_client_tables import format_resources, format_status
+from citronspan.ops.operators.log_files import read_log
 
 API_VARIABLE = "CITRONSPAN_API"
 EXIT_FAILED = 1
--- a/citronspan_standins/cut_off_host.py
+++ b/citronspan_standins/cut_off_host.py
@@ -19,7 +19,7 @@
 import time  # noqa: E402
 from pathlib import Path  # noqa: E402
 
-from citronspan.ops.target_connector import DirectConnector  # noqa: E402
+from citronspan.ops.targets.target_connector import DirectConnector  # noqa: E402
 from citronspan.scripts import host  # noqa: E402
 
 CUT_SUFFIX = ".cut"
--- a/citronspan_standins/platform_test.py
+++ b/citronspan_standins/platform_test.py
@@ -15,7 +15,7 @@
 
 from citronspan.core.host_settings import HostSettings
 from citronspan.core.settings import decode_settings
-from citronspan.ops import feed_source
+from citronspan.ops.store import feed_source
 from citronspan.scripts.host import make_host
 from citronspan_standins.http_service import Service
 from citronspan_standins.store_service import StoreService, StoreSwitches, wait_until
--- a/citronspan_standins/store_service_test.py
+++ b/citronspan_standins/store_service_test.py
@@ -8,7 +8,7 @@
 import pytest
 import urllib3
 
-from citronspan.ops.feed_source import FeedTruncatedError, StoreUnavailableError
+from citronspan.ops.store.feed_source import FeedTruncatedError, StoreUnavailableError
 from citronspan.platform.store import StoreClient
 from citronspan_standins.http_service import Service
 from citronspan_standins.store_service import StoreService, StoreSwitches
