Name accounts in slot requests, and keys, ranks and bursts in their resources

Cause: the parts for client accounts (keys, quotas, shares of scarce room) are built side by side and need one interface. Change: an account may have key digests, a rank and a burst, a route may be public; fields that are not set stay out of the encoding, since earlier versions refuse unknown ones. A slot request may name its account and the account's weight. Nothing uses them yet, so that decisions are as before.

--- a/citronspan/core/brokering/broker_messages.py
+++ b/citronspan/core/brokering/broker_messages.py
@@ -57,6 +57,9 @@
             from this broker or another.
         rate_limits: What targets of the shard that limit their request rate last
             stated to the entry.
+        account: Name of the client account, or empty.
+        account_weight: Weight of the account among those whose requests wait, 0 if it
+            has none of its own.
     """
 
     attempt_id: int
@@ -81,6 +84,8 @@
     has_other_region: bool = msgspec.field(default=False, name="el")
     asked_before: bool = False
     rate_limits: dict[str, RateLimit] = {}
+    account: str = ""
+    account_weight: float = 0.0
 
 
 class SlotGrant(Message, kw_only=True, rename=shorten_name):
--- a/citronspan/core/resources.py
+++ b/citronspan/core/resources.py
@@ -16,6 +16,7 @@
 from citronspan.utils.validation import DECODING_ERRORS, describe_error
 
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 
 class Spec(
@@ -144,6 +145,8 @@
         goal_seconds: Time within which an answer has its full worth, 0 if its worth
             does not depend on time.
         maximum_attempts: Maximum number of targets that a request is sent to.
+        public: Whether requests need no account key. It is left out of the encoding
+            where it is not set, since earlier versions refuse unknown fields.
     """
 
     host: str = "*"
@@ -157,6 +160,7 @@
     deadline_seconds: float = 10.0
     goal_seconds: float = 0.0
     maximum_attempts: int = 3
+    public: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class AccountSpec(Spec, kw_only=True):
@@ -165,10 +169,21 @@
     Attributes:
         region: Region whose addresses its callers receive first, or empty.
         requests_per_second: Rate limit over the whole fleet, 0 for none.
+        burst_requests: Requests that the account may send beyond its rate at once. With
+            it the limit is kept for the whole fleet; without it each entry keeps an
+            overcommitted share of the rate.
+        rank: Rank of its requests, 0 for the highest; it precedes the worth of routes.
+        key_digests: SHA-256 digests of its keys in lower-case hexadecimal.
+
+    The last three are left out of the encoding where they are not set, since earlier
+    versions refuse unknown fields.
     """
 
     region: str = ""
     requests_per_second: float = 0.0
+    burst_requests: float | msgspec.UnsetType = msgspec.UNSET
+    rank: int | msgspec.UnsetType = msgspec.UNSET
+    key_digests: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 SPEC_TYPE_BY_KIND = {
@@ -271,7 +286,18 @@
         for share in spec.shares:
             _check_range(share.weight, 0, 1e9, "shares.weight")
     if isinstance(spec, AccountSpec):
-        _check_range(spec.requests_per_second, 0, 1e9, "requestsPerSecond")
+        _check_account(spec)
+
+
+def _check_account(spec):
+    _check_range(spec.requests_per_second, 0, 1e9, "requestsPerSecond")
+    if spec.burst_requests is not msgspec.UNSET:
+        _check_range(spec.burst_requests, 0, 1e9, "burstRequests")
+    if spec.rank is not msgspec.UNSET:
+        _check_range(spec.rank, 0, 1e6, "rank")
+    for digest in spec.key_digests or ():
+        if not KEY_DIGEST_PATTERN.fullmatch(digest):
+            raise _make_invalid_error("$.spec.keyDigests: not a SHA-256 digest")
 
 
 def decode_resource(data: bytes) -> Resource:
--- a/citronspan/ops/slots/region_slots.py
+++ b/citronspan/ops/slots/region_slots.py
@@ -259,6 +259,8 @@
             request_id=query.request_id,
             has_other_region=has_other_region and key.region == self._region,
             asked_before=asked_before,
+            account=query.account,
+            account_weight=query.account_weight,
             rate_limits=self._rate_limits.export(
                 target.name for target in shard.targets
             ),
--- a/citronspan/ops/slots/slot_source.py
+++ b/citronspan/ops/slots/slot_source.py
@@ -29,6 +29,8 @@
         is_disconnected: Returns whether the caller has disconnected.
         request_id: Identity of the request in logs.
         is_too_late: Returns whether a slot would be of no use any more.
+        account: Name of the client account, or empty.
+        account_weight: Weight of the account among others, 0 if it has none.
     """
 
     service: str
@@ -44,6 +46,8 @@
     is_disconnected: Callable[[], bool] = lambda: False
     request_id: str = ""
     is_too_late: Callable[[], bool] = lambda: False
+    account: str = ""
+    account_weight: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/ops/targets/attempt_context.py
+++ b/citronspan/ops/targets/attempt_context.py
@@ -32,6 +32,8 @@
         fingerprint: Hash of the method, host, URI and body (or of the body's length,
             if the body is not buffered).
         open_request: Entry of the request in the register of open requests.
+        account: Name of the client account, or empty.
+        account_weight: Weight of the account among others, 0 if it has none.
     """
 
     request: CallerRequest
@@ -43,6 +45,8 @@
     goal_time: float
     fingerprint: int
     open_request: OpenRequest = field(default_factory=OpenRequest)
+    account: str = ""
+    account_weight: float = 0.0
 
     @property
     def work_kind(self) -> WorkKind:
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -198,6 +198,8 @@
             is_disconnected=request_context.request.connection.is_disconnected,
             request_id=request_context.request.request_id,
             is_too_late=lambda: self.is_too_late(request_context),
+            account=request_context.account,
+            account_weight=request_context.account_weight,
         )
         if self.is_too_late(request_context):
             return STOP_REFUSED
