Divide the membership protocol into table, heartbeats and comparison

Change: the members and their records (member_table), the order of heartbeats (probe_round) and the comparison of all records (record_comparison) have modules of their own; the protocol goes through them. No behaviour changes but the random order in which a comparison's peer is drawn. The test of two versions builds its earlier version on the new parts and asks the same.

--- a/citronspan/core/membership/membership.py
+++ b/citronspan/core/membership/membership.py
@@ -26,9 +26,11 @@
     MemberStatus,
     MemberSync,
 )
+from citronspan.core.membership.member_table import DEPARTED_STATUSES, MemberTable
+from citronspan.core.membership.probe_round import Probe, ProbeRound
+from citronspan.core.membership.record_comparison import RecordComparison
 from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
-from citronspan.utils.rendezvous import choose_member
 
 HEARTBEAT_INTERVAL_SECONDS = 1.0
 ACK_TIMEOUT_SECONDS = 0.3
@@ -36,58 +38,10 @@
 RELAY_COUNT = 3
 SUSPICION_TIMEOUT_SECONDS = 3.0
 RETRY_DEPARTED_INTERVAL_SECONDS = 5.0
-# A node that starts compares all records often, and less often with each time.
-INITIAL_SYNC_INTERVAL_SECONDS = 1.0
-SYNC_INTERVAL_GROWTH = 1.5
-MAXIMUM_SYNC_INTERVAL_SECONDS = 64.0
 JOIN_RETRY_INTERVAL_SECONDS = 1.0
-# Share of these syncs that go to a member of the same region.
-SAME_REGION_SYNC_SHARE = 0.9
-NEWS_PER_QUESTION = 8
 YOUNG_SECONDS = 30.0
 DEPARTED_RETENTION_SECONDS = 6 * 3600.0
 
-_DEPARTED = frozenset({MemberStatus.DEAD, MemberStatus.LEFT})
-
-
-class _Member:
-    """A member, with state that is local to this node.
-
-    Attributes:
-        record: The record that is in force.
-        changed_at: Monotonic time at which the record last changed.
-        offset: Last known offset of the configuration at the member.
-        unreachable: Whether this node last reached the member through a relay only.
-        digest: Digest of the record.
-    """
-
-    __slots__ = ("changed_at", "digest", "offset", "record", "unreachable")
-
-    def __init__(self, *, record: MemberRecord, now: float):
-        self.record = record
-        self.digest = record.compute_digest()
-        self.changed_at = now
-        self.offset = record.node.offset
-        self.unreachable = False
-
-    def set_record(self, record: MemberRecord, now: float) -> None:
-        """Replace the record that is in force."""
-        self.record = record
-        self.digest = record.compute_digest()
-        self.changed_at = now
-
-
-class _Probe:
-    """A heartbeat whose acknowledgement is outstanding."""
-
-    __slots__ = ("has_requested_relays", "name", "sent_at", "sequence")
-
-    def __init__(self, *, name: str, sequence: int, now: float):
-        self.name = name
-        self.sequence = sequence
-        self.sent_at = now
-        self.has_requested_relays = False
-
 
 class Membership:
     """The membership view of one node.
@@ -110,22 +64,25 @@
         self._revision = 0
         self._seeds: tuple[str, ...] = ()
         self.set_seeds(seeds)
-        self._member_by_name: dict[str, _Member] = {}
+        self._members = MemberTable()
         self._gossip_queue = GossipQueue()
-        self._probe: _Probe | None = None
+        self._probe: Probe | None = None
         self._relay_by_sequence: dict[int, tuple[str, int, float]] = {}
         self._sequence = self._random.getrandbits(32)
-        self._probe_round: list[str] = []
+        self._probe_round = ProbeRound(
+            own=own, members=self._members, draw=self._random
+        )
         self._started_at = time.monotonic()
         self._next_probe_at = -math.inf
         self._next_departed_retry_at = -math.inf
-        self._sync_interval = INITIAL_SYNC_INTERVAL_SECONDS
-        self._next_sync_at = (
-            time.monotonic() + INITIAL_SYNC_INTERVAL_SECONDS * self._random.random()
+        self._comparison = RecordComparison(
+            members=self._members,
+            make_own_record=self._make_own_record,
+            draw=self._random,
         )
         self._next_join_at = -math.inf
         self._is_leaving = False
-        self._version = 0
+        self._own_version = 0
         self._announce_own_record()
 
     @property
@@ -158,10 +115,8 @@
         """
         message = MemberSync(records=(self._make_own_record(),), wants_answer=False)
         return [
-            Outgoing(to=member.record.node.agent_peer_address, message=message)
-            for member in self._member_by_name.values()
-            if member.record.status not in _DEPARTED
-            and member.record.node.region == self._own.region
+            Outgoing(to=node.agent_peer_address, message=message)
+            for node in self._members.list_live_in_region(self._own.region)
         ]
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -183,34 +138,22 @@
     @property
     def version(self) -> int:
         """Number that grows with each change of the view; offsets are not counted."""
-        return self._version
+        return self._own_version + self._members.version
 
     def live_nodes(self) -> tuple[NodeInfo, ...]:
         """Return this node and the live members that it can reach, sorted by name."""
-        nodes = [self._own]
-        for member in self._member_by_name.values():
-            if member.record.status in _DEPARTED or member.unreachable:
-                continue
-            nodes.append(_apply_offset(member))
-        return tuple(sorted(nodes, key=lambda node: node.name))
+        nodes = [m.make_node() for m in self._members.list_live() if not m.unreachable]
+        return _sort_by_name([self._own, *nodes])
 
     def unreachable_nodes(self) -> tuple[NodeInfo, ...]:
         """Return live members that others can reach and this node cannot, by name."""
-        nodes = [
-            member.record.node
-            for member in self._member_by_name.values()
-            if member.unreachable and member.record.status not in _DEPARTED
-        ]
-        return tuple(sorted(nodes, key=lambda node: node.name))
+        members = [member for member in self._members.list_live() if member.unreachable]
+        return _sort_by_name([member.record.node for member in members])
 
     def departed_nodes(self) -> tuple[NodeInfo, ...]:
         """Return members that are dead or have left, by name."""
-        nodes = [
-            member.record.node
-            for member in self._member_by_name.values()
-            if member.record.status in _DEPARTED
-        ]
-        return tuple(sorted(nodes, key=lambda node: node.name))
+        departed = self._members.list_departed()
+        return _sort_by_name([member.record.node for member in departed])
 
     def handle(self, sender: str, message: MemberMessage) -> list[Outgoing]:
         """Handle one message.
@@ -246,12 +189,12 @@
             self._next_probe_at = now + HEARTBEAT_INTERVAL_SECONDS
             outgoing += self._begin_probe(now)
         outgoing += self._retry_departed(now)
-        outgoing += self._sync_if_due(now)
+        outgoing += self._comparison.ask_if_due(self._own.region, now)
         return outgoing
 
     def _announce_own_record(self):
         self._revision += 1
-        self._version += 1
+        self._own_version += 1
         self._gossip_queue.add(self._make_own_record())
 
     def _make_own_record(self):
@@ -260,7 +203,7 @@
 
     def _handle_ping(self, sender, ping, now):
         self._merge_records(ping.records, now)
-        self._record_offset(sender, ping.offset)
+        self._members.record_offset(sender, ping.offset)
         return [self._make_ack(sender, ping.sequence, self._own.name, False)]
 
     def _make_ack(self, to, sequence, name, relayed):
@@ -279,23 +222,18 @@
         if relay is not None:
             to, sequence, _ = relay
             return [self._make_ack(to, sequence, ack.name, True)]
-        member = self._member_by_name.get(ack.name)
+        member = self._members.find(ack.name)
         if member is None:
             return []
         if not ack.relayed:
-            self._set_unreachable(member, False)
-            self._record_offset(sender, ack.offset)
+            self._members.set_unreachable(member, False)
+            self._members.record_offset(sender, ack.offset)
         probe = self._probe
         if probe is not None and probe.sequence == ack.sequence:
-            self._set_unreachable(member, ack.relayed)
+            self._members.set_unreachable(member, ack.relayed)
             self._probe = None
         return []
 
-    def _set_unreachable(self, member, unreachable):
-        if member.unreachable != unreachable:
-            member.unreachable = unreachable
-            self._version += 1
-
     def _handle_ping_request(self, sender, request, now):
         sequence = self._next_sequence()
         self._relay_by_sequence[sequence] = (sender, request.sequence, now)
@@ -303,48 +241,7 @@
 
     def _handle_sync(self, sender, sync, now):
         self._merge_synced_records(sender, sync, now)
-        record_by_digest = self._map_records()
-        if not sync.wants_answer:
-            return self._answer_wanted(sender, sync, record_by_digest)
-        known = set(sync.known)
-        known.update(record.compute_digest() for record in sync.records)
-        answer = MemberSync(
-            records=_list_records(record_by_digest, record_by_digest.keys() - known),
-            wanted=tuple(known - record_by_digest.keys()),
-        )
-        if not answer.records and not answer.wanted:
-            return []
-        return [Outgoing(to=sender, message=answer)]
-
-    def _answer_wanted(self, sender, sync, record_by_digest):
-        records = _list_records(record_by_digest, set(sync.wanted))
-        if not records:
-            return []
-        return [Outgoing(to=sender, message=MemberSync(records=records))]
-
-    def _map_records(self) -> dict[int, MemberRecord]:
-        """Return all records in force, the own one included, by their digests."""
-        record_by_digest = {
-            member.digest: member.record for member in self._member_by_name.values()
-        }
-        own = self._make_own_record()
-        record_by_digest[own.compute_digest()] = own
-        return record_by_digest
-
-    def _make_question(self, to):
-        message = MemberSync(
-            records=(self._make_own_record(), *self._list_news()),
-            wants_answer=True,
-            known=tuple(self._map_records()),
-        )
-        return Outgoing(to=to, message=message)
-
-    def _list_news(self):
-        """Return the records that changed last, for a receiver that cannot answer."""
-        members = sorted(
-            self._member_by_name.values(), key=lambda member: -member.changed_at
-        )
-        return [member.record for member in members[:NEWS_PER_QUESTION]]
+        return self._comparison.answer(sender, sync)
 
     def _make_farewell(self, to):
         message = MemberSync(records=(self._make_own_record(),))
@@ -360,7 +257,9 @@
         is_young = now < self._started_at + YOUNG_SECONDS
         for record in sync.records:
             is_joining = sync.wants_answer and record.node.agent_peer_address == sender
-            is_gossiped = not is_young or is_joining or record.status in _DEPARTED
+            is_gossiped = (
+                not is_young or is_joining or record.status in DEPARTED_STATUSES
+            )
             self._merge_records((record,), now, is_gossiped=is_gossiped)
 
     def _merge_records(self, records, now, *, is_gossiped=True):
@@ -384,94 +283,31 @@
 
     def _merge_record(self, record, now) -> bool:
         """Merge a record of another member; return whether it is now in force."""
-        member = self._member_by_name.get(record.node.name)
-        if member is None:
-            member = _Member(record=record, now=now)
-            self._member_by_name[record.node.name] = member
-            self._version += 1
-            if self._is_prober_of(record.node):
-                self._insert_in_probe_round(record.node.name)
-            return True
-        if record.rank <= member.record.rank:
-            return False
-        if record.node.incarnation > member.record.node.incarnation:
-            member.unreachable = False
-        member.set_record(record, now)
-        self._version += 1
-        return True
-
-    def _insert_in_probe_round(self, name):
-        position = self._random.randint(0, len(self._probe_round))
-        self._probe_round.insert(position, name)
-
-    def _record_offset(self, sender, offset):
-        for member in self._member_by_name.values():
-            if member.record.node.agent_peer_address == sender:
-                member.offset = offset
-                return
+        is_new = self._members.find(record.node.name) is None
+        is_in_force = self._members.merge(record, now)
+        if is_new:
+            self._probe_round.insert(record.node)
+        return is_in_force
 
     def _begin_probe(self, now):
-        name = self._choose_next_probed()
+        name = self._probe_round.choose_next()
         if name is None:
             return self._join_through_seed(now)
-        self._probe = _Probe(name=name, sequence=self._next_sequence(), now=now)
-        address = self._member_by_name[name].record.node.agent_peer_address
+        self._probe = Probe(name=name, sequence=self._next_sequence(), now=now)
+        address = self._members.find(name).record.node.agent_peer_address
         return [self._make_ping(address, self._probe.sequence, name)]
 
-    def _choose_next_probed(self):
-        """Return the next member to probe, from a shuffled round of live members.
-
-        Returns:
-            Name of the member, None if there is none.
-        """
-        for _ in range(2):
-            while self._probe_round:
-                name = self._probe_round.pop()
-                member = self._member_by_name.get(name)
-                if member is not None and member.record.status not in _DEPARTED:
-                    return name
-            self._probe_round = self._list_probed_members()
-            self._random.shuffle(self._probe_round)
-        return None
-
-    def _list_probed_members(self):
-        """Return the names of the live members that this node probes."""
-        return [
-            name
-            for name, member in self._member_by_name.items()
-            if member.record.status not in _DEPARTED
-            and self._is_prober_of(member.record.node)
-        ]
-
-    def _is_prober_of(self, node):
-        """Return whether this node sends heartbeats to a member.
-
-        Only one node of each other region probes a member, because the member's own
-        region detects a failure first and traffic between regions is expensive.
-        """
-        region = self._own.region
-        if node.region == region:
-            return True
-        probers = [
-            member.record.node.name
-            for member in self._member_by_name.values()
-            if member.record.status not in _DEPARTED
-            and member.record.node.region == region
-        ]
-        own = self._own.name
-        return choose_member([*probers, own], f"probe {node.name}") == own
-
     def _join_through_seed(self, now):
         if now < self._next_join_at:
             return []
         self._next_join_at = now + JOIN_RETRY_INTERVAL_SECONDS
         if not self._seeds:
             return []
-        return [self._make_question(self._random.choice(self._seeds))]
+        return [self._comparison.make_question(self._random.choice(self._seeds))]
 
     def _make_ping(self, to, sequence, name):
         records = self._take_gossip_records()
-        member = self._member_by_name.get(name)
+        member = self._members.find(name)
         if member is not None and member.record.status is not MemberStatus.ALIVE:
             # A suspected member needs this record to be able to refute it.
             records = (member.record, *records)
@@ -479,7 +315,7 @@
         return Outgoing(to=to, message=ping)
 
     def _take_gossip_records(self):
-        return self._gossip_queue.select_records(len(self._member_by_name) + 1)
+        return self._gossip_queue.select_records(len(self._members) + 1)
 
     def _check_probe(self, now):
         probe = self._probe
@@ -495,7 +331,7 @@
         return []
 
     def _request_relays(self, probe):
-        member = self._member_by_name.get(probe.name)
+        member = self._members.find(probe.name)
         if member is None:
             return []
         request = MemberPingRequest(
@@ -514,35 +350,31 @@
         ]
 
     def _sample_live_nodes(self, count):
-        nodes = [
-            member.record.node
-            for member in self._member_by_name.values()
-            if member.record.status not in _DEPARTED
-        ]
+        nodes = [member.record.node for member in self._members.list_live()]
         return self._random.sample(nodes, min(count, len(nodes)))
 
     def _mark_suspect(self, name, now):
-        member = self._member_by_name.get(name)
+        member = self._members.find(name)
         if member is None or member.record.status is not MemberStatus.ALIVE:
             return
         self._set_status(member, MemberStatus.SUSPECT, now)
 
     def _set_status(self, member, status, now):
-        member.set_record(msgspec.structs.replace(member.record, status=status), now)
-        self._version += 1
+        self._members.set_status(member, status, now)
         self._gossip_queue.add(member.record)
 
     def _expire_members_and_relays(self, now):
         suspicion_timeout = SUSPICION_TIMEOUT_SECONDS * max(
-            1.0, math.log10(len(self._member_by_name) + 1)
+            1.0, math.log10(len(self._members) + 1)
         )
-        for name, member in list(self._member_by_name.items()):
+        for member in self._members.list_all():
             age = now - member.changed_at
-            status = member.record.status
-            if status is MemberStatus.SUSPECT and age >= suspicion_timeout:
+            was_departed = member.is_departed
+            is_suspect = member.record.status is MemberStatus.SUSPECT
+            if is_suspect and age >= suspicion_timeout:
                 self._set_status(member, MemberStatus.DEAD, now)
-            if status in _DEPARTED and age >= DEPARTED_RETENTION_SECONDS:
-                del self._member_by_name[name]
+            if was_departed and age >= DEPARTED_RETENTION_SECONDS:
+                self._members.remove(member.record.node.name)
         for sequence, (_, _, at) in list(self._relay_by_sequence.items()):
             if now - at >= HEARTBEAT_INTERVAL_SECONDS:
                 del self._relay_by_sequence[sequence]
@@ -562,40 +394,12 @@
         if not candidates:
             return []
         to = self._random.choice(candidates)
-        return [self._make_question(to)]
-
-    def _sync_if_due(self, now):
-        if now < self._next_sync_at:
-            return []
-        self._next_sync_at = now + self._sync_interval * (0.5 + self._random.random())
-        self._sync_interval = min(
-            SYNC_INTERVAL_GROWTH * self._sync_interval, MAXIMUM_SYNC_INTERVAL_SECONDS
-        )
-        return [
-            self._make_question(node.agent_peer_address)
-            for node in self._choose_sync_peer()
-        ]
-
-    def _choose_sync_peer(self):
-        live = self._sample_live_nodes(len(self._member_by_name))
-        same_region = [node for node in live if node.region == self._own.region]
-        if same_region and self._random.random() < SAME_REGION_SYNC_SHARE:
-            return same_region[:1]
-        return live[:1]
+        return [self._comparison.make_question(to)]
 
     def _next_sequence(self):
         self._sequence += 1
         return self._sequence
 
 
-def _list_records(record_by_digest, digests) -> tuple[MemberRecord, ...]:
-    return tuple(
-        record for digest, record in record_by_digest.items() if digest in digests
-    )
-
-
-def _apply_offset(member):
-    node = member.record.node
-    if node.offset == member.offset:
-        return node
-    return msgspec.structs.replace(node, offset=member.offset)
+def _sort_by_name(nodes) -> tuple[NodeInfo, ...]:
+    return tuple(sorted(nodes, key=lambda node: node.name))
--- a/citronspan/core/membership/membership_test.py
+++ b/citronspan/core/membership/membership_test.py
@@ -179,6 +179,10 @@
 class LandedMembership(Membership):
     """Compares records as version 170e430 did: by sending all of them."""
 
+    def __init__(self, **arguments):
+        super().__init__(**arguments)
+        self._comparison.make_question = self._make_question
+
     def _handle_sync(self, sender, sync, now):
         self._merge_records(sync.records, now)
         return [self._send_all_records(sender, False)] if sync.wants_answer else []
@@ -187,7 +191,7 @@
         return self._send_all_records(to, True)
 
     def _send_all_records(self, to, wants_answer):
-        records = tuple(self._map_records().values())
+        records = tuple(self._comparison._map_records().values())
         message = MemberSync(records=records, wants_answer=wants_answer)
         return Outgoing(to=to, message=message)
 
@@ -220,7 +224,7 @@
         network = Network(clock, 12)
         network.run(SETTLE_SECONDS)
         first, second = (network.member_by_name[name] for name in ("n3", "n4"))
-        question = first._make_question("n4").message
+        question = first._comparison.make_question("n4").message
         assert second.handle("n3", question) == []
         assert len(question.known) == 12
 
@@ -235,7 +239,7 @@
         ]
         first.handle("x", MemberSync(records=tuple(records[:30])))
         second.handle("y", MemberSync(records=tuple(records[20:])))
-        (answer,) = second.handle("a", first._make_question("b").message)
+        (answer,) = second.handle("a", first._comparison.make_question("b").message)
         (rest,) = first.handle("b", answer.message)
         assert second.handle("a", rest.message) == []
         names = {"a", "b", *(record.node.name for record in records)}
