Give an attempt up only once the next one has its slot

Cause: at its limit an attempt was ended for a retry, and only then a slot was asked for. At a full service, whose targets are doubted and whose retries are counted, there often was none, or a stop withheld it.

Now an attempt at its limit gets its successor a slot first, while it goes on and holds its own. Without one it has all of its request's time; an answer that comes meanwhile is taken. Line 226 attempt-kept says which attempts went on and why. A spent retry that is not made is taken back. attempts.py is divided: AttemptSlots, AttemptProgress.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -115,6 +115,12 @@
 ATTEMPT_FAILED = _define(
     208, "attempt-failed", "NOTICE", "An attempt to run a request on a target failed."
 )
+ATTEMPT_KEPT = _define(
+    226,
+    "attempt-kept",
+    "INFO",
+    "An attempt goes on past its limit, since no slot was got for a retry.",
+)
 SLOT_GRANTED = _define(
     209, "slot-granted", "INFO", "A broker granted a request a slot on a target."
 )
--- a/citronspan/core/requests/attempt_deadline_test.py
+++ b/citronspan/core/requests/attempt_deadline_test.py
@@ -1,3 +1,5 @@
+import math
+import random
 import time
 
 import freezegun
@@ -84,3 +86,81 @@
             if is_limited:
                 expected = min(expected, begun_at + limit_seconds)
             assert deadline.find() == min(expected, end)
+
+
+def test_attempt_is_given_up_before_another_one_is_prepared():
+    is_free = False
+    prepared = []
+
+    def prepare_next(has_answer):
+        prepared.append(time.monotonic())
+        return is_free
+
+    with freezegun.freeze_time("2026-01-01") as clock:
+        begun_at = time.monotonic()
+        for is_free in (False, True):
+            deadline = AttemptDeadline(
+                request_deadline=begun_at + 60.0,
+                limit=time.monotonic() + 3.0,
+                prepare_next=prepare_next,
+            )
+            clock.tick(3.0)
+            assert deadline.extend(lambda: False) is not is_free
+            expected = time.monotonic() if is_free else begun_at + 60.0
+            assert deadline.find() == expected
+    assert len(prepared) == 2
+
+
+@pytest.mark.parametrize("end", ["of the request", "of a stop"])
+def test_another_attempt_is_prepared_after_the_end(end):
+    with freezegun.freeze_time("2026-01-01") as clock:
+        begun_at = time.monotonic()
+        ends_at = begun_at + 4.0
+        deadline = AttemptDeadline(
+            request_deadline=ends_at if end == "of the request" else math.inf,
+            limit=begun_at + 3.0,
+            find_end=lambda: ends_at if end == "of a stop" else math.inf,
+            prepare_next=lambda has_answer: pytest.fail("nothing may follow"),
+        )
+        clock.tick(5.0)
+        assert not deadline.extend(lambda: False)
+
+
+REPLAY_SECONDS = 1.2
+REPLAY_LIMIT_SECONDS = 0.12
+"""Time of a read in the hunt, and of an attempt at a target that its broker doubts."""
+
+FREE_SHARE = 0.4
+HANG_SHARE = 0.1
+
+
+def replay_read(run_seconds, *, is_free, prepares):
+    """Return whether a read is answered whose retry takes as long as its attempt."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        begun_at = time.monotonic()
+        deadline = AttemptDeadline(
+            request_deadline=begun_at + REPLAY_SECONDS,
+            limit=begun_at + REPLAY_LIMIT_SECONDS,
+            prepare_next=lambda has_answer: is_free or not prepares,
+        )
+        if run_seconds[0] <= REPLAY_LIMIT_SECONDS:
+            return True
+        clock.tick(REPLAY_LIMIT_SECONDS)
+        if deadline.extend(lambda: False):
+            return begun_at + run_seconds[0] <= deadline.find()
+        return is_free and REPLAY_LIMIT_SECONDS + run_seconds[1] <= REPLAY_SECONDS
+
+
+def test_reads_at_a_service_without_room_are_lost_as_before():
+    # Reads of a few tenths of a second at doubted targets; slots for some retries.
+    draw = random.Random(7864)
+    answered = {True: 0, False: 0}
+    for _ in range(500):
+        run = draw.lognormvariate(math.log(0.15), 0.8)
+        first = math.inf if draw.random() < HANG_SHARE else run
+        is_free = draw.random() < FREE_SHARE
+        for prepares in answered:
+            is_answered = replay_read((first, run), is_free=is_free, prepares=prepares)
+            answered[prepares] += is_answered
+    assert answered[False] < 0.7 * 500
+    assert answered[True] > 0.9 * 500
--- a/citronspan/core/requests/retry_budget.py
+++ b/citronspan/core/requests/retry_budget.py
@@ -49,6 +49,10 @@
         self._available_retries -= 1
         return True
 
+    def refund(self) -> None:
+        """Take back a retry that was spent and will not be made."""
+        self._available_retries = min(BURST_RETRIES, self._available_retries + 1)
+
 
 class RetryBudgetProtocol(Protocol):
     """Interface of a retry budget."""
@@ -59,6 +63,9 @@
     def spend(self) -> bool:
         """Spend one retry; return whether one was available."""
 
+    def refund(self) -> None:
+        """Take back a retry that was spent and will not be made."""
+
 
 class BrokerRetryBudget:
     """Placeholder at the entry for the broker's budget, which decides every retry."""
@@ -70,6 +77,9 @@
         """Allow the entry to request a retry from the broker."""
         return True
 
+    def refund(self) -> None:
+        """Do nothing, because the broker takes back what it did not grant."""
+
 
 def is_retry_safe(outcome_class: OutcomeClass, *, idempotent: bool) -> bool:
     """Return whether a retry keeps the guarantees of the request.
--- a/citronspan/core/requests/retry_budget_test.py
+++ b/citronspan/core/requests/retry_budget_test.py
@@ -63,3 +63,13 @@
             needed_seconds=0,
         )
     assert budget.spend()
+
+
+def test_retry_that_is_not_made_is_paid_for_or_adds_to_the_burst():
+    budget = RetryBudget(ratio=0.0)
+    while budget.spend():
+        budget.refund()
+        assert budget.spend()
+    for _ in range(2 * BURST_RETRIES):
+        budget.refund()
+    assert sum(budget.spend() for _ in range(2 * BURST_RETRIES)) == BURST_RETRIES
--- a/citronspan/ops/slots/slot_service.py
+++ b/citronspan/ops/slots/slot_service.py
@@ -143,6 +143,8 @@
         if refused is not None:
             return refused
         for number, region in enumerate(order):
+            if refused is not None and query.is_too_late():
+                return refused
             has_other_region = number < len(order) - 1
             result = self._region_slots.acquire(
                 region,
--- a/citronspan/ops/targets/answer_stream.py
+++ b/citronspan/ops/targets/answer_stream.py
@@ -74,6 +74,8 @@
         while True:
             remaining_seconds = self._deadline.find() - time.monotonic()
             if remaining_seconds <= 0:
+                if self._deadline.extend(lambda: bool(poll.poll(0))):
+                    continue
                 raise TimeoutError("the deadline passed while the answer was read")
             wait_seconds = min(remaining_seconds, DEADLINE_CHECK_SECONDS)
             if poll.poll(wait_seconds * 1000):
--- a/citronspan/ops/targets/attempt_reporter.py
+++ b/citronspan/ops/targets/attempt_reporter.py
@@ -10,7 +10,7 @@
 from citronspan.core.rate_limits import RateLimit
 from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.slots.slot_source import Slot, SlotSource
+from citronspan.ops.slots.slot_source import Slot, SlotRefused, SlotSource
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.targets.dialect import Dialect
 from citronspan.ops.targets.target_connection import TargetAnswer
@@ -113,6 +113,26 @@
             return 0.0
         return self._slots.find_pause_seconds(request_context.service_name)
 
+    def report_kept(
+        self, request_context: RequestContext, target: str, refused: SlotRefused
+    ) -> None:
+        """Log that an attempt goes on past its limit, since no retry has a slot.
+
+        Args:
+            request_context: The request.
+            target: Name of the target that has not answered.
+            refused: Why there is no slot for a retry.
+        """
+        write_event(
+            _logger,
+            log_events.ATTEMPT_KEPT,
+            id=request_context.request.request_id,
+            service=request_context.service_name,
+            target=target,
+            code=refused.code.number,
+            left=round(request_context.deadline - time.monotonic(), 3),
+        )
+
     def _observe_seconds(self, request_context, started_at):
         seconds = time.monotonic() - started_at
         self._stop_plan.observe(request_context.work_kind, seconds)
--- /dev/null
+++ b/citronspan/ops/targets/attempt_slots.py
@@ -0,0 +1,127 @@
+"""Acquires the slots of one request's attempts, the next one's also in advance."""
+
+import time
+from collections.abc import Callable
+
+from opentelemetry import trace
+
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.ops.callers.open_requests import Stage
+from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
+from citronspan.ops.targets.attempt_context import RequestContext
+from citronspan.ops.targets.attempt_progress import AttemptProgress
+from citronspan.ops.targets.attempt_refusals import STOP_REFUSED
+from citronspan.ops.targets.attempt_reporter import AttemptReporter
+from citronspan.utils.traces import start_span
+
+
+class AttemptSlots:
+    """Acquires slots for attempts, and gives back those that are of no use."""
+
+    def __init__(
+        self,
+        *,
+        slots: SlotSource,
+        reporter: AttemptReporter,
+        tracer: trace.Tracer,
+        is_too_late: Callable[[RequestContext], bool],
+    ):
+        """Create an object without slots.
+
+        Args:
+            slots: Grants the slots of targets.
+            reporter: Releases the slots that are not used.
+            tracer: Makes the spans.
+            is_too_late: Returns whether the host stops before a request could end.
+        """
+        self._slots = slots
+        self._reporter = reporter
+        self._tracer = tracer
+        self._is_too_late = is_too_late
+
+    def acquire(
+        self, request_context: RequestContext, progress: AttemptProgress
+    ) -> Slot | SlotRefused:
+        """Return the slot of the next attempt, or a refusal."""
+        return progress.take_next_slot() or self._acquire(
+            request_context,
+            progress,
+            is_retry=progress.has_reached_target,
+            is_needless=lambda: self._is_too_late(request_context),
+        )
+
+    def acquire_next(
+        self,
+        request_context: RequestContext,
+        progress: AttemptProgress,
+        is_needless: Callable[[], bool],
+    ) -> bool:
+        """Acquire the slot of the next attempt while the present one goes on.
+
+        The present one holds its slot meanwhile, since its target is at work.
+
+        Args:
+            request_context: The request.
+            progress: Gets the slot.
+            is_needless: Returns whether no other attempt is to follow any more.
+
+        Returns:
+            Whether there is a slot.
+        """
+        result = self._acquire(
+            request_context,
+            progress,
+            is_retry=True,
+            is_needless=lambda: self._is_too_late(request_context) or is_needless(),
+        )
+        request_context.open_request.stage = Stage.AT_TARGET
+        if isinstance(result, Slot):
+            progress.next_slot = result
+            return True
+        if not is_needless():
+            self._reporter.report_kept(request_context, progress.tried[-1], result)
+        return False
+
+    def return_next(
+        self, request_context: RequestContext, progress: AttemptProgress
+    ) -> None:
+        """Give back the slot of an attempt that is not made, if there is one."""
+        slot = progress.take_next_slot()
+        if slot is not None:
+            self._return(request_context, slot)
+
+    def _acquire(
+        self, request_context, progress, *, is_retry, is_needless
+    ) -> Slot | SlotRefused:
+        request_context.open_request.stage = Stage.WAITING
+        query = SlotQuery(
+            service=request_context.service_name,
+            request_kind=request_context.spec.request_kind,
+            worth=request_context.spec.worth,
+            deadline=request_context.deadline,
+            idempotent=request_context.spec.idempotent,
+            excluded=progress.excluded,
+            fingerprint=request_context.fingerprint,
+            body_bytes=request_context.body.length or 0,
+            is_retry=is_retry,
+            goal_time=request_context.goal_time,
+            is_disconnected=request_context.request.connection.is_disconnected,
+            request_id=request_context.request.request_id,
+            is_too_late=is_needless,
+            account=request_context.account,
+            account_weight=request_context.account_weight,
+        )
+        if is_needless():
+            return STOP_REFUSED
+        with start_span(self._tracer, "broker-wait"):
+            slot = self._slots.acquire(query)
+        if not is_needless():
+            return slot
+        if isinstance(slot, Slot):
+            self._return(request_context, slot)
+        return STOP_REFUSED
+
+    def _return(self, request_context, slot):
+        self._reporter.release_failed(
+            request_context, slot, time.monotonic(), OutcomeClass.NOT_USED
+        )
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -20,16 +20,16 @@
 from citronspan.core.result_codes import Ran
 from citronspan.ops.callers.open_requests import Stage
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
+from citronspan.ops.slots.slot_source import Slot, SlotRefused, SlotSource
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_refusals import (
-    STOP_REFUSED,
     make_refusal,
     make_slot_refusal,
 )
 from citronspan.ops.targets.attempt_reporter import AttemptReporter
+from citronspan.ops.targets.attempt_slots import AttemptSlots
 from citronspan.ops.targets.dialect import Dialect, TargetAttempt
-from citronspan.ops.targets.fallback_answer import FallbackAnswer
 from citronspan.ops.targets.target_connection import (
     AttemptFailedError,
     TargetAnswer,
@@ -99,6 +99,12 @@
         self._reporter = AttemptReporter(
             slots=slots, metrics=metrics, dialect=dialect, stop_plan=self._stop_plan
         )
+        self._attempt_slots = AttemptSlots(
+            slots=slots,
+            reporter=self._reporter,
+            tracer=tracer,
+            is_too_late=self.is_too_late,
+        )
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
 
@@ -116,52 +122,62 @@
             Refusal: If no target returned an answer that can be forwarded.
             CitronspanError: With code 3012 if the caller's body ended early.
         """
-        tried: tuple[str, ...] = ()
-        withdrawn: tuple[str, ...] = ()
-        may_have_run = False
-        has_reached_target = False
-        fallback = FallbackAnswer()
-        budget = self._find_retry_budget(request_context)
+        progress = AttemptProgress(self._find_retry_budget(request_context))
         with self._lock:
-            budget.count_first_attempt()
+            progress.budget.count_first_attempt()
+        try:
+            attempt_response = self._run_attempts(request_context, progress)
+        finally:
+            self._attempt_slots.return_next(request_context, progress)
+        return self._accept_response(
+            request_context, attempt_response, progress.may_have_run
+        )
+
+    def _run_attempts(self, request_context, progress) -> AttemptResponse:
         while True:
-            excluded = (*tried, *withdrawn)
-            slot = self._acquire(request_context, excluded, has_reached_target)
+            slot = self._attempt_slots.acquire(request_context, progress)
             if isinstance(slot, SlotRefused):
-                attempt_response = fallback.take()
+                attempt_response = progress.fallback.take()
                 if attempt_response is not None:
-                    break
-                raise make_slot_refusal(request_context, slot, may_have_run)
-            tried = (*tried, slot.target)
+                    return attempt_response
+                raise make_slot_refusal(request_context, slot, progress.may_have_run)
+            progress.tried = (*progress.tried, slot.target)
             attempt_response = None
             try:
-                attempt_response = self._attempt(request_context, slot, tried, fallback)
+                attempt_response = self._attempt(request_context, slot, progress)
                 last_class = attempt_response.outcome_class
             except AttemptFailedError as error:
                 last_class = error.outcome_class
-                if error.is_withdrawn and len(withdrawn) < MAXIMUM_WITHDRAWN_SLOTS:
-                    tried, withdrawn = tried[:-1], (*withdrawn, slot.target)
+                if (
+                    error.is_withdrawn
+                    and len(progress.withdrawn) < MAXIMUM_WITHDRAWN_SLOTS
+                ):
+                    progress.tried = progress.tried[:-1]
+                    progress.withdrawn = (*progress.withdrawn, slot.target)
                     continue
                 if not error.is_withdrawn:
-                    fallback.drop()
-            may_have_run = (
-                may_have_run or RAN_BY_OUTCOME_CLASS[last_class] is not Ran.NOT_RUN
+                    progress.fallback.drop()
+            progress.may_have_run = (
+                progress.may_have_run
+                or RAN_BY_OUTCOME_CLASS[last_class] is not Ran.NOT_RUN
             )
-            has_reached_target = (
-                has_reached_target or last_class not in UNDELIVERED_CLASSES
+            progress.has_reached_target = (
+                progress.has_reached_target or last_class not in UNDELIVERED_CLASSES
             )
-            if not self._may_retry(request_context, budget, last_class, tried):
+            if progress.next_slot is None and not self._may_retry(
+                request_context, progress, last_class
+            ):
                 break
             if attempt_response is not None:
                 # Release first, so that the broker has the failed outcome when it
                 # chooses the next target.
                 self.release(request_context, attempt_response)
-                fallback.keep(attempt_response)
+                progress.fallback.keep(attempt_response)
             self._metrics.count_retry(request_context.service_name)
-        attempt_response = attempt_response or fallback.take()
+        attempt_response = attempt_response or progress.fallback.take()
         if attempt_response is None:
-            raise make_refusal(last_class, may_have_run)
-        return self._accept_response(request_context, attempt_response, may_have_run)
+            raise make_refusal(last_class, progress.may_have_run)
+        return attempt_response
 
     def _accept_response(self, request_context, attempt_response, may_have_run):
         """Return the response, or raise a refusal if it must not be forwarded."""
@@ -180,38 +196,19 @@
             self._reporter.find_pause_seconds(request_context, attempt_response),
         )
 
-    def _acquire(
-        self, request_context, excluded, has_reached_target
-    ) -> Slot | SlotRefused:
-        request_context.open_request.stage = Stage.WAITING
-        query = SlotQuery(
-            service=request_context.service_name,
-            request_kind=request_context.spec.request_kind,
-            worth=request_context.spec.worth,
-            deadline=request_context.deadline,
-            idempotent=request_context.spec.idempotent,
-            excluded=excluded,
-            fingerprint=request_context.fingerprint,
-            body_bytes=request_context.body.length or 0,
-            is_retry=has_reached_target,
-            goal_time=request_context.goal_time,
-            is_disconnected=request_context.request.connection.is_disconnected,
-            request_id=request_context.request.request_id,
-            is_too_late=lambda: self.is_too_late(request_context),
-            account=request_context.account,
-            account_weight=request_context.account_weight,
+    def _prepare_next(self, request_context, progress, has_answer) -> bool:
+        """Get a retry all that it needs; see ``AttemptDeadline``."""
+        if not self._may_retry(request_context, progress, OutcomeClass.TIMED_OUT):
+            return False
+        has_slot = self._attempt_slots.acquire_next(
+            request_context,
+            progress,
+            lambda: has_answer() or self._is_last_attempt(request_context, progress),
         )
-        if self.is_too_late(request_context):
-            return STOP_REFUSED
-        with start_span(self._tracer, "broker-wait"):
-            slot = self._slots.acquire(query)
-        if not self.is_too_late(request_context):
-            return slot
-        if isinstance(slot, Slot):
-            self._reporter.release_failed(
-                request_context, slot, time.monotonic(), OutcomeClass.NOT_USED
-            )
-        return STOP_REFUSED
+        if not has_slot:
+            with self._lock:
+                progress.budget.refund()
+        return has_slot
 
     def is_too_late(self, request_context: RequestContext) -> bool:
         """Return whether the host stops before the request could end."""
@@ -219,7 +216,7 @@
             request_context.work_kind, request_context.deadline
         )
 
-    def _is_last_attempt(self, request_context, tried) -> bool:
+    def _is_last_attempt(self, request_context, progress) -> bool:
         """Return whether no retry can follow the attempt, whatever its outcome.
 
         This may become true while the attempt runs.
@@ -227,24 +224,23 @@
         if self._is_stopping() or not request_context.spec.idempotent:
             return True
         return (
-            len(tried) >= request_context.spec.maximum_attempts
+            len(progress.tried) >= request_context.spec.maximum_attempts
             or not request_context.body.is_repeatable
-            or not self._has_other_target(request_context.service_name, tried)
+            or not self._has_other_target(request_context.service_name, progress.tried)
         )
 
     def _attempt(
         self,
         request_context: RequestContext,
         slot: Slot,
-        tried: tuple[str, ...],
-        fallback: FallbackAnswer,
+        progress: AttemptProgress,
     ) -> AttemptResponse:
         started_at = time.monotonic()
         request_context.open_request.stage = Stage.AT_TARGET
         try:
             with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
-                answer = self._send(request_context, slot, started_at, tried, fallback)
+                answer = self._send(request_context, slot, started_at, progress)
                 first_byte_at = time.monotonic()
                 body_start, is_whole = _read_ahead(answer)
                 outcome_class = self._dialect.classify(
@@ -256,7 +252,7 @@
             )
             raise
         except BaseException:
-            fallback.drop()
+            progress.fallback.drop()
             self._reporter.release_failed(
                 request_context, slot, started_at, OutcomeClass.CANCELLED
             )
@@ -271,7 +267,7 @@
             first_byte_at=first_byte_at,
         )
 
-    def _send(self, request_context, slot, started_at, tried, fallback):
+    def _send(self, request_context, slot, started_at, progress):
         remaining_seconds = request_context.deadline - started_at
         headers = dict(request_context.request.headers)
         # The target may use all of the time: an attempt that is given up before is
@@ -290,9 +286,9 @@
             reuse_seconds=math.inf
             if request_context.spec.idempotent
             else self._reuse_seconds,
-            deadline=self._make_deadline(request_context, slot, started_at, tried),
+            deadline=self._make_deadline(request_context, slot, started_at, progress),
             request_id=request_context.request.request_id,
-            may_send=lambda: self._may_send(request_context, slot, fallback),
+            may_send=lambda: self._may_send(request_context, slot, progress),
         )
         answer = self._connections.send(
             slot.address, request, request_context.request.connection
@@ -306,22 +302,25 @@
             )
         return answer
 
-    def _may_send(self, request_context, slot, fallback) -> bool:
+    def _may_send(self, request_context, slot, progress) -> bool:
         """Return whether to send an attempt, whose answer replaces an earlier one."""
         if not self._slots.may_use(slot, request_context.request.request_id):
             return False
-        fallback.drop()
+        progress.fallback.drop()
         return True
 
-    def _make_deadline(self, request_context, slot, started_at, tried):
+    def _make_deadline(self, request_context, slot, started_at, progress):
         attempt_seconds = slot.attempt_seconds or (
             (request_context.deadline - started_at) * ATTEMPT_DEADLINE_SHARE
         )
         return AttemptDeadline(
             request_deadline=request_context.deadline,
             limit=started_at + attempt_seconds,
-            may_be_retried=lambda: not self._is_last_attempt(request_context, tried),
+            may_be_retried=lambda: not self._is_last_attempt(request_context, progress),
             find_end=self._stop_plan.find_end,
+            prepare_next=lambda has_answer: self._prepare_next(
+                request_context, progress, has_answer
+            ),
         )
 
     def _find_retry_budget(self, request_context):
@@ -334,15 +333,15 @@
                 self._budget_by_service[request_context.service_name] = budget
         return budget
 
-    def _may_retry(self, request_context, budget, outcome_class, tried) -> bool:
+    def _may_retry(self, request_context, progress, outcome_class) -> bool:
         if (
-            len(tried) >= request_context.spec.maximum_attempts
+            len(progress.tried) >= request_context.spec.maximum_attempts
             or not request_context.body.is_repeatable
         ):
             return False
         with self._lock:
             decision = decide_retry(
-                budget,
+                progress.budget,
                 outcome_class,
                 idempotent=request_context.spec.idempotent,
                 remaining_seconds=request_context.deadline - time.monotonic(),
--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -357,6 +357,8 @@
         while True:
             remaining_seconds = deadline.find() - time.monotonic()
             if remaining_seconds <= 0:
+                if deadline.extend(lambda: bool(poll.poll(0))):
+                    continue
                 raise AttemptFailedError(
                     outcome_class=OutcomeClass.TIMED_OUT,
                     detail="the target did not answer before the deadline",
@@ -485,6 +487,8 @@
     while view:
         remaining_seconds = deadline.find() - time.monotonic()
         if remaining_seconds <= 0:
+            if deadline.extend(lambda: _is_readable(sock)):
+                continue
             raise TimeoutError("the target did not read the body before the deadline")
         wait_seconds = min(remaining_seconds, CALLER_POLL_INTERVAL_SECONDS)
         events = dict(poll.poll(wait_seconds * 1000)).get(sock.fileno(), 0)
@@ -493,3 +497,9 @@
         if events:
             view = view[sock.send(view[:SEND_BYTES]) :]
     return True
+
+
+def _is_readable(sock) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
