Ask for account keys, and tell targets the account

Change: accounts with digests of their keys, ranks, rates and bursts are read and are in force as routes are. A route that is not public needs a key, before a body is awaited and again before a request is sent; the key is left out of what targets get, and the account's name is set. The rank of an account goes before the worth of a route. Limits over the whole fleet have a hook and admit all.

--- a/citronspan/core/requests/entry_configuration.py
+++ b/citronspan/core/requests/entry_configuration.py
@@ -3,6 +3,7 @@
 import dataclasses
 from dataclasses import dataclass, field
 
+from citronspan.core.accounts.account_table import AccountTable, build_account_table
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.node_messages import ConfigurationPush
 from citronspan.core.requests.route_table import Route, RouteTable, build_route_table
@@ -24,12 +25,14 @@
         resource_by_id: Resources by kind and name.
         routes: Index of the routes.
         targets_by_service: Targets of each service, sorted by name.
+        accounts: Index of the client accounts by their keys.
     """
 
     offset: int = 0
     resource_by_id: dict[tuple[str, str], Resource] = field(default_factory=dict)
     routes: RouteTable = field(default_factory=lambda: build_route_table([]))
     targets_by_service: dict[str, tuple[TargetInfo, ...]] = field(default_factory=dict)
+    accounts: AccountTable = field(default_factory=AccountTable)
 
     def get_spec(self, kind: Kind, name: str):
         """Return the specification of a resource, or None."""
@@ -75,10 +78,13 @@
 
 def _index_resources(offset, resource_by_id):
     routes = []
+    accounts = []
     targets_by_service: dict[str, list[TargetInfo]] = {}
     for (kind, name), resource in sorted(resource_by_id.items()):
         if kind == Kind.ROUTE:
             routes.append(Route(name=name, spec=resource.spec))
+        if kind == Kind.ACCOUNT:
+            accounts.append((name, resource.spec))
         if kind == Kind.TARGET:
             target = make_target_info(name, resource.spec)
             targets_by_service.setdefault(resource.spec.service, []).append(target)
@@ -86,6 +92,7 @@
         offset=offset,
         resource_by_id=resource_by_id,
         routes=build_route_table(routes),
+        accounts=build_account_table(accounts),
         targets_by_service={
             service: tuple(targets) for service, targets in targets_by_service.items()
         },
--- a/citronspan/core/resources.py
+++ b/citronspan/core/resources.py
@@ -16,6 +16,7 @@
 from citronspan.utils.validation import DECODING_ERRORS, describe_error
 
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+TITLE_PATTERN = re.compile(r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?")
 KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 
@@ -174,8 +175,9 @@
             overcommitted share of the rate.
         rank: Rank of its requests, 0 for the highest; it precedes the worth of routes.
         key_digests: SHA-256 digests of its keys in lower-case hexadecimal.
+        title: Name that targets are told, if it is not the name of the resource.
 
-    The last three are left out of the encoding where they are not set, since earlier
+    The last four are left out of the encoding where they are not set, since earlier
     versions refuse unknown fields.
     """
 
@@ -184,6 +186,7 @@
     burst_requests: float | msgspec.UnsetType = msgspec.UNSET
     rank: int | msgspec.UnsetType = msgspec.UNSET
     key_digests: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    title: str | msgspec.UnsetType = msgspec.UNSET
 
 
 SPEC_TYPE_BY_KIND = {
@@ -298,6 +301,8 @@
     for digest in spec.key_digests or ():
         if not KEY_DIGEST_PATTERN.fullmatch(digest):
             raise _make_invalid_error("$.spec.keyDigests: not a SHA-256 digest")
+    if spec.title and not TITLE_PATTERN.fullmatch(spec.title):
+        raise _make_invalid_error("$.spec.title: no header can have this value")
 
 
 def decode_resource(data: bytes) -> Resource:
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -194,6 +194,13 @@
     _NOT,
     "The entry stops before the request could end; another entry may run it.",
 )
+ACCOUNT_KEY_UNKNOWN = _define(
+    3016,
+    "account-key-unknown",
+    401,
+    _NOT,
+    "The route needs the key of a client account, and the request has none in force.",
+)
 LINK_BUDGET_SPENT = _define(
     3060,
     "link-budget-spent",
--- a/citronspan/ops/callers/caller_request.py
+++ b/citronspan/ops/callers/caller_request.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from citronspan.core import result_codes
+from citronspan.core.accounts.account_table import read_key_digest
 from citronspan.core.errors import CitronspanError
 from citronspan.ops.targets.dialect import Dialect
 
@@ -55,6 +56,7 @@
         timeout_seconds: The caller's timeout, infinity if it sent none.
         trace_headers: Headers of the caller's trace context.
         connection: The server's connection, which can be reset.
+        account_key_digest: Digest of the account key in ``Authorization``, or empty.
     """
 
     method: str
@@ -70,6 +72,7 @@
     timeout_seconds: float
     trace_headers: dict[str, str]
     connection: Any
+    account_key_digest: str = ""
 
 
 def _make_invalid_error(detail):
@@ -149,6 +152,7 @@
         request_id=environ.get(find_environ_key(dialect.id_header), ""),
         trace_headers=_collect_trace_headers(environ),
         connection=environ.get("citronspan.connection"),
+        account_key_digest=read_key_digest(environ.get("HTTP_AUTHORIZATION", "")),
     )
 
 
--- a/citronspan/ops/callers/open_requests.py
+++ b/citronspan/ops/callers/open_requests.py
@@ -42,12 +42,14 @@
         request_id: Identity of the request in logs, or empty.
         received_at: Time of ``time.monotonic()`` at which its head had been read.
         stage: How far it has come.
+        charged_account: Account whose charge is returned if it does not run, or empty.
     """
 
     def __init__(self, *, request_id: str = "", received_at: float = 0.0):
         self.request_id = request_id
         self.received_at = received_at
         self.stage = Stage.READING
+        self.charged_account = ""
 
 
 class OpenRequests:
--- a/citronspan/ops/callers/refusals.py
+++ b/citronspan/ops/callers/refusals.py
@@ -71,6 +71,9 @@
     ]
     if retry_after:
         headers.append(("Retry-After", retry_after))
+    if code.http_status == http.client.UNAUTHORIZED:
+        # RFC 9110, section 11.6.1.
+        headers.append(("WWW-Authenticate", "Bearer"))
     if key_prefix:
         headers.append((KEY_PREFIX_HEADER, key_prefix))
     start_response(format_status(code.http_status), headers)
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -12,12 +12,13 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.keys.key_protocol_results import Replay
 from citronspan.core.keys.key_token import is_fleet_key
-from citronspan.core.requests.account_limits import AccountLimits
 from citronspan.core.requests.entry_configuration import EntryConfiguration
 from citronspan.core.requests.route_table import choose_service, find_route
 from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.resources import Kind, RouteSpec
 from citronspan.core.result_codes import Ran
+from citronspan.ops.callers.account_access import AccountAccess
+from citronspan.ops.callers.account_admission import AccountAdmission
 from citronspan.ops.callers.caller_request import (
     CallerBody,
     CallerRequest,
@@ -84,12 +85,18 @@
         dialect: Dialect,
         reuse_seconds: float,
         maximum_requests: int,
+        limits: AccountAdmission,
     ):
         self._dialect = dialect
         self._name = name
         self._maximum_requests = maximum_requests
         self._find_configuration = find_configuration
-        self._count_entries = count_entries
+        self._accounts = AccountAccess(
+            find_configuration=find_configuration,
+            count_entries=count_entries,
+            limits=limits,
+            account_header=dialect.account_header,
+        )
         self._keys = keys
         self._attempts = AttemptRunner(
             slots=slots,
@@ -101,6 +108,7 @@
             is_stopping=is_stopping,
             has_other_target=self._has_other_target,
             stop_plan=stop_plan,
+            has_valid_key=self._accounts.has_valid_key,
         )
         self._slots = slots
         self._metrics = metrics
@@ -108,7 +116,6 @@
         self._is_stopping = is_stopping
         self._open_requests = open_requests
         self._mint_prefix = mint_prefix
-        self._accounts = AccountLimits()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request (the WSGI entry point)."""
@@ -132,6 +139,8 @@
             body = self._refuse(start_response, environ, refusal, received_at)
             result = _judge_refusal(refusal)
         finally:
+            if result is StopResult.REFUSED:
+                self._accounts.give_back(open_request.charged_account)
             if not isinstance(body, StreamedAnswer):
                 self._metrics.end_request()
                 self._open_requests.end(open_request, result)
@@ -222,6 +231,7 @@
             raise Refusal(
                 code=result_codes.NO_ROUTE, detail=f"{request.host} {request.path}"
             )
+        account = self._accounts.identify(configuration, route, request)
         if route.spec.require_key and not request.key:
             raise Refusal(
                 code=result_codes.KEY_REQUIRED, detail=f"route {route.name!r}"
@@ -233,8 +243,11 @@
                 code=result_codes.NO_ROUTE,
                 detail=f"route {route.name!r} names a service that does not exist",
             )
-        self._check_account(configuration, request)
         deadline_seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
+        open_request.charged_account = self._accounts.charge(
+            configuration, request, account, received_at + deadline_seconds
+        )
+        request = self._accounts.screen(configuration, request)
         goal_seconds = route.spec.goal_seconds
         request.connection.set_read_deadline(received_at + deadline_seconds)
         body = _receive_body(request)
@@ -248,6 +261,11 @@
             goal_time=received_at + goal_seconds if goal_seconds else 0.0,
             fingerprint=_compute_fingerprint(request, body),
             open_request=open_request,
+            account="" if account is None else account.name,
+            account_weight=0.0 if account is None else account.weight,
+            account_title="" if account is None else account.title,
+            account_rank=None if account is None else account.rank,
+            is_screened=configuration.accounts.needs_keys,
         )
 
     def _has_other_target(self, service, names):
@@ -259,22 +277,6 @@
                 return True
         return False
 
-    def _check_account(self, configuration, request):
-        if not request.account:
-            return
-        spec = configuration.get_spec(Kind.ACCOUNT, request.account)
-        if spec is None:
-            return
-        retry_after_seconds = self._accounts.admit(
-            request.account, spec, self._count_entries()
-        )
-        if retry_after_seconds > 0:
-            raise Refusal(
-                code=result_codes.ACCOUNT_LIMITED,
-                detail=f"account {request.account!r}",
-                retry_after_seconds=retry_after_seconds,
-            )
-
     def _forward_answer(
         self,
         request_context,
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -20,6 +20,7 @@
 )
 from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
 from citronspan.core.settings import EntrySettings
+from citronspan.ops.callers.account_admission import UnlimitedAdmission
 from citronspan.ops.callers.http_server import make_metrics_server, make_server
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.open_requests import OpenRequests
@@ -214,6 +215,7 @@
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
             maximum_requests=self.settings.worker_threads,
+            limits=UnlimitedAdmission(),
         )
 
     def _make_relay_server(self):
--- a/citronspan/ops/slots/slot_source.py
+++ b/citronspan/ops/slots/slot_source.py
@@ -81,11 +81,12 @@
 
     Attributes:
         code: Result code that gives the reason.
-        retry_after_seconds: Time after which the caller may retry.
+        retry_after_seconds: Time after which the caller may retry, None if a retry
+            would not help.
     """
 
     code: ResultCode
-    retry_after_seconds: float
+    retry_after_seconds: float | None
 
 
 class SlotSource(Protocol):
--- a/citronspan/ops/targets/attempt_context.py
+++ b/citronspan/ops/targets/attempt_context.py
@@ -1,7 +1,9 @@
 """What the request path knows of a request and of the response to an attempt."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from citronspan.core.accounts.ranks import compute_worth
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.route_table import Route
 from citronspan.core.requests.stop_plan import WorkKind
@@ -12,7 +14,7 @@
     CallerRequest,
 )
 from citronspan.ops.callers.open_requests import OpenRequest
-from citronspan.ops.slots.slot_source import Slot
+from citronspan.ops.slots.slot_source import Slot, SlotQuery
 from citronspan.ops.targets.target_connection import TargetAnswer
 
 
@@ -34,6 +36,10 @@
         open_request: Entry of the request in the register of open requests.
         account: Name of the client account, or empty.
         account_weight: Weight of the account among others, 0 if it has none.
+        account_title: Name of the account that targets are told, or empty.
+        account_rank: Rank of the account, None if it has none.
+        is_screened: Whether accounts with keys were in force when the request came, so
+            that its headers have no key.
     """
 
     request: CallerRequest
@@ -47,6 +53,14 @@
     open_request: OpenRequest = field(default_factory=OpenRequest)
     account: str = ""
     account_weight: float = 0.0
+    account_title: str = ""
+    account_rank: int | None = None
+    is_screened: bool = False
+
+    @property
+    def worth(self) -> float:
+        """Worth of the request by its account's rank and its route."""
+        return compute_worth(self.spec.worth, self.account_rank)
 
     @property
     def work_kind(self) -> WorkKind:
@@ -88,3 +102,37 @@
     started_at: float
     first_byte_at: float
     is_released: bool = False
+
+
+def make_slot_query(
+    request_context: RequestContext,
+    *,
+    excluded: tuple[str, ...],
+    is_retry: bool,
+    is_too_late: Callable[[], bool],
+) -> SlotQuery:
+    """Return the query for a slot.
+
+    Args:
+        request_context: The request.
+        excluded: Targets that it must not be sent to.
+        is_retry: Whether it has reached a target before.
+        is_too_late: Returns whether a slot would be of no use any more.
+    """
+    return SlotQuery(
+        service=request_context.service_name,
+        request_kind=request_context.spec.request_kind,
+        worth=request_context.worth,
+        deadline=request_context.deadline,
+        idempotent=request_context.spec.idempotent,
+        excluded=excluded,
+        fingerprint=request_context.fingerprint,
+        body_bytes=request_context.body.length or 0,
+        is_retry=is_retry,
+        goal_time=request_context.goal_time,
+        is_disconnected=request_context.request.connection.is_disconnected,
+        request_id=request_context.request.request_id,
+        is_too_late=is_too_late,
+        account=request_context.account,
+        account_weight=request_context.account_weight,
+    )
--- a/citronspan/ops/targets/attempt_refusals.py
+++ b/citronspan/ops/targets/attempt_refusals.py
@@ -15,6 +15,11 @@
 )
 """Stands for a slot that is not asked for, or not used, since the host stops."""
 
+KEY_REFUSED = SlotRefused(
+    code=result_codes.ACCOUNT_KEY_UNKNOWN, retry_after_seconds=None
+)
+"""Stands for a slot that is not used, since the key was removed in the meantime."""
+
 
 def make_slot_refusal(
     request_context: RequestContext, refused: SlotRefused, may_have_run: bool
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -20,9 +20,14 @@
 from citronspan.core.result_codes import Ran
 from citronspan.ops.callers.open_requests import Stage
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
-from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.slots.slot_source import Slot, SlotRefused, SlotSource
+from citronspan.ops.targets.attempt_context import (
+    AttemptResponse,
+    RequestContext,
+    make_slot_query,
+)
 from citronspan.ops.targets.attempt_refusals import (
+    KEY_REFUSED,
     STOP_REFUSED,
     make_refusal,
     make_slot_refusal,
@@ -71,6 +76,7 @@
         is_stopping: Callable[[], bool],
         has_other_target: Callable[[str, tuple[str, ...]], bool],
         stop_plan: StopPlan | None = None,
+        has_valid_key: Callable[[RequestContext], bool] = lambda _: True,
     ):
         """Create a runner.
 
@@ -86,8 +92,11 @@
             has_other_target: Returns whether a service has a target that stays, other
                 than the given ones.
             stop_plan: Knows when a stop ends, None for a host that never stops.
+            has_valid_key: Returns whether a request has the account key that its route
+                needs by the configuration in force.
         """
         self._dialect = dialect
+        self._has_valid_key = has_valid_key
         self._is_stopping = is_stopping
         self._has_other_target = has_other_target
         self._reuse_seconds = reuse_seconds
@@ -184,34 +193,31 @@
         self, request_context, excluded, has_reached_target
     ) -> Slot | SlotRefused:
         request_context.open_request.stage = Stage.WAITING
-        query = SlotQuery(
-            service=request_context.service_name,
-            request_kind=request_context.spec.request_kind,
-            worth=request_context.spec.worth,
-            deadline=request_context.deadline,
-            idempotent=request_context.spec.idempotent,
+        query = make_slot_query(
+            request_context,
             excluded=excluded,
-            fingerprint=request_context.fingerprint,
-            body_bytes=request_context.body.length or 0,
             is_retry=has_reached_target,
-            goal_time=request_context.goal_time,
-            is_disconnected=request_context.request.connection.is_disconnected,
-            request_id=request_context.request.request_id,
             is_too_late=lambda: self.is_too_late(request_context),
-            account=request_context.account,
-            account_weight=request_context.account_weight,
         )
-        if self.is_too_late(request_context):
-            return STOP_REFUSED
+        refused = self._find_obstacle(request_context)
+        if refused is not None:
+            return refused
         with start_span(self._tracer, "broker-wait"):
             slot = self._slots.acquire(query)
-        if not self.is_too_late(request_context):
+        refused = self._find_obstacle(request_context)
+        if refused is None:
             return slot
         if isinstance(slot, Slot):
             self._reporter.release_failed(
                 request_context, slot, time.monotonic(), OutcomeClass.NOT_USED
             )
-        return STOP_REFUSED
+        return refused
+
+    def _find_obstacle(self, request_context) -> SlotRefused | None:
+        """Return why the request may not be sent any more, or None."""
+        if self.is_too_late(request_context):
+            return STOP_REFUSED
+        return None if self._has_valid_key(request_context) else KEY_REFUSED
 
     def is_too_late(self, request_context: RequestContext) -> bool:
         """Return whether the host stops before the request could end."""
@@ -276,7 +282,11 @@
         headers = dict(request_context.request.headers)
         # The target may use all of the time: an attempt that is given up before is
         # cancelled by the end of its connection.
-        target_attempt = TargetAttempt(target=slot.target, seconds=remaining_seconds)
+        target_attempt = TargetAttempt(
+            target=slot.target,
+            seconds=remaining_seconds,
+            account=request_context.account_title,
+        )
         headers.update(self._dialect.make_target_headers(target_attempt))
         if request_context.request.key:
             headers["idempotency-key"] = request_context.request.key
@@ -307,7 +317,12 @@
         return answer
 
     def _may_send(self, request_context, slot, fallback) -> bool:
-        """Return whether to send an attempt, whose answer replaces an earlier one."""
+        """Return whether to send an attempt, whose answer replaces an earlier one.
+
+        If the key was removed, the next look for a slot refuses the request.
+        """
+        if not self._has_valid_key(request_context):
+            return False
         if not self._slots.may_use(slot, request_context.request.request_id):
             return False
         fallback.drop()
--- a/citronspan/ops/targets/dialect.py
+++ b/citronspan/ops/targets/dialect.py
@@ -25,6 +25,7 @@
 RATE_LIMIT_HEADER = "Target-Rate-Limit"
 LEAVING_HEADER = "Target-Leaving"
 PAUSE_HEADER = "Target-Pause-Seconds"
+ACCOUNT_HEADER = "Client-Account"
 
 MAXIMUM_PAUSE_SECONDS = 3600.0
 """Longest pause that a target can ask for; a longer one is cut to it."""
@@ -48,10 +49,12 @@
     Attributes:
         target: Name of the target.
         seconds: Seconds until the attempt is given up.
+        account: Name of the client account whose key the request has, or empty.
     """
 
     target: str
     seconds: float
+    account: str = ""
 
 
 class Dialect(Protocol):
@@ -60,12 +63,14 @@
     Attributes:
         timeout_header: Header with the caller's timeout.
         id_header: Header with the request id, empty if there is none.
+        account_header: Header that tells targets the client account.
         accepts_unframed_answers: Whether the end of the connection may mark the end of
             an answer.
     """
 
     timeout_header: str
     id_header: str
+    account_header: str
     accepts_unframed_answers: bool
 
     def read_timeout_seconds(self, text: str | None) -> float:
@@ -111,6 +116,7 @@
 
     timeout_header = TIMEOUT_HEADER
     id_header = ""
+    account_header = ACCOUNT_HEADER
     accepts_unframed_answers = False
 
     def read_timeout_seconds(self, text: str | None) -> float:
@@ -120,8 +126,11 @@
         return parse_positive(text, TIMEOUT_HEADER)
 
     def make_target_headers(self, target_attempt: TargetAttempt) -> dict[str, str]:
-        """Return ``Deadline-Seconds``."""
-        return {"deadline-seconds": f"{max(target_attempt.seconds, 0):.3f}"}
+        """Return ``Deadline-Seconds`` and ``Client-Account``."""
+        headers = {"deadline-seconds": f"{max(target_attempt.seconds, 0):.3f}"}
+        if target_attempt.account:
+            headers[ACCOUNT_HEADER.lower()] = encode_text(target_attempt.account)
+        return headers
 
     def classify(self, status: int, find_header: FindHeader) -> OutcomeClass:
         """Classify an answer; ``Target-Not-Run`` counts only with status 503."""
@@ -156,6 +165,11 @@
         return str(max(1, math.ceil(seconds)))
 
 
+def encode_text(text: str) -> str:
+    """Return text as the value of a header, which is sent as UTF-8."""
+    return text.encode(errors="surrogatepass").decode("latin-1")
+
+
 def parse_positive(text: str, header: str) -> float:
     """Parse the value of a header as a positive finite number.
 
--- a/citronspan/platform/headers.py
+++ b/citronspan/platform/headers.py
@@ -7,6 +7,7 @@
 from citronspan.ops.targets.dialect import (
     FindHeader,
     TargetAttempt,
+    encode_text,
     make_notice,
     parse_count,
     parse_positive,
@@ -22,6 +23,7 @@
 _RATE_LIMIT = "Server-Limit"
 _LEAVING = "Server-Leaving"
 _PAUSE = "Retry-After"
+_ACCOUNT = "X-Citronspan-Tenant-Id"
 
 
 class PlatformDialect:
@@ -29,6 +31,7 @@
 
     timeout_header = _DEADLINE
     id_header = "X-Citronspan-Request-Id"
+    account_header = _ACCOUNT
     accepts_unframed_answers = True
 
     def read_timeout_seconds(self, text: str | None) -> float:
@@ -38,11 +41,14 @@
         return parse_positive(text, _DEADLINE) / 1000
 
     def make_target_headers(self, target_attempt: TargetAttempt) -> dict[str, str]:
-        """Return the remaining milliseconds and the name of the intended target."""
-        return {
+        """Return the remaining milliseconds, the intended target and the account."""
+        headers = {
             _DEADLINE.lower(): str(max(int(target_attempt.seconds * 1000), 1)),
             _EXPECTED_INSTANCE: target_attempt.target,
         }
+        if target_attempt.account:
+            headers[_ACCOUNT.lower()] = encode_text(target_attempt.account)
+        return headers
 
     def classify(self, status: int, find_header: FindHeader) -> OutcomeClass:
         """Classify an answer by its status and the target's headers.
--- a/citronspan/platform/names_test.py
+++ b/citronspan/platform/names_test.py
@@ -6,7 +6,8 @@
 ROOT = Path(__file__).parents[2]
 PLATFORM_NAMES = re.compile(
     r"X-Citronspan-|trafficSplit|traffic_split|log-(append|read|newest|join|commit)"
-    r"|keyed\.(op|servers|status)|warmUp|maximumConnections|op/config",
+    r"|keyed\.(op|servers|status)|warmUp|maximumConnections|op/config"
+    r"|tenant|apiKeys|burstSize",
     re.IGNORECASE,
 )
 
@@ -44,7 +45,8 @@
         "configuration": set(),
         "membership": set(),
         "keys": set(),
-        "requests": {"detection"},
+        "accounts": set(),
+        "requests": {"detection", "accounts"},
     }
     found = []
     core = ROOT / "citronspan" / "core"
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -1,6 +1,16 @@
 """Decodes the records that operators and targets write to the platform's store.
 
 The field names are those of ``deploy/wire.toml`` where it renames a field.
+
+What a configuration may contain that this version does not know:
+
+- Unknown fields are skipped, as are unknown ``protocol`` values of services and others
+  that nothing here depends on.
+- A route of an unknown kind is served, and its requests run once at most. That is right
+  for each kind, while without the route its callers would be refused as unknown.
+- A field of a wrong type or out of its range, a missing one that is needed, two
+  accounts of one name, or a key of two accounts make the configuration invalid as a
+  whole; the previous one stays in force.
 """
 
 import enum
@@ -12,11 +22,13 @@
 import xxhash
 
 from citronspan.core import result_codes
+from citronspan.core.accounts.account_table import compute_key_digest
 from citronspan.core.configuration.record_versions import VERSIONS_PER_START
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
 from citronspan.core.resources import (
     NAME_PATTERN,
+    AccountSpec,
     Detection,
     Kind,
     Resource,
@@ -44,10 +56,11 @@
 _StartTime = Annotated[int, msgspec.Meta(ge=0, lt=(1 << 63) // SEQUENCES_PER_START)]
 
 
-class _RouteKind(enum.StrEnum):
-    IDEMPOTENT = "idempotent"
-    NON_IDEMPOTENT = "non_idempotent"
-    UPLOAD = "upload"
+_IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
+"""Kinds of routes whose requests may run more than once; all others may not."""
+
+MAXIMUM_RANK = 1_000_000
+"""Ranks after it count as this one."""
 
 
 class _WireStruct(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
@@ -63,7 +76,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: _RouteKind
+    kind: str
     timeout_seconds: float
     latency_goal_seconds: float = 0.0
     # A rank: routes of rank 0 are served first.
@@ -71,6 +84,16 @@
     service: str = ""
     traffic_split: tuple[_Share, ...] = ()
     maximum_attempts: int = 1
+    public: bool = False
+
+
+class _Account(_WireStruct):
+    name: str
+    keys: tuple[str, ...] = ()
+    # A rank, as that of routes.
+    priority: int = 0
+    requests_per_second: float | None = None
+    burst_requests: float | None = None
 
 
 class _Service(_WireStruct):
@@ -81,6 +104,7 @@
     version: _Number
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
+    accounts: tuple[_Account, ...] = ()
 
 
 class _TargetState(enum.StrEnum):
@@ -128,7 +152,7 @@
         rules: Rules for every service; the platform has one set for all of them.
 
     Returns:
-        The services and routes of the configuration.
+        The services, routes and client accounts of the configuration.
 
     Raises:
         CitronspanError: If the value cannot be decoded or a field is out of range.
@@ -143,14 +167,57 @@
         for service in configuration.services
     ]
     for route in configuration.routes:
-        spec = _make_route(route)
+        spec = _make_route(route, has_accounts=bool(configuration.accounts))
         name = make_resource_name(route.name)
         resources.append(Resource(kind=Kind.ROUTE, name=name, spec=spec))
+    resources += _read_accounts(configuration.accounts)
     for resource in resources:
         check_spec(resource.spec)
     return resources
 
 
+def _read_accounts(accounts) -> list[Resource]:
+    """Return the accounts; errors name a field and never its key."""
+    position_by_name: dict[str, int] = {}
+    position_by_digest: dict[str, int] = {}
+    resources = []
+    for position, account in enumerate(accounts):
+        earlier = position_by_name.setdefault(account.name, position)
+        if earlier != position:
+            raise _make_account_error(position, "name", f"that of accounts[{earlier}]")
+        if not account.name:
+            raise _make_account_error(position, "name", "is empty")
+        spec = _make_account(account)
+        for digest in spec.key_digests:
+            earlier = position_by_digest.setdefault(digest, position)
+            if earlier != position:
+                problem = f"one is a key of accounts[{earlier}], too"
+                raise _make_account_error(position, "keys", problem)
+        name = make_resource_name(account.name)
+        resources.append(Resource(kind=Kind.ACCOUNT, name=name, spec=spec))
+    return resources
+
+
+def _make_account_error(position, field, problem):
+    return CitronspanError(
+        code=result_codes.RESOURCE_INVALID,
+        detail=f"$.accounts[{position}].{field}: {problem}",
+    )
+
+
+def _make_account(account: _Account) -> AccountSpec:
+    # No caller can send an empty key.
+    keys = {key.encode(errors="surrogatepass") for key in account.keys if key}
+    is_renamed = make_resource_name(account.name) != account.name
+    return AccountSpec(
+        requests_per_second=account.requests_per_second or 0.0,
+        burst_requests=account.burst_requests or 0.0,
+        rank=min(max(account.priority, 0), MAXIMUM_RANK),
+        key_digests=tuple(sorted(compute_key_digest(key) for key in keys)),
+        title=account.name if is_renamed else msgspec.UNSET,
+    )
+
+
 def make_resource_name(name: str) -> str:
     """Return the name that a route or service of the platform has among the hosts.
 
@@ -246,7 +313,7 @@
     )
 
 
-def _make_route(route: _Route) -> RouteSpec:
+def _make_route(route: _Route, *, has_accounts: bool) -> RouteSpec:
     shares = tuple(
         ServiceShare(service=make_resource_name(share.service), weight=share.weight)
         for share in route.traffic_split
@@ -259,10 +326,12 @@
             route.service if heaviest is None else heaviest.service
         ),
         shares=shares,
-        request_kind=route.kind.value,
+        request_kind=route.kind,
         worth=1.0 / (1 + max(route.priority, 0)),
-        idempotent=route.kind is _RouteKind.IDEMPOTENT,
+        idempotent=route.kind in _IDEMPOTENT_KINDS,
         deadline_seconds=route.timeout_seconds,
         goal_seconds=route.latency_goal_seconds,
         maximum_attempts=route.maximum_attempts,
+        # Earlier versions refuse the field, and without accounts it means nothing.
+        public=True if route.public and has_accounts else msgspec.UNSET,
     )
