Say why a host that can't read a configuration isn't ready

Cause: on a deployment with an unknown kind of route no host became ready, and only a line about a void record told of it. Change: a log line of its own with the path of the field, a metric, the status and the body of /readiness say so.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -278,3 +278,15 @@
     "NOTICE",
     "A starting host has recovered its configuration and serves it from now on.",
 )
+CONFIGURATION_UNREADABLE = _define(
+    315,
+    "configuration-unreadable",
+    "ERROR",
+    "The newest configuration is invalid; the previous one, if any, stays in effect.",
+)
+CONFIGURATION_READABLE = _define(
+    316,
+    "configuration-readable",
+    "NOTICE",
+    "The newest configuration is valid again.",
+)
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -156,6 +156,7 @@
             entry=self._entry_report,
             targets=self.find_targets(),
             find_peer_lag=self.lag.find_peer_lag,
+            configuration_problem=self.source.configuration_problem,
         )
 
     def find_targets(self) -> tuple[TargetStatus, ...]:
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 import logbook
 
@@ -24,7 +25,7 @@
 from citronspan.ops.callers.http_server import make_metrics_server, make_server
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.open_requests import OpenRequests
-from citronspan.ops.callers.readiness import make_readiness_server
+from citronspan.ops.callers.readiness import describe_readiness, make_readiness_server
 from citronspan.ops.callers.request_handler import RequestHandler
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.peers.incarnation import make_incarnation
@@ -74,6 +75,7 @@
         settings: EntrySettings,
         dialect: Dialect | None = None,
         connector: TargetConnector | None = None,
+        find_configuration_problem: Callable[[], str] = lambda: "",
     ):
         """Create an entry.
 
@@ -81,6 +83,8 @@
             settings: Settings of the process.
             dialect: Headers of callers and targets.
             connector: Connects to targets directly.
+            find_configuration_problem: Returns why the newest configuration is invalid,
+                or an empty string.
         """
         self.settings = settings
         self._dialect = dialect or DefaultDialect()
@@ -157,7 +161,16 @@
             make_metrics_server(settings.metrics_address, self.metrics.registry)
         ]
         if settings.readiness_address:
-            server = make_readiness_server(settings.readiness_address, self.is_ready)
+            server = make_readiness_server(
+                settings.readiness_address,
+                is_ready=self.is_ready,
+                describe=lambda: describe_readiness(
+                    state=self.state,
+                    offset=self.configuration.offset,
+                    problem=find_configuration_problem(),
+                    has_brokers=self.slots.has_entries(),
+                ),
+            )
             self._side_servers.append(server)
 
     def run(self) -> None:
--- a/citronspan/ops/host.py
+++ b/citronspan/ops/host.py
@@ -31,7 +31,11 @@
     def __init__(self, *, settings: HostSettings, store: FeedStore, dialect: Dialect):
         self._settings = settings
         self._store = store
-        self.entry = Entry(settings=settings.make_entry_settings(), dialect=dialect)
+        self.entry = Entry(
+            settings=settings.make_entry_settings(),
+            dialect=dialect,
+            find_configuration_problem=lambda: store.configuration_problem,
+        )
         self.agent = Agent(
             settings=settings.make_agent_settings(), make_source=self._make_source
         )
--- a/citronspan/ops/operators/agent_metrics.py
+++ b/citronspan/ops/operators/agent_metrics.py
@@ -21,6 +21,9 @@
         "configuration_resources": lambda: len(active_config.state.resource_by_key),
         "configuration_ready": lambda: int(active_config.ready),
         "configuration_reader": lambda: int(active_config.plan.is_reader),
+        "configuration_unreadable": lambda: int(
+            bool(agent.source.configuration_problem)
+        ),
         "void_records": lambda: agent.source.void_records,
         "log_away": lambda: int(agent.source.read_status.is_unavailable),
         "live_nodes": lambda: len(agent.view.live_nodes()),
--- a/citronspan/ops/operators/agent_status.py
+++ b/citronspan/ops/operators/agent_status.py
@@ -79,6 +79,8 @@
         targets: The targets whose state is known.
         unreachable: Nodes that other nodes can reach and this agent cannot.
         gone: Nodes that are dead or have left.
+        configuration_problem: Why the newest configuration that the agent read is
+            invalid, empty if it is valid or came from another agent.
     """
 
     node: str
@@ -95,6 +97,7 @@
     targets: tuple[TargetStatus, ...] = ()
     unreachable: tuple[str, ...] = msgspec.field(default=(), name="unheard")
     gone: tuple[str, ...] = ()
+    configuration_problem: str = ""
 
 
 class FleetView(Protocol):
@@ -119,6 +122,7 @@
     entry: EntryReport | None,
     targets: tuple[TargetStatus, ...],
     find_peer_lag: Callable[[str], int],
+    configuration_problem: str,
 ) -> FleetStatus:
     """Build the status of the fleet.
 
@@ -130,6 +134,7 @@
         entry: The last report of its entry, None before the first.
         targets: Status of the known targets.
         find_peer_lag: Returns the lag in offsets of the node with a peer address.
+        configuration_problem: Why the newest configuration is invalid, or empty.
 
     Returns:
         The status.
@@ -155,6 +160,7 @@
         targets=targets,
         unreachable=tuple(node.name for node in view.unreachable_nodes()),
         gone=tuple(node.name for node in view.departed_nodes()),
+        configuration_problem=configuration_problem,
     )
 
 
--- a/citronspan/ops/operators/api_client_tables.py
+++ b/citronspan/ops/operators/api_client_tables.py
@@ -79,6 +79,10 @@
         problems.append(
             f"{status.node} has not loaded its configuration yet and serves no requests"
         )
+    if status.configuration_problem:
+        problems.append(
+            f"the newest configuration is invalid: {status.configuration_problem}"
+        )
     if status.log == "away":
         problems.append(
             "the log is unavailable: changes are rejected (2004), the fleet continues"
--- a/citronspan/ops/store/config_source.py
+++ b/citronspan/ops/store/config_source.py
@@ -33,9 +33,11 @@
         active_config: The agent's ``ActiveConfig``.
         message_types: Types of the peer messages that it handles.
         leaving_targets: Addresses of targets that the platform lists as leaving.
+        configuration_problem: Why the newest configuration is invalid, or empty.
     """
 
     message_types: tuple[type, ...]
+    configuration_problem: str
 
     @property
     def read_status(self) -> LogReadStatus:
--- a/citronspan/ops/store/feed_source.py
+++ b/citronspan/ops/store/feed_source.py
@@ -90,9 +90,12 @@
 
     Attributes:
         unreadable_records: Number of records skipped as unreadable since the start.
+        configuration_problem: Why the newest configuration that was read is invalid,
+            empty if it is valid or none was read.
     """
 
     unreadable_records: int
+    configuration_problem: str
 
     def read(self, feed: str, from_offset: int, wait_seconds: float) -> FeedPage:
         """Read the records from an offset on, and wait if there are none yet.
@@ -169,6 +172,11 @@
         """Number of unreadable records and invalid resources since the start."""
         return self._spread.invalid_resources + self._store.unreadable_records
 
+    @property
+    def configuration_problem(self) -> str:
+        """Why the newest configuration that this node read is invalid, or empty."""
+        return self._store.configuration_problem
+
     @property
     def is_reader(self) -> bool:
         """Whether this node reads the store continuously."""
--- a/citronspan/ops/store/feed_source_test.py
+++ b/citronspan/ops/store/feed_source_test.py
@@ -41,6 +41,7 @@
     """A store that answers only reads of some feeds, each with one empty record."""
 
     unreadable_records = 0
+    configuration_problem = ""
 
     def __init__(self, *, answered_feeds):
         self.answered_feeds = answered_feeds
--- a/citronspan/ops/store/log_source.py
+++ b/citronspan/ops/store/log_source.py
@@ -26,6 +26,7 @@
     """A ``ConfigSource`` that reads the log and the platform's host list."""
 
     message_types = CONFIG_MESSAGE_TYPES
+    configuration_problem = ""
 
     def __init__(
         self,
--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -32,6 +32,8 @@
 
     Attributes:
         unreadable_records: Number of records that failed to decode, since the start.
+        configuration_problem: Why the newest configuration that was read is invalid,
+            with the path of a field; empty if it is valid or none was read.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         self._rules = rules
         self._region_by_data_centre = region_by_data_centre
         self.unreadable_records = 0
+        self.configuration_problem = ""
 
     def set_rules(self, rules: ServiceRules) -> None:
         """Set the service rules that apply to records read from now on."""
@@ -88,12 +91,23 @@
             version = read_configuration_version(record.value)
         except Exception as error:  # One record must not stop the feed.
             self._log_unreadable_record(record, error)
+            self._set_configuration_problem(record, str(error))
             return None
+        self._set_configuration_problem(record, "")
         data = encode_resources(resources)
         return FeedRecord(
             offset=record.offset, key=record.key, data=data, version=version
         )
 
+    def _set_configuration_problem(self, record, problem):
+        if problem == self.configuration_problem:
+            return
+        self.configuration_problem = problem
+        event = log_events.CONFIGURATION_READABLE
+        if problem:
+            event = log_events.CONFIGURATION_UNREADABLE
+        write_event(_logger, event, offset=record.offset, reason=problem)
+
     def _read_target(self, record: KeyedRecord) -> FeedRecord:
         if record.value is None:
             return FeedRecord(offset=record.offset, key=record.key)
