--- a/citronspan/core/accounts/account_table.py
+++ b/citronspan/core/accounts/account_table.py
@@ -103,8 +103,8 @@
     Args:
         authorization: Value of the header, decoded as Latin-1, or empty.
     """
-    scheme, _, key = authorization.strip().partition(" ")
-    key = key.strip()
-    if scheme.lower() != _BEARER or not key:
+    scheme, *rest = authorization.split(None, 1)[:2] or [""]
+    if scheme.lower() != _BEARER or not rest:
         return ""
+    key = rest[0].strip()
     return compute_key_digest(key.encode("latin-1", "replace"))
