--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -197,7 +197,7 @@
             request_context,
             excluded=excluded,
             is_retry=has_reached_target,
-            is_too_late=lambda: self.is_too_late(request_context),
+            is_too_late=lambda: self._find_obstacle(request_context) is not None,
         )
         refused = self._find_obstacle(request_context)
         if refused is not None:
