--- a/citronspan/ops/operators/api_client_tables_test.py
+++ b/citronspan/ops/operators/api_client_tables_test.py
@@ -39,6 +39,7 @@
 
 def test_status_lists_each_problem_with_subject_and_reason():
     status = make_status(
+        configuration_problem="$.routes[2].kind",
         log="away",
         entry_offset=5,
         nodes=(make_node("n1"), make_node("n2", entry="draining", behind=3)),
@@ -59,6 +60,7 @@
     )
     lines = format_status(status).splitlines()[1:12]
     for part in (
+        "newest configuration is invalid: $.routes[2].kind",
         "log is unavailable",
         "t2 of a is ejected for 42 s: errors (reported by n2)",
         "n2 (d) is draining",
--- a/citronspan/ops/targets/attempts_test.py
+++ b/citronspan/ops/targets/attempts_test.py
@@ -102,12 +102,14 @@
         self.queries = []
         self.sent = []
         self.released = []
+        self.granted_count = 0
 
     def acquire(self, query):
         self.queries.append(query)
         if not self.steps or self.steps[0].is_slot_refused:
             return SlotRefused(code=result_codes.NO_CAPACITY, retry_after_seconds=0.5)
         number = len(self.sent)
+        self.granted_count += 1
         key = ShardKey(service="s", region="r", number=0)
         return Slot(
             attempt_id=number,
@@ -173,6 +175,7 @@
     *,
     is_stopping=False,
     has_other_target=True,
+    has_valid_key=lambda request_context: True,
 ):
     runner = AttemptRunner(
         slots=targets,
@@ -184,6 +187,7 @@
         is_stopping=lambda: is_stopping,
         has_other_target=lambda service, names: has_other_target,
         stop_plan=stop_plan,
+        has_valid_key=has_valid_key,
     )
     try:
         return runner.run(request_context), None
@@ -561,3 +565,47 @@
         run(targets, context)
     expected = [30_000, 21_000, 12_000]
     assert targets.told_milliseconds == pytest.approx(expected, abs=1)
+
+
+@given(
+    steps=st.lists(ATTEMPT_STEPS, max_size=6),
+    idempotent=st.booleans(),
+    valid_looks=st.integers(0, 8),
+)
+def test_request_is_sent_or_its_result_is_hidden_after_its_key_went(
+    steps, idempotent, valid_looks
+):
+    targets = WithdrawingTargets(steps, -1)
+    looks = []
+
+    def has_valid_key(request_context):
+        looks.append(len(targets.sent))
+        return len(looks) <= valid_looks
+
+    context = make_request_context(
+        idempotent=idempotent, is_repeatable=True, attempts=4
+    )
+    attempt_response, refusal = run(targets, context, has_valid_key=has_valid_key)
+    # Nothing is sent after the look that found the key gone.
+    if len(looks) > valid_looks:
+        assert len(targets.sent) == looks[valid_looks]
+    if refusal is None:
+        assert any(step.ran for step in targets.sent)
+        return
+    ran = refusal.ran or refusal.code.ran
+    assert targets.count_runs() == 0 or ran is not Ran.NOT_RUN
+    if refusal.code is result_codes.ACCOUNT_KEY_UNKNOWN:
+        assert refusal.retry_after_seconds is None
+        assert len(looks) > valid_looks
+    assert len(targets.released) == targets.granted_count
+
+
+def test_rank_of_the_account_goes_into_the_slot_request():
+    targets = FakeTargets([answer(200, SIGNED, ran=True)])
+    context = make_request_context(idempotent=True, is_repeatable=True, attempts=1)
+    context = dataclasses.replace(
+        context, account="a", account_weight=3.5, account_rank=1
+    )
+    run(targets, context)
+    (query,) = targets.queries
+    assert (query.account, query.account_weight, query.worth) == ("a", 3.5, 0.5)
