--- a/citronspan/ops/targets/attempt_slots.py
+++ b/citronspan/ops/targets/attempt_slots.py
@@ -7,8 +7,8 @@
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.ops.callers.open_requests import Stage
-from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
-from citronspan.ops.targets.attempt_context import RequestContext
+from citronspan.ops.slots.slot_source import Slot, SlotRefused, SlotSource
+from citronspan.ops.targets.attempt_context import RequestContext, make_slot_query
 from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_refusals import STOP_REFUSED
 from citronspan.ops.targets.attempt_reporter import AttemptReporter
@@ -24,7 +24,7 @@
         slots: SlotSource,
         reporter: AttemptReporter,
         tracer: trace.Tracer,
-        is_too_late: Callable[[RequestContext], bool],
+        find_obstacle: Callable[[RequestContext], SlotRefused | None],
     ):
         """Create an object without slots.
 
@@ -32,12 +32,12 @@
             slots: Grants the slots of targets.
             reporter: Releases the slots that are not used.
             tracer: Makes the spans.
-            is_too_late: Returns whether the host stops before a request could end.
+            find_obstacle: Returns why a request may not be sent any more, or None.
         """
         self._slots = slots
         self._reporter = reporter
         self._tracer = tracer
-        self._is_too_late = is_too_late
+        self._find_obstacle = find_obstacle
 
     def acquire(
         self, request_context: RequestContext, progress: AttemptProgress
@@ -47,7 +47,7 @@
             request_context,
             progress,
             is_retry=progress.has_reached_target,
-            is_needless=lambda: self._is_too_late(request_context),
+            is_needless=lambda: False,
         )
 
     def acquire_next(
@@ -72,7 +72,7 @@
             request_context,
             progress,
             is_retry=True,
-            is_needless=lambda: self._is_too_late(request_context) or is_needless(),
+            is_needless=is_needless,
         )
         request_context.open_request.stage = Stage.AT_TARGET
         if isinstance(result, Slot):
@@ -94,32 +94,28 @@
         self, request_context, progress, *, is_retry, is_needless
     ) -> Slot | SlotRefused:
         request_context.open_request.stage = Stage.WAITING
-        query = SlotQuery(
-            service=request_context.service_name,
-            request_kind=request_context.spec.request_kind,
-            worth=request_context.spec.worth,
-            deadline=request_context.deadline,
-            idempotent=request_context.spec.idempotent,
+
+        def find_obstacle():
+            obstacle = self._find_obstacle(request_context)
+            return obstacle or (STOP_REFUSED if is_needless() else None)
+
+        query = make_slot_query(
+            request_context,
             excluded=progress.excluded,
-            fingerprint=request_context.fingerprint,
-            body_bytes=request_context.body.length or 0,
             is_retry=is_retry,
-            goal_time=request_context.goal_time,
-            is_disconnected=request_context.request.connection.is_disconnected,
-            request_id=request_context.request.request_id,
-            is_too_late=is_needless,
-            account=request_context.account,
-            account_weight=request_context.account_weight,
+            is_too_late=lambda: find_obstacle() is not None,
         )
-        if is_needless():
-            return STOP_REFUSED
+        obstacle = find_obstacle()
+        if obstacle is not None:
+            return obstacle
         with start_span(self._tracer, "broker-wait"):
             slot = self._slots.acquire(query)
-        if not is_needless():
+        obstacle = find_obstacle()
+        if obstacle is None:
             return slot
         if isinstance(slot, Slot):
             self._return(request_context, slot)
-        return STOP_REFUSED
+        return obstacle
 
     def _return(self, request_context, slot):
         self._reporter.release_failed(
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -24,6 +24,8 @@
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_refusals import (
+    KEY_REFUSED,
+    STOP_REFUSED,
     make_refusal,
     make_slot_refusal,
 )
@@ -71,6 +73,7 @@
         is_stopping: Callable[[], bool],
         has_other_target: Callable[[str, tuple[str, ...]], bool],
         stop_plan: StopPlan | None = None,
+        has_valid_key: Callable[[RequestContext], bool] = lambda _: True,
     ):
         """Create a runner.
 
@@ -86,8 +89,11 @@
             has_other_target: Returns whether a service has a target that stays, other
                 than the given ones.
             stop_plan: Knows when a stop ends, None for a host that never stops.
+            has_valid_key: Returns whether a request has the account key that its route
+                needs by the configuration in force.
         """
         self._dialect = dialect
+        self._has_valid_key = has_valid_key
         self._is_stopping = is_stopping
         self._has_other_target = has_other_target
         self._reuse_seconds = reuse_seconds
@@ -103,7 +109,7 @@
             slots=slots,
             reporter=self._reporter,
             tracer=tracer,
-            is_too_late=self.is_too_late,
+            find_obstacle=self._find_obstacle,
         )
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -210,6 +216,12 @@
                 progress.budget.refund()
         return has_slot
 
+    def _find_obstacle(self, request_context) -> SlotRefused | None:
+        """Return why the request may not be sent any more, or None."""
+        if self.is_too_late(request_context):
+            return STOP_REFUSED
+        return None if self._has_valid_key(request_context) else KEY_REFUSED
+
     def is_too_late(self, request_context: RequestContext) -> bool:
         """Return whether the host stops before the request could end."""
         return self._stop_plan.is_too_late(
@@ -272,7 +284,11 @@
         headers = dict(request_context.request.headers)
         # The target may use all of the time: an attempt that is given up before is
         # cancelled by the end of its connection.
-        target_attempt = TargetAttempt(target=slot.target, seconds=remaining_seconds)
+        target_attempt = TargetAttempt(
+            target=slot.target,
+            seconds=remaining_seconds,
+            account=request_context.account_title,
+        )
         headers.update(self._dialect.make_target_headers(target_attempt))
         if request_context.request.key:
             headers["idempotency-key"] = request_context.request.key
@@ -303,7 +319,12 @@
         return answer
 
     def _may_send(self, request_context, slot, progress) -> bool:
-        """Return whether to send an attempt, whose answer replaces an earlier one."""
+        """Return whether to send an attempt, whose answer replaces an earlier one.
+
+        If the key was removed, the next look for a slot refuses the request.
+        """
+        if not self._has_valid_key(request_context):
+            return False
         if not self._slots.may_use(slot, request_context.request.request_id):
             return False
         progress.fallback.drop()
