--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -199,8 +199,7 @@
             is_retry=has_reached_target,
             is_too_late=lambda: self._find_obstacle(request_context) is not None,
         )
-        refused = self._find_obstacle(request_context)
-        if refused is not None:
+        if refused := self._find_obstacle(request_context):
             return refused
         with start_span(self._tracer, "broker-wait"):
             slot = self._slots.acquire(query)
