End with status 0 whatever signal comes in the last moment

Cause: when it shuts down, the interpreter replaces handlers written in Python by the default, which ends the process. Signals that are ignored stay ignored. So SIGHUP, SIGTERM and SIGINT are ignored once the process has ended its work.

The test sends each of the three after that replacement: failed before.

--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -103,10 +103,20 @@
         )
         signal.signal(signal.SIGHUP, lambda *_: watcher.check_now())
         watcher.start()
-    process.run()
+    try:
+        process.run()
+    finally:
+        _ignore_signals()
     return 0
 
 
+def _ignore_signals():
+    # A handler would be replaced by the default when the interpreter shuts down, and
+    # the next signal would end the process with another status.
+    for signal_number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, signal.SIG_IGN)
+
+
 def _handle_stop_signals(request_stop):
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: request_stop())
--- a/citronspan/scripts/process_test.py
+++ b/citronspan/scripts/process_test.py
@@ -89,6 +89,31 @@
 """
 
 
+ENDING_PROGRAM = """
+import os, signal, sys
+from citronspan.core.host_settings import HostSettings
+from citronspan.scripts import process
+
+class Fake:
+    def __init__(self, settings):
+        pass
+    def run(self):
+        pass
+    def request_stop(self):
+        pass
+    def reload(self, settings):
+        pass
+
+class Last:
+    def __del__(self, kill=os.kill, pid=os.getpid(), number=int(sys.argv[2])):
+        kill(pid, number)
+
+# The interpreter deletes it when it has given up its signal handlers.
+sys.last = Last()
+sys.exit(process.run_process(sys.argv[1], HostSettings, Fake))
+"""
+
+
 def write_settings(path: Path, **changes):
     path.write_bytes(msgspec.json.encode({**SETTINGS, **changes}))
 
@@ -147,6 +172,14 @@
     assert (done.returncode, done.stdout) == (0, "runs, stopped: True\n")
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_signal_ends_a_process_whose_interpreter_shuts_down(tmp_path, number):
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    command = [sys.executable, "-c", ENDING_PROGRAM, str(path), str(int(number))]
+    assert subprocess.run(command, check=False, timeout=TIMEOUT_SECONDS).returncode == 0
+
+
 @pytest.mark.parametrize("module", ["citronspan.core", "citronspan.ops.host"])
 def test_sighup_ends_a_host_that_still_imports_its_modules(tmp_path, module):
     path = tmp_path / "settings.json"
