Share a shard's slots and waiting room between accounts, and order returns

Cause: the queue of a shard ordered by worth, then deadline, so that one account with several times its usual load filled it and took nearly all slots; refusals named about the same time to all callers, who met no room together. Change: within equal worth the next slot goes to the account that had the least slot time for its weight (what its requests state, else its load while there was room); a full queue displaces the last of the account that uses the most places for its weight; an account that is served less than half as often as all goes first whatever its worth; within an account what can meet its goal goes before what can only be late. Each refusal for lack of room takes a place in a line, by account, and names its time if the caller can use it.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -10,13 +10,10 @@
 from collections.abc import Callable
 
 from citronspan.core import result_codes
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker_answers import BrokerAnswers
 from citronspan.core.brokering.broker_attempt_cache import AttemptCache
-from citronspan.core.brokering.broker_grants import (
-    LEASE_GRACE_SECONDS,
-    Grant,
-    GrantTable,
-)
+from citronspan.core.brokering.broker_grants import GrantTable
 from citronspan.core.brokering.broker_messages import (
     BrokerHandover,
     SlotCancel,
@@ -34,7 +31,7 @@
 from citronspan.core.brokering.retry_window import RetryWindow
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.brokering.slot_granter import SlotGranter
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
 from citronspan.core.brokering.unserved_share import UnservedShare
 from citronspan.core.brokering.wait_estimates import WaitEstimates
 from citronspan.core.brokering.waiting_requests import WaitingRequests
@@ -100,7 +97,8 @@
             find_rate_share=find_rate_share,
             estimate_hold_seconds=lambda: self._hold_times.mean_seconds,
         )
-        self._queue = SlotQueue()
+        self._shares = AccountShares()
+        self._queue = SlotQueue(self._shares)
         self._grant_table = GrantTable()
         self._attempt_cache = AttemptCache()
         self._link_budget = LinkBudget(
@@ -116,7 +114,10 @@
         """Create the parts that decide on requests and record what became of them."""
         unserved_share = UnservedShare(now=time.monotonic())
         self._estimates = WaitEstimates(
-            pool=self._pool, queue=self._queue, hold_times=self._hold_times
+            pool=self._pool,
+            queue=self._queue,
+            hold_times=self._hold_times,
+            shares=self._shares,
         )
         self._answers = BrokerAnswers(
             key=self.key,
@@ -126,6 +127,7 @@
             attempt_cache=self._attempt_cache,
             estimates=self._estimates,
             unserved_share=unserved_share,
+            shares=self._shares,
         )
         self._granter = SlotGranter(
             health=self.health,
@@ -134,6 +136,8 @@
             answers=self._answers,
             retry_window=self._retry_window,
             unserved_share=unserved_share,
+            queue=self._queue,
+            shares=self._shares,
         )
         self._waiting = WaitingRequests(
             pool=self._pool,
@@ -180,6 +184,11 @@
             successor=self.successor,
             counted_requests=window.total_requests if window else 0,
             retries=window.total_retries if window else 0,
+            waiting_accounts=self._queue.count_accounts(),
+            starved_accounts=self._queue.count_starved_accounts(),
+            displaced=self._answers.displaced_count,
+            placed_returns=self._estimates.return_line.placed_count,
+            spread_returns=self._estimates.return_line.spread_count,
         )
 
     def set_targets(self, targets: tuple[TargetInfo, ...]) -> list[Outgoing]:
@@ -287,12 +296,8 @@
             self._answers.send(sender, SlotWaiting(attempt_id=attempt_id))
             return
         self._arrival_count += 1
-        waiting = WaitingRequest(
-            request=request,
-            sender=sender,
-            sequence_number=self._arrival_count,
-            received_at=now,
-            wait_limit_seconds=self._estimates.compute_wait_limit_seconds(request),
+        waiting = self._estimates.make_waiting(
+            request, sender, self._arrival_count, now
         )
         if self._attempt_cache.has_ended(attempt_id):
             self._answers.refuse(waiting, result_codes.ATTEMPT_CANCELLED, now)
@@ -366,29 +371,14 @@
         for usage in self._pool.list_target_usages():
             usage.confirm_external_usage()
         for handover_grant in handover.grants:
-            self._import_grant(handover_grant, now)
+            if self._attempt_cache.has_ended(handover_grant.attempt_id):
+                continue
+            usage = self._pool.find_target_usage(handover_grant.target)
+            self._grant_table.import_grant(
+                handover_grant, usage, now, MAXIMUM_DEADLINE_SECONDS
+            )
         self._serve_waiting(now)
 
-    def _import_grant(self, handover_grant, now):
-        """Count a grant of the previous broker, if its lease is valid and open."""
-        attempt_id = handover_grant.attempt_id
-        usage = self._pool.find_target_usage(handover_grant.target)
-        if usage is None or self._attempt_cache.has_ended(attempt_id):
-            return
-        if self._grant_table.find(attempt_id) is not None:
-            return
-        longest_seconds = MAXIMUM_DEADLINE_SECONDS + LEASE_GRACE_SECONDS
-        remaining_seconds = handover_grant.lease_seconds - handover_grant.held_seconds
-        if not 0 < remaining_seconds <= longest_seconds:
-            return
-        grant = Grant(
-            usage=usage,
-            request_kind=handover_grant.request_kind,
-            granted_at=now - handover_grant.held_seconds,
-            lease_seconds=handover_grant.lease_seconds,
-        )
-        self._grant_table.add(attempt_id, grant, now)
-
     def _serve_waiting(self, now):
         """Serve the queue after a change, and refuse what can no longer be served."""
         self._waiting.serve(now)
--- a/citronspan/core/brokering/broker_answers.py
+++ b/citronspan/core/brokering/broker_answers.py
@@ -3,6 +3,7 @@
 Final answers are cached, so that a repeated request gets the same one.
 """
 
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker_attempt_cache import (
     ATTEMPT_CACHE_SECONDS,
     AttemptCache,
@@ -12,9 +13,10 @@
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.broker_status import SlotDecision
 from citronspan.core.brokering.shards import ShardKey
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
 from citronspan.core.brokering.unserved_share import UnservedShare
-from citronspan.core.brokering.wait_estimates import WaitEstimates
+from citronspan.core.brokering.wait_estimates import ROOM_CODES, WaitEstimates
+from citronspan.core.brokering.waiting_request import WaitingRequest
 from citronspan.core.message_base import Message, Outgoing
 from citronspan.core.result_codes import ResultCode
 
@@ -24,6 +26,8 @@
 
     Attributes:
         refusals_by_code: Number of refusals so far by number of the result code.
+        displaced_count: Number of queued requests so far that gave their place in a
+            full queue to another.
     """
 
     def __init__(
@@ -36,8 +40,11 @@
         attempt_cache: AttemptCache,
         estimates: WaitEstimates,
         unserved_share: UnservedShare,
+        shares: AccountShares,
     ):
         self.refusals_by_code: dict[int, int] = {}
+        self.displaced_count = 0
+        self._shares = shares
         self._key = key
         self._pool = pool
         self._queue = queue
@@ -65,13 +72,13 @@
         refusal = SlotRefusal(
             attempt_id=request.attempt_id,
             code=code.number,
-            retry_after_seconds=self._estimates.compute_retry_after_seconds(
-                request.attempt_id
-            ),
+            retry_after_seconds=self._estimates.plan_return_seconds(waiting, code, now),
         )
         self.record_decision(waiting, now, code=code.number)
         if not request.has_other_region and not request.from_region:
             self._unserved_share.add(True, now)
+            if code in ROOM_CODES and not request.is_retry:
+                self._shares.record_result(request.account, is_served=False)
         previous_count = self.refusals_by_code.get(code.number, 0)
         self.refusals_by_code[code.number] = previous_count + 1
         self.send_final(waiting.sender, refusal, ATTEMPT_CACHE_SECONDS, now)
@@ -83,6 +90,13 @@
         self._queue.remove(waiting.request.attempt_id)
         self.refuse(waiting, code, now)
 
+    def refuse_displaced(
+        self, waiting: WaitingRequest, code: ResultCode, now: float
+    ) -> None:
+        """Refuse a queued request whose place another one takes."""
+        self.displaced_count += 1
+        self.refuse_queued(waiting, code, now)
+
     def record_decision(
         self, waiting: WaitingRequest, now: float, *, target: str = "", code: int = 0
     ) -> None:
@@ -101,6 +115,9 @@
                 granted=len(self._grant_table),
                 capacity=self._pool.capacity,
                 is_retry=request.is_retry,
+                account=request.account,
+                account_waiting=self._queue.count_account(request.account),
+                account_served_share=self._shares.find_served_share(request.account),
             )
         )
 
--- a/citronspan/core/brokering/broker_grants.py
+++ b/citronspan/core/brokering/broker_grants.py
@@ -23,6 +23,8 @@
         is_retryable: Whether the request may be retried if this attempt fails.
         retry_bucket: Number of the bucket of the retry window that counts the grant,
             None if it isn't counted here.
+        account: Name of the client account, or empty.
+        expected_seconds: Time for which the account was charged.
     """
 
     usage: TargetUsage
@@ -32,6 +34,8 @@
     crosses_link: bool = False
     is_retryable: bool = False
     retry_bucket: int | None = None
+    account: str = ""
+    expected_seconds: float = 0.0
 
 
 class GrantTable:
@@ -56,6 +60,36 @@
         self._grant_by_id[attempt_id] = grant
         self._lease_expiries.add(attempt_id, grant.granted_at + grant.lease_seconds)
 
+    def import_grant(
+        self,
+        handover_grant: HandoverGrant,
+        usage: TargetUsage | None,
+        now: float,
+        maximum_deadline_seconds: float,
+    ) -> None:
+        """Count a grant of the previous broker, if its lease is valid and open.
+
+        Args:
+            handover_grant: The grant.
+            usage: Usage of its target, None if the target is not in the shard.
+            now: Present time.
+            maximum_deadline_seconds: Longest deadline that a request may have.
+        """
+        attempt_id = handover_grant.attempt_id
+        if usage is None or attempt_id in self._grant_by_id:
+            return
+        longest_seconds = maximum_deadline_seconds + LEASE_GRACE_SECONDS
+        remaining_seconds = handover_grant.lease_seconds - handover_grant.held_seconds
+        if not 0 < remaining_seconds <= longest_seconds:
+            return
+        grant = Grant(
+            usage=usage,
+            request_kind=handover_grant.request_kind,
+            granted_at=now - handover_grant.held_seconds,
+            lease_seconds=handover_grant.lease_seconds,
+        )
+        self.add(attempt_id, grant, now)
+
     def end(self, attempt_id: int, now: float) -> Grant | None:
         """Free the slot of an attempt.
 
--- a/citronspan/core/brokering/broker_status.py
+++ b/citronspan/core/brokering/broker_status.py
@@ -23,6 +23,14 @@
         successor: Peer address of the broker that the shard was handed to, or empty.
         counted_requests: Number of requests that the retry window has counted so far.
         retries: Number of retries that it has granted so far.
+        waiting_accounts: Number of accounts with queued requests, those without an
+            account as one.
+        starved_accounts: Number of these that are served much more seldom than all.
+        displaced: Number of queued requests so far that gave their place to another.
+        placed_returns: Number of refusals so far whose callers were told to come back
+            one behind the other.
+        spread_returns: Number of refusals so far for which there was no such place in
+            their time, so that they were told times spread over it.
     """
 
     key: ShardKey
@@ -37,6 +45,11 @@
     successor: str
     counted_requests: int = 0
     retries: int = 0
+    waiting_accounts: int = 0
+    starved_accounts: int = 0
+    displaced: int = 0
+    placed_returns: int = 0
+    spread_returns: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,6 +68,9 @@
         granted: Number of granted slots at the decision.
         capacity: Number of usable slots at the decision.
         is_retry: Whether an earlier attempt of the request was dispatched.
+        account: Name of the client account, or empty.
+        account_waiting: Number of queued requests of the account at the decision.
+        account_served_share: Share of the account's recent requests that got a slot.
     """
 
     key: ShardKey
@@ -68,3 +84,6 @@
     granted: int
     capacity: int
     is_retry: bool
+    account: str = ""
+    account_waiting: int = 0
+    account_served_share: float = 1.0
--- a/citronspan/core/brokering/slot_granter.py
+++ b/citronspan/core/brokering/slot_granter.py
@@ -1,5 +1,6 @@
 """Grants slots of a shard's targets to requests."""
 
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker_answers import BrokerAnswers
 from citronspan.core.brokering.broker_attempt_cache import ATTEMPT_CACHE_SECONDS
 from citronspan.core.brokering.broker_grants import (
@@ -10,10 +11,12 @@
 from citronspan.core.brokering.broker_messages import SlotCancel, SlotGrant, SlotRelease
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.broker_target_usage import TargetUsage
+from citronspan.core.brokering.fair_order import compute_cost_seconds
 from citronspan.core.brokering.placement import compute_acceptable_cost
 from citronspan.core.brokering.retry_window import RetryWindow
-from citronspan.core.brokering.slot_queue import WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
 from citronspan.core.brokering.unserved_share import UnservedShare
+from citronspan.core.brokering.waiting_request import WaitingRequest
 from citronspan.core.detection.health import Health
 from citronspan.core.outcomes import OutcomeClass
 
@@ -34,8 +37,12 @@
         answers: BrokerAnswers,
         retry_window: RetryWindow | None,
         unserved_share: UnservedShare,
+        queue: SlotQueue,
+        shares: AccountShares,
     ):
         self.grant_count = 0
+        self._queue = queue
+        self._shares = shares
         self._health = health
         self._pool = pool
         self._grant_table = grant_table
@@ -92,7 +99,10 @@
             crosses_link=bool(request.from_region),
             is_retryable=request.idempotent and not request.is_retry,
             retry_bucket=self._count_retry(request),
+            account=request.account,
+            expected_seconds=compute_cost_seconds(waiting.hold_seconds),
         )
+        self._charge(waiting, grant, now)
         self._add_grant(request.attempt_id, grant, now)
         if is_trial:
             self._health.record_trial(usage.target_info.name)
@@ -119,6 +129,9 @@
             Its grant, or None if it had no open grant.
         """
         grant = self._grant_table.end(message.attempt_id, now)
+        if grant is not None:
+            overrun_seconds = now - grant.granted_at - grant.expected_seconds
+            self._shares.correct(grant.account, overrun_seconds)
         if grant is None or grant.retry_bucket is None or not _is_unused(message):
             return grant
         self._retry_window.discount_retry(grant.retry_bucket)
@@ -136,6 +149,16 @@
         )
         self._answers.send_final(sender, answer, remaining + ATTEMPT_CACHE_SECONDS, now)
 
+    def _charge(self, waiting, grant, now):
+        """Charge a grant to its account."""
+        request = waiting.request
+        is_contended = now > waiting.received_at or len(self._queue) > 0
+        self._shares.charge(
+            request.account, grant.expected_seconds, is_contended=is_contended
+        )
+        if not request.is_retry:
+            self._shares.record_result(request.account, is_served=True)
+
     def _count_retry(self, request):
         if self._retry_window is None or not request.is_retry:
             return None
--- a/citronspan/core/brokering/wait_estimates.py
+++ b/citronspan/core/brokering/wait_estimates.py
@@ -5,11 +5,14 @@
 """
 
 from citronspan.core import result_codes
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker_messages import SlotRequest
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.broker_slot_hold_times import SlotHoldTimeEstimator
 from citronspan.core.brokering.placement import compute_wait_limit_seconds
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.return_order import ReturnLine
+from citronspan.core.brokering.slot_queue import SlotQueue
+from citronspan.core.brokering.waiting_request import WaitingRequest
 from citronspan.core.result_codes import ResultCode
 
 MAXIMUM_QUEUED_PER_SLOT = 4
@@ -21,20 +24,48 @@
 MINIMUM_RETRY_AFTER_SECONDS = 0.15
 """Lower bound of the retry delay that a refusal asks for, before jitter."""
 
+ROOM_CODES = frozenset({result_codes.NO_CAPACITY, result_codes.OVERLOADED})
+"""Refusals for which there would be room at another time."""
+
 RETRY_AFTER_JITTER = 0.5
 """Largest relative jitter of the retry delay, so that callers don't retry together."""
 
 
 class WaitEstimates:
-    """Estimates for the requests that wait for the slots of one shard."""
+    """Estimates for the requests that wait for the slots of one shard.
+
+    Attributes:
+        return_line: Times at which refused callers may come back.
+    """
 
     def __init__(
-        self, *, pool: TargetPool, queue: SlotQueue, hold_times: SlotHoldTimeEstimator
+        self,
+        *,
+        pool: TargetPool,
+        queue: SlotQueue,
+        hold_times: SlotHoldTimeEstimator,
+        shares: AccountShares,
     ):
+        self.return_line = ReturnLine()
+        self._shares = shares
         self._pool = pool
         self._queue = queue
         self._hold_times = hold_times
 
+    def make_waiting(
+        self, request: SlotRequest, sender: str, sequence_number: int, now: float
+    ) -> WaitingRequest:
+        """Make the waiting request of a slot request that was just received."""
+        self._shares.state_weight(request.account, request.account_weight)
+        return WaitingRequest(
+            request=request,
+            sender=sender,
+            sequence_number=sequence_number,
+            received_at=now,
+            wait_limit_seconds=self.compute_wait_limit_seconds(request),
+            hold_seconds=self._hold_times.estimate_mean(request.request_kind),
+        )
+
     def estimate_hold_seconds(self, request: SlotRequest) -> float:
         """Estimate for how long a request will hold a slot, in seconds.
 
@@ -77,8 +108,30 @@
             return result_codes.OVERLOADED
         return result_codes.NO_CAPACITY
 
-    def compute_retry_after_seconds(self, attempt_id: int) -> float:
-        """Return when a refused caller may come back, with jitter by attempt ID.
+    def plan_return_seconds(
+        self, waiting: WaitingRequest, code: ResultCode, now: float
+    ) -> float:
+        """Return when a refused caller may come back.
+
+        If it was refused for lack of room, it has a place in the line of those who
+        return. A request that goes on to another region has none.
+        """
+        request = waiting.request
+        earliest_seconds = self._compute_earliest_return_seconds(request.attempt_id)
+        is_final = not request.has_other_region and not request.from_region
+        if code not in ROOM_CODES or not is_final or self._pool.capacity <= 0:
+            return earliest_seconds
+        return self.return_line.reserve_seconds(
+            account=request.account,
+            weight=self._shares.find_weight(request.account),
+            earliest_seconds=earliest_seconds,
+            slot_interval_seconds=self.find_slot_interval_seconds(),
+            remaining_seconds=waiting.deadline_at - now,
+            now=now,
+        )
+
+    def _compute_earliest_return_seconds(self, attempt_id):
+        """Return when a single caller may come back, with jitter by attempt ID.
 
         By then the requests that wait now have been served.
         """
--- a/citronspan/core/brokering/waiting_requests.py
+++ b/citronspan/core/brokering/waiting_requests.py
@@ -7,10 +7,15 @@
 from citronspan.core.brokering.broker_messages import SlotRequest, SlotWaiting
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.slot_granter import SlotGranter
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
 from citronspan.core.brokering.wait_estimates import WaitEstimates
+from citronspan.core.brokering.waiting_request import WaitingRequest
 from citronspan.core.outcomes import Outcome
 
+SCAN_INTERVAL_SECONDS = 0.05
+"""Time between two looks for requests of several accounts that can't be served; their
+order takes more work than that of one account."""
+
 
 class WaitingRequests:
     """The requests that wait for a slot of one shard."""
@@ -31,11 +36,13 @@
         self._granter = granter
         self._answers = answers
         self._may_retry = may_retry
+        self._next_scan_at = 0.0
 
     def queue_or_refuse(self, waiting: WaitingRequest, now: float) -> None:
         """Queue a request for which no acceptable slot is free, or refuse it.
 
-        When the queue is full, the request displaces one of less worth.
+        When the queue is full, the request displaces one of less worth, or one of an
+        account that uses more room (``SlotQueue.find_displaced``).
         """
         request = waiting.request
         if request.from_region or not self._pool.has_eligible_target(request, now):
@@ -48,11 +55,11 @@
                 self._answers.refuse(waiting, code, now)
             return
         if len(self._queue) >= self._estimates.compute_queue_limit():
-            last = self._queue.find_last()
-            if last.request.worth >= request.worth:
+            displaced = self._queue.find_displaced(waiting)
+            if displaced is None:
                 self._answers.refuse(waiting, result_codes.OVERLOADED, now)
                 return
-            self._answers.refuse_queued(last, result_codes.OVERLOADED, now)
+            self._answers.refuse_displaced(displaced, result_codes.OVERLOADED, now)
         self._queue.add(waiting)
         self._answers.send(waiting.sender, SlotWaiting(attempt_id=request.attempt_id))
         self.refuse_unservable(now, position=position + 1)
@@ -67,10 +74,16 @@
 
         A request without time left to wait is granted any free slot before it is
         refused. Under overload this scans the queue on each message, so each estimate
-        is computed only once per request kind.
+        is computed only once per request kind, and the order between accounts not more
+        often than each ``SCAN_INTERVAL_SECONDS``.
         """
         if len(self._queue) <= position:
             return
+        if self._queue.count_accounts() > 1:
+            if now < self._next_scan_at:
+                return
+            self._next_scan_at = now + SCAN_INTERVAL_SECONDS
+            position = 0
         self._pool.read_limits(now)
         slot_interval_seconds = self._estimates.find_slot_interval_seconds()
         hold_seconds_by_kind = {}
@@ -94,13 +107,14 @@
 
     def serve(self, now: float) -> None:
         """Grant free slots to queued requests, in the order of the queue."""
+        self._queue.advance(now)
         if not self._queue:
             return
         self._pool.read_limits(now)
         free = self._pool.count_free_slots(now)
         if free <= 0:
             return
-        for waiting in self._queue.list_from_position(0):
+        for waiting in self._queue.iterate_while_served():
             if not self._serve_one(waiting, now):
                 continue
             free -= 1
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -120,6 +120,11 @@
         targets: The shard's targets.
         counted_requests: Requests that the retry budget has counted so far.
         retries: Retries granted from the budget so far.
+        waiting_accounts: Accounts with waiting requests.
+        starved_accounts: Those of them that are served much more seldom than all.
+        displaced: Waiting requests that gave their place to others so far.
+        placed_returns: Refusals so far whose callers come back one behind the other.
+        spread_returns: Refusals so far for which there was no place in their time.
     """
 
     name: str
@@ -132,6 +137,11 @@
     targets: tuple[TargetReport, ...] = ()
     counted_requests: int = 0
     retries: int = 0
+    waiting_accounts: int = 0
+    starved_accounts: int = 0
+    displaced: int = 0
+    placed_returns: int = 0
+    spread_returns: int = 0
 
 
 class EntryReport(Message, kw_only=True):
--- a/citronspan/ops/slots/decision_log.py
+++ b/citronspan/ops/slots/decision_log.py
@@ -29,4 +29,16 @@
             granted=decision.granted,
             capacity=decision.capacity,
             retry=decision.is_retry,
+            **_describe_account(decision),
         )
+
+
+def _describe_account(decision):
+    """Return the fields on the account of a refused request, none if it has none."""
+    if not decision.account or not decision.code:
+        return {}
+    return {
+        "account": decision.account,
+        "account_waiting": decision.account_waiting,
+        "account_served": round(decision.account_served_share, 3),
+    }
--- a/citronspan/ops/slots/shard_metrics.py
+++ b/citronspan/ops/slots/shard_metrics.py
@@ -49,6 +49,7 @@
         yield _make_counter(
             "retries", "Retries granted from the budget.", shards, lambda s: s.retries
         )
+        yield from _make_account_metrics(shards)
         yield _make_state_gauge(shards)
 
 
@@ -72,6 +73,40 @@
     return family
 
 
+def _make_account_metrics(shards):
+    """Yield the metrics of accounts that compete; no label names an account."""
+    yield _make_gauge(
+        "waiting_accounts",
+        "Accounts with waiting requests.",
+        shards,
+        lambda s: s.waiting_accounts,
+    )
+    yield _make_gauge(
+        "starved_accounts",
+        "Waiting accounts that are served much more seldom than all.",
+        shards,
+        lambda s: s.starved_accounts,
+    )
+    yield _make_counter(
+        "displaced",
+        "Waiting requests that gave their place to others.",
+        shards,
+        lambda s: s.displaced,
+    )
+    yield _make_counter(
+        "placed_returns",
+        "Refusals whose callers come back one behind the other.",
+        shards,
+        lambda s: s.placed_returns,
+    )
+    yield _make_counter(
+        "spread_returns",
+        "Refusals whose callers had no time for a place.",
+        shards,
+        lambda s: s.spread_returns,
+    )
+
+
 def _make_state_gauge(shards):
     family = GaugeMetricFamily(
         "citronspan_shard_targets", "Targets by state.", labels=["shard", "state"]
--- a/citronspan/ops/slots/shard_report.py
+++ b/citronspan/ops/slots/shard_report.py
@@ -47,6 +47,11 @@
         targets=targets,
         counted_requests=status.counted_requests,
         retries=status.retries,
+        waiting_accounts=status.waiting_accounts,
+        starved_accounts=status.starved_accounts,
+        displaced=status.displaced,
+        placed_returns=status.placed_returns,
+        spread_returns=status.spread_returns,
     )
 
 
