Let requests wait for the configuration of an entry that has just started

Two entries got their configuration 0.5 s after their agent had it, as the first push was tried again only then. Change: such a request waits for up to an eighth of the caller's time and 0.9 s, while the entry is younger than 2 s and half of its threads are free; further ones are refused with times that are spread. A first push is tried again after 0.1 s.

--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -320,7 +320,10 @@
             self.active_config.wait(self.feed.is_due, TICK_SECONDS)
             self.feed.push_state(self.active_config.state)
             if self.feed.is_due(self.active_config.state):
-                self._stop.wait(ENTRY_RETRY_SECONDS)
+                is_first = not self.feed.sent_offset
+                self._stop.wait(
+                    STARTUP_TICK_SECONDS if is_first else ENTRY_RETRY_SECONDS
+                )
 
 
 def _make_log_source(agent: Agent) -> LogSource:
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -24,6 +24,7 @@
     find_environ_key,
     read_caller_request,
 )
+from citronspan.ops.callers.configuration_wait import ConfigurationWait
 from citronspan.ops.callers.forwarded_answer import log_answer, make_headers
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.keyed_request import KeyedRequest, claim_key
@@ -47,9 +48,6 @@
 from citronspan.utils.traces import start_span
 
 _logger = logbook.Logger("request")
-CONFIGURATION_RETRY_AFTER_SECONDS = 0.3
-"""``Retry-After`` while an entry starts; it mostly has a configuration by then."""
-
 FULL_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` of a full entry; callers mostly come back at another one."""
 
@@ -84,7 +82,9 @@
         dialect: Dialect,
         reuse_seconds: float,
         maximum_requests: int,
+        configuration_wait: ConfigurationWait,
     ):
+        self._configuration_wait = configuration_wait
         self._dialect = dialect
         self._name = name
         self._maximum_requests = maximum_requests
@@ -212,11 +212,7 @@
         received_at = open_request.received_at
         configuration = self._find_configuration()
         if configuration.offset == 0:
-            raise Refusal(
-                code=result_codes.CONFIGURATION_MISSING,
-                detail="the entry has no configuration yet",
-                retry_after_seconds=CONFIGURATION_RETRY_AFTER_SECONDS,
-            )
+            configuration = self._configuration_wait.wait(request.timeout_seconds)
         route = find_route(configuration.routes, request.host, request.path)
         if route is None:
             raise Refusal(
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -20,6 +20,7 @@
 )
 from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
 from citronspan.core.settings import EntrySettings
+from citronspan.ops.callers.configuration_wait import ConfigurationWait
 from citronspan.ops.callers.http_server import make_metrics_server, make_server
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.open_requests import OpenRequests
@@ -136,6 +137,12 @@
             metrics=self.metrics, is_stopping=self._stop.is_set
         )
         self._busy = BusySignal(threads=settings.worker_threads)
+        self._configuration_wait = ConfigurationWait(
+            find_configuration=lambda: self.configuration,
+            is_stopping=self._stop.is_set,
+            threads=settings.worker_threads,
+            name=settings.place.name,
+        )
         self._report_sent_at = 0.0
         self._verdicts_sent_at = 0.0
         self._health_logged_at = 0.0
@@ -214,6 +221,7 @@
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
             maximum_requests=self.settings.worker_threads,
+            configuration_wait=self._configuration_wait,
         )
 
     def _make_relay_server(self):
@@ -270,6 +278,7 @@
         if self.configuration.resource_by_id is not previous.resource_by_id:
             write_event(_logger, log_events.CONFIGURATION_APPLIED, offset=push.offset)
             self._update_services()
+            self._configuration_wait.notify()
         is_configured = self.configuration.offset > 0
         if is_configured and accepts_event(self._chart, self.state, "configured"):
             self._change_state("configured")
