--- a/citronspan/core/brokering/account_shares.py
+++ b/citronspan/core/brokering/account_shares.py
@@ -148,10 +148,8 @@
     def correct(self, name: str, seconds: float) -> None:
         """Add what a slot was held longer than expected; negative if shorter."""
         account = self._account_by_name.get(name)
-        if account is None:
-            return
-        usage = max(0.0, account.usage + seconds * self._decay.scale)
-        account.usage = usage
+        if account is not None:
+            account.usage = max(0.0, account.usage + seconds * self._decay.scale)
 
     def record_result(self, name: str, *, is_served: bool) -> None:
         """Count a request that was granted a slot, or finally refused."""
--- a/citronspan/core/brokering/broker_answers.py
+++ b/citronspan/core/brokering/broker_answers.py
@@ -66,15 +66,22 @@
         self._attempt_cache.cache_answer(answer, seconds, now)
         self.send(to, answer)
 
-    def refuse(self, waiting: WaitingRequest, code: ResultCode, now: float) -> None:
-        """Refuse a request that is not queued."""
+    def refuse(
+        self,
+        waiting: WaitingRequest,
+        code: ResultCode,
+        now: float,
+        *,
+        is_displaced: bool = False,
+    ) -> None:
+        """Refuse a request that is not queued, or whose place another one took."""
         request = waiting.request
         refusal = SlotRefusal(
             attempt_id=request.attempt_id,
             code=code.number,
             retry_after_seconds=self._estimates.plan_return_seconds(waiting, code, now),
         )
-        self.record_decision(waiting, now, code=code.number)
+        self.record_decision(waiting, now, code=code.number, is_displaced=is_displaced)
         if not request.has_other_region and not request.from_region:
             self._unserved_share.add(True, now)
             if code in ROOM_CODES and not request.is_retry:
@@ -95,10 +102,17 @@
     ) -> None:
         """Refuse a queued request whose place another one takes."""
         self.displaced_count += 1
-        self.refuse_queued(waiting, code, now)
+        self._queue.remove(waiting.request.attempt_id)
+        self.refuse(waiting, code, now, is_displaced=True)
 
     def record_decision(
-        self, waiting: WaitingRequest, now: float, *, target: str = "", code: int = 0
+        self,
+        waiting: WaitingRequest,
+        now: float,
+        *,
+        target: str = "",
+        code: int = 0,
+        is_displaced: bool = False,
     ) -> None:
         """Record a grant or a refusal, for logging."""
         request = waiting.request
@@ -115,6 +129,7 @@
                 granted=len(self._grant_table),
                 capacity=self._pool.capacity,
                 is_retry=request.is_retry,
+                is_displaced=is_displaced,
                 account=request.account,
                 account_waiting=self._queue.count_account(request.account),
                 account_served_share=self._shares.find_served_share(request.account),
--- a/citronspan/core/brokering/broker_status.py
+++ b/citronspan/core/brokering/broker_status.py
@@ -68,6 +68,7 @@
         granted: Number of granted slots at the decision.
         capacity: Number of usable slots at the decision.
         is_retry: Whether an earlier attempt of the request was dispatched.
+        is_displaced: Whether another request took its place in a full queue.
         account: Name of the client account, or empty.
         account_waiting: Number of queued requests of the account at the decision.
         account_served_share: Share of the account's recent requests that got a slot.
@@ -84,6 +85,7 @@
     granted: int
     capacity: int
     is_retry: bool
+    is_displaced: bool = False
     account: str = ""
     account_waiting: int = 0
     account_served_share: float = 1.0
--- a/citronspan/core/brokering/slot_queue_test.py
+++ b/citronspan/core/brokering/slot_queue_test.py
@@ -7,6 +7,7 @@
 from sortedcontainers import SortedKeyList
 
 from citronspan.core.brokering.account_shares import (
+    MAXIMUM_ACCOUNTS,
     STARVED_MINIMUM_REQUESTS,
     AccountShares,
 )
@@ -185,3 +186,28 @@
     for account, times in expected.items():
         usage = sum(0.3 * math.exp((at - now) / 8.0) for at in times)
         assert shares.find_usage_seconds(account) == pytest.approx(usage, abs=1e-6)
+
+
+def test_number_of_remembered_accounts_is_bounded():
+    shares = AccountShares()
+    shares.advance(0.0)
+    for number in range(3 * MAXIMUM_ACCOUNTS):
+        shares.state_weight(f"a{number}", 1.0)
+        shares.charge(f"a{number}", 0.3, is_contended=False)
+    assert len(shares) <= MAXIMUM_ACCOUNTS
+    assert shares.find_weight("unknown") == pytest.approx(1.0)
+
+
+def test_weight_is_learned_only_while_nothing_waits():
+    shares = AccountShares()
+    shares.advance(0.0)
+    for _ in range(6):
+        shares.charge("large", 0.3, is_contended=False)
+    for _ in range(2):
+        shares.charge("small", 0.3, is_contended=False)
+    for _ in range(90):
+        shares.charge("small", 0.3, is_contended=True)
+    assert shares.find_weight("large") == pytest.approx(1.5)
+    assert shares.find_weight("small") == 1.0
+    shares.advance(3600.0 * 24 * 30)
+    assert shares.find_usage_seconds("small") < 1e-9
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -135,7 +135,11 @@
     3002, "no-capacity", 503, _NOT, "No target had a free slot in time."
 )
 OVERLOADED = _define(
-    3003, "overloaded", 503, _NOT, "Requests of higher worth use the capacity."
+    3003,
+    "overloaded",
+    503,
+    _NOT,
+    "Requests of higher worth, or of accounts with less, use the capacity.",
 )
 DEADLINE_TOO_SHORT = _define(
     3004, "deadline-too-short", 503, _NOT, "The deadline cannot be met."
--- a/citronspan/ops/callers/configuration_wait.py
+++ b/citronspan/ops/callers/configuration_wait.py
@@ -42,6 +42,10 @@
         self._waiting = 0
         self._changed = threading.Condition()
 
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return self._waiting
+
     def notify(self) -> None:
         """Wake the requests that wait; called when a configuration came."""
         with self._changed:
--- a/citronspan/ops/slots/decision_log.py
+++ b/citronspan/ops/slots/decision_log.py
@@ -39,6 +39,7 @@
         return {}
     return {
         "account": decision.account,
+        "displaced": decision.is_displaced,
         "account_waiting": decision.account_waiting,
         "account_served": round(decision.account_served_share, 3),
     }
