Handle signals in a thread of their own

A host that got SIGTERM beside load ran on, ready, until it was killed: its callers would have lost what was open at the end of the grace. Seen once here, in a host that had just started; a debugger showed the main thread in a wait without end and no handler called.

Cause: a handler written in Python waits for the main thread to execute bytecode. A signal that comes between its last bytecode and a wait, or that the system hands to another thread, waits until the main thread wakes. And a handler that interrupts the main thread within the lock of the stop's event waits for that lock for ever.

Now the system's handler wakes a thread over a socket, and that thread does what the signal asks for. What came while the process was made is done before it runs.

The test that found it now kills a host that doesn't end.

--- a/citronspan/core/requests/stop_plan.py
+++ b/citronspan/core/requests/stop_plan.py
@@ -66,7 +66,7 @@
     def begin(self, stop_seconds: float) -> None:
         """Note that the host was told to stop; a second call changes nothing.
 
-        It takes no lock, since a signal handler calls it.
+        It takes no lock, since only the thread of the signals calls it.
 
         Args:
             stop_seconds: Bound on the stop.
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -143,7 +143,7 @@
         write_event(_logger, log_events.PROCESS_STOPPED)
 
     def request_stop(self) -> None:
-        """Ask ``run`` to return; safe to call in a signal handler."""
+        """Ask ``run`` to return; safe to call in any thread."""
         self._stop.set()
 
     def find_status(self) -> FleetStatus:
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -187,7 +187,7 @@
         return self.state == "serving" and self.slots.has_entries()
 
     def request_stop(self) -> None:
-        """Request a graceful stop; safe in a signal handler."""
+        """Request a graceful stop; safe in any thread."""
         self._stop_plan.begin(self.settings.drain_seconds)
         self._stop.set()
 
--- a/citronspan/ops/host.py
+++ b/citronspan/ops/host.py
@@ -48,7 +48,7 @@
         write_event(_logger, log_events.PROCESS_STOPPED)
 
     def request_stop(self) -> None:
-        """Request a graceful stop; safe in a signal handler."""
+        """Request a graceful stop; safe in any thread."""
         self.entry.request_stop()
 
     def reload(self, settings: HostSettings) -> None:
--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -13,11 +13,14 @@
 from citronspan.core import log_events
 from citronspan.core.errors import CitronspanError
 from citronspan.core.settings import read_settings
+from citronspan.scripts.signal_thread import SignalThread
 from citronspan.utils.logs import start_logging, write_event
 
 SETTINGS_POLL_SECONDS = 1.0
 """Interval between checks of the settings file, which may change without SIGHUP."""
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 _logger = logbook.Logger("process")
 
 
@@ -88,40 +91,32 @@
         return error.code.http_status
     # Its sockets listen before the process is made completely.
     stop_requested = threading.Event()
-    _handle_stop_signals(stop_requested.set)
+    signals = SignalThread()
+    for number in STOP_SIGNALS:
+        signals.handle(number, stop_requested.set)
     try:
         process: Process = make_process(settings)
     except CitronspanError as error:
         write_event(_logger, log_events.STARTUP_FAILED, reason=str(error))
         return error.code.http_status
-    _handle_stop_signals(process.request_stop)
+    for number in STOP_SIGNALS:
+        signals.handle(number, process.request_stop)
+    signals.catch_up()
     if stop_requested.is_set():
         process.request_stop()
     if isinstance(process, Reloadable):
         watcher = SettingsWatcher(
             path=path, settings_type=settings_type, process=process, content=content
         )
-        signal.signal(signal.SIGHUP, lambda *_: watcher.check_now())
+        signals.handle(signal.SIGHUP, watcher.check_now)
         watcher.start()
     try:
         process.run()
     finally:
-        _ignore_signals()
+        signals.ignore(signal.SIGHUP, *STOP_SIGNALS)
     return 0
 
 
-def _ignore_signals():
-    # A handler would be replaced by the default when the interpreter shuts down, and
-    # the next signal would end the process with another status.
-    for signal_number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, signal.SIG_IGN)
-
-
-def _handle_stop_signals(request_stop):
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: request_stop())
-
-
 class SettingsWatcher:
     """Reloads changed settings, every ``SETTINGS_POLL_SECONDS`` and on SIGHUP."""
 
@@ -153,7 +148,7 @@
         threading.Thread(target=self._run, name="settings", daemon=True).start()
 
     def check_now(self) -> None:
-        """Check the file immediately; safe in a signal handler."""
+        """Check the file immediately."""
         self._check_requested.set()
 
     def _run(self):
--- a/citronspan/scripts/process_test.py
+++ b/citronspan/scripts/process_test.py
@@ -89,6 +89,30 @@
 """
 
 
+LOST_PROGRAM = """
+import os, signal, sys, threading
+from citronspan.core.host_settings import HostSettings
+from citronspan.scripts import process
+
+class Fake:
+    def __init__(self, settings):
+        self.stopped = threading.Event()
+    def run(self):
+        if sys.argv[2] == "another-thread":
+            threading.Timer(0.1, self.send).start()
+        else:
+            with self.stopped._cond:
+                os.kill(os.getpid(), signal.SIGTERM)
+        self.stopped.wait()
+    def send(self):
+        signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+    def request_stop(self):
+        self.stopped.set()
+
+sys.exit(process.run_process(sys.argv[1], HostSettings, Fake))
+"""
+
+
 ENDING_PROGRAM = """
 import os, signal, sys
 from citronspan.core.host_settings import HostSettings
@@ -172,6 +196,14 @@
     assert (done.returncode, done.stdout) == (0, "runs, stopped: True\n")
 
 
+@pytest.mark.parametrize("arrival", ["another-thread", "locked"])
+def test_sigterm_is_lost_while_the_main_thread_is_about_to_wait(tmp_path, arrival):
+    path = tmp_path / "settings.json"
+    write_settings(path)
+    command = [sys.executable, "-c", LOST_PROGRAM, str(path), arrival]
+    assert subprocess.run(command, check=False, timeout=TIMEOUT_SECONDS).returncode == 0
+
+
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
 def test_signal_ends_a_process_whose_interpreter_shuts_down(tmp_path, number):
     path = tmp_path / "settings.json"
@@ -201,7 +233,11 @@
         assert any(b"process-started" in line for line in child.stdout)
     finally:
         child.terminate()
-        child.communicate(timeout=TIMEOUT_SECONDS)
+        try:
+            child.communicate(timeout=TIMEOUT_SECONDS)
+        finally:
+            # One that runs on would hold the addresses of the next test.
+            child.kill()
     assert child.returncode == 0
 
 
