Give a streamed upload all of its time to be sent

Callers of idempotent routes saw 504 for uploads of more than 512 KB whose target paused reading for longer than the limit of an attempt, though they had time left.

Cause: the limit, which is there so that another attempt can follow, was the time-out of each send; a body that is forwarded while the caller sends it rules out another attempt. The send now has the request's time.

The new test failed before (timed out in the send). Until the end of such a send it isn't noticed that the caller has left, as before, and that may now take longer.

--- a/citronspan/core/requests/attempt_deadline.py
+++ b/citronspan/core/requests/attempt_deadline.py
@@ -46,6 +46,10 @@
         """Return the time at which the attempt is given up, as of now."""
         return min(self._find_own(), self._find_end())
 
+    def find_last(self) -> float:
+        """Return the time at which an attempt is given up that none may follow."""
+        return min(self._request_deadline, self._find_end())
+
     def extend(self, has_answer: Callable[[], bool]) -> bool:
         """Return whether an attempt goes on at the time that ``find`` returned.
 
@@ -56,7 +60,7 @@
         """
         if self._limit == math.inf:
             return False
-        if time.monotonic() >= min(self._request_deadline, self._find_end()):
+        if time.monotonic() >= self.find_last():
             return False
         if self._may_be_retried() and self._prepare_next(has_answer):
             return False
--- a/citronspan/ops/targets/replaced_attempts_test.py
+++ b/citronspan/ops/targets/replaced_attempts_test.py
@@ -1,6 +1,8 @@
 """Tests that an attempt at work is given up only for one that takes its place."""
 
 import math
+import socket
+import threading
 import time
 from types import SimpleNamespace
 
@@ -10,6 +12,7 @@
 from citronspan.core import result_codes
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.core.resources import RouteSpec, ServiceSpec
 from citronspan.ops.callers.open_requests import OpenRequest
 from citronspan.ops.callers.refusals import Refusal
@@ -18,7 +21,7 @@
 from citronspan.ops.targets.attempt_context import RequestContext
 from citronspan.ops.targets.attempts import AttemptRunner
 from citronspan.ops.targets.dialect import DefaultDialect
-from citronspan.ops.targets.target_connection import TargetConnections
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan_standins.scripted_targets import ScriptedTargets, TargetScript
 
 LIMIT_SECONDS = 0.15
@@ -172,3 +175,55 @@
     assert response.slot.target == "t-2"
     assert time.monotonic() - begun_at < 2 * RUN_SECONDS
     assert slots.released == [("t-1", OutcomeClass.TIMED_OUT)]
+
+
+class SlowReader(threading.Thread):
+    """A target that reads nothing of an upload for a while, then answers it."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def run(self):
+        connection, _ = self._listener.accept()
+        with self._listener, connection:
+            time.sleep(RUN_SECONDS)
+            end = b""
+            while not end.endswith(b"\r\n0\r\n\r\n"):
+                end = (end + connection.recv(1 << 20))[-16:]
+            connection.sendall(HEAD + b"ok")
+
+
+class StreamedBody:
+    """A body that can be sent once, and is larger than what the system buffers."""
+
+    length = None
+    buffer = None
+    is_repeatable = True
+
+    def iterate(self):
+        self.is_repeatable = False
+        for _ in range(256):
+            yield bytes(1 << 16)
+
+
+def test_upload_is_cut_for_a_retry_that_its_body_rules_out():
+    target = SlowReader()
+    target.start()
+    body = StreamedBody()
+    deadline = AttemptDeadline(
+        request_deadline=time.monotonic() + DEADLINE_SECONDS,
+        limit=time.monotonic() + LIMIT_SECONDS,
+        may_be_retried=lambda: body.is_repeatable,
+    )
+    request = TargetRequest(
+        method="PUT",
+        uri="/upload",
+        headers={"host": "h"},
+        body=body,
+        reuse_seconds=math.inf,
+        deadline=deadline,
+    )
+    answer = TargetConnections().send(target.address, request, None)
+    assert answer.read(2) == b"ok"
--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -268,7 +268,7 @@
             The response, and whether the whole request was sent before it arrived.
         """
         _check_deadline(request.deadline.find(), "sending")
-        connection.timeout = max(request.deadline.find() - time.monotonic(), 0.001)
+        connection.timeout = max(_find_send_end(request) - time.monotonic(), 0.001)
         connection.response_class = functools.partial(
             CheckedResponse,
             deadline=request.deadline,
@@ -462,6 +462,17 @@
         )
 
 
+def _find_send_end(request) -> float:
+    """Return until when a send may block that nothing interrupts.
+
+    A body that is forwarded while the caller sends it rules out another attempt from
+    its first bytes on.
+    """
+    if request.body.buffer is None:
+        return request.deadline.find_last()
+    return request.deadline.find()
+
+
 def _check_permission(request):
     if not request.may_send():
         raise AttemptFailedError(
