Lend accounts' credit from two keepers to all hosts

Cause: each entry kept an overcommitted share of an account's rate. The sum over the fleet was up to twice the rate, and an account with few requests at many hosts met empty shares.

Change: an account with a burst has two seats with half of its limit each, kept by two entries by rendezvous, in two regions where there are two. Hosts ask them for credit. Lost keepers, hosts without any, late answers and returned charges have parts of the margin that the settings give.

--- /dev/null
+++ b/citronspan/core/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts of the fleet: who keeps the count of an account's requests."""
--- /dev/null
+++ b/citronspan/core/accounts/quota_seats.py
@@ -0,0 +1,158 @@
+"""Keepers of an account's seats, and the part of the fleet that a view shows.
+
+Both are functions of the view. Views may differ; keepers bound what that costs.
+"""
+
+import math
+import time
+from collections import deque
+from collections.abc import Iterable, Mapping
+
+from citronspan.core.accounts.quota_terms import SEATS
+from citronspan.core.node_messages import NodeInfo
+from citronspan.utils.rendezvous import choose_member, rank_members
+
+MAJORITY_MEMORY_SECONDS = 60.0
+"""Time for which a host that left the view counts, at those who still see most."""
+
+MINORITY_MEMORY_SECONDS = 600.0
+"""The same at those who see half of the hosts or fewer: they are likely cut off."""
+
+KEPT_VIEWS = 32
+"""Earlier views that are looked through for the time since which a host is keeper."""
+
+
+class QuotaSeats:
+    """Keepers by account and seat in the current view."""
+
+    def __init__(self, *, name: str, region: str):
+        """Create a table for one host, which is alone at first.
+
+        Args:
+            name: Name of this host.
+            region: Region of this host.
+        """
+        self._name = name
+        self._region = region
+        self._node_by_name: dict[str, NodeInfo] = {}
+        self._names_by_region: dict[str, list[str]] = {}
+        self._seen_at_by_name: dict[str, float] = {}
+        self._keeper_by_seat: dict[tuple[str, int], str] = {}
+        self._views: deque[tuple[float, dict[str, list[str]]]] = deque(
+            maxlen=KEPT_VIEWS
+        )
+
+    def set_nodes(self, nodes: Iterable[NodeInfo]) -> bool:
+        """Replace the view; return whether keepers may have changed by it.
+
+        Args:
+            nodes: All live nodes. Nodes whose entry is not serving are skipped.
+        """
+        now = time.monotonic()
+        for name in self._node_by_name:
+            self._seen_at_by_name[name] = now
+        previous = {name: node.region for name, node in self._node_by_name.items()}
+        self._node_by_name = {
+            node.name: node for node in nodes if node.entry_state == "serving"
+        }
+        for name in self._node_by_name:
+            self._seen_at_by_name[name] = now
+        current = {name: node.region for name, node in self._node_by_name.items()}
+        if current == previous:
+            return False
+        self._names_by_region = {}
+        for name, region in current.items():
+            self._names_by_region.setdefault(region, []).append(name)
+        self._keeper_by_seat = {}
+        self._views.append((now, self._names_by_region))
+        return True
+
+    def find_keeper(self, account: str, seat: int) -> NodeInfo | None:
+        """Return the keeper of a seat, or None while no entry serves."""
+        name = self._keeper_by_seat.get((account, seat))
+        if name is None:
+            name = choose_keeper(self._names_by_region, account, seat)
+            if name is None:
+                return None
+            self._keeper_by_seat[account, seat] = name
+        return self._node_by_name[name]
+
+    def is_keeper(self, account: str, seat: int) -> bool:
+        """Return whether this host is the keeper of a seat in its own view."""
+        keeper = self.find_keeper(account, seat)
+        return keeper is not None and keeper.name == self._name
+
+    def find_keeper_since(self, account: str, seat: int) -> float:
+        """Return since when this host is the keeper of a seat, infinity if it isn't."""
+        since = math.inf
+        for seen_at, names_by_region in reversed(self._views):
+            if choose_keeper(names_by_region, account, seat) != self._name:
+                break
+            since = seen_at
+        return since
+
+    def find_successor(self, account: str, seat: int) -> NodeInfo | None:
+        """Return the keeper of a seat if this host did not serve."""
+        region = choose_region(self._names_by_region, account, seat)
+        members = self._names_by_region.get(region, ())
+        others = [name for name in members if name != self._name]
+        name = choose_member(others, make_seat_key(account, seat))
+        return None if name is None else self._node_by_name[name]
+
+    def order_seats(self, account: str) -> list[int]:
+        """Return the seats in the order in which this host asks them."""
+        regions = [
+            choose_region(self._names_by_region, account, seat) for seat in range(SEATS)
+        ]
+        if self._region in regions and len(set(regions)) > 1:
+            first = regions.index(self._region)
+        else:
+            # Hosts of one region, or of a third one, divide themselves.
+            first = rank_members(("0", "1"), f"{self._name}/{account}").index("0")
+        return [(first + number) % SEATS for number in range(SEATS)]
+
+    def count_known(self) -> int:
+        """Return the number of hosts that served lately, in the view or not."""
+        self._forget()
+        return max(len(self._seen_at_by_name), 1)
+
+    def compute_fleet_share(self) -> float:
+        """Return the part of the hosts known lately that the view shows, 0 to 1."""
+        known = self.count_known()
+        return min(len(self._node_by_name) / known, 1.0)
+
+    def _forget(self):
+        now = time.monotonic()
+        visible = len(self._node_by_name)
+        is_majority = visible * 2 > len(self._seen_at_by_name)
+        memory_seconds = (
+            MAJORITY_MEMORY_SECONDS if is_majority else MINORITY_MEMORY_SECONDS
+        )
+        for name, seen_at in list(self._seen_at_by_name.items()):
+            if name in self._node_by_name:
+                continue
+            if now - seen_at > memory_seconds:
+                del self._seen_at_by_name[name]
+
+
+def make_seat_key(account: str, seat: int) -> str:
+    """Return the key by which a seat's keeper is chosen."""
+    return f"quota/{account}/{seat}"
+
+
+def choose_region(regions: Iterable[str], account: str, seat: int) -> str:
+    """Return the region of a seat, empty without regions.
+
+    Each seat is in another region, if there are several.
+    """
+    ranked = rank_members(regions, f"quota/{account}")
+    return ranked[seat % len(ranked)] if ranked else ""
+
+
+def choose_keeper(
+    names_by_region: Mapping[str, Iterable[str]], account: str, seat: int
+) -> str | None:
+    """Return the name of a seat's keeper, None without hosts."""
+    region = choose_region(names_by_region, account, seat)
+    members = names_by_region.get(region, ())
+    return choose_member(members, make_seat_key(account, seat))
--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -13,6 +13,7 @@
     EntrySettings,
     NodeIdentity,
     Port,
+    QuotaRules,
     Seconds,
     Section,
     Share,
@@ -71,6 +72,7 @@
         keep_seconds: Time for which callers may cache a directory answer.
         stop_seconds: Time from SIGTERM to SIGKILL.
         service_rules: Rules that hold for every service.
+        quota_rules: Bounds for the limits of accounts.
         worker_threads: Maximum number of concurrent requests.
         metrics_port: Port of ``/metrics``, the same on every host.
         log_level: Name of a logbook level.
@@ -89,6 +91,7 @@
     keep_seconds: Seconds = 5.0
     stop_seconds: Seconds = 6.0
     service_rules: ServiceRules = ServiceRules()
+    quota_rules: QuotaRules = QuotaRules()
     worker_threads: ThreadCount = 64
     metrics_port: Port = 9464
     log_level: str = "INFO"
@@ -138,6 +141,7 @@
             readiness_address=self.readiness_address,
             relay_address=self.relay_address,
             worker_threads=self.worker_threads,
+            quota_rules=self.quota_rules,
             drain_seconds=stop_seconds,
             reuse_seconds=REUSE_SECONDS,
             leave_seconds=self.stop_seconds * LEAVE_TIME_SHARE,
--- a/citronspan/core/host_settings_test.py
+++ b/citronspan/core/host_settings_test.py
@@ -10,7 +10,7 @@
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import HostSettings
-from citronspan.core.settings import decode_settings
+from citronspan.core.settings import QuotaRules, decode_settings
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.template"
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
@@ -77,6 +77,9 @@
             "retryRatio": st.none() | any_number(0, 1),
             "retrySlack": st.none() | any_number(0, 1e8),
             "retryWindowSeconds": st.none() | any_number(0, 1e6),
+            "quotaWindowSeconds": st.none() | any_number(1, 1e6),
+            "quotaExcess": st.none() | any_number(0, 1e6),
+            "quotaSlack": st.none() | any_number(0, 1e6),
         },
     )
 )
@@ -90,6 +93,9 @@
         "retryRatio": rules.retry_ratio,
         "retrySlack": rules.retry_slack,
         "retryWindowSeconds": rules.retry_window_seconds,
+        "quotaWindowSeconds": settings.make_entry_settings().quota_rules.window_seconds,
+        "quotaExcess": settings.quota_rules.excess,
+        "quotaSlack": settings.quota_rules.slack,
     }
     given_bounds = {key: value for key, value in bounds.items() if value is not None}
     assert {key: read[key] for key in given_bounds} == given_bounds
@@ -100,6 +106,8 @@
     [
         ({"retrySlack": -1}, "$.serviceRules.retrySlack", "-1"),
         ({"retrySlack": 1e300}, "$.serviceRules.retrySlack", "1e+300"),
+        ({"quotaWindowSeconds": 0}, "$.quotaRules.windowSeconds", "0"),
+        ({"quotaSlack": -1}, "$.quotaRules.slack", "-1"),
         ({"floor": 1.5}, "$.serviceRules.floor", "1.5"),
         ({"floor": True}, "$.serviceRules.floor", "True"),
         ({"ttl_max_s": -0.1}, "$.keepSeconds", "-0.1"),
@@ -116,6 +124,10 @@
     assert "\n" not in str(caught.value)
 
 
+def test_deployment_without_quotas_has_a_margin():
+    assert decode_deployment().quota_rules == QuotaRules(excess=0.0, slack=0.0)
+
+
 @pytest.mark.parametrize("ports", [[7540, 7540], [7555, 7540], [0, 5], [1, 70000], [1]])
 def test_ports_without_room_for_entry_and_agent_are_taken(ports):
     deployment = {**DEPLOYMENT, "internalPorts": ports}
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -217,6 +217,15 @@
     273, "key-peer-heard", "NOTICE", "An owner or witness of keys responds again."
 )
 
+# 280-289: accounts.
+ACCOUNT_REFUSED = _define(
+    285,
+    "account-refused",
+    "NOTICE",
+    "Requests of an account were refused, as it is over its quota or as neither of "
+    "its keepers answers.",
+)
+
 # 300-399: the agent.
 CONFIGURATION_APPLIED = _define(
     300, "configuration-applied", "INFO", "A newer configuration has been applied."
--- a/citronspan/core/messages.py
+++ b/citronspan/core/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from citronspan.core.accounts.quota_messages import QuotaMessage
 from citronspan.core.brokering.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.configuration.config_messages import ConfigMessage
 from citronspan.core.configuration.feed_messages import FeedMessage
@@ -42,6 +43,7 @@
         | VerdictPush
         | PoisonNotice
         | MemberMessage
+        | QuotaMessage
     )
 
 
--- a/citronspan/core/messages_test.py
+++ b/citronspan/core/messages_test.py
@@ -121,3 +121,17 @@
         assert is_same(decode_envelope(msgspec.msgpack.encode(values)), envelope)
 
     check()
+
+
+@pytest.mark.parametrize("kind", MESSAGE_TYPES, ids=lambda kind: kind.__name__)
+def test_message_of_an_unknown_type_raises_what_its_receiver_does_not_expect(kind):
+    @settings(max_examples=2)
+    @given(make_messages(kind))
+    def check(body):
+        envelope = Envelope(fleet="f", sender="a:1", incarnation=1, body=body)
+        values = msgspec.msgpack.decode(encode_envelope(envelope))
+        values[3]["type"] = "OfALaterVersion"
+        with pytest.raises(msgspec.ValidationError):
+            decode_envelope(msgspec.msgpack.encode(values))
+
+    check()
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -23,6 +23,7 @@
 """Longest time in settings; the runtime's waits fail beyond some hundred days."""
 
 MAXIMUM_THREADS = 4096
+MAXIMUM_QUOTA_MARGIN = 1e9
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_SECONDS)]
@@ -84,6 +85,20 @@
     sampled_share: Share = 1.0
 
 
+class QuotaRules(Section, kw_only=True):
+    """Bounds within which the limits of accounts are kept over the fleet.
+
+    Attributes:
+        window_seconds: Length of each window in which requests are counted.
+        excess: Part of rate and burst by which a window may exceed them.
+        slack: Requests by which a window may exceed them besides.
+    """
+
+    window_seconds: Annotated[float, msgspec.Meta(gt=0, le=MAXIMUM_SECONDS)] = 5.0
+    excess: Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_QUOTA_MARGIN)] = 0.0
+    slack: Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_QUOTA_MARGIN)] = 0.0
+
+
 class EntrySettings(Section, kw_only=True):
     """Settings of ``citronspan-entry``.
 
@@ -103,6 +118,7 @@
             a non-idempotent request; 0 for a new connection for each.
         broker_wait_seconds: Timeout of one request to a broker, excluding time in its
             queue.
+        quota_rules: Bounds for the limits of accounts.
         tracing: Export of spans.
         log_level: Name of a logbook level.
     """
@@ -119,6 +135,7 @@
     leave_seconds: Seconds = 5.0
     reuse_seconds: Seconds = 0.0
     broker_wait_seconds: Seconds = 0.05
+    quota_rules: QuotaRules = QuotaRules()
     tracing: Tracing = Tracing()
     log_level: str = "INFO"
 
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -6,6 +6,7 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.accounts.quota_messages import QuotaMessage
 from citronspan.core.brokering.broker_messages import BrokerMessage, EntryMessage
 from citronspan.core.brokering.busy_signal import BusySignal
 from citronspan.core.configuration.push_parts import PushCollector
@@ -19,10 +20,12 @@
     apply_push,
 )
 from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
+from citronspan.core.resources import Kind
 from citronspan.core.settings import EntrySettings
 from citronspan.ops.callers.http_server import make_metrics_server, make_server
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.open_requests import OpenRequests
+from citronspan.ops.callers.quota_service import QuotaService
 from citronspan.ops.callers.readiness import make_readiness_server
 from citronspan.ops.callers.request_handler import RequestHandler
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -65,6 +68,7 @@
         link: Link to the other processes.
         slots: Acquires and releases slots.
         keys: Runs the key protocol.
+        quotas: Keeps the limits of accounts with the other entries.
     """
 
     def __init__(
@@ -131,6 +135,13 @@
             secret=settings.place.secret.encode(),
             find_end=self._stop_plan.find_planned_end,
         )
+        self.quotas = QuotaService(
+            name=settings.place.name,
+            region=settings.place.region,
+            link=self.link,
+            rules=settings.quota_rules,
+            find_spec=lambda name: self.configuration.get_spec(Kind.ACCOUNT, name),
+        )
         self._stop = threading.Event()
         self._open_requests = OpenRequests(
             metrics=self.metrics, is_stopping=self._stop.is_set
@@ -152,6 +163,7 @@
         self.metrics.watch_relay(self._relay_connector, self._relay_server)
         self.metrics.watch_rate_limits(self.slots.rate_limits)
         self.metrics.watch_notices(self.slots.notices)
+        self.metrics.watch_quotas(self.quotas)
         self._side_servers = [
             make_metrics_server(settings.metrics_address, self.metrics.registry)
         ]
@@ -258,6 +270,9 @@
         if isinstance(message, KeyMessage):
             self.keys.handle(envelope.sender, message)
             return
+        if isinstance(message, QuotaMessage):
+            self.quotas.handle(envelope.sender, envelope.incarnation, message)
+            return
         if isinstance(message, BrokerMessage | EntryMessage):
             self.slots.handle(envelope.sender, message)
 
@@ -281,6 +296,7 @@
         has_leaving_changed = view.leaving_targets != self.view.leaving_targets
         self.view = view
         self.slots.set_nodes(view.nodes)
+        self.quotas.set_nodes(view.nodes)
         self._connect_to_brokers()
         if has_leaving_changed:
             self._update_services()
@@ -312,6 +328,7 @@
         now = time.monotonic()
         self.slots.advance()
         self.keys.advance()
+        self.quotas.advance()
         if now - self._verdicts_sent_at >= VERDICT_INTERVAL_SECONDS:
             self._verdicts_sent_at = now
             multicasts = self.slots.health_gossip.collect_verdicts()
@@ -355,6 +372,7 @@
             self._change_state("stop")
             self._report()
             self.slots.hand_over_all()
+            self.quotas.hand_over_all()
             self._wait_for_directory(drain_deadline)
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
--- a/citronspan/ops/entry_metrics.py
+++ b/citronspan/ops/entry_metrics.py
@@ -8,6 +8,8 @@
 from citronspan.core.rate_limits import RateLimitTable
 from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import ResultCode
+from citronspan.ops.callers.quota_metrics import QuotaCollector
+from citronspan.ops.callers.quota_service import QuotaService
 from citronspan.ops.peers.peer_link import PeerLink
 from citronspan.ops.targets.notice_metrics import NoticeCollector
 from citronspan.ops.targets.notice_recorder import NoticeRecorder
@@ -121,6 +123,10 @@
             gauge = Gauge(f"citronspan_targets_{name}", meaning, registry=self.registry)
             gauge.set_function(getattr(recorder.table, count))
 
+    def watch_quotas(self, quotas: QuotaService) -> None:
+        """Register metrics of the accounts' quotas."""
+        self.registry.register(QuotaCollector(quotas=quotas))
+
     def watch_link(self, link: PeerLink) -> None:
         """Register gauges for the traffic that the peer link has sent and received."""
         read_by_name = {
--- a/citronspan/utils/token_bucket.py
+++ b/citronspan/utils/token_bucket.py
@@ -38,6 +38,13 @@
         self._tokens -= tokens
         return True
 
+    def take_up_to(self, tokens: float) -> float:
+        """Take as many of a number of tokens as are available; return how many."""
+        self._refill()
+        taken = max(min(tokens, self._tokens), 0.0)
+        self._tokens -= taken
+        return taken
+
     def has_tokens(self, tokens: float = 1.0) -> bool:
         """Return whether a number of tokens is available."""
         self._refill()
