Charge requests of accounts to the quotas of the fleet

Cause: requests with an account's key were charged to nothing.

Change: the merged request path charges them to the quotas. Hosts that all have just started lend after one second, since the keepers before them have ended.

--- a/citronspan/core/accounts/__init__.py
+++ b/citronspan/core/accounts/__init__.py
@@ -1,1 +1,1 @@
-"""Client accounts of the fleet: who keeps the count of an account's requests."""
+"""Decisions about client accounts: their keys, ranks of their requests and quotas."""
--- a/citronspan/core/accounts/quota_keeper.py
+++ b/citronspan/core/accounts/quota_keeper.py
@@ -36,6 +36,9 @@
 PAUSE_SECONDS = 2.0
 """Time without any call after which others may have taken over."""
 
+START_PROBATION_SECONDS = 1.0
+"""Time in which the views of hosts that started together may differ."""
+
 MAXIMUM_RETRY_AFTER_SECONDS = 5.0
 MAXIMUM_ASK = 10_000
 IDLE_SECONDS = 600.0
@@ -239,6 +242,8 @@
             # Nobody else has lent since, so the bucket may have filled.
             since = max(self._seats.find_keeper_since(account, number), self._paused_at)
             seat = self._seat_by_key[account, number] = _Seat(min(since, now))
+            if self._seats.has_started_with_all():
+                seat.probation_end = seat.refilled_at + START_PROBATION_SECONDS
         terms = self._compute_terms(spec)
         seat.refill(terms, now)
         return seat, terms
--- a/citronspan/core/accounts/quota_seats.py
+++ b/citronspan/core/accounts/quota_seats.py
@@ -22,16 +22,26 @@
 """Earlier views that are looked through for the time since which a host is keeper."""
 
 
+START_SECONDS = 10.0
+"""Time within which hosts have started together."""
+
+INCARNATIONS_PER_SECOND = 1000 << 8
+
+
 class QuotaSeats:
     """Keepers by account and seat in the current view."""
 
-    def __init__(self, *, name: str, region: str):
+    def __init__(self, *, name: str, region: str, incarnation: int = 0):
         """Create a table for one host, which is alone at first.
 
         Args:
             name: Name of this host.
             region: Region of this host.
+            incarnation: Incarnation of its entry, 0 if that tells no time.
         """
+        self._oldest_incarnation = incarnation - START_SECONDS * INCARNATIONS_PER_SECOND
+        self._has_incarnation = incarnation > 0
+        self._started_at = time.monotonic()
         self._name = name
         self._region = region
         self._node_by_name: dict[str, NodeInfo] = {}
@@ -91,6 +101,20 @@
             since = seen_at
         return since
 
+    def has_started_with_all(self) -> bool:
+        """Return whether this host has just started, and so have all in the view.
+
+        Keepers of an earlier time have then all ended.
+        """
+        is_young = time.monotonic() - self._started_at < START_SECONDS
+        if not (is_young and self._has_incarnation and len(self._node_by_name) > 1):
+            return False
+        return all(
+            node.entry_incarnation >= self._oldest_incarnation
+            for node in self._node_by_name.values()
+            if node.name != self._name
+        )
+
     def find_successor(self, account: str, seat: int) -> NodeInfo | None:
         """Return the keeper of a seat if this host did not serve."""
         region = choose_region(self._names_by_region, account, seat)
--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -115,6 +115,12 @@
 ATTEMPT_FAILED = _define(
     208, "attempt-failed", "NOTICE", "An attempt to run a request on a target failed."
 )
+ATTEMPT_KEPT = _define(
+    226,
+    "attempt-kept",
+    "INFO",
+    "An attempt goes on past its limit, since no slot was got for a retry.",
+)
 SLOT_GRANTED = _define(
     209, "slot-granted", "INFO", "A broker granted a request a slot on a target."
 )
@@ -287,3 +293,15 @@
     "NOTICE",
     "A starting host has recovered its configuration and serves it from now on.",
 )
+CONFIGURATION_UNREADABLE = _define(
+    315,
+    "configuration-unreadable",
+    "ERROR",
+    "The newest configuration is invalid; the previous one, if any, stays in effect.",
+)
+CONFIGURATION_READABLE = _define(
+    316,
+    "configuration-readable",
+    "NOTICE",
+    "The newest configuration is valid again.",
+)
--- a/citronspan/ops/callers/account_admission.py
+++ b/citronspan/ops/callers/account_admission.py
@@ -22,14 +22,3 @@
 
     def give_back(self, name: str) -> None:
         """Return the charge of a request that was refused later and has not run."""
-
-
-class UnlimitedAdmission:
-    """Admits every request."""
-
-    def admit(self, name: str, spec: AccountSpec, deadline: float) -> float:
-        """Return 0."""
-        return 0.0
-
-    def give_back(self, name: str) -> None:
-        """Do nothing, since nothing was charged."""
--- a/citronspan/ops/callers/quota_service.py
+++ b/citronspan/ops/callers/quota_service.py
@@ -73,7 +73,7 @@
         self.count_by_decision: Counter[Decision] = Counter()
         self._link = link
         self._lock = threading.Lock()
-        self._seats = QuotaSeats(name=name, region=region)
+        self._seats = QuotaSeats(name=name, region=region, incarnation=link.incarnation)
         self._keeper = QuotaKeeper(rules=rules, seats=self._seats, find_spec=find_spec)
         self._holder = QuotaHolder(
             name=name, region=region, rules=rules, seats=self._seats
