--- a/citronspan/core/accounts/quota_holder.py
+++ b/citronspan/core/accounts/quota_holder.py
@@ -40,6 +40,9 @@
 DRY_SECONDS = 0.5
 """Longest time for which a seat that has no credit is not asked again."""
 
+LATE_CREDIT_SECONDS = 1.0
+"""Time for which the credit of a late answer may be used, from the question on."""
+
 MINORITY_SHARE = 0.5
 """Part of the fleet in view below which a keeper's refusal says little of the fleet."""
 
@@ -91,8 +94,10 @@
         self.alone: TokenBucket | None = None
 
     def count_credit(self, now):
-        while self.credit_by_end and self.credit_by_end[0][0] <= now:
-            self.credit_by_end.popleft()
+        if any(end <= now for end, _ in self.credit_by_end):
+            self.credit_by_end = deque(
+                item for item in self.credit_by_end if item[0] > now
+            )
         return sum(amount for _, amount in self.credit_by_end)
 
     def take(self, now):
@@ -207,7 +212,7 @@
         if open_ask.answer is not None:
             del self._open_ask_by_id[ask.message.ask_id]
             if not is_used:
-                self._return(open_ask)
+                self._keep_late_credit(open_ask, time.monotonic())
 
     def receive(self, answer: QuotaAnswer) -> bool:
         """Take an answer; a repeated one, or one too late, has no effect.
@@ -231,7 +236,7 @@
         if open_ask.is_awaited:
             return True
         del self._open_ask_by_id[answer.ask_id]
-        self._return(open_ask)
+        self._keep_late_credit(open_ask, now)
         return False
 
     def list_seats(self, name: str) -> list[int]:
@@ -377,10 +382,17 @@
             ),
         )
 
-    def _return(self, open_ask):
-        if open_ask.answer.granted > 0:
-            key = (open_ask.account, open_ask.seat)
-            self._returned_by_seat[key] += open_ask.answer.granted
+    def _keep_late_credit(self, open_ask, now):
+        """Keep the credit of a late answer for other requests, or return it."""
+        granted = open_ask.answer.granted
+        if granted <= 0:
+            return
+        account = self._account_by_name.get(open_ask.account)
+        end = open_ask.asked_at + LATE_CREDIT_SECONDS
+        if account is not None and end > now and account.spec == open_ask.spec:
+            account.credit_by_end.appendleft((end, granted))
+            return
+        self._returned_by_seat[open_ask.account, open_ask.seat] += granted
 
     def _make_alone_bucket(self, name, tokens):
         """Return a bucket that begins with whole tokens, as many in the mean."""
