--- a/citronspan/core/accounts/quota_keeper.py
+++ b/citronspan/core/accounts/quota_keeper.py
@@ -36,7 +36,7 @@
 PAUSE_SECONDS = 2.0
 """Time without any call after which others may have taken over."""
 
-START_PROBATION_SECONDS = 1.0
+START_PROBATION_SECONDS = 0.5
 """Time in which the views of hosts that started together may differ."""
 
 MAXIMUM_RETRY_AFTER_SECONDS = 5.0
@@ -237,6 +237,7 @@
             return None
         if not self._seats.is_keeper(account, number):
             return None
+        terms = self._compute_terms(spec)
         seat = self._seat_by_key.get((account, number))
         if seat is None:
             # Nobody else has lent since, so the bucket may have filled.
@@ -244,7 +245,7 @@
             seat = self._seat_by_key[account, number] = _Seat(min(since, now))
             if self._seats.has_started_with_all():
                 seat.probation_end = seat.refilled_at + START_PROBATION_SECONDS
-        terms = self._compute_terms(spec)
+                seat.level = terms.start_credit
         seat.refill(terms, now)
         return seat, terms
 
--- a/citronspan/core/accounts/quota_terms.py
+++ b/citronspan/core/accounts/quota_terms.py
@@ -35,6 +35,7 @@
         rate: Credit per second.
         capacity: Most credit in the bucket and lent ahead together.
         probation_rate: Credit per second of a new keeper.
+        start_credit: Credit of a new bucket if all hosts have just started.
         stand_in: Credit a window for hosts that have lost the other seat.
         returns: Credit a window that is accepted back.
         window_seconds: Length of the window.
@@ -43,6 +44,7 @@
     rate: float
     capacity: float
     probation_rate: float
+    start_credit: float
     stand_in: float
     returns: float
     window_seconds: float
@@ -89,6 +91,7 @@
         # Less than one request could never be lent.
         capacity=max(capacity, 1.0),
         probation_rate=min(probation_rate, rate),
+        start_credit=margin * CAPACITY_MARGIN_SHARE * seat_share,
         stand_in=margin * STAND_IN_MARGIN_SHARE * seat_share,
         returns=margin * RETURN_MARGIN_SHARE * seat_share,
         window_seconds=rules.window_seconds,
