--- a/citronspan/core/accounts/__init__.py
+++ b/citronspan/core/accounts/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions about client accounts: their keys, and the rank of their requests."""
+"""Decisions about client accounts: their keys, ranks of their requests and quotas."""
