Tell callers larger entries first, and refuse what a host's link can't carry

Cause: the directory named the first entries by rank in equal parts, whatever their hosts bear; a host of 0.43 cores and 10 Mbit/s got as many callers as one of 2.15 cores and 200 Mbit/s. A host over its own link made all its answers late.

Change: hosts state their limits in their settings, and NodeInfo carries them, with a signal that an entry is about to refuse. A request whose large answer the link cannot carry until its deadline is refused at once, 3016, not run.

--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -11,6 +11,7 @@
 from citronspan.core.settings import (
     AgentSettings,
     EntrySettings,
+    HostLimits,
     NodeIdentity,
     Port,
     Seconds,
@@ -74,6 +75,7 @@
         worker_threads: Maximum number of concurrent requests.
         metrics_port: Port of ``/metrics``, the same on every host.
         log_level: Name of a logbook level.
+        limits: What the host may use.
     """
 
     place: NodeIdentity
@@ -92,6 +94,7 @@
     worker_threads: ThreadCount = 64
     metrics_port: Port = 9464
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
 
     def __post_init__(self):
         """Check what concerns several values.
@@ -142,6 +145,7 @@
             reuse_seconds=REUSE_SECONDS,
             leave_seconds=self.stop_seconds * LEAVE_TIME_SHARE,
             log_level=self.log_level,
+            limits=self.limits,
         )
 
     def make_agent_settings(self) -> AgentSettings:
@@ -161,6 +165,7 @@
             seeds=self.seeds,
             keep_seconds=self.keep_seconds,
             log_level=self.log_level,
+            limits=self.limits,
         )
 
     def _make_agent_address(self, host):
--- a/citronspan/core/host_settings_test.py
+++ b/citronspan/core/host_settings_test.py
@@ -10,6 +10,7 @@
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import HostSettings
+from citronspan.core.node_messages import HostRoom
 from citronspan.core.settings import decode_settings
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.template"
@@ -129,3 +130,20 @@
     with pytest.raises(CitronspanError) as caught:
         decode_settings(fill_template(deployment), HostSettings, path="settings")
     assert caught.value.code.number in {1002, 1003}
+
+
+def test_limits_of_a_host_are_lost():
+    limits = {"cpuQuota": 0.717, "cores": 3, "memoryMb": 552, "linkMbps": 200.0}
+    deployment = {**DEPLOYMENT, "limits": limits}
+    settings = decode_settings(fill_template(deployment), HostSettings, path="settings")
+    room = HostRoom(processor_millicores=2151, link_kbit=200_000)
+    assert settings.make_agent_settings().limits.make_room() == room
+    assert settings.make_entry_settings().limits.link_bytes_per_second == 25e6
+
+
+@pytest.mark.parametrize("limits", [None, {}, {"cpuQuota": 0.5, "maxFds": 100}])
+def test_missing_limits_are_told_to_other_hosts(limits):
+    deployment = {**DEPLOYMENT, "limits": limits}
+    settings = decode_settings(fill_template(deployment), HostSettings, path="settings")
+    assert settings.make_agent_settings().limits.make_room() is None
+    assert not settings.make_entry_settings().limits.link_bytes_per_second
--- a/citronspan/core/membership/directory.py
+++ b/citronspan/core/membership/directory.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+from citronspan.core.membership.entry_choice import (
+    choose_by_weight,
+    differ_in_size,
+    leave_out_full,
+)
 from citronspan.core.node_messages import NodeInfo
 from citronspan.utils.rendezvous import rank_members
 
@@ -27,7 +32,7 @@
 
 
 def choose_addresses(
-    nodes: tuple[NodeInfo, ...], *, region: str, data_centre: str = ""
+    nodes: tuple[NodeInfo, ...], *, region: str, data_centre: str = "", caller: str = ""
 ) -> tuple[str, ...]:
     """Choose the addresses for one caller.
 
@@ -36,32 +41,61 @@
     other regions only if the region has none. The answer is just long enough to
     contain ``MINIMUM_IDLE_ENTRIES`` entries that are not busy, because callers that
     share few entries also share their connections to targets. All callers with the
-    same region and data centre get the same entries, in random order.
+    same region and data centre get the same entries, in random order, unless hosts
+    state different limits; see ``choose_by_weight``.
 
     Args:
         nodes: Nodes considered live.
         region: Region whose entries the caller should use.
         data_centre: Data centre of the caller, or empty.
+        caller: Identity of the caller, such as its IP address, or empty.
 
     Returns:
         At most ``MAXIMUM_ADDRESSES`` addresses.
     """
     serving = [node for node in nodes if node.entry_state == "serving"]
+    if differ_in_size(serving):
+        in_region = [node for node in serving if node.region == region]
+        candidates = _find_candidates(
+            leave_out_full(in_region, MINIMUM_IDLE_ENTRIES)
+            or leave_out_full(serving, MINIMUM_IDLE_ENTRIES),
+            region,
+            data_centre,
+        )
+    else:
+        candidates = _find_candidates(serving, region, data_centre)
+    key = f"directory {region} {data_centre}"
+    if differ_in_size(candidates):
+        chosen = choose_by_weight(
+            tuple(candidates),
+            key=key,
+            caller=caller,
+            idle_count=MINIMUM_IDLE_ENTRIES,
+            maximum=MAXIMUM_ADDRESSES,
+        )
+    else:
+        chosen = _choose_in_equal_parts(candidates, key)
+    addresses = [node.entry_callers_address for node in chosen]
+    random.shuffle(addresses)
+    return tuple(addresses)
+
+
+def _find_candidates(serving, region, data_centre):
     in_region = [node for node in serving if node.region == region]
     in_data_centre = [node for node in in_region if node.data_centre == data_centre]
-    candidates = (
-        in_data_centre
-        if len(in_data_centre) >= MINIMUM_IDLE_ENTRIES
-        else in_region or serving
-    )
+    if len(in_data_centre) >= MINIMUM_IDLE_ENTRIES:
+        return in_data_centre
+    return in_region or serving
+
+
+def _choose_in_equal_parts(candidates, key):
     node_by_name = {node.name: node for node in candidates}
     chosen = []
     idle_count = 0
-    for name in rank_members(node_by_name, f"directory {region} {data_centre}"):
+    for name in rank_members(node_by_name, key):
         node = node_by_name[name]
-        chosen.append(node.entry_callers_address)
+        chosen.append(node)
         idle_count += not node.entry_busy
         if idle_count >= MINIMUM_IDLE_ENTRIES or len(chosen) >= MAXIMUM_ADDRESSES:
             break
-    random.shuffle(chosen)
-    return tuple(chosen)
+    return chosen
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -5,6 +5,19 @@
 from citronspan.core.message_base import Message
 
 
+class HostRoom(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a host can bear by its settings.
+
+    Attributes:
+        processor_millicores: Thousandths of a core that its processes may use, 0 if
+            not stated.
+        link_kbit: Kilobits per second of its link, 0 if not stated.
+    """
+
+    processor_millicores: int = 0
+    link_kbit: int = 0
+
+
 class NodeInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Description of a node that all nodes share.
 
@@ -24,6 +37,9 @@
             more entries.
         entry_relay_address: Address at which its entry relays connections to targets
             for peers, empty if it does not.
+        room: What its host can bear, None if its settings don't say. A node of an
+            earlier version passes the record on without it.
+        entry_full: Whether its entry is about to refuse requests.
     """
 
     name: str
@@ -39,6 +55,8 @@
     offset: int = 0
     entry_busy: bool = False
     entry_relay_address: str = ""
+    room: HostRoom | None = None
+    entry_full: bool = False
 
 
 class ConfigurationPush(Message, kw_only=True):
@@ -144,6 +162,7 @@
         view_sequence: Sequence number of the last view that the entry applied.
         in_flight: Number of requests in flight.
         busy: Whether callers should use more entries than this one.
+        full: Whether the entry is about to refuse requests.
         shards: Shards whose broker this entry is; None if the report omits them.
         unhealthy_targets: Targets that other brokers of the region report as not
             healthy.
@@ -159,6 +178,7 @@
     unhealthy_targets: tuple[TargetReport, ...] = msgspec.field(
         default=(), name="sick_targets"
     )
+    full: bool = False
 
 
 NodeMessage = ConfigurationPush | ViewPush | EntryReport
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -194,6 +194,13 @@
     _NOT,
     "The entry stops before the request could end; another entry may run it.",
 )
+ENTRY_LINK_FULL = _define(
+    3016,
+    "entry-link-full",
+    503,
+    _NOT,
+    "The entry's link cannot carry the answer in time; another entry may have room.",
+)
 LINK_BUDGET_SPENT = _define(
     3060,
     "link-budget-spent",
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -12,6 +12,7 @@
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
+from citronspan.core.node_messages import HostRoom
 from citronspan.core.resources import parse_address
 from citronspan.utils.validation import (
     DECODING_ERRORS,
@@ -28,6 +29,7 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_SECONDS)]
 ThreadCount = Annotated[int, msgspec.Meta(ge=1, le=MAXIMUM_THREADS)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -68,6 +70,33 @@
     secret: str = ""
 
 
+class HostLimits(Section, kw_only=True):
+    """What a host may use; a value that is missing or 0 is not stated.
+
+    Attributes:
+        cores: Cores of the host.
+        processor_share: Share of each core that its processes may use.
+        link_mbit: Megabits per second of its link, in each direction.
+    """
+
+    cores: Amount = 0.0
+    processor_share: Amount = 1.0
+    link_mbit: Amount = 0.0
+
+    @property
+    def link_bytes_per_second(self) -> float:
+        """Bytes per second of the link in each direction, 0 if not stated."""
+        return self.link_mbit * 1e6 / 8
+
+    def make_room(self) -> HostRoom | None:
+        """Return what other hosts are told, None if nothing is stated."""
+        room = HostRoom(
+            processor_millicores=round(self.cores * self.processor_share * 1000),
+            link_kbit=round(self.link_mbit * 1000),
+        )
+        return None if room == HostRoom() else room
+
+
 class Tracing(Section, kw_only=True):
     """Export of spans.
 
@@ -105,6 +134,7 @@
             queue.
         tracing: Export of spans.
         log_level: Name of a logbook level.
+        limits: What the host may use.
     """
 
     place: NodeIdentity
@@ -121,6 +151,7 @@
     broker_wait_seconds: Seconds = 0.05
     tracing: Tracing = Tracing()
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
 
 
 class AgentSettings(Section, kw_only=True):
@@ -144,6 +175,7 @@
         snapshot_seconds: Interval between snapshots in the log; the log must retain
             records for at least three times as long.
         log_level: Name of a logbook level.
+        limits: What the host may use.
     """
 
     place: NodeIdentity
@@ -160,6 +192,7 @@
     keep_seconds: Seconds = 5.0
     snapshot_seconds: Seconds = 21600.0
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
 
 
 ProcessSettings = EntrySettings | AgentSettings
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -173,14 +173,14 @@
         )
 
     def find_directory(
-        self, *, region: str, data_centre: str, account: str
+        self, *, region: str, data_centre: str, account: str, caller: str = ""
     ) -> DirectoryAnswer:
         """Return the addresses for a caller; see ``FleetAnswers``."""
         caller_region = self._find_account_region(account) or region
         caller_region = caller_region or self.settings.place.region
         nodes = self.view.live_nodes()
         addresses = choose_addresses(
-            nodes, region=caller_region, data_centre=data_centre
+            nodes, region=caller_region, data_centre=data_centre, caller=caller
         )
         return DirectoryAnswer(
             addresses=addresses,
@@ -266,6 +266,7 @@
             entry_state=report.state,
             entry_incarnation=incarnation,
             entry_busy=report.busy,
+            entry_full=report.full,
         )
         if previous is not None and previous.state != report.state:
             # The directories of the region must stop listing an entry that leaves,
@@ -281,6 +282,7 @@
         """
         self.settings = settings
         self.view.set_seeds(settings.seeds)
+        self.view.update_own(room=settings.limits.make_room())
 
     def _tick_forever(self):
         while not self._stop.wait(self._get_tick_seconds()):
@@ -352,4 +354,5 @@
         entry_callers_address=settings.entry_callers_address,
         api_address=settings.api_address,
         entry_relay_address=settings.entry_relay_address,
+        room=settings.limits.make_room(),
     )
--- a/citronspan/ops/callers/open_requests.py
+++ b/citronspan/ops/callers/open_requests.py
@@ -8,6 +8,7 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.requests.link_room import Passage
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.utils.logs import write_event
 
@@ -42,12 +43,21 @@
         request_id: Identity of the request in logs, or empty.
         received_at: Time of ``time.monotonic()`` at which its head had been read.
         stage: How far it has come.
+        passage: Its bytes on the host's link, None before it is admitted to it.
+        answer_bytes: Bytes of the target's whole answer, None without one.
     """
 
     def __init__(self, *, request_id: str = "", received_at: float = 0.0):
         self.request_id = request_id
         self.received_at = received_at
         self.stage = Stage.READING
+        self.passage: Passage | None = None
+        self.answer_bytes: int | None = None
+
+    def end_passage(self) -> None:
+        """Give its bytes on the host's link free."""
+        if self.passage is not None:
+            self.passage.end(self.answer_bytes)
 
 
 class OpenRequests:
@@ -88,6 +98,7 @@
             if request not in self._requests:
                 return
             self._requests.remove(request)
+        request.end_passage()
         if not self._is_stopping():
             return
         self._metrics.count_ended_in_stop(result)
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -14,6 +14,7 @@
 from citronspan.core.keys.key_token import is_fleet_key
 from citronspan.core.requests.account_limits import AccountLimits
 from citronspan.core.requests.entry_configuration import EntryConfiguration
+from citronspan.core.requests.link_room import LinkRoom
 from citronspan.core.requests.route_table import choose_service, find_route
 from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.resources import Kind, RouteSpec
@@ -27,6 +28,7 @@
 from citronspan.ops.callers.forwarded_answer import log_answer, make_headers
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.keyed_request import KeyedRequest, claim_key
+from citronspan.ops.callers.link_admission import admit_to_link
 from citronspan.ops.callers.open_requests import OpenRequest, OpenRequests, StopResult
 from citronspan.ops.callers.refusals import (
     ENTRY_HEADER,
@@ -84,10 +86,12 @@
         dialect: Dialect,
         reuse_seconds: float,
         maximum_requests: int,
+        link_room: LinkRoom,
     ):
         self._dialect = dialect
         self._name = name
         self._maximum_requests = maximum_requests
+        self._link_room = link_room
         self._find_configuration = find_configuration
         self._count_entries = count_entries
         self._keys = keys
@@ -236,6 +240,9 @@
         self._check_account(configuration, request)
         deadline_seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
         goal_seconds = route.spec.goal_seconds
+        open_request.passage = admit_to_link(
+            self._link_room, route.spec, request, deadline_seconds
+        )
         request.connection.set_read_deadline(received_at + deadline_seconds)
         body = _receive_body(request)
         return RequestContext(
@@ -301,6 +308,7 @@
                 open_requests=self._open_requests,
             )
         attempt_response.answer.finish()
+        request_context.open_request.answer_bytes = len(attempt_response.body_start)
         self._attempts.release(
             request_context,
             attempt_response,
--- a/citronspan/ops/callers/streamed_answer.py
+++ b/citronspan/ops/callers/streamed_answer.py
@@ -67,8 +67,11 @@
         if self._is_closed:
             return
         self._is_closed = True
+        open_request = self._request_context.open_request
         is_broken_off = self._outcome_class is not self._attempt_response.outcome_class
-        if is_broken_off:
+        if not is_broken_off:
+            open_request.answer_bytes = self._forwarded_bytes
+        else:
             self._attempt_response.answer.abort_response()
             self._request_context.request.connection.abort()
         if self._keyed_request is not None:
@@ -85,7 +88,7 @@
         )
         self._metrics.end_request()
         result = StopResult.GIVEN_UP if is_broken_off else StopResult.FINISHED
-        self._open_requests.end(self._request_context.open_request, result)
+        self._open_requests.end(open_request, result)
 
 
 def _iterate_answer(attempt_response: AttemptResponse) -> Iterator[bytes]:
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -7,7 +7,6 @@
 
 from citronspan.core import log_events
 from citronspan.core.brokering.broker_messages import BrokerMessage, EntryMessage
-from citronspan.core.brokering.busy_signal import BusySignal
 from citronspan.core.configuration.push_parts import PushCollector
 from citronspan.core.detection.poison import PoisonNotice
 from citronspan.core.detection.verdicts import VerdictPush
@@ -25,6 +24,7 @@
 from citronspan.ops.callers.open_requests import OpenRequests
 from citronspan.ops.callers.readiness import make_readiness_server
 from citronspan.ops.callers.request_handler import RequestHandler
+from citronspan.ops.entry_load import EntryLoad
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.peers.incarnation import make_incarnation
 from citronspan.ops.peers.peer_link import PeerLink
@@ -135,7 +135,7 @@
         self._open_requests = OpenRequests(
             metrics=self.metrics, is_stopping=self._stop.is_set
         )
-        self._busy = BusySignal(threads=settings.worker_threads)
+        self._load = EntryLoad(settings=settings)
         self._report_sent_at = 0.0
         self._verdicts_sent_at = 0.0
         self._health_logged_at = 0.0
@@ -214,6 +214,7 @@
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
             maximum_requests=self.settings.worker_threads,
+            link_room=self._load.link_room,
         )
 
     def _make_relay_server(self):
@@ -335,7 +336,8 @@
             offset=self.configuration.offset,
             view_sequence=self.view.sequence,
             in_flight=in_flight,
-            busy=self._busy.update(in_flight),
+            busy=self._load.update_busy(in_flight),
+            full=self._load.update_full(in_flight),
             shards=self.slots.health_gossip.describe(),
             unhealthy_targets=self.slots.health_gossip.describe_received(),
         )
--- a/citronspan/ops/operators/resource_api.py
+++ b/citronspan/ops/operators/resource_api.py
@@ -61,7 +61,7 @@
         """Return the status of the known targets."""
 
     def find_directory(
-        self, *, region: str, data_centre: str, account: str
+        self, *, region: str, data_centre: str, account: str, caller: str = ""
     ) -> msgspec.Struct:
         """Return the addresses that a caller should use.
 
@@ -69,6 +69,7 @@
             region: Region of the caller, or empty.
             data_centre: Data centre of the caller, or empty.
             account: Client account of the caller, or empty.
+            caller: Address from which the caller asks, or empty.
         """
 
 
@@ -217,6 +218,7 @@
             region=request.query.get("region", ""),
             data_centre=request.query.get("dataCentre", ""),
             account=request.query.get("account", ""),
+            caller=request.caller,
         )
         return _make_json(answer)
 
@@ -326,6 +328,7 @@
         body=_read_body(environ),
         change_id=environ.get("HTTP_CHANGE_ID", ""),
         author=environ.get("HTTP_CITRONSPAN_AUTHOR", "")[:64],
+        caller=environ.get("REMOTE_ADDR", ""),
     )
 
 
--- a/citronspan/ops/operators/resource_api_types.py
+++ b/citronspan/ops/operators/resource_api_types.py
@@ -111,6 +111,7 @@
         body: The whole body.
         change_id: Change id chosen by the client, or empty.
         author: Author as stated by the client.
+        caller: IP address from which the request came, or empty.
     """
 
     method: str
@@ -119,6 +120,7 @@
     body: bytes = b""
     change_id: str = ""
     author: str = ""
+    caller: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
