Pass over a region that refused, for a pause, before it is asked again

Cause: an entry asked the other region for each request without a slot at home.

Change: core/brokering/overflow.py decides by what the other region answered last, by the way there and the time left. Home is always asked first.

--- a/citronspan/ops/slots/slot_service.py
+++ b/citronspan/ops/slots/slot_service.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import threading
+import time
 from collections.abc import Callable
 
 import logbook
@@ -19,6 +20,7 @@
     SlotRelease,
 )
 from citronspan.core.brokering.broker_set import BrokerSet
+from citronspan.core.brokering.overflow import Overflow
 from citronspan.core.brokering.rate_pacer import RatePacer
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.detection.episode_health import EpisodeHealth
@@ -41,12 +43,6 @@
 from citronspan.ops.targets.notice_recorder import NoticeRecorder
 from citronspan.utils.logs import write_event
 
-LARGE_BODY_BYTES = 20_000
-"""Requests with a body of at least this size stay in the first region.
-
-Transferring the body between regions costs more than the request is worth.
-"""
-
 QUARANTINE_RETRY_AFTER_SECONDS = 300.0
 
 _logger = logbook.Logger("slots")
@@ -91,6 +87,7 @@
             pacer=RatePacer(holder=link.address, rate_limits=self.rate_limits),
         )
         self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
+        self._overflow = Overflow(region=region)
         self._region_slots = RegionSlots(
             region=region,
             data_centre=data_centre,
@@ -117,8 +114,8 @@
     def acquire(self, query: SlotQuery) -> Slot | SlotRefused:
         """Acquire a slot, first in this region, then in others.
 
-        Another region is tried if this region has no free slot in time, and only
-        within the budget of the region link.
+        Another region is tried if this region has no free slot in time and the other
+        is likely to have one, and only within the budget of the region link.
 
         Args:
             query: The request and its constraints.
@@ -131,24 +128,22 @@
                 return make_slot_refused(
                     result_codes.REQUEST_QUARANTINED, QUARANTINE_RETRY_AFTER_SECONDS
                 )
-        regions = self._list_regions(query.service)
-        if query.body_bytes >= LARGE_BODY_BYTES:
-            regions = regions[:1]
-        # This region withholds free targets with a raised failure probability while
-        # another region may have better ones, so it is tried again last.
-        order = list(regions)
-        if len(regions) > 1 and regions[0] == self._region:
-            order.append(self._region)
         refused = self._region_slots.refuse_if_unusable(query.service)
         if refused is not None:
             return refused
-        for number, region in enumerate(order):
-            has_other_region = number < len(order) - 1
+        asked_before = bool(query.excluded)
+        for step in self._plan(query):
+            asked_at = time.monotonic()
             result = self._region_slots.acquire(
-                region,
-                query,
-                has_other_region,
-                asked_before=number > 0 or bool(query.excluded),
+                step.region, query, step.has_other_region, asked_before=asked_before
+            )
+            asked_before = True
+            self._overflow.observe(
+                step.region,
+                service=query.service,
+                is_retry=query.is_retry,
+                is_granted=isinstance(result, Slot),
+                seconds=time.monotonic() - asked_at,
             )
             if isinstance(result, Slot):
                 return result
@@ -158,6 +153,18 @@
         # A notice may have come while the request waited for a slot.
         return self._region_slots.refuse_if_unusable(query.service) or refused
 
+    def _plan(self, query):
+        end = query.goal_time or query.deadline
+        now = time.monotonic()
+        return self._overflow.plan(
+            self._list_regions(query.service),
+            service=query.service,
+            is_retry=query.is_retry,
+            body_bytes=query.body_bytes,
+            # A request that missed its goal still has until its deadline.
+            remaining_seconds=(end if end > now else query.deadline) - now,
+        )
+
     def may_use(self, slot: Slot, request_id: str) -> bool:
         """Return whether this entry may send a request to a slot's target now."""
         return self.notices.may_use(slot, request_id)
