Bound what all services and hosts send between regions by one budget

Cause: linkBytesPerSecond is a budget of each service, so the sum over services grew with their number. A question that a broker refused spent it all the same. Pauses of up to 2 s found room in the other region late.

Change: with regionLinkMbit a fleet's budget is divided by slots over all shards, which all entries form alike; a broker takes the smaller of both. Without it nothing changes. Refused requests give back what they spent. Pauses end after 1 s.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -62,6 +62,7 @@
         health: Health,
         targets: tuple[TargetInfo, ...] = (),
         link_bytes_per_second: float = 0.0,
+        find_link_share: Callable[[], float] = lambda: 1.0,
         retry_window: RetryWindow | None = None,
         floor: float = 0.0,
         count_preceding_targets: Callable[[], int] = lambda: 0,
@@ -75,6 +76,7 @@
             health: Failure detection for the shard's targets.
             targets: The shard's targets.
             link_bytes_per_second: Budget for requests from other regions.
+            find_link_share: Returns the part of it that the fleet's budget leaves.
             retry_window: Limit on the retries, None if entries limit them.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection ensures it.
@@ -106,7 +108,7 @@
         self._link_budget = LinkBudget(
             bytes_per_second=link_bytes_per_second,
             initial_seconds=0.0,
-            find_share=lambda: find_rate_share().share,
+            find_share=lambda: find_rate_share().share * find_link_share(),
         )
         self._arrival_count = 0
         self._reclaimed_count = 0
@@ -313,11 +315,16 @@
         if not self._may_retry(request):
             self._answers.refuse(waiting, result_codes.RETRIES_SPENT, now)
             return
-        if request.from_region and not self._spend_link_budget(request):
+        body_bytes = request.body_bytes
+        if request.from_region and not self._link_budget.spend(
+            request.request_kind, request.worth, body_bytes
+        ):
             self._answers.refuse(waiting, result_codes.LINK_BUDGET_SPENT, now)
             return
         if self._granter.try_grant(waiting, now):
             return
+        if request.from_region:
+            self._link_budget.give_back(request.request_kind, body_bytes)
         self._waiting.queue_or_refuse(waiting, now)
 
     def _count_request(self, request):
@@ -333,11 +340,6 @@
         is_fallback = request.force or bool(self.successor)
         return self._retry_window.allows_retry(is_fallback=is_fallback)
 
-    def _spend_link_budget(self, request):
-        return self._link_budget.spend(
-            request.request_kind, request.worth, request.body_bytes
-        )
-
     def _handle_release(self, sender, release, now):
         attempt_id = release.attempt_id
         if self._attempt_cache.has_ended(attempt_id):
--- a/citronspan/core/brokering/broker_set.py
+++ b/citronspan/core/brokering/broker_set.py
@@ -57,14 +57,21 @@
     """
 
     def __init__(
-        self, *, address: str, make_health: Callable[[ShardKey, ServiceSpec], Health]
+        self,
+        *,
+        address: str,
+        make_health: Callable[[ShardKey, ServiceSpec], Health],
+        region_link_bytes_per_second: float = 0.0,
     ):
         """Create an empty set.
 
         Args:
             address: Peer address of this entry.
             make_health: Factory of failure detection, called once for each broker.
+            region_link_bytes_per_second: Budget of the links between regions for the
+                requests of all services at all hosts, 0 for none.
         """
+        self._region_link_bytes_per_second = region_link_bytes_per_second
         self.address = address
         self.shards_by_group: dict[tuple[str, str], tuple[Shard, ...]] = {}
         self.table = BrokerTable()
@@ -253,6 +260,7 @@
             health=self._make_health(key, spec),
             targets=shard.targets,
             link_bytes_per_second=spec.link_bytes_per_second / len(group),
+            find_link_share=lambda: self._find_link_share(key),
             retry_window=self._make_retry_window(key, spec),
             floor=0.0 if ejects else spec.floor,
             count_preceding_targets=lambda: self.count_preceding_targets(key),
@@ -270,6 +278,24 @@
             return NEW_BROKER_RATE_SHARE
         return FULL_RATE_SHARE
 
+    def _find_link_share(self, key) -> float:
+        """Return the part of a shard's link budget that the fleet's budget leaves.
+
+        The fleet's budget is divided by slots over all shards, which all entries form
+        alike, so that its sum holds without messages between brokers.
+        """
+        shard = self._shard_by_key.get(key)
+        if not self._region_link_bytes_per_second or shard is None:
+            return 1.0
+        spec = self._spec_by_service[key.service]
+        group = self.shards_by_group[key.service, key.region]
+        own_rate = spec.link_bytes_per_second / len(group)
+        slots = sum(item.slots for item in self._shard_by_key.values())
+        if not own_rate or not slots:
+            return 1.0
+        rate = self._region_link_bytes_per_second * shard.slots / slots
+        return min(rate / own_rate, 1.0)
+
     def _make_retry_window(self, key, spec):
         if not spec.retry_window_seconds:
             return None
--- a/citronspan/core/brokering/link_budget.py
+++ b/citronspan/core/brokering/link_budget.py
@@ -72,6 +72,12 @@
         self._add_spent_bytes(request_kind, expected_bytes)
         return True
 
+    def give_back(self, request_kind: str, body_bytes: int) -> None:
+        """Give back what a request has spent that got no slot; it is not queued."""
+        expected_bytes = body_bytes + self.estimate_answer_bytes(request_kind)
+        self._available_bytes += expected_bytes
+        self._add_spent_bytes(request_kind, -expected_bytes)
+
     def reconcile_answer_bytes(self, request_kind: str, answer_bytes: int) -> None:
         """Replace the expected length of an answer by its actual length."""
         expected_bytes = self.estimate_answer_bytes(request_kind)
--- a/citronspan/core/brokering/link_budget_test.py
+++ b/citronspan/core/brokering/link_budget_test.py
@@ -77,3 +77,13 @@
     assert budget.spend("browse", 1.0, 0)
     assert not budget.spend("browse", 1.0, 101)
     assert budget.spent_bytes_by_kind == {"browse": 800}
+
+
+def test_refused_request_spends_the_budget():
+    budget = LinkBudget(bytes_per_second=RATE)
+    budget.reconcile_answer_bytes("browse", 100)
+    before = dict(budget.spent_bytes_by_kind)
+    for _ in range(100):
+        assert budget.spend("browse", 1.0, RATE // 4)
+        budget.give_back("browse", RATE // 4)
+    assert budget.spent_bytes_by_kind == before
--- a/citronspan/core/brokering/overflow.py
+++ b/citronspan/core/brokering/overflow.py
@@ -19,7 +19,7 @@
 
 FIRST_PAUSE_SECONDS = 0.2
 PAUSE_GROWTH = 2.0
-MAXIMUM_PAUSE_SECONDS = 2.0
+MAXIMUM_PAUSE_SECONDS = 1.0
 """Longest pause; room that a wave leaves in another region is found in this time."""
 
 LARGE_BODY_BYTES = 20_000
--- a/citronspan/core/brokering/overflow_test.py
+++ b/citronspan/core/brokering/overflow_test.py
@@ -4,6 +4,7 @@
 from hypothesis import given, strategies as st
 
 from citronspan.core.brokering.overflow import (
+    FIRST_PAUSE_SECONDS,
     LARGE_BODY_BYTES,
     MAXIMUM_PAUSE_SECONDS,
     Overflow,
@@ -103,7 +104,9 @@
         assert plan(overflow, is_retry=True) == ["west", "east", "west"]
         observe(overflow, is_granted=False, is_retry=True)
         assert plan(overflow, is_retry=True) == ["west"]
-        clock.tick(0.2)
+        clock.tick(FIRST_PAUSE_SECONDS - 0.01)
+        assert plan(overflow) == ["west", "east"]
+        clock.tick(0.02)
         assert plan(overflow) == ["west", "east", "west"]
         assert plan(overflow) == ["west", "east"]
         observe(overflow, is_granted=True)
--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -10,6 +10,7 @@
 
 from citronspan.core.settings import (
     AgentSettings,
+    Amount,
     EntrySettings,
     HostLimits,
     NodeIdentity,
@@ -76,6 +77,8 @@
         metrics_port: Port of ``/metrics``, the same on every host.
         log_level: Name of a logbook level.
         limits: What the host may use.
+        region_link_mbit: Megabits per second that the requests of all services and
+            hosts together may use of the links between regions, 0 for no such budget.
     """
 
     place: NodeIdentity
@@ -95,6 +98,7 @@
     metrics_port: Port = 9464
     log_level: str = "INFO"
     limits: HostLimits = HostLimits()
+    region_link_mbit: Amount = 0.0
 
     def __post_init__(self):
         """Check what concerns several values.
@@ -146,6 +150,7 @@
             leave_seconds=self.stop_seconds * LEAVE_TIME_SHARE,
             log_level=self.log_level,
             limits=self.limits,
+            region_link_mbit=self.region_link_mbit,
         )
 
     def make_agent_settings(self) -> AgentSettings:
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -135,6 +135,8 @@
         tracing: Export of spans.
         log_level: Name of a logbook level.
         limits: What the host may use.
+        region_link_mbit: Megabits per second that the requests of all services and
+            hosts together may use of the links between regions, 0 for no such budget.
     """
 
     place: NodeIdentity
@@ -152,6 +154,12 @@
     tracing: Tracing = Tracing()
     log_level: str = "INFO"
     limits: HostLimits = HostLimits()
+    region_link_mbit: Amount = 0.0
+
+    @property
+    def region_link_bytes_per_second(self) -> float:
+        """Bytes per second of the budget of the links between regions, or 0."""
+        return self.region_link_mbit * 1e6 / 8
 
 
 class AgentSettings(Section, kw_only=True):
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -122,6 +122,7 @@
             wait_seconds=settings.broker_wait_seconds,
             data_centre=settings.place.data_centre,
             list_connected_addresses=self._connections.list_idle_addresses,
+            region_link_bytes_per_second=settings.region_link_bytes_per_second,
         )
         self.keys = KeyService(
             name=settings.place.name,
--- a/citronspan/ops/slots/slot_service.py
+++ b/citronspan/ops/slots/slot_service.py
@@ -70,6 +70,7 @@
         wait_seconds: float,
         data_centre: str = "",
         list_connected_addresses: Callable[[], frozenset[str]] = frozenset,
+        region_link_bytes_per_second: float = 0.0,
     ):
         self._name = name
         self._region = region
@@ -86,7 +87,11 @@
             received_verdicts=self.received_verdicts,
             pacer=RatePacer(holder=link.address, rate_limits=self.rate_limits),
         )
-        self.brokers = BrokerSet(address=link.address, make_health=self._make_health)
+        self.brokers = BrokerSet(
+            address=link.address,
+            make_health=self._make_health,
+            region_link_bytes_per_second=region_link_bytes_per_second,
+        )
         self._overflow = Overflow(region=region)
         self._region_slots = RegionSlots(
             region=region,
