--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -10,7 +10,9 @@
 
 from citronspan.core.settings import (
     AgentSettings,
+    Amount,
     EntrySettings,
+    HostLimits,
     NodeIdentity,
     Port,
     QuotaRules,
@@ -76,6 +78,9 @@
         worker_threads: Maximum number of concurrent requests.
         metrics_port: Port of ``/metrics``, the same on every host.
         log_level: Name of a logbook level.
+        limits: What the host may use.
+        region_link_mbit: Megabits per second that the requests of all services and
+            hosts together may use of the links between regions, 0 for no such budget.
     """
 
     place: NodeIdentity
@@ -95,6 +100,8 @@
     worker_threads: ThreadCount = 64
     metrics_port: Port = 9464
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
+    region_link_mbit: Amount = 0.0
 
     def __post_init__(self):
         """Check what concerns several values.
@@ -146,6 +153,8 @@
             reuse_seconds=REUSE_SECONDS,
             leave_seconds=self.stop_seconds * LEAVE_TIME_SHARE,
             log_level=self.log_level,
+            limits=self.limits,
+            region_link_mbit=self.region_link_mbit,
         )
 
     def make_agent_settings(self) -> AgentSettings:
@@ -165,6 +174,7 @@
             seeds=self.seeds,
             keep_seconds=self.keep_seconds,
             log_level=self.log_level,
+            limits=self.limits,
         )
 
     def _make_agent_address(self, host):
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -205,6 +205,13 @@
     _NOT,
     "The route needs the key of a client account, and the request has none in force.",
 )
+ENTRY_LINK_FULL = _define(
+    3017,
+    "entry-link-full",
+    503,
+    _NOT,
+    "The entry's link cannot carry the answer in time; another entry may have room.",
+)
 LINK_BUDGET_SPENT = _define(
     3060,
     "link-budget-spent",
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -9,7 +9,6 @@
 from citronspan.core import log_events
 from citronspan.core.accounts.quota_messages import QuotaMessage
 from citronspan.core.brokering.broker_messages import BrokerMessage, EntryMessage
-from citronspan.core.brokering.busy_signal import BusySignal
 from citronspan.core.configuration.push_parts import PushCollector
 from citronspan.core.detection.poison import PoisonNotice
 from citronspan.core.detection.verdicts import VerdictPush
@@ -30,6 +29,7 @@
 from citronspan.ops.callers.quota_service import QuotaService
 from citronspan.ops.callers.readiness import describe_readiness, make_readiness_server
 from citronspan.ops.callers.request_handler import RequestHandler
+from citronspan.ops.entry_load import EntryLoad
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.peers.incarnation import make_incarnation
 from citronspan.ops.peers.peer_link import PeerLink
@@ -131,6 +131,7 @@
             wait_seconds=settings.broker_wait_seconds,
             data_centre=settings.place.data_centre,
             list_connected_addresses=self._connections.list_idle_addresses,
+            region_link_bytes_per_second=settings.region_link_bytes_per_second,
         )
         self.keys = KeyService(
             name=settings.place.name,
@@ -151,13 +152,13 @@
         self._open_requests = OpenRequests(
             metrics=self.metrics, is_stopping=self._stop.is_set
         )
-        self._busy = BusySignal(threads=settings.worker_threads)
         self._configuration_wait = ConfigurationWait(
             find_configuration=lambda: self.configuration,
             is_stopping=self._stop.is_set,
             threads=settings.worker_threads,
             name=settings.place.name,
         )
+        self._load = EntryLoad(settings=settings)
         self._report_sent_at = 0.0
         self._verdicts_sent_at = 0.0
         self._health_logged_at = 0.0
@@ -248,6 +249,7 @@
             maximum_requests=self.settings.worker_threads,
             limits=self.quotas,
             configuration_wait=self._configuration_wait,
+            link_room=self._load.link_room,
         )
 
     def _make_relay_server(self):
@@ -375,7 +377,8 @@
             offset=self.configuration.offset,
             view_sequence=self.view.sequence,
             in_flight=in_flight,
-            busy=self._busy.update(in_flight),
+            busy=self._load.update_busy(in_flight),
+            full=self._load.update_full(in_flight),
             shards=self.slots.health_gossip.describe(),
             unhealthy_targets=self.slots.health_gossip.describe_received(),
         )
