Keep the packages of core apart

Cause: the wait at a start used the order of return, and the choice of entries the signals of entries, against the order of core's packages; the test of names failed. Change: the times of return have a module that both use, a signal asks for room by a Protocol.

--- a/citronspan/core/brokering/return_order.py
+++ b/citronspan/core/brokering/return_order.py
@@ -16,20 +16,11 @@
 one that the broker asks for otherwise.
 """
 
-CALLER_WAIT_SHARE = 1 / 3
-"""Share of their remaining time for which callers wait as they are told."""
+from citronspan.core.return_times import CALLER_WAIT_SHARE, spread_evenly
 
 RETURN_SHARE = 0.5
 """Share of the slots that become free which is planned for those who return."""
 
-GOLDEN_FRACTION = 0.6180339887498949
-"""Step whose multiples, modulo 1, lie evenly between 0 and 1 however many there are."""
-
-
-def spread_evenly(number: int, least: float, most: float) -> float:
-    """Return the value of a number in a sequence that covers a span evenly."""
-    return least + (most - least) * (number * GOLDEN_FRACTION % 1)
-
 
 class ReturnLine:
     """Places of the refused callers of one broker.
--- a/citronspan/core/brokering/return_order_test.py
+++ b/citronspan/core/brokering/return_order_test.py
@@ -4,11 +4,10 @@
 from hypothesis import given, settings, strategies as st
 
 from citronspan.core.brokering.return_order import (
-    CALLER_WAIT_SHARE,
     RETURN_SHARE,
     ReturnLine,
-    spread_evenly,
 )
+from citronspan.core.return_times import CALLER_WAIT_SHARE, spread_evenly
 
 INTERVAL_SECONDS = 0.01
 STEP_SECONDS = INTERVAL_SECONDS / RETURN_SHARE
--- a/citronspan/core/membership/full_signal.py
+++ b/citronspan/core/membership/full_signal.py
@@ -7,8 +7,7 @@
 """
 
 import time
-
-from citronspan.core.requests.link_room import LinkRoom
+from typing import Protocol
 
 RAISE_THREAD_SHARE = 0.75
 """Share of the worker threads in use at which the signal is raised."""
@@ -17,10 +16,18 @@
 MINIMUM_RAISED_SECONDS = 15.0
 
 
+class Room(Protocol):
+    """Room that the requests of an entry share, as on the link of its host."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether there is room for no further request."""
+
+
 class FullSignal:
     """Signal of one entry, with hysteresis."""
 
-    def __init__(self, *, threads: int, room: LinkRoom):
+    def __init__(self, *, threads: int, room: Room):
         """Create a signal that is not raised.
 
         Args:
--- a/citronspan/core/requests/start_wait.py
+++ b/citronspan/core/requests/start_wait.py
@@ -10,7 +10,7 @@
 refused, and told times spread over that within which a configuration mostly comes.
 """
 
-from citronspan.core.brokering.return_order import CALLER_WAIT_SHARE, spread_evenly
+from citronspan.core.return_times import CALLER_WAIT_SHARE, spread_evenly
 
 START_SECONDS = 2.0
 """Time from its start after which an entry expects no configuration at any moment; the
