Ask again for an account's keepers while hosts don't know each other

Cause: after a loss of power of all hosts 58 requests were refused 429 within 2 s: hosts that had just started knew no keeper, refused at once and named 0.05 s to all callers, who came back into the same moment. Change: a request asks again for up to a second until a keeper says yes or no; what is refused for want of one names times that are spread. Two tests failed before.

--- a/citronspan/core/accounts/quota_request.py
+++ b/citronspan/core/accounts/quota_request.py
@@ -2,7 +2,9 @@
 
 Load pattern: keepers mostly answer within milliseconds; at times one is lost, and at
 times all are slow. A lost one costs a request a short wait. Slow ones are waited for,
-as hosts that went on without their answers would together exceed the limit.
+as hosts that went on without their answers would together exceed the limit. When all
+hosts start again at once, callers come before hosts know each other: a request asks
+again for a while, since refused callers would all come back into the same moment.
 """
 
 import enum
@@ -20,6 +22,9 @@
 PATIENCE_SECONDS = 1.0
 """Longest wait for keepers of which none answers in time."""
 
+ASK_AGAIN_SECONDS = 0.1
+"""Time after which it is asked again who keeps an account, if nobody says so."""
+
 
 class Decision(enum.StrEnum):
     """How a request was decided."""
@@ -73,7 +78,7 @@
     asks: list[SeatAsk] = []
     granted: SeatAsk | None = None
     try:
-        granted, refusals = yield from _ask_seats(holder, name, deadline, asks)
+        granted, refusals = yield from _ask_until_known(holder, name, deadline, asks)
     finally:
         for ask in asks:
             holder.close_ask(ask, is_used=ask is granted)
@@ -84,6 +89,19 @@
     return Decision.OVER_QUOTA if refusals else Decision.NO_KEEPER
 
 
+def _ask_until_known(holder, name, deadline, asks):
+    """Ask the seats until one is granted or refused, or for a while."""
+    end = min(time.monotonic() + PATIENCE_SECONDS, deadline)
+    while True:
+        granted, refusals = yield from _ask_seats(holder, name, deadline, asks)
+        if granted is not None or refusals or holder.is_alone():
+            return granted, refusals
+        again_at = time.monotonic() + ASK_AGAIN_SECONDS
+        if again_at >= end:
+            return None, 0
+        yield QuotaWait(asks=(), until=again_at)
+
+
 def _ask_seats(holder, name, deadline, asks):
     """Ask the seats, first in turn; return the question granted, and the refusals."""
     started_at = time.monotonic()
--- a/citronspan/ops/callers/quota_service.py
+++ b/citronspan/ops/callers/quota_service.py
@@ -31,11 +31,16 @@
 from citronspan.core.accounts.quota_terms import has_fleet_quota
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.resources import AccountSpec
+from citronspan.core.return_times import spread_evenly
 from citronspan.core.settings import QuotaRules
 from citronspan.ops.peers.peer_link import PeerLink
 from citronspan.utils.logs import write_event
 
 RETURN_INTERVAL_SECONDS = 0.1
+LEAST_RETURN_SECONDS = 0.3
+MOST_RETURN_SECONDS = 1.2
+"""Bounds of the times after which callers may come back while no keeper is known."""
+
 FORGET_INTERVAL_SECONDS = 1.0
 LOG_INTERVAL_SECONDS = 5.0
 """Least time between two log lines about refusals of the same account."""
@@ -93,7 +98,7 @@
             self.count_by_decision[decision] += 1
             if decision in ADMITTED:
                 return 0.0
-            retry_after_seconds = self._holder.compute_retry_after(name, spec)
+            retry_after_seconds = self._find_retry_after(name, spec, decision)
             fields = self._note_refusal(name, decision, retry_after_seconds)
         if fields is not None:
             write_event(_logger, log_events.ACCOUNT_REFUSED, **fields)
@@ -208,6 +213,12 @@
         if event is not None:
             event.set()
 
+    def _find_retry_after(self, name, spec, decision):
+        if decision is not Decision.NO_KEEPER:
+            return self._holder.compute_retry_after(name, spec)
+        count = self.count_by_decision[decision]
+        return spread_evenly(count, LEAST_RETURN_SECONDS, MOST_RETURN_SECONDS)
+
     def _note_refusal(self, name, decision, retry_after_seconds):
         """Count a refusal; return the fields of a line if one is due, else None."""
         self._refused_by_name[name] += 1
--- a/citronspan/ops/callers/quota_service_test.py
+++ b/citronspan/ops/callers/quota_service_test.py
@@ -108,6 +108,23 @@
     assert service.count_by_decision[Decision.NO_KEEPER] == 1
 
 
+def test_request_is_refused_though_the_first_view_comes_a_moment_later():
+    service_by_address = {}
+    service = Service(service_by_address, "n-0", QuotaRules(slack=20.0))
+    service_by_address[service.link.address] = service
+    timer = threading.Timer(0.25, service.set_nodes, args=[[make_node("n-0")]])
+    timer.start()
+    assert admit(service) == 0.0
+    timer.join()
+
+
+def test_callers_of_a_host_without_a_view_come_back_at_the_same_time():
+    service = Service({}, "n-0", QuotaRules())
+    waits = [admit(service, seconds=0.05) for _ in range(8)]
+    assert len({round(wait, 3) for wait in waits}) == 8
+    assert all(0.3 <= wait <= 1.2 for wait in waits)
+
+
 def test_account_without_a_quota_of_the_fleet_is_refused(services):
     for spec in (
         AccountSpec(requests_per_second=0.01),
