Let requests that may run again go first to targets that are due for the floor

Cause: a target that idles gets a request for the floor whatever its failure probability, and the next request that came took it. Change: in a shard that serves both kinds, targets are due 0.4 s sooner for requests that may run again, so that these explore.

Services that serve one kind only choose as before.

--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -7,6 +7,7 @@
 from citronspan.core.brokering.broker_target_usage import TargetUsage
 from citronspan.core.brokering.idle_allowance import count_allowed_idle_targets
 from citronspan.core.brokering.placement import (
+    EXPLORING_SECONDS,
     FAILED_IDLE_SECONDS,
     FLOOR_IDLE_SECONDS,
     IDLE_TARGET_SECONDS,
@@ -72,6 +73,7 @@
         self.capacity = 0
         self.expected_healthy_capacity = 0.0
         self.has_failure_probabilities = False
+        self._asked_once_at = -math.inf
         self._usage_by_target: dict[str, TargetUsage] = {}
         self._removed_usage_by_target: dict[str, TargetUsage] = {}
         self._usages_with_limits: list[tuple[TargetUsage, TargetLimit]] = []
@@ -270,10 +272,11 @@
         Of each it says whether its last grant hangs by the time that others took. Those
         that the entry failed to reach are left to the requests of others, and all of
         them for some time if it failed to reach any. Those whose last request was lost
-        just now are not due again yet.
+        just now are not due again yet. Requests that may run again go to them first.
         """
         if request.is_retry or not self.has_failure_probabilities:
             return {}
+        ahead_seconds = self._find_exploring_seconds(request, now)
         hold_seconds = self._estimate_hold_seconds()
         trusted_seconds = max(IDLE_TARGET_SECONDS, TRUSTED_HOLD_TIMES * hold_seconds)
         has_lost_a_path = not self._usage_by_target.keys().isdisjoint(request.avoided)
@@ -287,10 +290,11 @@
                 continue
             usable_count += 1
             unreached_seconds = usage.compute_unreached_seconds(now, trusted_seconds)
-            due_seconds = unreached_seconds - FLOOR_IDLE_SECONDS
+            due_seconds = unreached_seconds - FLOOR_IDLE_SECONDS + ahead_seconds
             if due_seconds <= 0:
                 continue
-            has_just_failed = now - usage.failed_at <= FAILED_IDLE_SECONDS
+            failed_seconds = now - usage.failed_at + ahead_seconds
+            has_just_failed = failed_seconds <= FAILED_IDLE_SECONDS
             idle_count += not has_just_failed
             pause_seconds = min(
                 FLOOR_IDLE_SECONDS, LOST_REQUEST_PAUSE_SHARE * unreached_seconds
@@ -308,6 +312,14 @@
         )
         return due_targets if idle_count > allowed_idle else {}
 
+    def _find_exploring_seconds(self, request, now):
+        """Return by how much sooner targets are due for the floor for a request."""
+        if not request.idempotent:
+            self._asked_once_at = now
+            return 0.0
+        is_mixed = now - self._asked_once_at <= FLOOR_IDLE_SECONDS
+        return EXPLORING_SECONDS if is_mixed else 0.0
+
 
 def _may_use_trial(request: SlotRequest, limit: TargetLimit) -> bool:
     if request.is_retry:
--- a/citronspan/core/brokering/floor_cost_test.py
+++ b/citronspan/core/brokering/floor_cost_test.py
@@ -7,6 +7,7 @@
 import freezegun
 import pytest
 
+from citronspan.core.brokering import broker_pool
 from citronspan.core.brokering.broker_messages import (
     SlotGrant,
     SlotRelease,
@@ -44,16 +45,20 @@
 
 
 class Service:
-    """All shards of a service at one broker, and requests that may run once only.
+    """All shards of a service at one broker, and requests of which some may run again.
 
     Attributes:
         granted: Time and target of each grant.
         failed: Time and target of each failure.
+        lost: Number of requests that failed and may run once only.
     """
 
-    def __init__(self, clock, *, seed):
+    def __init__(self, clock, *, seed, idempotent_share=0.0):
         self.granted = []
         self.failed = []
+        self.lost = 0
+        self._idempotent_share = idempotent_share
+        self._idempotent_ids = set()
         self._clock = clock
         self._random = random.Random(seed)
         self._running = []
@@ -84,7 +89,11 @@
             self._clock.tick(1 / REQUESTS_PER_SECOND)
             self._release_finished()
             self._attempt_id += 1
+            idempotent = self._random.random() < self._idempotent_share
+            if idempotent:
+                self._idempotent_ids.add(self._attempt_id)
             request = SlotRequest(
+                idempotent=idempotent,
                 attempt_id=self._attempt_id,
                 service="s",
                 region="r",
@@ -136,6 +145,7 @@
             _, attempt_id, name, failed = heapq.heappop(self._running)
             if failed:
                 self.failed.append((now, name))
+                self.lost += attempt_id not in self._idempotent_ids
             outcome = Outcome(
                 target=name,
                 outcome_class=OutcomeClass.TARGET_ERROR if failed else OutcomeClass.OK,
@@ -171,3 +181,19 @@
     baseline, _ = replay(seed, rounds_by_shard=True)
     assert used >= FLOOR
     assert failed < baseline
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_requests_that_run_once_explore_though_others_may_run_again(seed, monkeypatch):
+    lost = {}
+    for seconds in (0.0, broker_pool.EXPLORING_SECONDS):
+        monkeypatch.setattr(broker_pool, "EXPLORING_SECONDS", seconds)
+        with freezegun.freeze_time("2026-01-01") as clock:
+            service = Service(clock, seed=seed, idempotent_share=0.5)
+            service.run(WARM_UP_SECONDS)
+            start = time.monotonic()
+            service.run(REPLAY_SECONDS)
+            lost[seconds] = service.lost
+            assert service.find_smallest_share(start) >= FLOOR
+    before, after = lost.values()
+    assert after < 0.9 * before
--- a/citronspan/core/brokering/placement.py
+++ b/citronspan/core/brokering/placement.py
@@ -49,6 +49,10 @@
 """Time for which a target that is due a request for the floor is left to entries that
 reach all targets. Requests of the others wait longer, and would come first."""
 
+EXPLORING_SECONDS = 0.4
+"""Time by which targets are due for the floor sooner for requests that may run again,
+in a shard that also serves others: those would be lost where the target still fails."""
+
 FAILED_IDLE_SECONDS = 3.4
 """Time after a failure during which a target does not count as idle for the floor.
 Users take a target that failed for healthy again after 2 s."""
