--- a/citronspan/core/membership/full_signal.py
+++ b/citronspan/core/brokering/full_signal.py
@@ -8,8 +8,6 @@
 
 import time
 
-from citronspan.core.requests.link_room import LinkRoom
-
 RAISE_THREAD_SHARE = 0.75
 """Share of the worker threads in use at which the signal is raised."""
 
@@ -20,26 +18,25 @@
 class FullSignal:
     """Signal of one entry, with hysteresis."""
 
-    def __init__(self, *, threads: int, room: LinkRoom):
+    def __init__(self, *, threads: int):
         """Create a signal that is not raised.
 
         Args:
             threads: Number of requests that the entry runs at most.
-            room: Room on the link of its host.
         """
         self._threads = threads
-        self._room = room
         self._lower_at: float | None = None
 
-    def update(self, in_flight: int) -> bool:
+    def update(self, in_flight: int, *, is_link_full: bool = False) -> bool:
         """Update the signal and return whether it is raised.
 
         Args:
             in_flight: Number of requests that the entry is running.
+            is_link_full: Whether the link of its host has no room.
         """
         now = time.monotonic()
         share = in_flight / self._threads
-        if share >= RAISE_THREAD_SHARE or self._room.is_full:
+        if share >= RAISE_THREAD_SHARE or is_link_full:
             self._lower_at = now + MINIMUM_RAISED_SECONDS
         if self._lower_at is None:
             return False
--- a/citronspan/core/membership/entry_choice.py
+++ b/citronspan/core/membership/entry_choice.py
@@ -13,7 +13,6 @@
 import statistics
 from collections.abc import Iterable
 
-from citronspan.core.brokering.busy_signal import LOWER_THREAD_SHARE, RAISE_THREAD_SHARE
 from citronspan.core.node_messages import HostRoom, NodeInfo
 from citronspan.utils.rendezvous import compute_score, rank_members
 
@@ -25,8 +24,9 @@
 USABLE_MILLICORES = 1000
 """Thousandths of a core that one process uses at most, by the runtime's lock."""
 
-BUSY_WEIGHT_SHARE = LOWER_THREAD_SHARE / RAISE_THREAD_SHARE
-"""Share of its weight that a busy entry keeps: what lowers the signal again."""
+BUSY_WEIGHT_SHARE = 0.4
+"""Share of its weight that a busy entry keeps: the load that lowers the busy signal,
+as a share of that which raises it."""
 
 SURE_PLACE_SHARE = 0.5
 """Share of the places of an answer that go to the largest entries for all callers."""
--- a/citronspan/ops/entry_load.py
+++ b/citronspan/ops/entry_load.py
@@ -1,7 +1,7 @@
 """Signals by which callers are told more entries, or others than this one."""
 
 from citronspan.core.brokering.busy_signal import BusySignal
-from citronspan.core.membership.full_signal import FullSignal
+from citronspan.core.brokering.full_signal import FullSignal
 from citronspan.core.requests.link_room import LinkRoom
 from citronspan.core.settings import EntrySettings
 
@@ -20,9 +20,7 @@
         self._busy = BusySignal(threads=settings.worker_threads)
         self._full = None
         if settings.limits.make_room() is not None:
-            self._full = FullSignal(
-                threads=settings.worker_threads, room=self.link_room
-            )
+            self._full = FullSignal(threads=settings.worker_threads)
 
     def update_busy(self, in_flight: int) -> bool:
         """Return whether callers should use more entries than this one."""
@@ -30,4 +28,6 @@
 
     def update_full(self, in_flight: int) -> bool:
         """Return whether callers should use others; never without stated limits."""
-        return self._full is not None and self._full.update(in_flight)
+        if self._full is None:
+            return False
+        return self._full.update(in_flight, is_link_full=self.link_room.is_full)
