--- a/citronspan/core/membership/entry_choice.py
+++ b/citronspan/core/membership/entry_choice.py
@@ -25,8 +25,8 @@
 """Thousandths of a core that one process uses at most, by the runtime's lock."""
 
 BUSY_WEIGHT_SHARE = 0.4
-"""Share of its weight that a busy entry keeps; its signal ends at that part of the load
-at which it is raised."""
+"""Share of its weight that a busy entry keeps: the load that lowers the busy signal,
+as a share of that which raises it."""
 
 SURE_PLACE_SHARE = 0.5
 """Share of the places of an answer that go to the largest entries for all callers."""
