--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -115,6 +115,12 @@
 ATTEMPT_FAILED = _define(
     208, "attempt-failed", "NOTICE", "An attempt to run a request on a target failed."
 )
+ATTEMPT_KEPT = _define(
+    226,
+    "attempt-kept",
+    "INFO",
+    "An attempt goes on past its limit, since no slot was got for a retry.",
+)
 SLOT_GRANTED = _define(
     209, "slot-granted", "INFO", "A broker granted a request a slot on a target."
 )
@@ -122,13 +128,13 @@
     210, "slot-refused", "INFO", "A broker refused to grant a request a slot."
 )
 HEDGE_SENT = _define(
-    226,
+    240,
     "hedge-sent",
     "INFO",
     "A late request was sent to a second target while the first works on it.",
 )
 HEDGE_ENDED = _define(
-    227,
+    241,
     "hedge-ended",
     "INFO",
     "A request with a second attempt has ended; says which attempt's answer counts.",
@@ -290,3 +296,15 @@
     "NOTICE",
     "A starting host has recovered its configuration and serves it from now on.",
 )
+CONFIGURATION_UNREADABLE = _define(
+    315,
+    "configuration-unreadable",
+    "ERROR",
+    "The newest configuration is invalid; the previous one, if any, stays in effect.",
+)
+CONFIGURATION_READABLE = _define(
+    316,
+    "configuration-readable",
+    "NOTICE",
+    "The newest configuration is valid again.",
+)
--- a/citronspan/ops/targets/hedged_attempt.py
+++ b/citronspan/ops/targets/hedged_attempt.py
@@ -18,11 +18,16 @@
 from citronspan.core.requests.hedging import AttemptRole, HedgeRace, may_hedge
 from citronspan.core.result_codes import Ran
 from citronspan.ops.entry_metrics import EntryMetrics
-from citronspan.ops.slots.slot_source import Slot, SlotQuery, SlotRefused, SlotSource
-from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
+from citronspan.ops.slots.slot_source import Slot, SlotRefused, SlotSource
+from citronspan.ops.targets.attempt_context import (
+    AttemptResponse,
+    RequestContext,
+    make_slot_query,
+)
 from citronspan.ops.targets.attempt_line import AttemptLine
+from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_reporter import AttemptReporter
-from citronspan.ops.targets.fallback_answer import FallbackAnswer
+from citronspan.ops.targets.retry_budgets import RetryBudgets
 from citronspan.ops.targets.target_connection import (
     CALLER_POLL_INTERVAL_SECONDS,
     AttemptFailedError,
@@ -41,8 +46,8 @@
         slots: SlotSource,
         metrics: EntryMetrics,
         reporter: AttemptReporter,
+        budgets: RetryBudgets,
         attempt: Callable[..., AttemptResponse],
-        make_query: Callable[..., SlotQuery],
         may_begin: Callable[[RequestContext], bool],
     ):
         """Create a maker.
@@ -51,31 +56,29 @@
             slots: Grants the slots of hedges.
             metrics: Counts hedges.
             reporter: Releases the slots of attempts.
+            budgets: Budgets for retries at this entry.
             attempt: Runs one attempt.
-            make_query: Makes the query for a slot.
             may_begin: Returns whether an attempt of a request may begin now.
         """
         self.slots = slots
         self.metrics = metrics
         self.reporter = reporter
+        self.budgets = budgets
         self.attempt = attempt
-        self.make_query = make_query
         self.may_begin = may_begin
 
     def prepare(
         self,
         request_context: RequestContext,
         slot: Slot,
-        tried: tuple[str, ...],
-        spend_retry: Callable[[], bool],
+        progress: AttemptProgress,
     ) -> "HedgedAttempt | None":
         """Return the attempt at a slot's target, or None if it may not be hedged.
 
         Args:
             request_context: The request.
             slot: Slot of the attempt.
-            tried: Names of the request's targets, with that of the attempt.
-            spend_retry: Takes one retry from the entry's budget, if there is one.
+            progress: Its attempts so far, this one included.
         """
         if not slot.hedge_seconds:
             return None
@@ -83,23 +86,18 @@
             hedge_seconds=slot.hedge_seconds,
             idempotent=request_context.spec.idempotent,
             is_buffered=request_context.body.buffer is not None,
-            tried_targets=len(tried),
+            tried_targets=len(progress.tried),
             maximum_attempts=request_context.spec.maximum_attempts,
         )
         if not may_be_hedged:
             return None
         return HedgedAttempt(
-            parts=self, request_context=request_context, slot=slot, spend=spend_retry
+            parts=self, request_context=request_context, slot=slot, progress=progress
         )
 
 
 class HedgedAttempt:
-    """The first attempt of one request and its hedge, if one is sent.
-
-    Attributes:
-        hedge_target: Name of the target to which the hedge was sent, or empty.
-        may_have_run: Whether the attempt that doesn't count may have run.
-    """
+    """The first attempt of one request and its hedge, if one is sent."""
 
     def __init__(
         self,
@@ -107,14 +105,13 @@
         parts: HedgedAttempts,
         request_context: RequestContext,
         slot: Slot,
-        spend: Callable[[], bool],
+        progress: AttemptProgress,
     ):
-        self.hedge_target = ""
-        self.may_have_run = False
+        self._is_sent = False
+        self._progress = progress
         self._parts = parts
         self._request_context = request_context
         self._first_slot = slot
-        self._spend_retry = spend
         self._race = HedgeRace()
         self._first_line = AttemptLine(
             late_at=time.monotonic() + slot.hedge_seconds, on_late=self._begin_hedge
@@ -130,8 +127,7 @@
         self,
         request_context: RequestContext,
         slot: Slot,
-        tried: tuple[str, ...],
-        fallback: FallbackAnswer,
+        progress: AttemptProgress,
     ) -> AttemptResponse:
         """Run the first attempt, and return the response that counts.
 
@@ -139,23 +135,26 @@
             AttemptFailedError: If neither attempt got an answer, with the outcome of
                 the first.
         """
+        progress.line = self._first_line
         try:
-            response = self._parts.attempt(
-                request_context, slot, tried, fallback, self._first_line
-            )
+            response = self._parts.attempt(request_context, slot, progress)
         except AttemptFailedError as error:
-            self._first_line.detach()
+            self._let_go(progress)
             hedge_response = self._take_over(error)
             if hedge_response is None:
                 raise
             return hedge_response
         except BaseException:
-            self._first_line.detach()
+            self._let_go(progress)
             self._abandon_hedge()
             raise
-        self._first_line.detach()
+        self._let_go(progress)
         return response if not self._has_begun else self._choose(response)
 
+    def _let_go(self, progress):
+        self._first_line.detach()
+        progress.line = None
+
     def _take_over(self, error):
         """Return the hedge's response in the place of a failed first attempt."""
         if not self._has_begun:
@@ -167,7 +166,7 @@
         response = self._wait_for_hedge()
         self._log_end()
         if response is not None:
-            self.may_have_run = True
+            self._note_run(error.outcome_class)
         return response
 
     def _choose(self, response):
@@ -182,8 +181,7 @@
         if hedge_response is None:
             return response
         if self._race.winner is AttemptRole.HEDGE:
-            ran = RAN_BY_OUTCOME_CLASS[response.outcome_class]
-            self.may_have_run = self.may_have_run or ran is not Ran.NOT_RUN
+            self._note_run(response.outcome_class)
             self._drop(response)
             return hedge_response
         self._drop(hedge_response)
@@ -196,9 +194,10 @@
             return
         if request_context.request.connection.is_disconnected():
             return
-        if not self._spend_retry():
+        if not self._parts.budgets.spend(self._progress.budget):
             return
         self._has_begun = True
+        self._progress.is_hedged = True
         context = contextvars.copy_context()
         threading.Thread(
             target=context.run, args=[self._run_hedge], daemon=True, name="hedge"
@@ -215,6 +214,7 @@
             write_event(_logger, log_events.BACKGROUND_TASK_FAILED, task="hedge")
         finally:
             self._hedge_line.detach()
+            self._progress.is_hedged = False
             self._hand_in(response)
 
     def _hand_in(self, response):
@@ -234,12 +234,16 @@
         request_context = self._request_context
         service = request_context.service_name
         self._parts.metrics.count_hedge(service, "asked")
-        query = self._parts.make_query(
-            request_context, (self._first_slot.target,), is_retry=True
+        query = make_slot_query(
+            request_context,
+            excluded=(self._first_slot.target,),
+            is_retry=True,
+            is_too_late=lambda: self._hedge_line.is_ended,
         )
         slot = self._parts.slots.acquire_hedge(self._first_slot, query)
         if isinstance(slot, SlotRefused):
             self._parts.metrics.count_refused_hedge(slot.code)
+            self._parts.budgets.refund(self._progress.budget)
             return None
         if self._hedge_line.is_ended or not self._parts.may_begin(request_context):
             self._parts.reporter.release_failed(
@@ -247,10 +251,11 @@
             )
             return None
         self._record_sent(slot)
-        tried = (self._first_slot.target, slot.target)
-        response = self._parts.attempt(
-            request_context, slot, tried, FallbackAnswer(), self._hedge_line
-        )
+        progress = AttemptProgress(self._progress.budget)
+        progress.tried = (self._first_slot.target, slot.target)
+        progress.line = self._hedge_line
+        progress.is_hedge = True
+        response = self._parts.attempt(request_context, slot, progress)
         self._note_run(response.outcome_class)
         if response.outcome_class is not OutcomeClass.OK:
             return response
@@ -262,7 +267,8 @@
         return None
 
     def _record_sent(self, slot):
-        self.hedge_target = slot.target
+        self._is_sent = True
+        self._progress.tried = (*self._progress.tried, slot.target)
         self._parts.metrics.count_hedge(self._request_context.service_name, "sent")
         write_event(
             _logger,
@@ -275,7 +281,7 @@
         )
 
     def _log_end(self):
-        if not self.hedge_target:
+        if not self._is_sent:
             return
         write_event(
             _logger,
@@ -286,8 +292,9 @@
         )
 
     def _note_run(self, outcome_class):
-        is_proven = RAN_BY_OUTCOME_CLASS[outcome_class] is Ran.NOT_RUN
-        self.may_have_run = self.may_have_run or not is_proven
+        """Note that an attempt which may not count may have run."""
+        if RAN_BY_OUTCOME_CLASS[outcome_class] is not Ran.NOT_RUN:
+            self._progress.may_have_run = True
 
     def _wait_for_hedge(self) -> AttemptResponse | None:
         """Wait for the hedge to end, unless the caller leaves before."""
--- a/citronspan/ops/targets/retry_budgets.py
+++ b/citronspan/ops/targets/retry_budgets.py
@@ -37,6 +37,11 @@
         with self._lock:
             return budget.spend()
 
+    def refund(self, budget: RetryBudgetProtocol) -> None:
+        """Take back a retry that was spent and will not be made."""
+        with self._lock:
+            budget.refund()
+
     def decide(
         self,
         budget: RetryBudgetProtocol,
