--- a/citronspan/core/brokering/hedge_budget.py
+++ b/citronspan/core/brokering/hedge_budget.py
@@ -15,7 +15,7 @@
 MAXIMUM_SAVED_HEDGES = 5.0
 """Hedges that a broker may have earned and not used."""
 
-RESERVED_HEDGES = 2.0
+RESERVED_HEDGES = 1.0
 """Hedges kept for attempts at targets that are late, where they gain most. Elsewhere a
 late attempt is mostly a long request, which is as long at the next target."""
 
--- a/citronspan/core/brokering/hedge_policy.py
+++ b/citronspan/core/brokering/hedge_policy.py
@@ -26,6 +26,10 @@
 """Bounds on the share of the answers that count as late, whatever share of extra
 attempts the operator allows. Recent answers are too few to tell rarer ones."""
 
+EARLY_SHARE = 0.2
+"""Share of the answers that take longer than the least delay of a hedge that is sent
+before its request counts as late, so that it can still meet the goal."""
+
 TYPICAL_SHARE = 0.5
 """Share of the answers that take longer than what a hedge is expected to take."""
 
@@ -197,10 +201,14 @@
         seconds = self._find_delay_seconds(kind)
         if seconds == math.inf or self.is_in_common_trouble():
             return 0.0
-        typical_seconds = self._latency_by_kind[kind].find_seconds(TYPICAL_SHARE)
-        if seconds + typical_seconds >= (goal_seconds or deadline_seconds):
-            return 0.0
-        return seconds
+        latency = self._latency_by_kind[kind]
+        last_seconds = goal_seconds or deadline_seconds
+        last_seconds -= latency.find_seconds(TYPICAL_SHARE)
+        least_seconds = max(
+            latency.find_seconds(EARLY_SHARE), self._find_limits().minimum_seconds
+        )
+        seconds = max(min(seconds, last_seconds), least_seconds)
+        return seconds if seconds <= last_seconds else 0.0
 
     def _is_promising(self, target):
         """Return whether a hedge is likely to win, or due to show whether it does."""
--- a/citronspan/core/brokering/hedge_policy_test.py
+++ b/citronspan/core/brokering/hedge_policy_test.py
@@ -81,6 +81,7 @@
     assert find_seconds(policy) == 0.0
     warm_up(policy)
     assert find_seconds(policy, goal_seconds=1.0) > 0
+    assert find_seconds(policy, goal_seconds=0.47) == pytest.approx(0.27, abs=0.01)
     assert find_seconds(policy, goal_seconds=0.4) == 0.0
     assert find_seconds(policy, deadline_seconds=0.4) == 0.0
 
--- a/citronspan/ops/slots/slot_service_test.py
+++ b/citronspan/ops/slots/slot_service_test.py
@@ -614,3 +614,56 @@
             assert time.monotonic() < deadline, "the new entry passes the request on"
             broker.link.send_all(broker.slots.health_gossip.collect_notices())
             time.sleep(0.1)
+
+
+HEDGING = ServiceSpec(hedge_share=1.0, hedge_delay_seconds=0.0)
+
+
+def acquire_hedge(running, first):
+    query = SlotQuery(
+        service="s",
+        request_kind="k",
+        worth=1.0,
+        deadline=time.monotonic() + DEADLINE_SECONDS,
+        idempotent=True,
+        excluded=(first.target,),
+        fingerprint=1,
+        body_bytes=0,
+        is_retry=True,
+    )
+    return running.slots.acquire_hedge(first, query)
+
+
+@pytest.mark.parametrize("spec", [HEDGING, ServiceSpec()])
+def test_hedge_gets_another_target_from_the_broker_of_the_first_attempt(pair, spec):
+    broker, requester = pair
+    for item in pair:
+        item.slots.set_services({"s": spec}, {"s": TARGETS}, frozenset())
+    for _ in range(3):
+        requester.release(requester.acquire())
+    first = requester.acquire()
+    hedge = acquire_hedge(requester, first)
+    if spec is not HEDGING:
+        assert hedge.code is result_codes.HEDGES_SPENT
+        return
+    assert hedge.broker == broker.link.address
+    assert hedge.target != first.target
+
+
+def test_hedge_that_an_older_broker_queues_is_taken_back(pair):
+    broker, requester = pair
+    handle = broker.slots.handle
+
+    def handle_as_before(sender, message):
+        if isinstance(message, SlotRequest):
+            message = msgspec.structs.replace(message, is_hedge=False)
+        handle(sender, message)
+
+    broker.slots.handle = handle_as_before
+    slots = [requester.acquire() for _ in TARGETS]
+    begun_at = time.monotonic()
+    assert isinstance(acquire_hedge(requester, slots[0]), SlotRefused)
+    assert time.monotonic() - begun_at < MAXIMUM_ACQUIRE_SECONDS
+    for slot in slots:
+        requester.release(slot)
+    assert {requester.acquire().target for _ in TARGETS} == {"t0", "t1", "t2"}
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -290,6 +290,16 @@
     assert b'"retrySlack":20,' in msgspec.json.encode(service.spec)
 
 
+@pytest.mark.parametrize("share", [0.0, 0.05])
+def test_service_names_hedges_only_where_the_operator_allows_them(share):
+    rules = ServiceRules(hedge_share=share, hedge_delay_seconds=0.2)
+    resources = read_configuration(encode_configuration(ROUTE), rules)
+    service = next(item for item in resources if item.kind is Kind.SERVICE)
+    encoded = msgspec.json.encode(service.spec)
+    assert (b"hedge" in encoded) == (share > 0)
+    assert (b'"hedgeShare":0.05,"hedgeDelaySeconds":0.2' in encoded) == (share > 0)
+
+
 @pytest.mark.parametrize(
     "name", ["Browse_1", "browse 1", "Ström", "-", "b" * 64, "a/b"]
 )
