--- a/citronspan/ops/targets/hedged_attempt.py
+++ b/citronspan/ops/targets/hedged_attempt.py
@@ -7,6 +7,7 @@
 """
 
 import contextvars
+import dataclasses
 import threading
 import time
 from collections.abc import Callable
@@ -176,6 +177,10 @@
             self._abandon_hedge()
             self._log_end()
             return response
+        if not is_good:
+            # Its target has done with it, and the broker is to know how it ended.
+            self._parts.reporter.release(self._request_context, response)
+            response = dataclasses.replace(response, is_released=True)
         hedge_response = self._wait_for_hedge()
         self._log_end()
         if hedge_response is None:
@@ -302,6 +307,7 @@
         while not self._is_hedge_over.wait(CALLER_POLL_INTERVAL_SECONDS):
             if connection.is_disconnected():
                 self._abandon_hedge()
+                self._log_end()
                 raise AttemptFailedError(
                     outcome_class=OutcomeClass.CANCELLED,
                     detail="the caller disconnected",
