--- a/citronspan/core/brokering/hedge_desk.py
+++ b/citronspan/core/brokering/hedge_desk.py
@@ -20,6 +20,10 @@
 from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
 from citronspan.core.result_codes import ResultCode
 
+MAXIMUM_FAILURE_PROBABILITY = 0.25
+"""Failure probability up to which a target gets hedges; detection clears a target that
+it suspected there."""
+
 
 class HedgeDesk:
     """Grants or refuses the hedges of one shard."""
@@ -52,11 +56,12 @@
         """
         for target in waiting.request.excluded:
             self._policy.record_late(target)
+        self._pool.read_limits(now)
         code = self._find_refusal_code(waiting.request)
         if code is not None:
             self._answers.refuse(waiting, code, now)
             return
-        excluded = (*waiting.request.excluded, *self._policy.list_late())
+        excluded = (*waiting.request.excluded, *self._list_unfit())
         request = msgspec.structs.replace(waiting.request, excluded=excluded)
         narrowed = dataclasses.replace(waiting, request=request)
         if self._granter.try_grant(narrowed, now):
@@ -64,6 +69,18 @@
             return
         self._answers.refuse(waiting, result_codes.NO_CAPACITY, now)
 
+    def _list_unfit(self):
+        """Return the targets that are late or may fail, even if they are due a request.
+
+        Other requests show whether they have recovered.
+        """
+        return tuple(
+            name
+            for name in (u.target_info.name for u in self._pool.list_target_usages())
+            if self._policy.is_late(name)
+            or self._pool.find_failure_probability(name) > MAXIMUM_FAILURE_PROBABILITY
+        )
+
     def _find_refusal_code(self, request: SlotRequest) -> ResultCode | None:
         policy = self._policy
         if not all(policy.allows_hedge(target) for target in request.excluded[:1]):
--- a/citronspan/core/brokering/hedge_policy_test.py
+++ b/citronspan/core/brokering/hedge_policy_test.py
@@ -15,6 +15,7 @@
     make_target,
 )
 from citronspan.core.brokering.hedge_policy import HedgeLimits, HedgePolicy
+from citronspan.core.detection.health import TargetLimit
 from citronspan.core.outcomes import Outcome, OutcomeClass
 
 SHARE = 0.05
@@ -168,6 +169,19 @@
     assert granted >= 3
 
 
+def test_hedge_is_refused_while_all_other_targets_may_fail(clock):
+    broker = make_warm_broker(clock)
+    for name, probability in (("t-0", 0.0), ("t-1", 0.4), ("t-2", 0.2)):
+        broker.health.limit_by_target[name] = TargetLimit(
+            target=name, slots=4, failure_probability=probability, never_used=True
+        )
+    assert ask_hedge(broker, 1, "t-0").target == "t-2"
+    answer = ask_hedge(broker, 2, "t-2")
+    assert answer.target == "t-0"
+    broker.health.limit_by_target["t-2"] = broker.health.limit_by_target["t-1"]
+    assert ask_hedge(broker, 3, "t-0").code == result_codes.NO_CAPACITY.number
+
+
 @pytest.mark.parametrize(
     "fields", [{"idempotent": False}, {"from_region": "elsewhere"}]
 )
