Merge quotas, the order of accounts and the budget of the region link

Where both changed the same: the takeover of grants is that of the grant table, whose limit on deadlines stands beside it; the granter and the broker's parts have the queue for both the accounts and the hedges.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 
 from citronspan.core import result_codes
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker_answers import BrokerAnswers
 from citronspan.core.brokering.broker_attempt_cache import AttemptCache
 from citronspan.core.brokering.broker_grants import MAXIMUM_DEADLINE_SECONDS, GrantTable
-from citronspan.core.brokering.broker_handover import import_grants
 from citronspan.core.brokering.broker_messages import (
     BrokerHandover,
     SlotCancel,
@@ -33,7 +33,7 @@
 from citronspan.core.brokering.retry_window import RetryWindow
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.brokering.slot_granter import SlotGranter
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
 from citronspan.core.brokering.unserved_share import UnservedShare
 from citronspan.core.brokering.wait_estimates import WaitEstimates
 from citronspan.core.brokering.waiting_requests import WaitingRequests
@@ -58,6 +58,7 @@
         health: Health,
         targets: tuple[TargetInfo, ...] = (),
         link_bytes_per_second: float = 0.0,
+        find_link_share: Callable[[], float] = lambda: 1.0,
         retry_window: RetryWindow | None = None,
         floor: float = 0.0,
         count_preceding_targets: Callable[[], int] = lambda: 0,
@@ -72,6 +73,7 @@
             health: Failure detection for the shard's targets.
             targets: The shard's targets.
             link_bytes_per_second: Budget for requests from other regions.
+            find_link_share: Returns the part of it that the fleet's budget leaves.
             retry_window: Limit on the retries, None if entries limit them.
             floor: Share of the targets that must get requests at all times, 0 if
                 detection ensures it.
@@ -100,13 +102,14 @@
             find_rate_share=find_rate_share,
             estimate_hold_seconds=lambda: self._hold_times.mean_seconds,
         )
-        self._queue = SlotQueue()
+        self._shares = AccountShares()
+        self._queue = SlotQueue(self._shares)
         self._grant_table = GrantTable()
         self._attempt_cache = AttemptCache()
         self._link_budget = LinkBudget(
             bytes_per_second=link_bytes_per_second,
             initial_seconds=0.0,
-            find_share=lambda: find_rate_share().share,
+            find_share=lambda: find_rate_share().share * find_link_share(),
         )
         self._arrival_count = 0
         self._reclaimed_count = 0
@@ -116,7 +119,10 @@
         """Create the parts that decide on requests and record what became of them."""
         unserved_share = UnservedShare(now=time.monotonic())
         self._estimates = WaitEstimates(
-            pool=self._pool, queue=self._queue, hold_times=self._hold_times
+            pool=self._pool,
+            queue=self._queue,
+            hold_times=self._hold_times,
+            shares=self._shares,
         )
         self._answers = BrokerAnswers(
             key=self.key,
@@ -126,6 +132,7 @@
             attempt_cache=self._attempt_cache,
             estimates=self._estimates,
             unserved_share=unserved_share,
+            shares=self._shares,
         )
         self._granter = SlotGranter(
             health=self.health,
@@ -136,24 +143,19 @@
             unserved_share=unserved_share,
             hedge_policy=self._hedge_policy,
             queue=self._queue,
+            shares=self._shares,
         )
+        shared_parts = {
+            "pool": self._pool,
+            "queue": self._queue,
+            "granter": self._granter,
+            "answers": self._answers,
+            "may_retry": self._may_retry,
+        }
         self._hedge_desk = HedgeDesk(
-            policy=self._hedge_policy,
-            pool=self._pool,
-            queue=self._queue,
-            grant_table=self._grant_table,
-            granter=self._granter,
-            answers=self._answers,
-            may_retry=self._may_retry,
-        )
-        self._waiting = WaitingRequests(
-            pool=self._pool,
-            queue=self._queue,
-            estimates=self._estimates,
-            granter=self._granter,
-            answers=self._answers,
-            may_retry=self._may_retry,
+            policy=self._hedge_policy, grant_table=self._grant_table, **shared_parts
         )
+        self._waiting = WaitingRequests(estimates=self._estimates, **shared_parts)
         self._outcomes = OutcomeRecorder(
             health=self.health,
             pool=self._pool,
@@ -192,6 +194,11 @@
             successor=self.successor,
             counted_requests=window.total_requests if window else 0,
             retries=window.total_retries if window else 0,
+            waiting_accounts=self._queue.count_accounts(),
+            starved_accounts=self._queue.count_starved_accounts(),
+            displaced=self._answers.displaced_count,
+            placed_returns=self._estimates.return_line.placed_count,
+            spread_returns=self._estimates.return_line.spread_count,
         )
 
     def set_targets(self, targets: tuple[TargetInfo, ...]) -> list[Outgoing]:
@@ -300,12 +307,8 @@
             self._answers.send(sender, SlotWaiting(attempt_id=attempt_id))
             return
         self._arrival_count += 1
-        waiting = WaitingRequest(
-            request=request,
-            sender=sender,
-            sequence_number=self._arrival_count,
-            received_at=now,
-            wait_limit_seconds=self._estimates.compute_wait_limit_seconds(request),
+        waiting = self._estimates.make_waiting(
+            request, sender, self._arrival_count, now
         )
         if self._attempt_cache.has_ended(attempt_id):
             self._answers.refuse(waiting, result_codes.ATTEMPT_CANCELLED, now)
@@ -329,13 +332,16 @@
         if not self._may_retry(request):
             self._answers.refuse(waiting, result_codes.RETRIES_SPENT, now)
             return
+        body_bytes = request.body_bytes
         if request.from_region and not self._link_budget.spend(
-            request.request_kind, request.worth, request.body_bytes
+            request.request_kind, request.worth, body_bytes
         ):
             self._answers.refuse(waiting, result_codes.LINK_BUDGET_SPENT, now)
             return
         if self._granter.try_grant(waiting, now):
             return
+        if request.from_region:
+            self._link_budget.give_back(request.request_kind, body_bytes)
         self._waiting.queue_or_refuse(waiting, now)
 
     def _count_request(self, request):
@@ -380,13 +386,11 @@
         self._hold_times.import_means(handover.mean_seconds_by_kind)
         for usage in self._pool.list_target_usages():
             usage.confirm_external_usage()
-        import_grants(
-            handover.grants,
-            now,
-            pool=self._pool,
-            grant_table=self._grant_table,
-            attempt_cache=self._attempt_cache,
-        )
+        for handover_grant in handover.grants:
+            if self._attempt_cache.has_ended(handover_grant.attempt_id):
+                continue
+            usage = self._pool.find_target_usage(handover_grant.target)
+            self._grant_table.import_grant(handover_grant, usage, now)
         self._serve_waiting(now)
 
     def _serve_waiting(self, now):
--- a/citronspan/core/brokering/broker_grants.py
+++ b/citronspan/core/brokering/broker_grants.py
@@ -27,6 +27,8 @@
         retry_bucket: Number of the bucket of the retry window that counts the grant,
             None if it isn't counted here.
         hedged_target: Name of the target of the first attempt, if this is its hedge.
+        account: Name of the client account, or empty.
+        expected_seconds: Time for which the account was charged.
     """
 
     usage: TargetUsage
@@ -37,6 +39,8 @@
     is_retryable: bool = False
     retry_bucket: int | None = None
     hedged_target: str = ""
+    account: str = ""
+    expected_seconds: float = 0.0
 
 
 class GrantTable:
@@ -61,6 +65,34 @@
         self._grant_by_id[attempt_id] = grant
         self._lease_expiries.add(attempt_id, grant.granted_at + grant.lease_seconds)
 
+    def import_grant(
+        self,
+        handover_grant: HandoverGrant,
+        usage: TargetUsage | None,
+        now: float,
+    ) -> None:
+        """Count a grant of the previous broker, if its lease is valid and open.
+
+        Args:
+            handover_grant: The grant.
+            usage: Usage of its target, None if the target is not in the shard.
+            now: Present time.
+        """
+        attempt_id = handover_grant.attempt_id
+        if usage is None or attempt_id in self._grant_by_id:
+            return
+        longest_seconds = MAXIMUM_DEADLINE_SECONDS + LEASE_GRACE_SECONDS
+        remaining_seconds = handover_grant.lease_seconds - handover_grant.held_seconds
+        if not 0 < remaining_seconds <= longest_seconds:
+            return
+        grant = Grant(
+            usage=usage,
+            request_kind=handover_grant.request_kind,
+            granted_at=now - handover_grant.held_seconds,
+            lease_seconds=handover_grant.lease_seconds,
+        )
+        self.add(attempt_id, grant, now)
+
     def end(self, attempt_id: int, now: float) -> Grant | None:
         """Free the slot of an attempt.
 
--- a/citronspan/core/brokering/hedge_desk.py
+++ b/citronspan/core/brokering/hedge_desk.py
@@ -17,7 +17,8 @@
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.hedge_policy import HedgePolicy, has_room
 from citronspan.core.brokering.slot_granter import SlotGranter
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
+from citronspan.core.brokering.waiting_request import WaitingRequest
 from citronspan.core.result_codes import ResultCode
 
 MAXIMUM_FAILURE_PROBABILITY = 0.25
--- a/citronspan/core/brokering/slot_granter.py
+++ b/citronspan/core/brokering/slot_granter.py
@@ -1,5 +1,6 @@
 """Grants slots of a shard's targets to requests."""
 
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker_answers import BrokerAnswers
 from citronspan.core.brokering.broker_attempt_cache import ATTEMPT_CACHE_SECONDS
 from citronspan.core.brokering.broker_grants import (
@@ -10,11 +11,13 @@
 from citronspan.core.brokering.broker_messages import SlotCancel, SlotGrant, SlotRelease
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.broker_target_usage import TargetUsage
+from citronspan.core.brokering.fair_order import compute_cost_seconds
 from citronspan.core.brokering.hedge_policy import HedgePolicy, has_room
 from citronspan.core.brokering.placement import compute_acceptable_cost
 from citronspan.core.brokering.retry_window import RetryWindow
-from citronspan.core.brokering.slot_queue import SlotQueue, WaitingRequest
+from citronspan.core.brokering.slot_queue import SlotQueue
 from citronspan.core.brokering.unserved_share import UnservedShare
+from citronspan.core.brokering.waiting_request import WaitingRequest
 from citronspan.core.detection.health import Health
 from citronspan.core.outcomes import OutcomeClass
 
@@ -37,8 +40,10 @@
         unserved_share: UnservedShare,
         hedge_policy: HedgePolicy,
         queue: SlotQueue,
+        shares: AccountShares,
     ):
         self.grant_count = 0
+        self._shares = shares
         self._health = health
         self._pool = pool
         self._grant_table = grant_table
@@ -99,7 +104,10 @@
             and (request.is_hedge or not request.is_retry),
             retry_bucket=self._count_retry(request),
             hedged_target=request.excluded[0] if request.is_hedge else "",
+            account=request.account,
+            expected_seconds=compute_cost_seconds(waiting.hold_seconds),
         )
+        self._charge(waiting, grant, now)
         self._add_grant(request.attempt_id, grant, now)
         if is_trial:
             self._health.record_trial(usage.target_info.name)
@@ -129,6 +137,9 @@
             Its grant, or None if it had no open grant.
         """
         grant = self._grant_table.end(message.attempt_id, now)
+        if grant is not None:
+            overrun_seconds = now - grant.granted_at - grant.expected_seconds
+            self._shares.correct(grant.account, overrun_seconds)
         if grant is None or grant.retry_bucket is None or not _is_unused(message):
             return grant
         self._retry_window.discount_retry(grant.retry_bucket)
@@ -146,6 +157,16 @@
         )
         self._answers.send_final(sender, answer, remaining + ATTEMPT_CACHE_SECONDS, now)
 
+    def _charge(self, waiting, grant, now):
+        """Charge a grant to its account."""
+        request = waiting.request
+        is_contended = now > waiting.received_at or len(self._queue) > 0
+        self._shares.charge(
+            request.account, grant.expected_seconds, is_contended=is_contended
+        )
+        if not request.is_retry:
+            self._shares.record_result(request.account, is_served=True)
+
     def _count_retry(self, request):
         if self._retry_window is None or not request.is_retry:
             return None
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -5,6 +5,19 @@
 from citronspan.core.message_base import Message
 
 
+class HostRoom(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a host can bear by its settings.
+
+    Attributes:
+        processor_millicores: Thousandths of a core that its processes may use, 0 if
+            not stated.
+        link_kbit: Kilobits per second of its link, 0 if not stated.
+    """
+
+    processor_millicores: int = 0
+    link_kbit: int = 0
+
+
 class NodeInfo(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Description of a node that all nodes share.
 
@@ -24,6 +37,9 @@
             more entries.
         entry_relay_address: Address at which its entry relays connections to targets
             for peers, empty if it does not.
+        room: What its host can bear, None if its settings don't say. A node of an
+            earlier version passes the record on without it.
+        entry_full: Whether its entry is about to refuse requests.
     """
 
     name: str
@@ -39,6 +55,8 @@
     offset: int = 0
     entry_busy: bool = False
     entry_relay_address: str = ""
+    room: HostRoom | None = None
+    entry_full: bool = False
 
 
 class ConfigurationPush(Message, kw_only=True):
@@ -120,6 +138,11 @@
         targets: The shard's targets.
         counted_requests: Requests that the retry budget has counted so far.
         retries: Retries granted from the budget so far.
+        waiting_accounts: Accounts with waiting requests.
+        starved_accounts: Those of them that are served much more seldom than all.
+        displaced: Waiting requests that gave their place to others so far.
+        placed_returns: Refusals so far whose callers come back one behind the other.
+        spread_returns: Refusals so far for which there was no place in their time.
     """
 
     name: str
@@ -132,6 +155,11 @@
     targets: tuple[TargetReport, ...] = ()
     counted_requests: int = 0
     retries: int = 0
+    waiting_accounts: int = 0
+    starved_accounts: int = 0
+    displaced: int = 0
+    placed_returns: int = 0
+    spread_returns: int = 0
 
 
 class EntryReport(Message, kw_only=True):
@@ -144,6 +172,7 @@
         view_sequence: Sequence number of the last view that the entry applied.
         in_flight: Number of requests in flight.
         busy: Whether callers should use more entries than this one.
+        full: Whether the entry is about to refuse requests.
         shards: Shards whose broker this entry is; None if the report omits them.
         unhealthy_targets: Targets that other brokers of the region report as not
             healthy.
@@ -159,6 +188,7 @@
     unhealthy_targets: tuple[TargetReport, ...] = msgspec.field(
         default=(), name="sick_targets"
     )
+    full: bool = False
 
 
 NodeMessage = ConfigurationPush | ViewPush | EntryReport
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -143,7 +143,7 @@
         write_event(_logger, log_events.PROCESS_STOPPED)
 
     def request_stop(self) -> None:
-        """Ask ``run`` to return; safe to call in a signal handler."""
+        """Ask ``run`` to return; safe to call in any thread."""
         self._stop.set()
 
     def find_status(self) -> FleetStatus:
@@ -174,14 +174,14 @@
         )
 
     def find_directory(
-        self, *, region: str, data_centre: str, account: str
+        self, *, region: str, data_centre: str, account: str, caller: str = ""
     ) -> DirectoryAnswer:
         """Return the addresses for a caller; see ``FleetAnswers``."""
         caller_region = self._find_account_region(account) or region
         caller_region = caller_region or self.settings.place.region
         nodes = self.view.live_nodes()
         addresses = choose_addresses(
-            nodes, region=caller_region, data_centre=data_centre
+            nodes, region=caller_region, data_centre=data_centre, caller=caller
         )
         return DirectoryAnswer(
             addresses=addresses,
@@ -267,6 +267,7 @@
             entry_state=report.state,
             entry_incarnation=incarnation,
             entry_busy=report.busy,
+            entry_full=report.full,
         )
         if previous is not None and previous.state != report.state:
             # The directories of the region must stop listing an entry that leaves,
@@ -282,6 +283,7 @@
         """
         self.settings = settings
         self.view.set_seeds(settings.seeds)
+        self.view.update_own(room=settings.limits.make_room())
 
     def _tick_forever(self):
         while not self._stop.wait(self._get_tick_seconds()):
@@ -321,7 +323,10 @@
             self.active_config.wait(self.feed.is_due, TICK_SECONDS)
             self.feed.push_state(self.active_config.state)
             if self.feed.is_due(self.active_config.state):
-                self._stop.wait(ENTRY_RETRY_SECONDS)
+                is_first = not self.feed.sent_offset
+                self._stop.wait(
+                    STARTUP_TICK_SECONDS if is_first else ENTRY_RETRY_SECONDS
+                )
 
 
 def _make_log_source(agent: Agent) -> LogSource:
@@ -353,4 +358,5 @@
         entry_callers_address=settings.entry_callers_address,
         api_address=settings.api_address,
         entry_relay_address=settings.entry_relay_address,
+        room=settings.limits.make_room(),
     )
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -13,6 +13,7 @@
 from citronspan.core.keys.key_protocol_results import Replay
 from citronspan.core.keys.key_token import is_fleet_key
 from citronspan.core.requests.entry_configuration import EntryConfiguration
+from citronspan.core.requests.link_room import LinkRoom
 from citronspan.core.requests.route_table import choose_service, find_route
 from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.resources import Kind, RouteSpec
@@ -25,9 +26,11 @@
     find_environ_key,
     read_caller_request,
 )
+from citronspan.ops.callers.configuration_wait import ConfigurationWait
 from citronspan.ops.callers.forwarded_answer import log_answer, make_headers
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.keyed_request import KeyedRequest, claim_key
+from citronspan.ops.callers.link_admission import admit_to_link
 from citronspan.ops.callers.open_requests import OpenRequest, OpenRequests, StopResult
 from citronspan.ops.callers.refusals import (
     ENTRY_HEADER,
@@ -48,9 +51,6 @@
 from citronspan.utils.traces import start_span
 
 _logger = logbook.Logger("request")
-CONFIGURATION_RETRY_AFTER_SECONDS = 0.3
-"""``Retry-After`` while an entry starts; it mostly has a configuration by then."""
-
 FULL_RETRY_AFTER_SECONDS = 0.3
 """``Retry-After`` of a full entry; callers mostly come back at another one."""
 
@@ -86,10 +86,14 @@
         reuse_seconds: float,
         maximum_requests: int,
         limits: AccountAdmission,
+        configuration_wait: ConfigurationWait,
+        link_room: LinkRoom,
     ):
+        self._configuration_wait = configuration_wait
         self._dialect = dialect
         self._name = name
         self._maximum_requests = maximum_requests
+        self._link_room = link_room
         self._find_configuration = find_configuration
         self._accounts = AccountAccess(
             find_configuration=find_configuration,
@@ -221,11 +225,7 @@
         received_at = open_request.received_at
         configuration = self._find_configuration()
         if configuration.offset == 0:
-            raise Refusal(
-                code=result_codes.CONFIGURATION_MISSING,
-                detail="the entry has no configuration yet",
-                retry_after_seconds=CONFIGURATION_RETRY_AFTER_SECONDS,
-            )
+            configuration = self._configuration_wait.wait(request.timeout_seconds)
         route = find_route(configuration.routes, request.host, request.path)
         if route is None:
             raise Refusal(
@@ -249,6 +249,9 @@
         )
         request = self._accounts.screen(configuration, request)
         goal_seconds = route.spec.goal_seconds
+        open_request.passage = admit_to_link(
+            self._link_room, route.spec, request, deadline_seconds
+        )
         request.connection.set_read_deadline(received_at + deadline_seconds)
         body = _receive_body(request)
         return RequestContext(
@@ -303,6 +306,7 @@
                 open_requests=self._open_requests,
             )
         attempt_response.answer.finish()
+        request_context.open_request.answer_bytes = len(attempt_response.body_start)
         self._attempts.release(
             request_context,
             attempt_response,
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -7,8 +7,8 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.accounts.quota_messages import QuotaMessage
 from citronspan.core.brokering.broker_messages import BrokerMessage, EntryMessage
-from citronspan.core.brokering.busy_signal import BusySignal
 from citronspan.core.configuration.push_parts import PushCollector
 from citronspan.core.detection.poison import PoisonNotice
 from citronspan.core.detection.verdicts import VerdictPush
@@ -20,13 +20,16 @@
     apply_push,
 )
 from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
+from citronspan.core.resources import Kind
 from citronspan.core.settings import EntrySettings
-from citronspan.ops.callers.account_admission import UnlimitedAdmission
+from citronspan.ops.callers.configuration_wait import ConfigurationWait
 from citronspan.ops.callers.http_server import make_metrics_server, make_server
 from citronspan.ops.callers.key_service import KeyService
 from citronspan.ops.callers.open_requests import OpenRequests
+from citronspan.ops.callers.quota_service import QuotaService
 from citronspan.ops.callers.readiness import describe_readiness, make_readiness_server
 from citronspan.ops.callers.request_handler import RequestHandler
+from citronspan.ops.entry_load import EntryLoad
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.peers.incarnation import make_incarnation
 from citronspan.ops.peers.peer_link import PeerLink
@@ -67,6 +70,7 @@
         link: Link to the other processes.
         slots: Acquires and releases slots.
         keys: Runs the key protocol.
+        quotas: Keeps the limits of accounts with the other entries.
     """
 
     def __init__(
@@ -127,6 +131,7 @@
             wait_seconds=settings.broker_wait_seconds,
             data_centre=settings.place.data_centre,
             list_connected_addresses=self._connections.list_idle_addresses,
+            region_link_bytes_per_second=settings.region_link_bytes_per_second,
         )
         self.keys = KeyService(
             name=settings.place.name,
@@ -136,11 +141,24 @@
             secret=settings.place.secret.encode(),
             find_end=self._stop_plan.find_planned_end,
         )
+        self.quotas = QuotaService(
+            name=settings.place.name,
+            region=settings.place.region,
+            link=self.link,
+            rules=settings.quota_rules,
+            find_spec=lambda name: self.configuration.get_spec(Kind.ACCOUNT, name),
+        )
         self._stop = threading.Event()
         self._open_requests = OpenRequests(
             metrics=self.metrics, is_stopping=self._stop.is_set
         )
-        self._busy = BusySignal(threads=settings.worker_threads)
+        self._configuration_wait = ConfigurationWait(
+            find_configuration=lambda: self.configuration,
+            is_stopping=self._stop.is_set,
+            threads=settings.worker_threads,
+            name=settings.place.name,
+        )
+        self._load = EntryLoad(settings=settings)
         self._report_sent_at = 0.0
         self._verdicts_sent_at = 0.0
         self._health_logged_at = 0.0
@@ -157,6 +175,7 @@
         self.metrics.watch_relay(self._relay_connector, self._relay_server)
         self.metrics.watch_rate_limits(self.slots.rate_limits)
         self.metrics.watch_notices(self.slots.notices)
+        self.metrics.watch_quotas(self.quotas)
         self._side_servers = [
             make_metrics_server(settings.metrics_address, self.metrics.registry)
         ]
@@ -201,7 +220,7 @@
         return self.state == "serving" and self.slots.has_entries()
 
     def request_stop(self) -> None:
-        """Request a graceful stop; safe in a signal handler."""
+        """Request a graceful stop; safe in any thread."""
         self._stop_plan.begin(self.settings.drain_seconds)
         self._stop.set()
 
@@ -228,7 +247,9 @@
             dialect=self._dialect,
             reuse_seconds=self.settings.reuse_seconds,
             maximum_requests=self.settings.worker_threads,
-            limits=UnlimitedAdmission(),
+            limits=self.quotas,
+            configuration_wait=self._configuration_wait,
+            link_room=self._load.link_room,
         )
 
     def _make_relay_server(self):
@@ -273,6 +294,9 @@
         if isinstance(message, KeyMessage):
             self.keys.handle(envelope.sender, message)
             return
+        if isinstance(message, QuotaMessage):
+            self.quotas.handle(envelope.sender, envelope.incarnation, message)
+            return
         if isinstance(message, BrokerMessage | EntryMessage):
             self.slots.handle(envelope.sender, message)
 
@@ -285,6 +309,7 @@
         if self.configuration.resource_by_id is not previous.resource_by_id:
             write_event(_logger, log_events.CONFIGURATION_APPLIED, offset=push.offset)
             self._update_services()
+            self._configuration_wait.notify()
         is_configured = self.configuration.offset > 0
         if is_configured and accepts_event(self._chart, self.state, "configured"):
             self._change_state("configured")
@@ -296,6 +321,7 @@
         has_leaving_changed = view.leaving_targets != self.view.leaving_targets
         self.view = view
         self.slots.set_nodes(view.nodes)
+        self.quotas.set_nodes(view.nodes)
         self._connect_to_brokers()
         if has_leaving_changed:
             self._update_services()
@@ -327,6 +353,7 @@
         now = time.monotonic()
         self.slots.advance()
         self.keys.advance()
+        self.quotas.advance()
         if now - self._verdicts_sent_at >= VERDICT_INTERVAL_SECONDS:
             self._verdicts_sent_at = now
             multicasts = self.slots.health_gossip.collect_verdicts()
@@ -350,7 +377,8 @@
             offset=self.configuration.offset,
             view_sequence=self.view.sequence,
             in_flight=in_flight,
-            busy=self._busy.update(in_flight),
+            busy=self._load.update_busy(in_flight),
+            full=self._load.update_full(in_flight),
             shards=self.slots.health_gossip.describe(),
             unhealthy_targets=self.slots.health_gossip.describe_received(),
         )
@@ -370,6 +398,7 @@
             self._change_state("stop")
             self._report()
             self.slots.hand_over_all()
+            self.quotas.hand_over_all()
             self._wait_for_directory(drain_deadline)
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
