End the wait for a retry's slot once its attempt is answered

Cause: a request that a broker has queued looked only when it was sent again, each 0.3 s, whether its slot is still of use. While an attempt past its limit waits for its successor's slot, the answer thus came to its caller up to 0.3 s late, or not at all: the wait ended past the deadline, and the bytes that had come were thrown away.

Change: a query names the longest time between two such looks, 25 ms for the slot of a successor and none for other slots, which look when they are sent again as before. Each wait ends at the deadline of the request, and a broker that had it queued until then doesn't count as unresponsive. An event that wakes the thread would need a descriptor for each wait, polled with the target's socket; the looks cost some tens of short calls a second for attempts past their limit only.

Result: of a request of 0.45 s whose attempt has 0.15 s, answers at 0.18, 0.25 and 0.33 s were refused as timed out before, and are forwarded within 0.1 s now (replaced_attempts_test.py).

--- a/citronspan/ops/slots/broker_client.py
+++ b/citronspan/ops/slots/broker_client.py
@@ -89,20 +89,19 @@
         try:
             sent_at = time.monotonic()
             while self._send(broker, request):
-                if waiter.wait(wait_seconds):
+                if _wait(waiter, wait_seconds, query):
                     self._missing_since_by_broker.pop(broker, None)
                     return waiter.answer
                 if pending_request.waiting_at < sent_at:
-                    self._record_missing_response(broker, sent_at)
+                    if time.monotonic() >= sent_at + wait_seconds:
+                        self._record_missing_response(broker, sent_at)
                     return None
                 self._missing_since_by_broker.pop(broker, None)
-                if waiter.wait(SLOT_RETRY_SECONDS):
+                if _wait(waiter, SLOT_RETRY_SECONDS, query):
                     return waiter.answer
-                sent_at = time.monotonic()
-                if sent_at > query.deadline or query.is_disconnected():
-                    return None
-                if query.is_too_late():
+                if _has_ended(query):
                     return None
+                sent_at = time.monotonic()
             return None
         finally:
             self._pending.close(wait_id)
@@ -124,3 +123,29 @@
         pending_request = self._pending_request_by_id.get(message.attempt_id)
         if pending_request is not None:
             pending_request.waiting_at = time.monotonic()
+
+
+def _wait(waiter, seconds, query) -> bool:
+    """Return whether an answer came in some seconds.
+
+    The wait ends earlier at the deadline of the query, or if it is seen to have ended.
+    """
+    end = min(time.monotonic() + seconds, query.deadline)
+    while True:
+        remaining_seconds = end - time.monotonic()
+        is_last_part = remaining_seconds <= query.check_seconds
+        if not is_last_part and _has_ended(query):
+            return False
+        if waiter.wait(min(remaining_seconds, query.check_seconds)):
+            return True
+        if is_last_part:
+            return False
+
+
+def _has_ended(query) -> bool:
+    """Return whether nothing waits for the slot any more."""
+    return (
+        time.monotonic() >= query.deadline
+        or query.is_too_late()
+        or query.is_disconnected()
+    )
--- a/citronspan/ops/slots/region_slots.py
+++ b/citronspan/ops/slots/region_slots.py
@@ -337,6 +337,8 @@
 
 def _find_end_code(query) -> ResultCode | None:
     """Return why no further slot is asked for, or None if one may be."""
+    if time.monotonic() >= query.deadline:
+        return result_codes.NO_CAPACITY
     if query.is_too_late():
         return result_codes.ENTRY_STOPPING
     if query.is_disconnected():
--- a/citronspan/ops/slots/slot_source.py
+++ b/citronspan/ops/slots/slot_source.py
@@ -1,5 +1,6 @@
 """Interface through which the request path acquires and releases slots of targets."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -29,6 +30,9 @@
         is_disconnected: Returns whether the caller has disconnected.
         request_id: Identity of the request in logs.
         is_too_late: Returns whether a slot would be of no use any more.
+        check_seconds: Longest time between two looks at ``is_too_late`` and
+            ``is_disconnected`` while a broker has the request queued; infinite if
+            looks at the times at which the request is sent again are enough.
         account: Name of the client account, or empty.
         account_weight: Weight of the account among others, 0 if it has none.
     """
@@ -46,6 +50,7 @@
     is_disconnected: Callable[[], bool] = lambda: False
     request_id: str = ""
     is_too_late: Callable[[], bool] = lambda: False
+    check_seconds: float = math.inf
     account: str = ""
     account_weight: float = 0.0
 
--- a/citronspan/ops/targets/attempt_context.py
+++ b/citronspan/ops/targets/attempt_context.py
@@ -1,5 +1,6 @@
 """What the request path knows of a request and of the response to an attempt."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -110,6 +111,7 @@
     excluded: tuple[str, ...],
     is_retry: bool,
     is_too_late: Callable[[], bool],
+    check_seconds: float = math.inf,
 ) -> SlotQuery:
     """Return the query for a slot.
 
@@ -118,6 +120,7 @@
         excluded: Targets that it must not be sent to.
         is_retry: Whether it has reached a target before.
         is_too_late: Returns whether a slot would be of no use any more.
+        check_seconds: Longest time between two looks at that.
     """
     return SlotQuery(
         service=request_context.service_name,
@@ -133,6 +136,7 @@
         is_disconnected=request_context.request.connection.is_disconnected,
         request_id=request_context.request.request_id,
         is_too_late=is_too_late,
+        check_seconds=check_seconds,
         account=request_context.account,
         account_weight=request_context.account_weight,
     )
--- a/citronspan/ops/targets/attempt_slots.py
+++ b/citronspan/ops/targets/attempt_slots.py
@@ -1,5 +1,6 @@
 """Acquires the slots of one request's attempts, the next one's also in advance."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -14,6 +15,10 @@
 from citronspan.ops.targets.attempt_reporter import AttemptReporter
 from citronspan.utils.traces import start_span
 
+ANSWER_CHECK_SECONDS = 0.025
+"""Time between two looks whether an attempt is answered while its successor waits for
+a slot: what the answer may reach its caller late by."""
+
 
 class AttemptSlots:
     """Acquires slots for attempts, and gives back those that are of no use."""
@@ -48,6 +53,7 @@
             progress,
             is_retry=progress.has_reached_target,
             is_needless=lambda: False,
+            check_seconds=math.inf,
         )
 
     def acquire_next(
@@ -73,6 +79,7 @@
             progress,
             is_retry=True,
             is_needless=is_needless,
+            check_seconds=ANSWER_CHECK_SECONDS,
         )
         request_context.open_request.stage = Stage.AT_TARGET
         if isinstance(result, Slot):
@@ -91,7 +98,7 @@
             self._return(request_context, slot)
 
     def _acquire(
-        self, request_context, progress, *, is_retry, is_needless
+        self, request_context, progress, *, is_retry, is_needless, check_seconds
     ) -> Slot | SlotRefused:
         request_context.open_request.stage = Stage.WAITING
 
@@ -104,6 +111,7 @@
             excluded=progress.excluded,
             is_retry=is_retry,
             is_too_late=lambda: find_obstacle() is not None,
+            check_seconds=check_seconds,
         )
         obstacle = find_obstacle()
         if obstacle is not None:
--- a/citronspan/ops/targets/replaced_attempts_test.py
+++ b/citronspan/ops/targets/replaced_attempts_test.py
@@ -10,6 +10,7 @@
 from opentelemetry import trace
 
 from citronspan.core import result_codes
+from citronspan.core.brokering.broker_messages import SlotRequest, SlotWaiting
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
@@ -17,6 +18,7 @@
 from citronspan.ops.callers.open_requests import OpenRequest
 from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.slots.broker_client import BrokerClient
 from citronspan.ops.slots.slot_source import Slot, SlotRefused
 from citronspan.ops.targets.attempt_context import RequestContext
 from citronspan.ops.targets.attempts import AttemptRunner
@@ -76,6 +78,29 @@
         self.released.append((slot.target, outcome.outcome_class))
 
 
+class QueuedSlots(LimitedSlots):
+    """Has the request for the second slot queued at a broker until it ends."""
+
+    def __init__(self, targets):
+        super().__init__(targets)
+        self._client = BrokerClient(send=self._queue, wait_seconds=0.05)
+
+    def acquire(self, query):
+        """Return the first slot, and a refusal once the wait for the second ends."""
+        if not self.acquired:
+            return super().acquire(query)
+        seconds = query.deadline - time.monotonic()
+        request = SlotRequest(
+            attempt_id=2, service="s", region="r", shard=0, deadline_seconds=seconds
+        )
+        assert self._client.request_slot("b", request, query) is None
+        return SlotRefused(code=result_codes.NO_CAPACITY, retry_after_seconds=0.3)
+
+    def _queue(self, broker, request):
+        self._client.handle(SlotWaiting(attempt_id=request.attempt_id))
+        return True
+
+
 @pytest.fixture
 def targets():
     scripted = ScriptedTargets()
@@ -83,7 +108,7 @@
     scripted.close()
 
 
-def run(slots, path):
+def run(slots, path, deadline_seconds=DEADLINE_SECONDS):
     request = SimpleNamespace(
         connection=SimpleNamespace(is_disconnected=lambda: False),
         request_id="",
@@ -106,7 +131,7 @@
         route=SimpleNamespace(spec=spec),
         service_name="s",
         service=ServiceSpec(retry_window_seconds=10.0),
-        deadline=time.monotonic() + DEADLINE_SECONDS,
+        deadline=time.monotonic() + deadline_seconds,
         goal_time=0.0,
         fingerprint=1,
         open_request=OpenRequest(received_at=time.monotonic()),
@@ -158,6 +183,17 @@
     assert slots.released in ([], [("t-2", OutcomeClass.NOT_USED)])
 
 
+@pytest.mark.parametrize("answer_seconds", [0.18, 0.25, 0.33])
+def test_answer_is_lost_since_its_retry_is_queued(targets, answer_seconds):
+    script = TargetScript(parts=(HEAD + b"ok",), delay_seconds=answer_seconds)
+    targets.set_scripts("/read", script)
+    begun_at = time.monotonic()
+    response, refusal = run(QueuedSlots(targets), "/read", deadline_seconds=0.45)
+    assert refusal is None
+    assert response.body_start == b"ok"
+    assert time.monotonic() - begun_at < answer_seconds + 0.1
+
+
 def test_read_is_cut_for_a_retry_that_a_stop_withholds(targets):
     targets.set_scripts("/read", LATE_ANSWERS["head"])
     slots = LimitedSlots(targets, has_second=True, stops=True)
