Call a broker unreachable only if it did not respond

Cause: a wait for a slot that ended since the caller left, the attempt was answered, the host stops or the deadline passed was logged as broker-unreachable, of a broker that had answered.

Change: the event is written only if the broker is skipped from then on.

Result: the three ends of a queued request write no such line; each wrote one before (slot_service_test.py).

--- a/citronspan/ops/slots/region_slots.py
+++ b/citronspan/ops/slots/region_slots.py
@@ -209,6 +209,7 @@
                 self._cancel_request(broker, request, is_abandoned=end_code is not None)
                 if end_code is not None:
                     return make_slot_refused(end_code)
+                _log_unreachable(broker, request)
                 self._unresponsive_brokers.add(broker)
                 request = msgspec.structs.replace(request, asked_before=True)
                 continue
@@ -295,13 +296,6 @@
         )
 
     def _cancel_request(self, broker, request, *, is_abandoned):
-        write_event(
-            _logger,
-            log_events.BROKER_UNREACHABLE,
-            id=request.request_id,
-            broker=broker,
-            service=request.service,
-        )
         cancel = SlotCancel(
             attempt_id=request.attempt_id,
             service=request.service,
@@ -346,6 +340,16 @@
     return None
 
 
+def _log_unreachable(broker, request):
+    write_event(
+        _logger,
+        log_events.BROKER_UNREACHABLE,
+        id=request.request_id,
+        broker=broker,
+        service=request.service,
+    )
+
+
 def _list_usable(shards, unusable):
     """Return the shards that have a target which this entry may use."""
     if not unusable:
--- a/citronspan/ops/slots/slot_service_test.py
+++ b/citronspan/ops/slots/slot_service_test.py
@@ -4,10 +4,11 @@
 import threading
 import time
 
+import logbook
 import msgspec
 import pytest
 
-from citronspan.core import result_codes
+from citronspan.core import log_events, result_codes
 from citronspan.core.brokering.broker_messages import SlotCancel, SlotRequest
 from citronspan.core.detection.health import TargetInfo
 from citronspan.core.detection.poison import (
@@ -238,6 +239,24 @@
     assert requester.acquire().broker == broker.link.address
 
 
+@pytest.mark.parametrize(
+    "end",
+    [
+        {"is_disconnected": lambda: True},
+        {"is_too_late": lambda: True},
+        {"seconds": 0.2},
+    ],
+)
+def test_broker_is_called_unreachable_since_a_request_has_ended(pair, end):
+    broker, requester = pair
+    for _ in TARGETS:
+        broker.acquire()
+    with logbook.TestHandler() as handler:
+        assert isinstance(requester.acquire(**end), SlotRefused)
+        names = [record.message for record in handler.records]
+    assert log_events.BROKER_UNREACHABLE.name not in " ".join(names)
+
+
 def test_leaving_target_is_never_granted(pair):
     broker, requester = pair
     for item in pair:
