End an attempt past its limit once its caller has left

Cause: while a target's body stalls, or it doesn't read an upload, only the limit of the attempt made the entry look for the caller. A retry gets no slot for a caller that left, so the limit was lifted, and the target worked on until the deadline of the request.

Change: an attempt at its limit whose caller has left ends as cancelled, and a slot that came for its retry is given back.

Result: with a caller that leaves at 0.1 s and a limit of 0.15 s, attempts whose target answers at 0.6 s went on until then, and end before 0.5 s now, as cancelled (replaced_attempts_test.py).

--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -203,7 +203,21 @@
         )
 
     def _prepare_next(self, request_context, progress, has_answer) -> bool:
-        """Get a retry all that it needs; see ``AttemptDeadline``."""
+        """Get a retry all that it needs; see ``AttemptDeadline``.
+
+        Raises:
+            AttemptFailedError: If the caller has left, so that nobody awaits the
+                attempt nor a retry.
+        """
+        has_slot = self._acquire_next(request_context, progress, has_answer)
+        if request_context.request.connection.is_disconnected():
+            self._attempt_slots.return_next(request_context, progress)
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.CANCELLED, detail="the caller disconnected"
+            )
+        return has_slot
+
+    def _acquire_next(self, request_context, progress, has_answer) -> bool:
         if not self._may_retry(request_context, progress, OutcomeClass.TIMED_OUT):
             return False
         has_slot = self._attempt_slots.acquire_next(
--- a/citronspan/ops/targets/replaced_attempts_test.py
+++ b/citronspan/ops/targets/replaced_attempts_test.py
@@ -15,6 +15,7 @@
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.core.resources import RouteSpec, ServiceSpec
+from citronspan.core.result_codes import Ran
 from citronspan.ops.callers.open_requests import OpenRequest
 from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.entry_metrics import EntryMetrics
@@ -108,11 +109,11 @@
     scripted.close()
 
 
-def run(slots, path, deadline_seconds=DEADLINE_SECONDS):
+def run(slots, path, deadline_seconds=DEADLINE_SECONDS, left_at=math.inf, body=b""):
     request = SimpleNamespace(
-        connection=SimpleNamespace(is_disconnected=lambda: False),
+        connection=SimpleNamespace(is_disconnected=lambda: time.monotonic() >= left_at),
         request_id="",
-        method="GET",
+        method="PUT" if body else "GET",
         uri=path,
         headers=(("host", "h"),),
         key="",
@@ -127,7 +128,7 @@
     )
     context = RequestContext(
         request=request,
-        body=SimpleNamespace(length=0, buffer=b"", is_repeatable=True),
+        body=SimpleNamespace(length=len(body), buffer=body, is_repeatable=True),
         route=SimpleNamespace(spec=spec),
         service_name="s",
         service=ServiceSpec(retry_window_seconds=10.0),
@@ -244,6 +245,31 @@
             yield bytes(1 << 16)
 
 
+@pytest.mark.parametrize("has_second", [False, True])
+@pytest.mark.parametrize("late", LATE_ANSWERS)
+def test_target_works_on_for_a_caller_that_left(targets, late, has_second):
+    targets.set_scripts("/read", LATE_ANSWERS[late])
+    slots = LimitedSlots(targets, has_second=has_second, wait_seconds=0.1)
+    begun_at = time.monotonic()
+    _, refusal = run(slots, "/read", left_at=begun_at + 0.1)
+    assert refusal.ran is Ran.MAY_HAVE_RUN
+    assert time.monotonic() - begun_at < RUN_SECONDS - 0.1
+    assert slots.released[-1] == ("t-1", OutcomeClass.CANCELLED)
+    assert slots.released[:-1] in ([], [("t-2", OutcomeClass.NOT_USED)])
+
+
+def test_target_that_reads_no_upload_holds_it_for_a_caller_that_left(targets):
+    target = SlowReader()
+    target.start()
+    targets.address_by_name[next(iter(targets.address_by_name))] = target.address
+    slots = LimitedSlots(targets)
+    begun_at = time.monotonic()
+    _, refusal = run(slots, "/up", left_at=begun_at + 0.1, body=bytes(1 << 24))
+    assert refusal.ran is Ran.MAY_HAVE_RUN
+    assert time.monotonic() - begun_at < RUN_SECONDS - 0.1
+    assert slots.released == [("t-1", OutcomeClass.CANCELLED)]
+
+
 def test_upload_is_cut_for_a_retry_that_its_body_rules_out():
     target = SlowReader()
     target.start()
--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -148,6 +148,9 @@
             return self._response.read(size, decode_content=False)
         except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
             raise self._fail(OutcomeClass.TIMED_OUT, str(error)) from error
+        except AttemptFailedError:
+            self.abort_response()
+            raise
         except (
             OSError,
             ValueError,
