Ask again for the slot of a successor that was refused one

Cause: after one refusal an attempt past its limit kept all of its request's time, so that a target that hung held the request to its deadline though a slot came free a moment later.

Change: the slot is asked for again after 0.1 s, and after pauses that double, so a request of 30 s asks at most nine times. The last question leaves the successor the time that the attempt had; an attempt whose answer has begun is kept. Where the broker left the limit open, which is then half of the time left, nothing changes.

The test that an attempt without a successor has the request's time now says when the slot is asked for again, and the replay of the earlier decision follows these questions; its bounds are as before.

--- a/citronspan/core/requests/attempt_deadline.py
+++ b/citronspan/core/requests/attempt_deadline.py
@@ -5,12 +5,20 @@
 none can, as at a host that was told to stop meanwhile, the work of the target would be
 lost for nothing. So it is at a service without room, where one request in two waits for
 a slot: an attempt goes on until its successor has one.
+
+The successor is refused at once where no slot is free, though one may be soon, and a
+target that hangs would hold its request to the end. So the slot is asked for again,
+after pauses that double, which bounds the questions. The last one comes while the
+successor would have as long as the attempt had.
 """
 
 import math
 import time
 from collections.abc import Callable
 
+FIRST_PAUSE_SECONDS = 0.1
+"""Time after which a refused slot for a successor is asked for again at first."""
+
 
 class AttemptDeadline:
     """When one attempt is given up, by ``time.monotonic()``."""
@@ -38,6 +46,8 @@
         """
         self._request_deadline = request_deadline
         self._limit = limit
+        self._allowed_seconds = limit - time.monotonic()
+        self._pause_seconds = FIRST_PAUSE_SECONDS
         self._may_be_retried = may_be_retried
         self._find_end = find_end
         self._prepare_next = prepare_next
@@ -53,7 +63,8 @@
     def extend(self, has_answer: Callable[[], bool]) -> bool:
         """Return whether an attempt goes on at the time that ``find`` returned.
 
-        If it does not and the request has time left, the next attempt is prepared.
+        If it does not and the request has time left, the next attempt is prepared. If
+        that fails, ``find`` returns when it is tried again.
 
         Args:
             has_answer: Returns whether bytes of the target's answer wait to be read.
@@ -64,9 +75,21 @@
             return False
         if self._may_be_retried() and self._prepare_next(has_answer):
             return False
-        self.lift_limit()
+        self._postpone_limit(has_answer())
         return True
 
+    def _postpone_limit(self, has_answer):
+        limit = time.monotonic() + self._pause_seconds
+        self._pause_seconds *= 2
+        if (
+            has_answer
+            or not self._may_be_retried()
+            or limit + self._allowed_seconds > self.find_last()
+        ):
+            self.lift_limit()
+            return
+        self._limit = limit
+
     def _find_own(self):
         if self._limit >= self._request_deadline:
             return self._request_deadline
--- a/citronspan/core/requests/attempt_deadline_test.py
+++ b/citronspan/core/requests/attempt_deadline_test.py
@@ -6,7 +6,10 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from citronspan.core.requests.attempt_deadline import AttemptDeadline
+from citronspan.core.requests.attempt_deadline import (
+    FIRST_PAUSE_SECONDS,
+    AttemptDeadline,
+)
 
 
 def test_attempt_is_given_up_though_no_other_may_follow_any_more():
@@ -106,11 +109,53 @@
             )
             clock.tick(3.0)
             assert deadline.extend(lambda: False) is not is_free
-            expected = time.monotonic() if is_free else begun_at + 60.0
-            assert deadline.find() == expected
+            pause_seconds = 0.0 if is_free else FIRST_PAUSE_SECONDS
+            assert deadline.find() == time.monotonic() + pause_seconds
     assert len(prepared) == 2
 
 
+def ask_until(deadline, clock, has_answer=lambda: False):
+    """Extend a deadline whenever it is due; return the times at which it was."""
+    begun_at = time.monotonic()
+    asked = []
+    while True:
+        clock.tick(max(deadline.find() - time.monotonic(), 0.0) + 1e-6)
+        if not deadline.extend(has_answer):
+            return asked
+        asked.append(time.monotonic() - begun_at)
+
+
+def test_slot_for_a_successor_is_asked_for_once_or_without_end():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        now = time.monotonic()
+        deadline = AttemptDeadline(
+            request_deadline=now + 8.0, limit=now + 1.0, prepare_next=lambda _: False
+        )
+        asked = ask_until(deadline, clock)
+        # A further question at 7.3 s would leave the successor less than 1 s.
+        assert asked == pytest.approx([1.0, 1.1, 1.3, 1.7, 2.5, 4.1], abs=0.001)
+        assert time.monotonic() == pytest.approx(now + 8.0, abs=0.001)
+
+
+def test_attempt_that_is_answered_is_given_up_at_the_next_question():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        now = time.monotonic()
+        deadline = AttemptDeadline(
+            request_deadline=now + 8.0, limit=now + 1.0, prepare_next=lambda _: False
+        )
+        assert len(ask_until(deadline, clock, lambda: True)) == 1
+
+
+def test_attempt_is_given_up_for_one_that_would_have_less_time():
+    # A limit of half of the request's time, where the broker left it open.
+    with freezegun.freeze_time("2026-01-01") as clock:
+        now = time.monotonic()
+        deadline = AttemptDeadline(
+            request_deadline=now + 2.0, limit=now + 1.0, prepare_next=lambda _: False
+        )
+        assert len(ask_until(deadline, clock)) == 1
+
+
 @pytest.mark.parametrize("end", ["of the request", "of a stop"])
 def test_another_attempt_is_prepared_after_the_end(end):
     with freezegun.freeze_time("2026-01-01") as clock:
@@ -146,8 +191,10 @@
         if run_seconds[0] <= REPLAY_LIMIT_SECONDS:
             return True
         clock.tick(REPLAY_LIMIT_SECONDS)
-        if deadline.extend(lambda: False):
-            return begun_at + run_seconds[0] <= deadline.find()
+        while deadline.extend(lambda: False):
+            if begun_at + run_seconds[0] <= deadline.find():
+                return True
+            clock.tick(deadline.find() - time.monotonic() + 1e-6)
         return is_free and REPLAY_LIMIT_SECONDS + run_seconds[1] <= REPLAY_SECONDS
 
 
@@ -164,3 +211,63 @@
             answered[prepares] += is_answered
     assert answered[False] < 0.7 * 500
     assert answered[True] > 0.9 * 500
+
+
+FREE_AFTER_SECONDS = 0.3
+"""Mean time after the limit at which a slot comes free for a retry."""
+
+
+class AskingOnce(AttemptDeadline):
+    """The decision before: a refused slot for a successor isn't asked for again."""
+
+    def _postpone_limit(self, has_answer):
+        self.lift_limit()
+
+
+def replay_wait(make_deadline, run_seconds, free_seconds):
+    """Return after which time a read is answered, and the questions for a slot.
+
+    Args:
+        make_deadline: Makes the deadline of the first attempt.
+        run_seconds: What the first attempt and its retry take.
+        free_seconds: Time after which a slot is free for a retry.
+    """
+    with freezegun.freeze_time("2026-01-01") as clock:
+        begun_at = time.monotonic()
+        answered_at = begun_at + run_seconds[0]
+        asked = []
+
+        def prepare_next(has_answer):
+            asked.append(time.monotonic())
+            return time.monotonic() >= begun_at + free_seconds
+
+        deadline = make_deadline(
+            request_deadline=begun_at + REPLAY_SECONDS,
+            limit=begun_at + REPLAY_LIMIT_SECONDS,
+            prepare_next=prepare_next,
+        )
+        while answered_at > deadline.find():
+            clock.tick(max(deadline.find() - time.monotonic(), 0.0) + 1e-6)
+            if not deadline.extend(lambda: False):
+                answered_at = time.monotonic() + run_seconds[1]
+                break
+        return answered_at - begun_at, len(asked)
+
+
+def test_reads_at_targets_that_hang_are_lost_as_before():
+    # Reads as above at a service without room, whose slots come free one by one.
+    draw = random.Random(7864)
+    answered = {AskingOnce: 0, AttemptDeadline: 0}
+    questions = {AskingOnce: 0, AttemptDeadline: 0}
+    for _ in range(500):
+        runs = [draw.lognormvariate(math.log(0.15), 0.8) for _ in range(2)]
+        if draw.random() < HANG_SHARE:
+            runs[0] = math.inf
+        free_seconds = REPLAY_LIMIT_SECONDS + draw.expovariate(1 / FREE_AFTER_SECONDS)
+        for make_deadline in answered:
+            seconds, count = replay_wait(make_deadline, runs, free_seconds)
+            answered[make_deadline] += seconds <= REPLAY_SECONDS
+            questions[make_deadline] += count
+    assert answered[AskingOnce] < 0.92 * 500
+    assert answered[AttemptDeadline] > 0.97 * 500
+    assert questions[AttemptDeadline] < 2 * questions[AskingOnce]
--- a/citronspan/ops/targets/replaced_attempts_test.py
+++ b/citronspan/ops/targets/replaced_attempts_test.py
@@ -41,7 +41,16 @@
         is_stopping: Whether the host was told to stop.
     """
 
-    def __init__(self, targets, *, has_second=False, wait_seconds=0.0, stops=False):
+    def __init__(
+        self,
+        targets,
+        *,
+        has_second=False,
+        wait_seconds=0.0,
+        stops=False,
+        refuses_once=False,
+    ):
+        self._refuses_once = refuses_once
         self._addresses = list(targets.address_by_name.values())
         self._has_second = has_second
         self._wait_seconds = wait_seconds
@@ -57,7 +66,8 @@
             ends_at = time.monotonic() + self._wait_seconds
             while time.monotonic() < ends_at and not query.is_too_late():
                 time.sleep(0.01)
-            if not self._has_second:
+            refuses_once, self._refuses_once = self._refuses_once, False
+            if refuses_once or not self._has_second:
                 code = result_codes.NO_CAPACITY
                 return SlotRefused(code=code, retry_after_seconds=0.3)
         self.acquired += 1
@@ -203,10 +213,13 @@
     assert response.slot.target == "t-1"
 
 
-def test_read_waits_for_a_hanging_target_though_another_one_is_free(targets):
+@pytest.mark.parametrize("refuses_once", [False, True])
+def test_read_waits_for_a_hanging_target_though_another_one_is_free(
+    targets, refuses_once
+):
     hang = TargetScript(parts=(HEAD,), delay_seconds=DEADLINE_SECONDS)
     targets.set_scripts("/read", hang, TargetScript(parts=(HEAD + b"ok",)))
-    slots = LimitedSlots(targets, has_second=True)
+    slots = LimitedSlots(targets, has_second=True, refuses_once=refuses_once)
     begun_at = time.monotonic()
     response, _ = run(slots, "/read")
     assert response.slot.target == "t-2"
