End the wait for the first configuration at a stop, and for callers that left

Cause: a request that waited for the entry's first configuration was dispatched though its caller had left meanwhile. A stop didn't wake it, so it held its thread for up to 0.9 s. If its route allows less time than it waited, reading its body failed at once, and the caller was told that it was slow (408).

Change: after the wait a caller that left is refused (3063). A stop wakes the requests that wait, which are refused with 3015. Once the route is known, a request past its deadline is refused as not run (3004) before its body is read.

--- a/citronspan/ops/callers/configuration_wait.py
+++ b/citronspan/ops/callers/configuration_wait.py
@@ -9,6 +9,7 @@
 from citronspan.core import result_codes
 from citronspan.core.requests.entry_configuration import EntryConfiguration
 from citronspan.core.requests.start_wait import (
+    LEAST_RETURN_SECONDS,
     compute_start_return_seconds,
     compute_start_wait_seconds,
 )
@@ -47,19 +48,48 @@
         return self._waiting
 
     def notify(self) -> None:
-        """Wake the requests that wait; called when a configuration came."""
+        """Wake the requests that wait; called at a configuration and at a stop."""
         with self._changed:
             self._changed.notify_all()
 
-    def wait(self, caller_seconds: float) -> EntryConfiguration:
+    def wait(
+        self, caller_seconds: float, is_disconnected: Callable[[], bool]
+    ) -> EntryConfiguration:
         """Return the configuration once there is one.
 
         Args:
             caller_seconds: Time until the caller's deadline.
+            is_disconnected: Returns whether the caller has left.
 
         Raises:
-            Refusal: None came within the time for which the request may wait.
+            Refusal: None came within the time for which the request may wait, the
+                caller left meanwhile, or the entry is about to stop.
         """
+        configuration = self._await_configuration(caller_seconds)
+        if is_disconnected():
+            raise Refusal(
+                code=result_codes.CALLER_GONE, detail="the entry had no configuration"
+            )
+        return configuration
+
+    def check_deadline(self, deadline: float) -> None:
+        """Refuse a request whose deadline passed before its route was known.
+
+        Args:
+            deadline: The request's deadline by its route, by ``time.monotonic()``.
+
+        Raises:
+            Refusal: It has passed.
+        """
+        if time.monotonic() < deadline:
+            return
+        raise Refusal(
+            code=result_codes.DEADLINE_TOO_SHORT,
+            detail="the configuration came after the deadline of the route",
+            retry_after_seconds=LEAST_RETURN_SECONDS,
+        )
+
+    def _await_configuration(self, caller_seconds):
         with self._changed:
             wait_seconds = compute_start_wait_seconds(
                 running_seconds=time.monotonic() - self._started_at,
@@ -79,6 +109,12 @@
             if configuration.offset:
                 return configuration
             self._refusal_count += 1
+            if self._is_stopping():
+                raise Refusal(
+                    code=result_codes.ENTRY_STOPPING,
+                    detail="the entry had no configuration",
+                    retry_after_seconds=LEAST_RETURN_SECONDS,
+                )
             raise Refusal(
                 code=result_codes.CONFIGURATION_MISSING,
                 detail="the entry has no configuration yet",
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -225,7 +225,9 @@
         received_at = open_request.received_at
         configuration = self._find_configuration()
         if configuration.offset == 0:
-            configuration = self._configuration_wait.wait(request.timeout_seconds)
+            configuration = self._configuration_wait.wait(
+                request.timeout_seconds, request.connection.is_disconnected
+            )
         route = find_route(configuration.routes, request.host, request.path)
         if route is None:
             raise Refusal(
@@ -244,6 +246,7 @@
                 detail=f"route {route.name!r} names a service that does not exist",
             )
         deadline_seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
+        self._configuration_wait.check_deadline(received_at + deadline_seconds)
         open_request.charged_account = self._accounts.charge(
             configuration, request, account, received_at + deadline_seconds
         )
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -223,6 +223,7 @@
         """Request a graceful stop; safe in any thread."""
         self._stop_plan.begin(self.settings.drain_seconds)
         self._stop.set()
+        self._configuration_wait.notify()
 
     def _make_handler(self):
         tracing = self.settings.tracing
