--- a/citronspan/ops/targets/replaced_attempts_test.py
+++ b/citronspan/ops/targets/replaced_attempts_test.py
@@ -10,13 +10,16 @@
 from opentelemetry import trace
 
 from citronspan.core import result_codes
+from citronspan.core.brokering.broker_messages import SlotRequest, SlotWaiting
 from citronspan.core.brokering.shards import ShardKey
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.core.resources import RouteSpec, ServiceSpec
+from citronspan.core.result_codes import Ran
 from citronspan.ops.callers.open_requests import OpenRequest
 from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.entry_metrics import EntryMetrics
+from citronspan.ops.slots.broker_client import BrokerClient
 from citronspan.ops.slots.slot_source import Slot, SlotRefused
 from citronspan.ops.targets.attempt_context import RequestContext
 from citronspan.ops.targets.attempts import AttemptRunner
@@ -38,7 +41,16 @@
         is_stopping: Whether the host was told to stop.
     """
 
-    def __init__(self, targets, *, has_second=False, wait_seconds=0.0, stops=False):
+    def __init__(
+        self,
+        targets,
+        *,
+        has_second=False,
+        wait_seconds=0.0,
+        stops=False,
+        refuses_once=False,
+    ):
+        self._refuses_once = refuses_once
         self._addresses = list(targets.address_by_name.values())
         self._has_second = has_second
         self._wait_seconds = wait_seconds
@@ -54,7 +66,8 @@
             ends_at = time.monotonic() + self._wait_seconds
             while time.monotonic() < ends_at and not query.is_too_late():
                 time.sleep(0.01)
-            if not self._has_second:
+            refuses_once, self._refuses_once = self._refuses_once, False
+            if refuses_once or not self._has_second:
                 code = result_codes.NO_CAPACITY
                 return SlotRefused(code=code, retry_after_seconds=0.3)
         self.acquired += 1
@@ -76,6 +89,29 @@
         self.released.append((slot.target, outcome.outcome_class))
 
 
+class QueuedSlots(LimitedSlots):
+    """Has the request for the second slot queued at a broker until it ends."""
+
+    def __init__(self, targets):
+        super().__init__(targets)
+        self._client = BrokerClient(send=self._queue, wait_seconds=0.05)
+
+    def acquire(self, query):
+        """Return the first slot, and a refusal once the wait for the second ends."""
+        if not self.acquired:
+            return super().acquire(query)
+        seconds = query.deadline - time.monotonic()
+        request = SlotRequest(
+            attempt_id=2, service="s", region="r", shard=0, deadline_seconds=seconds
+        )
+        assert self._client.request_slot("b", request, query) is None
+        return SlotRefused(code=result_codes.NO_CAPACITY, retry_after_seconds=0.3)
+
+    def _queue(self, broker, request):
+        self._client.handle(SlotWaiting(attempt_id=request.attempt_id))
+        return True
+
+
 @pytest.fixture
 def targets():
     scripted = ScriptedTargets()
@@ -83,11 +119,11 @@
     scripted.close()
 
 
-def run(slots, path):
+def run(slots, path, deadline_seconds=DEADLINE_SECONDS, left_at=math.inf, body=b""):
     request = SimpleNamespace(
-        connection=SimpleNamespace(is_disconnected=lambda: False),
+        connection=SimpleNamespace(is_disconnected=lambda: time.monotonic() >= left_at),
         request_id="",
-        method="GET",
+        method="PUT" if body else "GET",
         uri=path,
         headers=(("host", "h"),),
         key="",
@@ -102,11 +138,11 @@
     )
     context = RequestContext(
         request=request,
-        body=SimpleNamespace(length=0, buffer=b"", is_repeatable=True),
+        body=SimpleNamespace(length=len(body), buffer=body, is_repeatable=True),
         route=SimpleNamespace(spec=spec),
         service_name="s",
         service=ServiceSpec(retry_window_seconds=10.0),
-        deadline=time.monotonic() + DEADLINE_SECONDS,
+        deadline=time.monotonic() + deadline_seconds,
         goal_time=0.0,
         fingerprint=1,
         open_request=OpenRequest(received_at=time.monotonic()),
@@ -158,6 +194,17 @@
     assert slots.released in ([], [("t-2", OutcomeClass.NOT_USED)])
 
 
+@pytest.mark.parametrize("answer_seconds", [0.18, 0.25, 0.33])
+def test_answer_is_lost_since_its_retry_is_queued(targets, answer_seconds):
+    script = TargetScript(parts=(HEAD + b"ok",), delay_seconds=answer_seconds)
+    targets.set_scripts("/read", script)
+    begun_at = time.monotonic()
+    response, refusal = run(QueuedSlots(targets), "/read", deadline_seconds=0.45)
+    assert refusal is None
+    assert response.body_start == b"ok"
+    assert time.monotonic() - begun_at < answer_seconds + 0.1
+
+
 def test_read_is_cut_for_a_retry_that_a_stop_withholds(targets):
     targets.set_scripts("/read", LATE_ANSWERS["head"])
     slots = LimitedSlots(targets, has_second=True, stops=True)
@@ -166,10 +213,13 @@
     assert response.slot.target == "t-1"
 
 
-def test_read_waits_for_a_hanging_target_though_another_one_is_free(targets):
+@pytest.mark.parametrize("refuses_once", [False, True])
+def test_read_waits_for_a_hanging_target_though_another_one_is_free(
+    targets, refuses_once
+):
     hang = TargetScript(parts=(HEAD,), delay_seconds=DEADLINE_SECONDS)
     targets.set_scripts("/read", hang, TargetScript(parts=(HEAD + b"ok",)))
-    slots = LimitedSlots(targets, has_second=True)
+    slots = LimitedSlots(targets, has_second=True, refuses_once=refuses_once)
     begun_at = time.monotonic()
     response, _ = run(slots, "/read")
     assert response.slot.target == "t-2"
@@ -208,6 +258,31 @@
             yield bytes(1 << 16)
 
 
+@pytest.mark.parametrize("has_second", [False, True])
+@pytest.mark.parametrize("late", LATE_ANSWERS)
+def test_target_works_on_for_a_caller_that_left(targets, late, has_second):
+    targets.set_scripts("/read", LATE_ANSWERS[late])
+    slots = LimitedSlots(targets, has_second=has_second, wait_seconds=0.1)
+    begun_at = time.monotonic()
+    _, refusal = run(slots, "/read", left_at=begun_at + 0.1)
+    assert refusal.ran is Ran.MAY_HAVE_RUN
+    assert time.monotonic() - begun_at < RUN_SECONDS - 0.1
+    assert slots.released[-1] == ("t-1", OutcomeClass.CANCELLED)
+    assert slots.released[:-1] in ([], [("t-2", OutcomeClass.NOT_USED)])
+
+
+def test_target_that_reads_no_upload_holds_it_for_a_caller_that_left(targets):
+    target = SlowReader()
+    target.start()
+    targets.address_by_name[next(iter(targets.address_by_name))] = target.address
+    slots = LimitedSlots(targets)
+    begun_at = time.monotonic()
+    _, refusal = run(slots, "/up", left_at=begun_at + 0.1, body=bytes(1 << 24))
+    assert refusal.ran is Ran.MAY_HAVE_RUN
+    assert time.monotonic() - begun_at < RUN_SECONDS - 0.1
+    assert slots.released == [("t-1", OutcomeClass.CANCELLED)]
+
+
 def test_upload_is_cut_for_a_retry_that_its_body_rules_out():
     target = SlowReader()
     target.start()
