Answer 503, not 401, if an account changes while its request waits

Cause: a request with a key in force got 401 (3016) if the first version with accounts arrived while it waited, or if its key moved to another account. Both configurations that may be in force allow such a request, and so do they one without a key whose route is public in the first version with accounts. A 401 tells its caller to stop.

Change: 401 stays for keys that no account has now. The others are refused by a new result, 3018 account-changed: 503, not run, with Retry-After. To entries that wait for the same idempotency key 3016 and 3018 are reported as no-capacity: they say nothing of a second request with another account key, and an entry of an earlier version takes codes that it does not know for a run.

--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -205,6 +205,13 @@
     _NOT,
     "The route needs the key of a client account, and the request has none in force.",
 )
+ACCOUNT_CHANGED = _define(
+    3018,
+    "account-changed",
+    503,
+    _NOT,
+    "The account of the request's key changed while the request waited.",
+)
 ENTRY_LINK_FULL = _define(
     3017,
     "entry-link-full",
--- a/citronspan/ops/callers/account_access.py
+++ b/citronspan/ops/callers/account_access.py
@@ -20,7 +20,9 @@
 from citronspan.ops.callers.account_admission import AccountAdmission
 from citronspan.ops.callers.caller_request import CallerRequest
 from citronspan.ops.callers.refusals import Refusal
+from citronspan.ops.slots.slot_source import SlotRefused
 from citronspan.ops.targets.attempt_context import RequestContext
+from citronspan.ops.targets.attempt_refusals import ACCOUNT_REFUSED, KEY_REFUSED
 
 KEY_HEADER = "authorization"
 
@@ -136,23 +138,26 @@
         if name:
             self._limits.give_back(name)
 
-    def has_valid_key(self, request_context: RequestContext) -> bool:
-        """Return whether the configuration in force lets a request be sent.
+    def find_obstacle(self, request_context: RequestContext) -> SlotRefused | None:
+        """Return why the configuration in force lets a request not be sent, or None.
 
-        A request that came before accounts had keys is not sent once they have: its
-        headers may contain a key.
+        A request that came before accounts had keys is not sent once they have, since
+        its headers may contain a key, nor one whose key has another account since then.
+        Its caller did nothing wrong, and may send it again at once.
         """
         configuration = self._find_configuration()
         accounts = configuration.accounts
         if not accounts.needs_keys:
-            return True
+            return None
+        account = accounts.find(request_context.request.account_key_digest)
+        is_public = _is_public(configuration, request_context.route)
+        if account is None and not is_public:
+            return KEY_REFUSED
         if not request_context.is_screened:
-            return False
-        digest = request_context.request.account_key_digest
-        account = accounts.find(digest)
-        if account is not None and account.name == request_context.account:
-            return True
-        return _is_public(configuration, request_context.route)
+            return ACCOUNT_REFUSED
+        if account is None or account.name == request_context.account:
+            return None
+        return None if is_public and not request_context.account else ACCOUNT_REFUSED
 
 
 def _is_public(configuration, route):
--- a/citronspan/ops/callers/keyed_request.py
+++ b/citronspan/ops/callers/keyed_request.py
@@ -18,6 +18,16 @@
 from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.targets.attempt_context import RequestContext
 
+_OWN_CODES = frozenset(
+    {
+        result_codes.ENTRY_STOPPING,
+        result_codes.ACCOUNT_KEY_UNKNOWN,
+        result_codes.ACCOUNT_CHANGED,
+    }
+)
+"""What is true of one entry or one account key, and not of others that wait for the
+same idempotency key; an entry of an earlier version does not know the codes either."""
+
 
 class KeyedRequest:
     """Reports the result of a request whose key was granted permission to run."""
@@ -58,9 +68,7 @@
         if not self._mark_reported():
             return
         if code.ran is Ran.NOT_RUN and (ran or code.ran) is Ran.NOT_RUN:
-            # Other entries that wait for the key do not stop; an earlier one does not
-            # know the code.
-            if code is result_codes.ENTRY_STOPPING:
+            if code in _OWN_CODES:
                 code = result_codes.NO_CAPACITY
             self._keys.report_not_run(self._permission, code)
             return
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -112,7 +112,7 @@
             is_stopping=is_stopping,
             has_other_target=self._has_other_target,
             stop_plan=stop_plan,
-            has_valid_key=self._accounts.has_valid_key,
+            find_key_obstacle=self._accounts.find_obstacle,
         )
         self._slots = slots
         self._metrics = metrics
--- a/citronspan/ops/targets/attempt_refusals.py
+++ b/citronspan/ops/targets/attempt_refusals.py
@@ -20,6 +20,12 @@
 )
 """Stands for a slot that is not used, since the key was removed in the meantime."""
 
+ACCOUNT_REFUSED = SlotRefused(
+    code=result_codes.ACCOUNT_CHANGED,
+    retry_after_seconds=REFUSED_RETRY_AFTER_SECONDS,
+)
+"""Stands for a slot that is not used, since the request was read by other accounts."""
+
 
 def make_slot_refusal(
     request_context: RequestContext, refused: SlotRefused, may_have_run: bool
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -24,7 +24,6 @@
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_refusals import (
-    KEY_REFUSED,
     STOP_REFUSED,
     make_refusal,
     make_slot_refusal,
@@ -73,7 +72,9 @@
         is_stopping: Callable[[], bool],
         has_other_target: Callable[[str, tuple[str, ...]], bool],
         stop_plan: StopPlan | None = None,
-        has_valid_key: Callable[[RequestContext], bool] = lambda _: True,
+        find_key_obstacle: Callable[[RequestContext], SlotRefused | None] = (
+            lambda _: None
+        ),
     ):
         """Create a runner.
 
@@ -89,11 +90,11 @@
             has_other_target: Returns whether a service has a target that stays, other
                 than the given ones.
             stop_plan: Knows when a stop ends, None for a host that never stops.
-            has_valid_key: Returns whether a request has the account key that its route
-                needs by the configuration in force.
+            find_key_obstacle: Returns why a request may not be sent by the accounts of
+                the configuration in force, or None.
         """
         self._dialect = dialect
-        self._has_valid_key = has_valid_key
+        self._find_key_obstacle = find_key_obstacle
         self._is_stopping = is_stopping
         self._has_other_target = has_other_target
         self._reuse_seconds = reuse_seconds
@@ -220,7 +221,7 @@
         """Return why the request may not be sent any more, or None."""
         if self.is_too_late(request_context):
             return STOP_REFUSED
-        return None if self._has_valid_key(request_context) else KEY_REFUSED
+        return self._find_key_obstacle(request_context)
 
     def is_too_late(self, request_context: RequestContext) -> bool:
         """Return whether the host stops before the request could end."""
@@ -321,9 +322,9 @@
     def _may_send(self, request_context, slot, progress) -> bool:
         """Return whether to send an attempt, whose answer replaces an earlier one.
 
-        If the key was removed, the next look for a slot refuses the request.
+        If its account or key went, the next look for a slot refuses the request.
         """
-        if not self._has_valid_key(request_context):
+        if self._find_key_obstacle(request_context) is not None:
             return False
         if not self._slots.may_use(slot, request_context.request.request_id):
             return False
