Bind stored answers to the account of the request's key

Cause: the fingerprint of a claim had the account that the caller states in a header, so that another account, or a caller without one, that obtained an idempotency key got the stored answer by stating the right name.

Change: where accounts have keys, the fingerprint has the account of the request's key, and nothing that the caller states. Without them it is the same byte for byte.

Result: the new test fails with the code before and passes now.

--- a/citronspan/ops/callers/keyed_request.py
+++ b/citronspan/ops/callers/keyed_request.py
@@ -109,8 +109,12 @@
     )
     request = request_context.request
     # The account is part of the fingerprint, so that another account that obtained the
-    # key does not get the stored answer.
-    path = f"{request.account}\0{request.uri}"
+    # key does not get the stored answer. Where accounts have keys, it is that of the
+    # request's key, whatever the caller states.
+    account = request.account
+    if request_context.is_screened:
+        account = request_context.account
+    path = f"{account}\0{request.uri}"
     fingerprint = compute_fingerprint(request.method, path, body_identifier)
     result = keys.claim(
         request_context.request.key, fingerprint, request_context.deadline
