Weigh an account without a limit by its usual load

Cause: an account without a limit stated 1.0 as its weight, among others that state their limits in requests/s. In a shortage it was served as if its limit were one request per second, whatever its usual load.

Change: it states no weight.

--- a/citronspan/core/accounts/account_table.py
+++ b/citronspan/core/accounts/account_table.py
@@ -13,9 +13,6 @@
 
 from citronspan.core.resources import AccountSpec
 
-UNLIMITED_WEIGHT = 1.0
-"""Weight of an account without a request limit."""
-
 _BEARER = "bearer"
 
 
@@ -43,8 +40,8 @@
 
     @property
     def weight(self) -> float:
-        """Weight among other accounts: what its limit entitles it to."""
-        return self.spec.requests_per_second or UNLIMITED_WEIGHT
+        """Its limit in requests/s, 0 for none: then it weighs by its usual load."""
+        return self.spec.requests_per_second
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/core/brokering/account_shares.py
+++ b/citronspan/core/brokering/account_shares.py
@@ -7,9 +7,10 @@
 ``USAGE_MEMORY_SECONDS``. Accounts are compared by it as by the virtual time of fair
 queueing.
 
-An account weighs what its requests state. Where no account states a weight, each counts
-by its usual load: what it had while nothing waited, so that a burst in times of
-shortage gives its account no weight.
+An account weighs what its requests state, and otherwise by its usual load: what it had
+while nothing waited, so that a burst in times of shortage gives its account no weight.
+What is stated are limits, several times the usual load, so that a usual load counts as
+many times its size as the limits of the others are of theirs.
 
 Sources: Kay and Lauder, "A fair share scheduler", CACM 1988, for usage that is
 forgotten; Goyal, Vin and Cheng, "Start-time fair queueing", SIGCOMM 1996; Cormode et
@@ -96,6 +97,7 @@
         self._served = 0.0
         self._refused = 0.0
         self._usual = 0.0
+        self._stated_usual = 0.0
         self._stated_weight = 0.0
         self._stated_count = 0
 
@@ -112,6 +114,7 @@
         self._served *= factor
         self._refused *= factor
         self._usual *= usual_factor
+        self._stated_usual *= usual_factor
         for account in self._account_by_name.values():
             account.usage *= factor
             account.served *= factor
@@ -125,9 +128,12 @@
             return
         if not 0 <= weight < math.inf:
             return
+        change = (weight > 0) - (account.stated_weight > 0)
         self._stated_weight += weight - account.stated_weight
-        self._stated_count += (weight > 0) - (account.stated_weight > 0)
+        self._stated_count += change
         account.stated_weight = weight
+        if change and account.usual:
+            self._stated_usual = self._sum_stated_usual()
 
     def charge(self, name: str, seconds: float, *, is_contended: bool) -> None:
         """Count a grant and the time for which its slot is likely to be held.
@@ -144,6 +150,8 @@
         usual = seconds * self._usual_decay.scale
         account.usual += usual
         self._usual += usual
+        if account.stated_weight > 0:
+            self._stated_usual += usual
 
     def correct(self, name: str, seconds: float) -> None:
         """Add what a slot was held longer than expected; negative if shorter."""
@@ -166,14 +174,21 @@
         account = self._account_by_name.get(name)
         if account is not None and account.stated_weight > 0:
             return account.stated_weight
+        usual = 0.0 if account is None else account.usual
         if self._stated_count:
-            return max(self._stated_weight / self._stated_count, 1e-9)
+            return self._compare_with_stated(usual)
         mean = self._usual / max(1, len(self._account_by_name))
         if mean <= 0:
             return 1.0
-        usual = 0.0 if account is None else account.usual
         return max(usual / mean, LEAST_USUAL_SHARE)
 
+    def _compare_with_stated(self, usual):
+        """Return the weight of a usual load where other accounts state theirs."""
+        least = max(LEAST_USUAL_SHARE * self._stated_weight / self._stated_count, 1e-9)
+        if self._stated_usual <= 0:
+            return least
+        return max(usual / self._stated_usual * self._stated_weight, least)
+
     def find_usage_seconds(self, name: str) -> float:
         """Return the slot time that an account had lately, per unit of its weight."""
         account = self._account_by_name.get(name)
@@ -220,6 +235,15 @@
             self._stated_weight -= account.stated_weight
             self._stated_count -= account.stated_weight > 0
         self._usual = max(self._usual, 0.0)
+        self._stated_usual = self._sum_stated_usual()
+
+    def _sum_stated_usual(self):
+        """Return a sum from which nothing was subtracted, and so no rounding errors."""
+        return sum(
+            account.usual
+            for account in self._account_by_name.values()
+            if account.stated_weight > 0
+        )
 
     @staticmethod
     def _measure_activity(account):
