Weigh requests without an account by their load from the start

Cause: requests without an account are those of public routes and all that come through hosts of a version without account keys. Together they weighed as the mean of the accounts that state limits.

A replay in which half of the calls name no account keeps that.

The new test of weights without a known load fails with the code before; the replay fails with the mean weight, which it plays, too.

--- a/citronspan/core/brokering/account_shares.py
+++ b/citronspan/core/brokering/account_shares.py
@@ -87,7 +87,10 @@
 class AccountShares:
     """Usage, weight and served share of the accounts of one broker.
 
-    Requests without an account count as those of one account with an empty name.
+    Requests without an account count as those of one account with an empty name. They
+    are those of public routes, and all that come from hosts of an earlier version, so
+    that they may be half of the load. Their account weighs by its usual load, and as
+    much as all that state a weight before a load is known.
     """
 
     def __init__(self):
@@ -176,17 +179,17 @@
             return account.stated_weight
         usual = 0.0 if account is None else account.usual
         if self._stated_count:
-            return self._compare_with_stated(usual)
+            return self._compare_with_stated(name, usual)
         mean = self._usual / max(1, len(self._account_by_name))
         if mean <= 0:
             return 1.0
         return max(usual / mean, LEAST_USUAL_SHARE)
 
-    def _compare_with_stated(self, usual):
+    def _compare_with_stated(self, name, usual):
         """Return the weight of a usual load where other accounts state theirs."""
         least = max(LEAST_USUAL_SHARE * self._stated_weight / self._stated_count, 1e-9)
         if self._stated_usual <= 0:
-            return least
+            return least if name else max(self._stated_weight, least)
         return max(usual / self._stated_usual * self._stated_weight, least)
 
     def find_usage_seconds(self, name: str) -> float:
--- a/citronspan/core/brokering/account_shares_test.py
+++ b/citronspan/core/brokering/account_shares_test.py
@@ -25,6 +25,13 @@
     assert shares.find_weight("d") == pytest.approx(40.0)
 
 
+def test_requests_without_an_account_weigh_as_all_others_until_a_load_is_known():
+    shares = make_shares({}, {"a": 20.0, "b": 60.0})
+    assert (shares.find_weight(""), shares.find_weight("c")) == (80.0, 40.0)
+    shares = make_shares({"a": 1.0, "b": 1.0, "": 3.0}, {"a": 20.0, "b": 60.0})
+    assert shares.find_weight("") == pytest.approx(120.0)
+
+
 def test_account_that_gets_a_limit_or_loses_it_takes_its_usual_load_along():
     shares = make_shares({"a": 1.0, "b": 3.0}, {"a": 20.0})
     assert shares.find_weight("b") == pytest.approx(60.0)
--- a/citronspan/core/brokering/fair_shares_replay_test.py
+++ b/citronspan/core/brokering/fair_shares_replay_test.py
@@ -16,6 +16,7 @@
 import pytest
 
 from citronspan.core.accounts.account_table import Account
+from citronspan.core.brokering.account_shares import AccountShares
 from citronspan.core.brokering.broker import Broker
 from citronspan.core.brokering.broker_messages import (
     SlotGrant,
@@ -59,6 +60,8 @@
         limit_factor: Limit of each account, as a multiple of its usual load, 0 if there
             are no limits.
         unlimited: Accounts without a limit.
+        unnamed_share: Share of all calls that come without an account, as through hosts
+            of an earlier version.
     """
 
     hot_factor: float = 1.0
@@ -70,6 +73,7 @@
     deadline_seconds: float = 6.0
     limit_factor: float = 0.0
     unlimited: frozenset[int] = frozenset()
+    unnamed_share: float = 0.0
 
 
 @dataclass
@@ -80,6 +84,7 @@
     sent_at: float
     tries: int = 0
     served_at: float = 0.0
+    is_named: bool = True
 
 
 class Replay:
@@ -91,6 +96,7 @@
         self._has_shares = has_shares
         self._clock = clock
         self._random = random.Random(3)
+        self._naming_random = random.Random(4)
         self._weights = [1 / (1 + number) ** 0.8 for number in range(ACCOUNTS)]
         self._events = []
         self._call_by_attempt = {}
@@ -132,7 +138,8 @@
             at += self._random.expovariate(rate)
 
     def _plan_call(self, account, at):
-        call = Call(account=account, sent_at=at)
+        is_named = self._naming_random.random() >= self._load.unnamed_share
+        call = Call(account=account, sent_at=at, is_named=is_named)
         self.calls.append(call)
         self._push(at, lambda: self._request(call))
 
@@ -161,20 +168,20 @@
             goal_seconds=max(GOAL_SECONDS - waited, 0.0),
             idempotent=True,
             worth=1.0 if call.account < ACCOUNTS - self._load.low_worth else 0.5,
-            account=f"a{call.account}" if self._has_shares else "",
-            account_weight=self._find_weight(call.account),
+            account=f"a{call.account}" if self._has_shares and call.is_named else "",
+            account_weight=self._find_weight(call),
         )
         return self._broker.handle("e", request)
 
-    def _find_weight(self, account):
+    def _find_weight(self, call):
         """Return the weight that a request states, as accounts with keys do."""
-        if not self._load.limit_factor:
+        if not self._load.limit_factor or not call.is_named:
             return 0.0
-        usual_rate = USUAL_RATE * self._weights[account] / sum(self._weights)
-        is_limited = account not in self._load.unlimited
+        usual_rate = USUAL_RATE * self._weights[call.account] / sum(self._weights)
+        is_limited = call.account not in self._load.unlimited
         limit = self._load.limit_factor * usual_rate if is_limited else 0.0
         spec = AccountSpec(requests_per_second=limit)
-        return Account(name=f"a{account}", spec=spec).weight
+        return Account(name=f"a{call.account}", spec=spec).weight
 
     def _collect(self, outgoing):
         for item in outgoing:
@@ -210,6 +217,15 @@
         calls = self._list_short(accounts)
         return sum(call.served_at > 0 for call in calls) / max(1, len(calls))
 
+    def measure_by_naming(self):
+        """Return that share of calls without an account, and of those with one."""
+        calls = self._list_short(EVERYONE)
+        return [
+            sum(call.served_at > 0 for call in calls if call.is_named is is_named)
+            / sum(call.is_named is is_named for call in calls)
+            for is_named in (False, True)
+        ]
+
     def measure_in_goal(self, accounts):
         """Return the share of these calls that were answered within the goal."""
         calls = [
@@ -337,6 +353,26 @@
     check_nobody_is_starved(after)
 
 
+@pytest.mark.parametrize("burst_factor", [3, 4])
+def test_half_of_the_load_without_accounts_is_served_as_the_other(
+    burst_factor, monkeypatch
+):
+    load = Load(burst_factor=burst_factor, limit_factor=2, unnamed_share=0.5)
+    options = {"has_shares": True, "has_line": True, "monkeypatch": monkeypatch}
+    after = play(load, **options)
+    monkeypatch.setattr(
+        AccountShares,
+        "_compare_with_stated",
+        lambda self, name, usual: self._stated_weight / self._stated_count,
+    )
+    before = play(load, **options)
+    unnamed, named = before.measure_by_naming()
+    assert unnamed < named / 2
+    assert min(after.measure_by_naming()) > max(after.measure_by_naming()) * 0.6
+    assert after.measure(EVERYONE) >= before.measure(EVERYONE)
+    check_nobody_is_starved(after)
+
+
 @pytest.mark.parametrize(
     "load",
     [
