Read account keys that are not ASCII byte for byte

Cause: the key in Authorization was cut from text decoded as Latin-1 by what Python takes for white space, which includes the bytes 0x85 and 0xA0. They are parts of UTF-8 characters, such as a with a grave accent, so that such a key at its end was taken for another one and refused with 401.

Change: only spaces and tabs separate and surround a key, as HTTP has it.

--- a/citronspan/core/accounts/account_table.py
+++ b/citronspan/core/accounts/account_table.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -13,7 +14,11 @@
 
 from citronspan.core.resources import AccountSpec
 
-_BEARER = "bearer"
+_SPACES = " \t"
+"""White space of a header. Other bytes belong to the key: those of its UTF-8 form that
+are spaces in Latin-1, too."""
+
+_SCHEME_PATTERN = re.compile(r"[ \t]*bearer[ \t]+", re.IGNORECASE)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,8 +105,8 @@
     Args:
         authorization: Value of the header, decoded as Latin-1, or empty.
     """
-    scheme, *rest = authorization.split(None, 1)[:2] or [""]
-    if scheme.lower() != _BEARER or not rest:
+    scheme = _SCHEME_PATTERN.match(authorization)
+    key = "" if scheme is None else authorization[scheme.end() :].strip(_SPACES)
+    if not key:
         return ""
-    key = rest[0].strip()
     return compute_key_digest(key.encode("latin-1", "replace"))
--- a/citronspan/core/accounts/account_table_test.py
+++ b/citronspan/core/accounts/account_table_test.py
@@ -67,9 +67,14 @@
     assert read_key_digest(text) == ""
 
 
-def test_key_beyond_ascii_is_compared_by_its_bytes():
-    key = "clé-✓".encode()
-    assert read_key_digest("Bearer " + key.decode("latin-1")) == compute_key_digest(key)
+@pytest.mark.parametrize(
+    "text", ["clé-✓", "à", "\u0105-x-Å", "\u0085x\u0085", "\u00a0", "x\u2028"]
+)
+def test_key_beyond_ascii_is_compared_by_its_bytes(text):
+    key = text.encode()
+    for pattern in ("Bearer {}", " bearer\t{} ", "Bearer \t {}\t"):
+        header = pattern.format(key.decode("latin-1"))
+        assert read_key_digest(header) == compute_key_digest(key)
 
 
 def test_table_follows_the_configuration_in_force():
