Name public routes on an account, so that earlier versions keep the routes

Cause: a public route had the field `public` in the records that hosts send each other. A host of an earlier version drops a route with an unknown field, and then answers 404 or uses a route with a shorter prefix, while both versions run.

Change: the platform's translation leaves routes as they were and names the public ones on the configuration's first account, in a new field publicRoutes; earlier versions drop accounts with keys as it is. Entries mark the routes when they index a configuration. RouteSpec.public stays for the product's own resources.

The test that looked for the field in the route is replaced by one that looks at the route that an entry finds, for several routes, names and accounts.

Result: the two new tests fail with the code before: an earlier version's set of fields refuses the public routes. They pass now.

--- a/citronspan/core/accounts/account_table.py
+++ b/citronspan/core/accounts/account_table.py
@@ -57,10 +57,12 @@
         account_by_digest: Accounts by the digest of each of their keys.
         needs_keys: Whether the configuration has accounts with keys, so that requests
             need one. It stays set if all keys were taken away from the accounts.
+        public_routes: Names of routes whose requests need none all the same.
     """
 
     account_by_digest: dict[str, Account] = field(default_factory=dict)
     needs_keys: bool = False
+    public_routes: frozenset[str] = frozenset()
 
     def find(self, digest: str) -> Account | None:
         """Return the account that holds the key with a digest, or None."""
@@ -79,8 +81,10 @@
     """
     account_by_digest: dict[str, Account] = {}
     shared = set()
+    public_routes: set[str] = set()
     needs_keys = False
     for name, spec in spec_by_name:
+        public_routes.update(spec.public_routes or ())
         if spec.key_digests is msgspec.UNSET:
             continue
         needs_keys = True
@@ -91,7 +95,11 @@
             account_by_digest[digest] = account
     for digest in shared:
         del account_by_digest[digest]
-    return AccountTable(account_by_digest=account_by_digest, needs_keys=needs_keys)
+    return AccountTable(
+        account_by_digest=account_by_digest,
+        needs_keys=needs_keys,
+        public_routes=frozenset(public_routes),
+    )
 
 
 def compute_key_digest(key: bytes) -> str:
--- a/citronspan/core/requests/entry_configuration.py
+++ b/citronspan/core/requests/entry_configuration.py
@@ -78,13 +78,16 @@
 
 def _index_resources(offset, resource_by_id):
     routes = []
-    accounts = []
+    accounts = build_account_table(
+        (name, resource.spec)
+        for (kind, name), resource in sorted(resource_by_id.items())
+        if kind == Kind.ACCOUNT
+    )
     targets_by_service: dict[str, list[TargetInfo]] = {}
     for (kind, name), resource in sorted(resource_by_id.items()):
         if kind == Kind.ROUTE:
-            routes.append(Route(name=name, spec=resource.spec))
-        if kind == Kind.ACCOUNT:
-            accounts.append((name, resource.spec))
+            is_public = resource.spec.public is True or name in accounts.public_routes
+            routes.append(Route(name=name, spec=resource.spec, is_public=is_public))
         if kind == Kind.TARGET:
             target = make_target_info(name, resource.spec)
             targets_by_service.setdefault(resource.spec.service, []).append(target)
@@ -92,7 +95,7 @@
         offset=offset,
         resource_by_id=resource_by_id,
         routes=build_route_table(routes),
-        accounts=build_account_table(accounts),
+        accounts=accounts,
         targets_by_service={
             service: tuple(targets) for service, targets in targets_by_service.items()
         },
--- a/citronspan/core/requests/route_table.py
+++ b/citronspan/core/requests/route_table.py
@@ -9,10 +9,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
-    """A route with its name."""
+    """A route with its name.
+
+    Attributes:
+        name: Name of the route.
+        spec: Specification of the route.
+        is_public: Whether its requests need no account key.
+    """
 
     name: str
     spec: RouteSpec
+    is_public: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/core/resources.py
+++ b/citronspan/core/resources.py
@@ -176,8 +176,10 @@
         rank: Rank of its requests, 0 for the highest; it precedes the worth of routes.
         key_digests: SHA-256 digests of its keys in lower-case hexadecimal.
         title: Name that targets are told, if it is not the name of the resource.
+        public_routes: Names of routes whose requests need no account key, besides those
+            that say so themselves. Any account may name them, also for the others.
 
-    The last four are left out of the encoding where they are not set, since earlier
+    The last five are left out of the encoding where they are not set, since earlier
     versions refuse unknown fields.
     """
 
@@ -187,6 +189,7 @@
     rank: int | msgspec.UnsetType = msgspec.UNSET
     key_digests: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
     title: str | msgspec.UnsetType = msgspec.UNSET
+    public_routes: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 SPEC_TYPE_BY_KIND = {
--- a/citronspan/ops/callers/account_access.py
+++ b/citronspan/ops/callers/account_access.py
@@ -162,5 +162,7 @@
 
 def _is_public(configuration, route):
     """Return whether a route is public in a configuration, or was before it went."""
-    spec = configuration.get_spec(Kind.ROUTE, route.name) or route.spec
-    return spec.public is True
+    spec = configuration.get_spec(Kind.ROUTE, route.name)
+    if spec is None:
+        return route.is_public
+    return spec.public is True or route.name in configuration.accounts.public_routes
--- a/citronspan/platform/accounts_test.py
+++ b/citronspan/platform/accounts_test.py
@@ -11,10 +11,14 @@
 from citronspan.core.configuration.feeds import CONFIGURATION_FEED
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
+from citronspan.core.node_messages import ConfigurationPush
+from citronspan.core.requests.entry_configuration import EntryConfiguration, apply_push
+from citronspan.core.requests.route_table import find_route
 from citronspan.core.resources import (
     AccountSpec,
     Kind,
     RouteSpec,
+    ServiceShare,
     decode_resource,
     encode_resource,
 )
@@ -184,11 +188,70 @@
     assert isinstance(spec, RouteSpec)
 
 
-@pytest.mark.parametrize("public", [True, False])
-def test_route_is_public_where_there_are_accounts(public):
-    data = encode(ACCOUNT, routes=[{**ROUTE, "public": public}])
-    (spec,) = read(Kind.ROUTE, data).values()
-    assert spec.public is (True if public else msgspec.UNSET)
+class EarlierSpec(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    rename="camel",
+):
+    """Base of specifications as the version before accounts had keys reads them."""
+
+
+class EarlierRouteSpec(EarlierSpec, kw_only=True):
+    host: str = "*"
+    path_prefix: str
+    service: str
+    shares: tuple[ServiceShare, ...] = ()
+    request_kind: str
+    worth: float = 1.0
+    idempotent: bool = False
+    require_key: bool = False
+    deadline_seconds: float = 10.0
+    goal_seconds: float = 0.0
+    maximum_attempts: int = 3
+
+
+class EarlierAccountSpec(EarlierSpec, kw_only=True):
+    region: str = ""
+    requests_per_second: float = 0.0
+
+
+ROUTES = (
+    {**ROUTE, "public": True},
+    {**ROUTE, "name": "Open To All", "pathPrefix": "/a/b", "public": True},
+    {**ROUTE, "name": "r-3", "pathPrefix": "/a/b/c", "public": False},
+)
+
+
+def find_public(*accounts, routes):
+    """Return by prefix whether the routes of a configuration are public at an entry."""
+    resources = read_configuration(encode(*accounts, routes=routes), RULES)
+    changed = tuple(encode_resource(resource) for resource in resources)
+    push = ConfigurationPush(base_offset=0, offset=1, changed=changed)
+    table = apply_push(EntryConfiguration(), push).routes
+    prefixes = (route["pathPrefix"] for route in routes)
+    return {p: find_route(table, ROUTE["host"], p).is_public for p in prefixes}
+
+
+def test_route_is_public_where_there_are_accounts():
+    expected = {"/a/": True, "/a/b": True, "/a/b/c": False}
+    assert find_public(ACCOUNT, routes=ROUTES) == expected
+    second = {"name": "keyless"}
+    assert find_public(second, ACCOUNT, routes=ROUTES) == expected
+    again = {**ROUTE, "public": False}
+    assert find_public(ACCOUNT, routes=[ROUTES[0], again]) == {"/a/": False}
+
+
+def test_earlier_version_keeps_public_routes_and_drops_accounts():
+    for resource in read_configuration(encode(ACCOUNT, routes=ROUTES), RULES):
+        data = msgspec.json.encode(resource.spec)
+        if resource.kind is Kind.ROUTE:
+            spec = msgspec.json.decode(data, type=EarlierRouteSpec)
+            assert spec.path_prefix == resource.spec.path_prefix
+        if resource.kind is Kind.ACCOUNT:
+            with pytest.raises(msgspec.ValidationError):
+                msgspec.json.decode(data, type=EarlierAccountSpec)
 
 
 class OneRecord:
--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -167,17 +167,28 @@
         for service in configuration.services
     ]
     for route in configuration.routes:
-        spec = _make_route(route, has_accounts=bool(configuration.accounts))
+        spec = _make_route(route)
         name = make_resource_name(route.name)
         resources.append(Resource(kind=Kind.ROUTE, name=name, spec=spec))
-    resources += _read_accounts(configuration.accounts)
+    public_routes = _list_public_routes(configuration.routes)
+    resources += _read_accounts(configuration.accounts, public_routes)
     for resource in resources:
         check_spec(resource.spec)
     return resources
 
 
-def _read_accounts(accounts) -> list[Resource]:
-    """Return the accounts; errors name a field and never its key."""
+def _list_public_routes(routes) -> tuple[str, ...]:
+    """Return the names of public routes; of two of one name, the later is in force."""
+    public_by_name = {make_resource_name(route.name): route.public for route in routes}
+    return tuple(name for name, public in public_by_name.items() if public)
+
+
+def _read_accounts(accounts, public_routes) -> list[Resource]:
+    """Return the accounts; errors name a field and never its key.
+
+    The first one names the public routes. Earlier versions drop accounts with keys and
+    would drop the routes, if these said it themselves.
+    """
     position_by_name: dict[str, int] = {}
     position_by_digest: dict[str, int] = {}
     resources = []
@@ -187,7 +198,7 @@
             raise _make_account_error(position, "name", f"that of accounts[{earlier}]")
         if not account.name:
             raise _make_account_error(position, "name", "is empty")
-        spec = _make_account(account)
+        spec = _make_account(account, () if position else public_routes)
         for digest in spec.key_digests:
             earlier = position_by_digest.setdefault(digest, position)
             if earlier != position:
@@ -205,7 +216,9 @@
     )
 
 
-def _make_account(account: _Account) -> AccountSpec:
+def _make_account(
+    account: _Account, public_routes: tuple[str, ...] = ()
+) -> AccountSpec:
     # No caller can send an empty key.
     keys = {key.encode(errors="surrogatepass") for key in account.keys if key}
     is_renamed = make_resource_name(account.name) != account.name
@@ -215,6 +228,7 @@
         rank=min(max(account.priority, 0), MAXIMUM_RANK),
         key_digests=tuple(sorted(compute_key_digest(key) for key in keys)),
         title=account.name if is_renamed else msgspec.UNSET,
+        public_routes=public_routes or msgspec.UNSET,
     )
 
 
@@ -313,7 +327,7 @@
     )
 
 
-def _make_route(route: _Route, *, has_accounts: bool) -> RouteSpec:
+def _make_route(route: _Route) -> RouteSpec:
     shares = tuple(
         ServiceShare(service=make_resource_name(share.service), weight=share.weight)
         for share in route.traffic_split
@@ -332,6 +346,4 @@
         deadline_seconds=route.timeout_seconds,
         goal_seconds=route.latency_goal_seconds,
         maximum_attempts=route.maximum_attempts,
-        # Earlier versions refuse the field, and without accounts it means nothing.
-        public=True if route.public and has_accounts else msgspec.UNSET,
     )
