Replace what an earlier version has translated by an own read of the store

Cause: a host of the version before account keys translates a configuration without its accounts. A newer host that heard of that record from it ran requests without a key, and forwarded Authorization, until the next version of the configuration.

Change: a feed record has a trailing field, the generation of its translation, which hosts of the version before ignore, do not write and do not pass on. A host that holds an earlier generation of the configuration than its own reads the store by itself, once for each record, and until it could asks a peer a second for a whole copy, of all peers. Of one record the newer generation replaces the earlier one and is never replaced by it. Fleets of one version read and ask as before.

Result: in a replay of 12 nodes, 6 of the earlier version with the reader among them, the 6 later ones have their translation within 1 s if they can read the store, and within 15 s if one of them can; it stays.

--- a/citronspan/core/configuration/feed_records.py
+++ b/citronspan/core/configuration/feed_records.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+TRANSLATION_GENERATION = 1
+"""Generation of this version's translations, which a change to what they hold raises.
+1: client accounts with keys."""
+
 
 class FeedRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The newest record of one key of a feed.
@@ -16,6 +20,8 @@
         version: Number that the writer of the key raises with each record, 0 if it
             has none. A store that was restored from a copy may hold an older version
             at a later offset. A removal may have the version that it removed.
+        generation: Generation of the translation into resources. Hosts of an earlier
+            version write, and pass on, 0.
     """
 
     offset: int
@@ -23,6 +29,7 @@
     data: bytes | None = None
     lapsed: bool = False
     version: int = 0
+    generation: int = 0
 
 
 class FeedBatch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/citronspan/core/configuration/feed_spread.py
+++ b/citronspan/core/configuration/feed_spread.py
@@ -32,6 +32,7 @@
     FeedPull,
     FeedUpdate,
 )
+from citronspan.core.configuration.feed_records import TRANSLATION_GENERATION
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
     FEEDS,
@@ -120,6 +121,7 @@
         self._read_at_by_feed = dict.fromkeys(FEEDS, -math.inf)
         self._copy_age = CopyAge()
         self._copy_check = CopyCheck()
+        self._own_read_offset = -1
         self._announced_fresh_at = -math.inf
         self._last_compared_at = -math.inf
         self._last_pulled_at = -math.inf
@@ -155,6 +157,19 @@
         """Whether a configuration is known, and not only targets."""
         return bool(self._feed_by_name[CONFIGURATION_FEED].record_by_key)
 
+    @property
+    def needs_translation(self) -> bool:
+        """Whether the configuration is as a host of an earlier version reads it.
+
+        It may lack what this version knows, and this node hasn't read it by itself. A
+        peer may have done so, too.
+        """
+        return any(
+            record.generation < TRANSLATION_GENERATION
+            and record.offset != self._own_read_offset
+            for record in self._feed_by_name[CONFIGURATION_FEED].record_by_key.values()
+        )
+
     @property
     def age_seconds(self) -> float:
         """Time since this node was known to be up to date with the store.
@@ -223,6 +238,10 @@
         if batch.next_offset and not feed.next_offset:
             self._copy_check.note_first_read()
         changed = self._apply_batch(batch)
+        installed_state = None
+        if feed.take_newer_translations(batch) and not changed:
+            installed_state = self._rebuild_state()
+        self._note_own_read(batch)
         if changed:
             self._append_recent(news)
         if feed.next_offset >= batch.next_offset:
@@ -231,12 +250,28 @@
             self._read_at_by_feed[batch.feed] = read_at
             self._copy_age.advance(min(self._read_at_by_feed.values()))
         if not changed and not self._has_freshness_gain():
-            return SpreadResult()
+            return SpreadResult(installed_state=installed_state)
         # A node that reads although it is not the reader is mostly one of many, such as
         # after a start of all. Peers that lack the records ask for them.
-        return self._spread(
+        result = self._spread(
             (news,) if changed else (), sender="", has_data=self.is_reader
         )
+        return SpreadResult(
+            outgoing=result.outgoing,
+            installed_state=result.installed_state or installed_state,
+        )
+
+    def _note_own_read(self, batch):
+        """Remember which configuration this node has translated by itself.
+
+        The batch may lack it, such as that of a restored store, which then has no
+        other one to translate.
+        """
+        if batch.feed != CONFIGURATION_FEED:
+            return
+        for record in self._feed_by_name[batch.feed].record_by_key.values():
+            if batch.from_offset <= record.offset < batch.next_offset:
+                self._own_read_offset = record.offset
 
     def apply_redecoded_batch(
         self, batch: FeedBatch, age_seconds: float = 0.0
@@ -333,6 +368,10 @@
             self._feed_by_name[batch.feed].take_newer_versions(batch)
             for batch in whole_batches
         ]
+        changes += [
+            self._feed_by_name[batch.feed].take_newer_translations(batch)
+            for batch in batches
+        ]
         return self._rebuild_state() if any(changes) else None
 
     def _apply_batch(self, batch):
@@ -462,6 +501,9 @@
             return ()
         self._last_compared_at = now
         comparison_peers = self._neighbours.plan.comparison_peers
+        if self.needs_translation:
+            # The usual ones may all be of an earlier version.
+            comparison_peers = ()
         candidates = comparison_peers or tuple(
             node.agent_peer_address
             for node in self._neighbours.nodes
@@ -470,7 +512,10 @@
         if not candidates:
             return ()
         message = self._make_update((), wants_answer=True)
-        if self.has_configuration and self._copy_check.take_question():
+        needs_copy = self.needs_translation or (
+            self.has_configuration and self._copy_check.take_question()
+        )
+        if needs_copy:
             message = FeedPull(offsets=FeedOffsets())
         to = self._random.choice(candidates)
         self._asked_at_by_address[to] = now
--- a/citronspan/core/configuration/feed_spread_test.py
+++ b/citronspan/core/configuration/feed_spread_test.py
@@ -1,12 +1,14 @@
 """Tests that every node receives the feeds, whichever nodes can read the store."""
 
+import dataclasses
 from collections import Counter
 
 import freezegun
+import msgspec
 import pytest
 
 from citronspan.core.configuration.copy_check import MAXIMUM_QUESTIONS
-from citronspan.core.configuration.feed_messages import FeedPull
+from citronspan.core.configuration.feed_messages import FeedPull, FeedUpdate
 from citronspan.core.configuration.feed_spread import STALE_SECONDS, FeedSpread
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
@@ -16,6 +18,7 @@
     FeedRecord,
 )
 from citronspan.core.configuration.record_versions import VERSIONS_PER_START
+from citronspan.core.message_base import Outgoing
 from citronspan.core.node_messages import NodeInfo
 
 STEP_SECONDS = 0.1
@@ -86,8 +89,8 @@
                     batch = self._read(spread, feed)
                     self._send(name, spread.apply_store_batch(batch))
 
-    def _read(self, spread, feed):
-        start = spread.offsets.get_offset(feed)
+    def _read(self, spread, feed, start=None):
+        start = spread.offsets.get_offset(feed) if start is None else start
         log = self.log_by_feed[feed]
         if self.has_truncated_log and start < len(log):
             newest = self._make_record(feed, len(log) - 1)
@@ -359,3 +362,89 @@
         fleet.run(1.5)
     found = {fleet.get_target_data(name) for name in fleet.spread_by_name}
     assert found == {b"drains"}
+
+
+class MixedFleet(Fleet):
+    """A fleet some of whose nodes are of a version with an earlier translation."""
+
+    earlier_names = frozenset()
+
+    def step(self):
+        for name in self.spread_by_name.keys() - self.earlier_names:
+            spread = self.spread_by_name[name]
+            if spread.needs_translation and name not in self.rejected_by_store:
+                self.reads += 1
+                batch = self._read(spread, CONFIGURATION_FEED, start=0)
+                self._send(name, spread.apply_store_batch(batch))
+        super().step()
+
+    def _read(self, spread, feed, start=None):
+        batch = super()._read(spread, feed, start)
+        if spread._own.name in self.earlier_names or feed != CONFIGURATION_FEED:
+            return batch
+        records = tuple(
+            msgspec.structs.replace(record, data=b"[ ]", generation=1)
+            for record in batch.records
+        )
+        return msgspec.structs.replace(batch, records=records)
+
+    def _send(self, name, result):
+        if name in self.earlier_names:
+            outgoing = tuple(strip_generations(item) for item in result.outgoing)
+            result = dataclasses.replace(result, outgoing=outgoing)
+        super()._send(name, result)
+
+    def count_translated(self):
+        """Return the number of nodes that hold the later translation."""
+        return sum(
+            record.generation
+            for name in self.spread_by_name.keys() - self.earlier_names
+            for record in self.spread_by_name[name]
+            ._feed_by_name[CONFIGURATION_FEED]
+            .record_by_key.values()
+        )
+
+
+def strip_generations(item):
+    """Return a message as a node of the earlier version sends it."""
+    if not isinstance(item.message, FeedUpdate):
+        return item
+    batches = tuple(
+        msgspec.structs.replace(
+            batch,
+            records=tuple(
+                msgspec.structs.replace(record, generation=0)
+                for record in batch.records
+            ),
+        )
+        for batch in item.message.batches
+    )
+    message = msgspec.structs.replace(item.message, batches=batches)
+    return Outgoing(to=item.to, message=message)
+
+
+@pytest.mark.parametrize(("readers", "seconds"), [(6, 1.0), (1, 15.0)])
+def test_nodes_replace_what_an_earlier_version_has_translated(readers, seconds):
+    """Some of the later nodes can read the store, and the others ask their peers."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = MixedFleet(clock, nodes=12)
+        ranked = sorted(
+            fleet.spread_by_name, key=lambda name: get_reading_order(fleet, name)
+        )
+        fleet.earlier_names = frozenset(ranked[:6])
+        fleet.rejected_by_store = set(ranked[6 : 12 - readers])
+        for _ in range(2):
+            fleet.write(CONFIGURATION_FEED, b"[]")
+            fleet.run(seconds)
+            assert fleet.list_lagging_nodes() == []
+            assert fleet.count_translated() == 6
+        reads_before = fleet.reads
+        fleet.run(5.0)
+        assert fleet.count_translated() == 6
+        assert not any(
+            fleet.spread_by_name[name].needs_translation for name in ranked[6:]
+        )
+        # Only the reader goes on.
+        assert fleet.reads - reads_before <= 2 * round(5.0 / STEP_SECONDS) * (
+            1 + len(fleet.rejected_by_store)
+        )
--- a/citronspan/core/configuration/feeds.py
+++ b/citronspan/core/configuration/feeds.py
@@ -135,6 +135,28 @@
             has_changed = True
         return has_changed
 
+    def take_newer_translations(self, batch: FeedBatch) -> bool:
+        """Take records that are stored, in the translation of an earlier version.
+
+        Args:
+            batch: Records from the store or from a peer.
+
+        Returns:
+            Whether any data changed.
+        """
+        has_changed = False
+        for record in batch.records:
+            current = self.record_by_key.get(record.key)
+            if current is None or record.data is None:
+                continue
+            if (current.offset, current.version) != (record.offset, record.version):
+                continue
+            if record.generation <= current.generation:
+                continue
+            has_changed |= current.data != record.data
+            self.record_by_key[record.key] = record
+        return has_changed
+
     def export(self) -> FeedBatch:
         """Return all stored records, and the last removals, as one whole batch."""
         records = [
@@ -209,7 +231,7 @@
         if record.data is None and not record.lapsed:
             self._remove(record.key, record.version)
             return
-        if record.data is not None:
+        if record.data is not None and not _is_earlier_translation(record, current):
             self.record_by_key[record.key] = record
         if not record.lapsed:
             self._removal_at_by_key.pop(record.key, None)
@@ -218,6 +240,14 @@
             self._schedule_removal(record.key)
 
 
+def _is_earlier_translation(record, current):
+    """Return whether a record is the current one as an earlier version reads it."""
+    if current is None or record.offset != current.offset:
+        return False
+    is_same = record.version == current.version
+    return is_same and record.generation < current.generation
+
+
 class FeedMerger:
     """Merges feeds into the configuration that is in force.
 
--- a/citronspan/core/configuration/feeds_test.py
+++ b/citronspan/core/configuration/feeds_test.py
@@ -337,3 +337,61 @@
         )
         feed.apply(msgspec.structs.replace(batch, feed=CONFIGURATION_FEED))
     assert feed.record_by_key["k"].data == b"9"
+
+
+class EarlierRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A record as the version before translations had generations reads it."""
+
+    offset: int
+    key: str
+    data: bytes | None = None
+    lapsed: bool = False
+    version: int = 0
+
+
+def test_earlier_version_reads_records_with_a_generation_and_sends_them_without():
+    record = FeedRecord(offset=3, key="k", data=b"[]", version=7, generation=1)
+    data = msgspec.msgpack.encode([record, record])
+    earlier = msgspec.msgpack.decode(data, type=list[EarlierRecord])
+    fields = {"offset": 3, "key": "k", "data": b"[]", "version": 7}
+    assert earlier == [EarlierRecord(**fields)] * 2
+    data = msgspec.msgpack.encode(earlier)
+    later = msgspec.msgpack.decode(data, type=list[FeedRecord])
+    assert later == [FeedRecord(**fields, generation=0)] * 2
+
+
+def make_translated(generation, *, offset=3, is_whole=False, next_offset=4):
+    data = b"[]" if generation else b"[ ]"
+    record = FeedRecord(offset=offset, key="k", data=data, generation=generation)
+    return FeedBatch(
+        feed=CONFIGURATION_FEED,
+        from_offset=0 if is_whole else offset,
+        next_offset=next_offset,
+        records=(record,),
+        whole=is_whole,
+    )
+
+
+@pytest.mark.parametrize("is_whole", [False, True])
+@pytest.mark.parametrize("generations", [(0, 1), (1, 0), (0, 1, 0), (1, 0, 1)])
+def test_newer_translation_stays_in_whatever_order_they_arrive(generations, is_whole):
+    feed = Feed(name=CONFIGURATION_FEED)
+    feed.apply(make_translated(0, offset=0, is_whole=True, next_offset=3))
+    for number, generation in enumerate(generations):
+        # An earlier version's copy may end later, after a record that can't be read.
+        end = 4 + number
+        batch = make_translated(generation, is_whole=is_whole, next_offset=end)
+        feed.apply(batch)
+        feed.take_newer_translations(batch)
+    record = feed.record_by_key["k"]
+    assert (record.offset, record.generation, record.data) == (3, 1, b"[]")
+
+
+def test_later_record_counts_whatever_its_translation():
+    feed = Feed(name=CONFIGURATION_FEED)
+    feed.apply(make_translated(1, offset=0, is_whole=True, next_offset=3))
+    later = make_translated(0)
+    assert feed.apply(later)
+    assert feed.record_by_key["k"] == later.records[0]
+    assert not feed.take_newer_translations(make_translated(1, offset=0, next_offset=3))
+    assert feed.record_by_key["k"] == later.records[0]
--- a/citronspan/ops/store/feed_source.py
+++ b/citronspan/ops/store/feed_source.py
@@ -283,7 +283,7 @@
         def run():
             backoff_seconds = INITIAL_BACKOFF_SECONDS
             while not self._stop.is_set():
-                if not self._is_read_due():
+                if not self._is_read_due(feed):
                     self._stop.wait(IDLE_CHECK_SECONDS)
                     continue
                 started_at = time.monotonic()
@@ -305,18 +305,26 @@
 
         return run
 
-    def _is_read_due(self):
+    def _is_read_due(self, feed):
         waited_seconds = time.monotonic() - self._started_at
         if (
             not self._spread.has_configuration
             and waited_seconds < self._startup_wait_seconds
         ):
             return False
-        return self._reload_requested.is_set() or self._spread.is_due_to_read()
+        return (
+            self._reload_requested.is_set()
+            or self._needs_translation(feed)
+            or self._spread.is_due_to_read()
+        )
+
+    def _needs_translation(self, feed):
+        """Return whether to read what a host of an earlier version has translated."""
+        return feed == CONFIGURATION_FEED and self._spread.needs_translation
 
     def _fetch(self, feed, wait_seconds) -> FeedPage:
         from_offset = self._spread.offsets.get_offset(feed)
-        if from_offset == 0:
+        if from_offset == 0 or self._needs_translation(feed):
             return FeedPage(batch=self._store.read_newest(feed))
         try:
             return self._store.read(feed, from_offset, wait_seconds)
--- a/citronspan/ops/store/feed_source_test.py
+++ b/citronspan/ops/store/feed_source_test.py
@@ -3,9 +3,11 @@
 import time
 
 import freezegun
+import msgspec
 import pytest
 
-from citronspan.core.configuration.feed_messages import FeedUpdate
+from citronspan.core.configuration.feed_messages import FeedOffsets, FeedUpdate
+from citronspan.core.configuration.feed_records import TRANSLATION_GENERATION
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
     FEEDS,
@@ -115,6 +117,44 @@
     assert source.active_config.state.resource_by_key
 
 
+def test_host_reads_by_itself_what_an_earlier_version_has_translated():
+    spec = ServiceSpec(floor=0.9)
+    data = encode_resources([Resource(kind=Kind.SERVICE, name="s", spec=spec)])
+    told = FeedRecord(offset=1, key="k", data=b"[]")
+    batch = FeedBatch(
+        feed=CONFIGURATION_FEED, from_offset=1, next_offset=2, records=(told,)
+    )
+    offsets = FeedOffsets(configuration=2, targets=1)
+    update = FeedUpdate(offsets=offsets, age_seconds=0.0, batches=(batch,))
+    own = msgspec.structs.replace(told, data=data, generation=TRANSLATION_GENERATION)
+    whole = msgspec.structs.replace(batch, from_offset=0, records=(own,), whole=True)
+    with freezegun.freeze_time("2026-01-01"):
+        store = PartialStore(answered_feeds=set(FEEDS))
+        source = make_source(store=store)
+        spread = source._spread
+        assert not source._needs_translation(CONFIGURATION_FEED)
+        source.active_config.run_step(
+            lambda: spread.handle_message(update, "127.0.0.1:9")
+        )
+        assert source._needs_translation(CONFIGURATION_FEED)
+        assert not source._needs_translation(TARGETS_FEED)
+        store.answered_feeds = set()
+        assert not source.read_feed(CONFIGURATION_FEED)
+        store.answered_feeds = set(FEEDS)
+        store.read_newest = lambda feed: whole
+        assert source.read_feed(CONFIGURATION_FEED)
+        assert source.active_config.state.resource_by_key
+        # What it hears later of the same record changes nothing.
+        update = msgspec.structs.replace(
+            update, batches=(msgspec.structs.replace(batch, from_offset=0, whole=True),)
+        )
+        source.active_config.run_step(
+            lambda: spread.handle_message(update, "127.0.0.1:9")
+        )
+        assert source.active_config.state.resource_by_key
+        assert not source._needs_translation(CONFIGURATION_FEED)
+
+
 def test_reload_during_an_outage_of_the_store_is_not_forgotten():
     with freezegun.freeze_time("2026-01-01"):
         store = PartialStore(answered_feeds=set(FEEDS))
--- a/citronspan/platform/accounts_test.py
+++ b/citronspan/platform/accounts_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from citronspan.core.accounts.account_table import Account
+from citronspan.core.configuration.feed_records import TRANSLATION_GENERATION
 from citronspan.core.configuration.feeds import CONFIGURATION_FEED
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import ServiceRules
@@ -272,6 +273,7 @@
 def test_no_key_is_in_what_a_reader_sends_to_other_hosts():
     batch = make_feeds(encode(ACCOUNT)).read_newest(CONFIGURATION_FEED)
     assert batch.records[0].data
+    assert batch.records[0].generation == TRANSLATION_GENERATION
     for resource in read_configuration(encode(ACCOUNT), RULES):
         assert not any(key in repr(resource) for key in KEYS)
         assert not any(key.encode() in encode_resource(resource) for key in KEYS)
--- a/citronspan/platform/feeds.py
+++ b/citronspan/platform/feeds.py
@@ -3,6 +3,7 @@
 import logbook
 
 from citronspan.core import log_events
+from citronspan.core.configuration.feed_records import TRANSLATION_GENERATION
 from citronspan.core.configuration.feeds import (
     CONFIGURATION_FEED,
     TARGETS_FEED,
@@ -96,7 +97,11 @@
         self._set_configuration_problem(record, "")
         data = encode_resources(resources)
         return FeedRecord(
-            offset=record.offset, key=record.key, data=data, version=version
+            offset=record.offset,
+            key=record.key,
+            data=data,
+            version=version,
+            generation=TRANSLATION_GENERATION,
         )
 
     def _set_configuration_problem(self, record, problem):
