--- a/citronspan/ops/callers/keyed_request.py
+++ b/citronspan/ops/callers/keyed_request.py
@@ -18,6 +18,16 @@
 from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.targets.attempt_context import RequestContext
 
+_OWN_CODES = frozenset(
+    {
+        result_codes.ENTRY_STOPPING,
+        result_codes.ACCOUNT_KEY_UNKNOWN,
+        result_codes.ACCOUNT_CHANGED,
+    }
+)
+"""What is true of one entry or one account key, and not of others that wait for the
+same idempotency key; an entry of an earlier version does not know the codes either."""
+
 
 class KeyedRequest:
     """Reports the result of a request whose key was granted permission to run."""
@@ -58,9 +68,7 @@
         if not self._mark_reported():
             return
         if code.ran is Ran.NOT_RUN and (ran or code.ran) is Ran.NOT_RUN:
-            # Other entries that wait for the key do not stop; an earlier one does not
-            # know the code.
-            if code is result_codes.ENTRY_STOPPING:
+            if code in _OWN_CODES:
                 code = result_codes.NO_CAPACITY
             self._keys.report_not_run(self._permission, code)
             return
@@ -101,8 +109,12 @@
     )
     request = request_context.request
     # The account is part of the fingerprint, so that another account that obtained the
-    # key does not get the stored answer.
-    path = f"{request.account}\0{request.uri}"
+    # key does not get the stored answer. Where accounts have keys, it is that of the
+    # request's key, whatever the caller states.
+    account = request.account
+    if request_context.is_screened:
+        account = request_context.account
+    path = f"{account}\0{request.uri}"
     fingerprint = compute_fingerprint(request.method, path, body_identifier)
     result = keys.claim(
         request_context.request.key, fingerprint, request_context.deadline
