Take no part of an answer for a whole one after a failed write

Cause: an answer without a length ends with its connection. A reset is reported to a write or a read, once; when the upload met it, the error was kept for the case that no head comes, and reading the body then met a plain end. A part reached callers as a whole 200. A status from 600 to 999, with a sign, an underscore or a fourth digit, and HTTP/0.9, passed, too.

Change: answer_end states when an answer is complete and decides for an end of the connection; the reader of answers asks it. Status lines are read by RFC 9112. What is refused is a lost answer: 502, may have run, or a cut where a part was passed on.

--- a/citronspan/ops/targets/answer_stream.py
+++ b/citronspan/ops/targets/answer_stream.py
@@ -5,7 +5,13 @@
 its timeout with each byte and returns interim (1xx) answers as final. It could
 therefore accept a truncated or late answer, or the answer to another request, as
 complete. This module applies one deadline to all reads of an answer, bounds the size
-of its head and of its body, and enforces RFC 9112, sections 2 to 7.
+of its head and of its body, and enforces RFC 9112, sections 2 to 7. ``answer_end``
+states when an answer is complete.
+
+A status line has the version HTTP/1.x and a status of three digits from 100 to 599; the
+reason may be missing, with the space before it. RFC 9110, section 15, lets a client
+take 600 to 999 for a failure of the server; such an answer is lost here, as is any
+other, since no caller could tell what it says.
 
 A target may write an answer on a kept connection that no request asked for. Where
 targets echo the id of the request, such an answer has another id or, on a connection
@@ -19,8 +25,10 @@
 import select
 import socket
 import time
+from collections.abc import Callable
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
+from citronspan.ops.targets.answer_end import SentRequest, find_flaw_of_end
 
 MAXIMUM_LINE_BYTES = 64 * 1024
 MAXIMUM_HEAD_BYTES = 256 * 1024
@@ -36,6 +44,9 @@
 
 _CRLF = b"\r\n"
 _CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]+")
+_STATUS_LINE_PATTERN = re.compile(
+    rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?\r\n"
+)
 _LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 
 
@@ -47,10 +58,16 @@
     """Reads from a socket with one deadline and one byte limit for many reads."""
 
     def __init__(
-        self, *, raw: io.RawIOBase, sock: socket.socket, deadline: AttemptDeadline
+        self,
+        *,
+        raw: io.RawIOBase,
+        sock: socket.socket,
+        deadline: AttemptDeadline,
+        check_end: Callable[[], None],
     ):
         super().__init__()
         self._raw = raw
+        self._check_end = check_end
         self._sock = sock
         self._deadline: AttemptDeadline | None = deadline
         self._remaining_bytes = 0
@@ -65,6 +82,8 @@
             raise AnswerInvalidError("the answer is longer than allowed")
         self._wait_until_readable()
         count = self._raw.readinto(buffer)
+        if count == 0:
+            self._check_end()
         self._remaining_bytes -= count or 0
         return count
 
@@ -115,15 +134,22 @@
         url=None,
         *,
         deadline,
+        sent_request: SentRequest | None = None,
         id_header="",
         expected_id="",
         is_reused=False,
     ):
+        self._sent_request = sent_request or SentRequest()
         self._id_header = id_header
         self._expected_id = expected_id
         self._is_reused = is_reused
         super().__init__(sock, debuglevel, method, url)
-        reader = _BoundedReader(raw=self.fp.detach(), sock=sock, deadline=deadline)
+        reader = _BoundedReader(
+            raw=self.fp.detach(),
+            sock=sock,
+            deadline=deadline,
+            check_end=self._check_end,
+        )
         self.fp = _StrictLineReader(reader)
         self._reader = reader
         self._sock = sock
@@ -167,9 +193,14 @@
 
     def _read_status(self):
         for _ in range(MAXIMUM_HEADER_LINES):
-            version, status, reason = super()._read_status()
+            line = self.fp.readline(MAXIMUM_LINE_BYTES)
+            match = _STATUS_LINE_PATTERN.fullmatch(line)
+            if not match:
+                raise AnswerInvalidError(f"invalid status line: {line[:40]!r}")
+            version, status_text, reason = match.groups(default=b"")
+            status = int(status_text)
             if status >= http.client.OK:
-                return version, status, reason
+                return version.decode(), status, reason.decode("latin-1")
             if status == http.client.SWITCHING_PROTOCOLS:
                 raise AnswerInvalidError("the target switched to another protocol")
             self._skip_header_lines()
@@ -181,6 +212,19 @@
                 return
         raise AnswerInvalidError("too many headers in an interim answer")
 
+    def _check_end(self):
+        """Fail at an end of the connection that doesn't complete the answer.
+
+        The readers of heads, chunks and lengths find an end before theirs themselves.
+        """
+        if self.headers is None or self.chunked or self.length is not None:
+            return
+        flaw = find_flaw_of_end(
+            self._sent_request, self._sock, says_close=self._check_close()
+        )
+        if flaw:
+            raise AnswerInvalidError(flaw)
+
     def _check_headers(self):
         if self.headers.defects:
             raise AnswerInvalidError(f"malformed headers: {self.headers.defects}")
--- a/citronspan/ops/targets/relay_server.py
+++ b/citronspan/ops/targets/relay_server.py
@@ -10,12 +10,10 @@
 """
 
 import contextlib
-import fcntl
 import http
 import http.server
 import socket
 import struct
-import termios
 import threading
 import time
 from collections.abc import Callable
@@ -31,6 +29,7 @@
 from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.addresses import split_address
 from citronspan.utils.logs import write_event
+from citronspan.utils.sockets import has_unsent_bytes
 
 MAXIMUM_TUNNELS = 256
 HEAD_TIMEOUT_SECONDS = 5.0
@@ -72,7 +71,7 @@
         return (
             not self._awaits_answer
             and time.monotonic() - self._copied_at > QUIET_SECONDS
-            and not _has_unsent_bytes(self._peer_socket)
+            and not has_unsent_bytes(self._peer_socket)
         )
 
     def close(self) -> None:
@@ -287,16 +286,6 @@
         )
 
 
-def _has_unsent_bytes(sock) -> bool:
-    """Return whether a reset now would lose bytes that the peer has not received."""
-    try:
-        count = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
-    except (OSError, ValueError):
-        # Ignored: the connection has ended.
-        return False
-    return any(count)
-
-
 def _shut_down(sock, how):
     with contextlib.suppress(OSError):
         sock.shutdown(how)
--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -23,6 +23,7 @@
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.callers.caller_connection import CallerConnection
 from citronspan.ops.callers.caller_request import CallerBody
+from citronspan.ops.targets.answer_end import SentRequest
 from citronspan.ops.targets.answer_stream import CheckedResponse
 from citronspan.ops.targets.dialect import parse_count
 from citronspan.ops.targets.relay_connector import RelayError
@@ -269,17 +270,21 @@
         """
         _check_deadline(request.deadline.find(), "sending")
         connection.timeout = max(request.deadline.find() - time.monotonic(), 0.001)
+        sent_request = SentRequest()
         connection.response_class = functools.partial(
             CheckedResponse,
             deadline=request.deadline,
+            sent_request=sent_request,
             id_header=self._id_header,
             expected_id=request.request_id if self._id_header else "",
             is_reused=is_reused,
         )
-        send_error, is_fully_sent = self._send_request(connection, request)
+        sent_request.error, sent_request.is_whole = self._send_request(
+            connection, request
+        )
         self._wait_for_answer(connection, request.deadline, caller)
         try:
-            return connection.getresponse(), is_fully_sent
+            return connection.getresponse(), sent_request.is_whole
         except TimeoutError as error:
             raise AttemptFailedError(
                 outcome_class=OutcomeClass.TIMED_OUT, detail=str(error)
@@ -291,7 +296,8 @@
             http.client.HTTPException,
         ) as error:
             raise AttemptFailedError(
-                outcome_class=OutcomeClass.ANSWER_LOST, detail=str(send_error or error)
+                outcome_class=OutcomeClass.ANSWER_LOST,
+                detail=str(sent_request.error or error),
             ) from error
 
     def _send_request(self, connection, request):
