Reset a tunnel whose target ended before it took the upload

Cause: the relay takes the peer's bytes, so that the peer counts the request as sent; the end of a target that had taken nothing of it passed as the end of its answer.

Change: the relay looks whether bytes of the peer are left, lets the answer arrive and resets the tunnel.

--- a/citronspan/ops/targets/relay_server.py
+++ b/citronspan/ops/targets/relay_server.py
@@ -7,11 +7,16 @@
 Whatever else ends a tunnel, such as a stop or a kill of this process, is a reset for
 the peer, since an end completes an answer that has no length. The system sends it: the
 reset on close is switched on for as long as the target has not ended.
+
+A target that ends before its system has taken what the peer sent is a reset, too: the
+peer's bytes have been taken by this host, so that the peer could not tell that the
+target did not take them (see ``answer_end``).
 """
 
 import contextlib
 import http
 import http.server
+import select
 import socket
 import struct
 import threading
@@ -38,6 +43,9 @@
 """Time after the last byte of an answer after which a tunnel counts as idle."""
 
 STOP_POLL_SECONDS = 0.05
+DELIVERY_SECONDS = 1.0
+"""Longest time for the end of an answer to arrive before a reset: some round trips."""
+
 COPY_BYTES = 64 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 END_ON_CLOSE = struct.pack("ii", 0, 0)
@@ -113,6 +121,11 @@
             # Ignored: the peer learns of it by the reset of its own connection.
             self._reset_peer()
             return
+        if self._has_untaken_bytes():
+            # An answer that shows its end by itself has to arrive before the reset.
+            self._wait_for_delivery()
+            self._reset_peer()
+            return
         with self._lock:
             if self._is_cut:
                 self._reset_peer()
@@ -120,6 +133,15 @@
             self._set_close(END_ON_CLOSE)
             _shut_down(self._peer_socket, socket.SHUT_WR)
 
+    def _has_untaken_bytes(self):
+        """Return whether the target has not taken all that the peer has sent."""
+        return has_unsent_bytes(self._target_socket) or _is_readable(self._peer_socket)
+
+    def _wait_for_delivery(self):
+        deadline = time.monotonic() + DELIVERY_SECONDS
+        while has_unsent_bytes(self._peer_socket) and time.monotonic() < deadline:
+            time.sleep(STOP_POLL_SECONDS)
+
     def _reset_peer(self):
         # It is sent when the connection is closed, once both directions have ended.
         _shut_down(self._peer_socket, socket.SHUT_RD)
@@ -286,6 +308,12 @@
         )
 
 
+def _is_readable(sock) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _shut_down(sock, how):
     with contextlib.suppress(OSError):
         sock.shutdown(how)
--- a/citronspan/ops/targets/relay_server_test.py
+++ b/citronspan/ops/targets/relay_server_test.py
@@ -24,6 +24,7 @@
 
 TIMEOUT_SECONDS = 5.0
 STOP_SECONDS = 2.0
+SETTLE_SECONDS = 0.1
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -132,6 +133,27 @@
     assert receive(connection.sock, len(data)) == data
 
 
+@pytest.mark.parametrize("answer", [b"part", b"p" * 1_000_000])
+def test_end_of_a_target_that_took_no_upload_looks_like_the_end_of_an_answer(
+    relay, answer
+):
+    """Sends an upload that the relay has and the target's system does not take."""
+    relay.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection, accepted = relay.open()
+    connection.sock.sendall(b"u" * 200_000)
+    time.sleep(SETTLE_SECONDS)
+    sender = threading.Thread(target=accepted.sendall, args=(answer,))
+    sender.start()
+    time.sleep(SETTLE_SECONDS)
+    received = receive(connection.sock, len(answer) - 1)
+    sender.join()
+    accepted.shutdown(socket.SHUT_WR)
+    time.sleep(SETTLE_SECONDS)
+    assert received + receive(connection.sock, 1) == answer
+    with pytest.raises(ConnectionResetError):
+        connection.sock.recv(1)
+
+
 def test_reset_by_a_target_does_not_look_like_the_end_of_an_answer(relay):
     connection, accepted = relay.open()
     accepted.sendall(b"part")
