--- a/citronspan/ops/callers/streamed_answer.py
+++ b/citronspan/ops/callers/streamed_answer.py
@@ -9,7 +9,7 @@
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.targets.attempts import AttemptRunner
-from citronspan.ops.targets.target_connection import AttemptFailedError
+from citronspan.ops.targets.target_answer import AttemptFailedError
 
 
 class StreamedAnswer:
--- a/citronspan/ops/callers/streamed_answer_test.py
+++ b/citronspan/ops/callers/streamed_answer_test.py
@@ -2,7 +2,7 @@
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.ops.callers.streamed_answer import StreamedAnswer
-from citronspan.ops.targets.target_connection import AttemptFailedError
+from citronspan.ops.targets.target_answer import AttemptFailedError
 
 
 class Recorder:
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -45,12 +45,12 @@
 from citronspan.utils.logs import write_event
 from citronspan.utils.statecharts import accepts_event, load_chart, step_chart
 from citronspan.utils.traces import start_tracing
+from citronspan.utils.waits import POLL_SECONDS, wait_until
 
 REPORT_INTERVAL_SECONDS = 0.25
 VERDICT_INTERVAL_SECONDS = 0.1
 HEALTH_LOG_INTERVAL_SECONDS = 1.0
 TICK_INTERVAL_SECONDS = 0.02
-DRAIN_POLL_SECONDS = 0.05
 KEY_REPORT_TIMEOUT_SECONDS = 1.0
 REFUSAL_THREADS = 8
 """Threads above the maximum of concurrent requests, which refuse further ones."""
@@ -400,18 +400,22 @@
             self._report()
             self.slots.hand_over_all()
             self.quotas.hand_over_all()
-            self._wait_for_directory(drain_deadline)
+            # Keep accepting while callers may still use this address.
+            leave_deadline = time.monotonic() + self.settings.leave_seconds
+            wait_until(lambda: False, min(leave_deadline, drain_deadline))
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
         # Read before the threads of requests that are not whole give them up.
-        limit = self._stop_plan.find_planned_end() - 2 * DRAIN_POLL_SECONDS
-        self._wait_until_idle(limit)
+        limit = self._stop_plan.find_planned_end() - 2 * POLL_SECONDS
+        wait_until(self._is_idle, limit)
         remaining = self.metrics.read_in_flight()
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
-            self._wait_until_idle(self._stop_plan.find_end() + GIVE_UP_SECONDS)
+            wait_until(self._is_idle, self._stop_plan.find_end() + GIVE_UP_SECONDS)
             self._open_requests.give_up_rest()
-        self._wait_for_reports(drain_deadline)
+        # The owners of keys need the results of the last requests.
+        reports_deadline = time.monotonic() + KEY_REPORT_TIMEOUT_SECONDS
+        wait_until(self.keys.is_idle, min(reports_deadline, drain_deadline))
         relay_stop.join()
         self._server.shutdown_timeout = max(drain_deadline - time.monotonic(), 1.0)
         self._server.stop()
@@ -423,26 +427,9 @@
         self.link.close()
         write_event(_logger, log_events.PROCESS_STOPPED)
 
+    def _is_idle(self):
+        return not self.metrics.read_in_flight()
+
     def _stop_relay(self, drain_deadline):
         if self._relay_server is not None:
             self._relay_server.stop(drain_deadline)
-
-    def _wait_for_directory(self, drain_deadline):
-        """Keep accepting while callers may still use this address."""
-        wait_deadline = min(
-            time.monotonic() + self.settings.leave_seconds, drain_deadline
-        )
-        while time.monotonic() < wait_deadline:
-            time.sleep(DRAIN_POLL_SECONDS)
-
-    def _wait_for_reports(self, drain_deadline):
-        """Wait until the owners of keys have the results of the last requests."""
-        wait_deadline = min(
-            time.monotonic() + KEY_REPORT_TIMEOUT_SECONDS, drain_deadline
-        )
-        while time.monotonic() < wait_deadline and not self.keys.is_idle():
-            time.sleep(DRAIN_POLL_SECONDS)
-
-    def _wait_until_idle(self, drain_deadline):
-        while time.monotonic() < drain_deadline and self.metrics.read_in_flight():
-            time.sleep(DRAIN_POLL_SECONDS)
--- a/citronspan/ops/targets/answer_end_test.py
+++ b/citronspan/ops/targets/answer_end_test.py
@@ -13,11 +13,8 @@
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.targets.dialect import DefaultDialect
 from citronspan.ops.targets.relay_server_test import Relay
-from citronspan.ops.targets.target_connection import (
-    AttemptFailedError,
-    TargetConnections,
-    TargetRequest,
-)
+from citronspan.ops.targets.target_answer import AttemptFailedError
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan.ops.targets.target_paths import TargetPaths
 from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan_standins.scripted_targets import TargetScript
--- a/citronspan/ops/targets/attempt_context.py
+++ b/citronspan/ops/targets/attempt_context.py
@@ -16,7 +16,7 @@
 )
 from citronspan.ops.callers.open_requests import OpenRequest
 from citronspan.ops.slots.slot_source import Slot, SlotQuery
-from citronspan.ops.targets.target_connection import TargetAnswer
+from citronspan.ops.targets.target_answer import TargetAnswer
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/citronspan/ops/targets/attempt_reporter.py
+++ b/citronspan/ops/targets/attempt_reporter.py
@@ -13,7 +13,7 @@
 from citronspan.ops.slots.slot_source import Slot, SlotRefused, SlotSource
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.targets.dialect import Dialect
-from citronspan.ops.targets.target_connection import TargetAnswer
+from citronspan.ops.targets.target_answer import TargetAnswer
 from citronspan.utils.logs import write_event
 
 _logger = logbook.Logger("attempts")
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -28,12 +28,8 @@
 from citronspan.ops.targets.dialect import Dialect, TargetAttempt
 from citronspan.ops.targets.hedged_attempt import HedgedAttempts
 from citronspan.ops.targets.retry_budgets import RetryBudgets
-from citronspan.ops.targets.target_connection import (
-    AttemptFailedError,
-    TargetAnswer,
-    TargetConnections,
-    TargetRequest,
-)
+from citronspan.ops.targets.target_answer import AttemptFailedError, TargetAnswer
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan.utils.traces import inject_context, start_span
 
 ATTEMPT_DEADLINE_SHARE = 0.5
--- a/citronspan/ops/targets/attempts_test.py
+++ b/citronspan/ops/targets/attempts_test.py
@@ -26,7 +26,7 @@
 from citronspan.ops.targets.attempt_context import RequestContext
 from citronspan.ops.targets.attempt_refusals import ACCOUNT_REFUSED, KEY_REFUSED
 from citronspan.ops.targets.attempts import AttemptRunner
-from citronspan.ops.targets.target_connection import AttemptFailedError
+from citronspan.ops.targets.target_answer import AttemptFailedError
 from citronspan.platform.headers import PlatformDialect
 
 SIGNED = {"X-Citronspan-Backend-Signature": "s"}
--- a/citronspan/ops/targets/endless_answers_test.py
+++ b/citronspan/ops/targets/endless_answers_test.py
@@ -8,11 +8,8 @@
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.targets.answer_stream import MAXIMUM_BODY_BYTES, MAXIMUM_HEAD_BYTES
-from citronspan.ops.targets.target_connection import (
-    AttemptFailedError,
-    TargetConnections,
-    TargetRequest,
-)
+from citronspan.ops.targets.target_answer import AttemptFailedError
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan_standins.scripted_targets import EMPTY_ANSWER, TargetScript
 
 PART_BYTES = 32 * 1024
--- a/citronspan/ops/targets/hedged_attempt.py
+++ b/citronspan/ops/targets/hedged_attempt.py
@@ -29,10 +29,8 @@
 from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_reporter import AttemptReporter
 from citronspan.ops.targets.retry_budgets import RetryBudgets
-from citronspan.ops.targets.target_connection import (
-    CALLER_POLL_INTERVAL_SECONDS,
-    AttemptFailedError,
-)
+from citronspan.ops.targets.target_answer import AttemptFailedError
+from citronspan.ops.targets.target_connection import CALLER_POLL_INTERVAL_SECONDS
 from citronspan.utils.logs import write_event
 
 _logger = logbook.Logger("attempts")
--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -6,17 +6,14 @@
 idle time of the connections that a request which must not run twice may reuse.
 """
 
-import contextlib
 import functools
 import http.client
 import select
-import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from citronspan.core.errors import CitronspanError
 from citronspan.core.outcomes import OutcomeClass
@@ -26,38 +23,18 @@
 from citronspan.ops.targets.answer_end import SentRequest
 from citronspan.ops.targets.answer_stream import CheckedResponse
 from citronspan.ops.targets.attempt_line import AttemptLine
-from citronspan.ops.targets.dialect import parse_count
+from citronspan.ops.targets.idle_connections import (
+    IdleConnections,
+    read_keep_alive_seconds,
+)
 from citronspan.ops.targets.relay_connector import RelayError
+from citronspan.ops.targets.target_answer import AttemptFailedError, TargetAnswer
 from citronspan.ops.targets.target_connector import DirectConnector
 from citronspan.ops.targets.target_paths import TargetPaths
 
-MAXIMUM_IDLE_CONNECTIONS_PER_TARGET = 4
-POOL_IDLE_SECONDS = 4.0
-KEEP_ALIVE_FRACTION = 0.7
-"""Share of a target's keep-alive timeout during which a connection is reused."""
-
 CALLER_POLL_INTERVAL_SECONDS = 0.25
 SEND_BYTES = 64 * 1024
 
-_BODYLESS_STATUSES = frozenset({204, 304})
-
-
-class AttemptFailedError(Exception):
-    """Signals that an attempt returned no complete answer.
-
-    Attributes:
-        outcome_class: Outcome that the failure proves.
-        is_withdrawn: Whether nothing was sent because ``TargetRequest.may_send``
-            withdrew the permission.
-    """
-
-    def __init__(
-        self, *, outcome_class: OutcomeClass, detail: str, is_withdrawn: bool = False
-    ):
-        super().__init__(f"{outcome_class}: {detail}")
-        self.outcome_class = outcome_class
-        self.is_withdrawn = is_withdrawn
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetRequest:
@@ -87,117 +64,13 @@
     line: AttemptLine | None = None
 
 
-class TargetAnswer:
-    """Holds an answer whose headers have been read and whose body has not."""
-
-    def __init__(self, *, response, connection, release, method, deadline):
-        self._response = response
-        self._deadline = deadline
-        self._connection = connection
-        self._release = release
-        self._method = method
-
-    @property
-    def status(self) -> int:
-        """Status code."""
-        return self._response.status
-
-    @property
-    def reason(self) -> str:
-        """Reason phrase."""
-        return self._response.reason or ""
-
-    @property
-    def headers(self) -> list[tuple[str, str]]:
-        """Headers in the order in which the target sent them."""
-        return list(self._response.headers.iteritems())
-
-    def find_header(self, name: str) -> str | None:
-        """Return the value of a header, or None."""
-        return self._response.headers.get(name)
-
-    @property
-    def is_bodyless(self) -> bool:
-        """Whether the answer has no body by the rules of HTTP."""
-        return self._method == "HEAD" or self.status in _BODYLESS_STATUSES
-
-    @property
-    def is_framed(self) -> bool:
-        """Whether the end of the answer can be distinguished from a truncation."""
-        return (
-            self.is_bodyless
-            or self._response.length_remaining is not None
-            or self._response.chunked
-        )
-
-    @property
-    def length(self) -> int | None:
-        """Remaining bytes of the body, None if unknown."""
-        return self._response.length_remaining
-
-    def read(self, size: int) -> bytes:
-        """Read a part of the body.
-
-        Args:
-            size: Maximum number of bytes.
-
-        Returns:
-            The bytes, empty only at the verified end of the body.
-
-        Raises:
-            AttemptFailedError: If the body is truncated or malformed, or the deadline
-                passes.
-        """
-        try:
-            return self._response.read(size, decode_content=False)
-        except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
-            raise self._fail(OutcomeClass.TIMED_OUT, str(error)) from error
-        except AttemptFailedError:
-            self.abort_response()
-            raise
-        except (
-            OSError,
-            ValueError,
-            urllib3.exceptions.HTTPError,
-            http.client.HTTPException,
-        ) as error:
-            raise self._fail(OutcomeClass.ANSWER_LOST, str(error)) from error
-
-    def lift_limit(self) -> None:
-        """Leave the rest of the body all of the request's time."""
-        self._deadline.lift_limit()
-
-    def finish(self) -> None:
-        """Return the connection to the pool; call this after reading the whole body."""
-        self._release(self._connection)
-
-    def abort_response(self) -> None:
-        """Close the connection, which cancels the request at the target."""
-        # A response that ends with its connection holds its own reference to the
-        # socket.
-        self._response.close()
-        self._connection.close()
-
-    def _fail(self, outcome_class, detail):
-        self.abort_response()
-        return AttemptFailedError(outcome_class=outcome_class, detail=detail)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _IdleConnection:
-    connection: HTTPConnection
-    idle_since: float
-    expires_at: float
-
-
 class TargetConnections:
     """Pools the connections of one entry to its targets; safe for threads."""
 
     def __init__(self, *, id_header: str = "", paths: TargetPaths | None = None):
         self._id_header = id_header
         self._paths = paths or TargetPaths(direct=DirectConnector())
-        self._lock = threading.Lock()
-        self._idle_by_address: dict[str, list[_IdleConnection]] = {}
+        self._idle = IdleConnections(is_usable=self._paths.is_usable)
 
     def send(
         self, address: str, request: TargetRequest, caller: CallerConnection | None
@@ -217,7 +90,7 @@
             AttemptFailedError: With the outcome that the failure proves.
             CitronspanError: With code 3012 if the caller's body ends early.
         """
-        connection = self._take_idle_connection(address, request.reuse_seconds)
+        connection = self._idle.take(address, request.reuse_seconds)
         is_reused = connection is not None
         if connection is None:
             connection = self._connect(address, request.deadline.find())
@@ -233,13 +106,11 @@
         # A target that answered before the whole request was sent may read on and
         # would take the next request for the rest of this one, so the connection is
         # not reused.
-        keep_alive_seconds = (
-            _read_keep_alive_seconds(response) if is_fully_sent else 0.0
-        )
+        keep_alive_seconds = read_keep_alive_seconds(response) if is_fully_sent else 0.0
         return TargetAnswer(
             response=response,
             connection=connection,
-            release=lambda used_connection: self._return_to_pool(
+            release=lambda used_connection: self._idle.put(
                 address, used_connection, keep_alive_seconds
             ),
             method=request.method,
@@ -248,11 +119,15 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        with self._lock:
-            idle = [item for items in self._idle_by_address.values() for item in items]
-            self._idle_by_address.clear()
-        for item in idle:
-            item.connection.close()
+        self._idle.close()
+
+    def close_expired(self) -> None:
+        """Close the idle connections that no request can use any more."""
+        self._idle.close_expired()
+
+    def list_idle_addresses(self) -> frozenset[str]:
+        """Return the addresses that have an idle connection."""
+        return self._idle.list_addresses()
 
     def _connect(self, address, deadline):
         _check_deadline(deadline, "connecting")
@@ -388,82 +263,6 @@
                     detail="the caller disconnected",
                 )
 
-    def _take_idle_connection(self, address, reuse_seconds):
-        now = time.monotonic()
-        while True:
-            with self._lock:
-                idle = self._idle_by_address.get(address)
-                item = idle.pop() if idle else None
-            if item is None:
-                return None
-            is_usable = item.idle_since > now - reuse_seconds and now < item.expires_at
-            is_usable = is_usable and self._paths.is_usable(item.connection)
-            if is_usable and item.connection.is_connected:
-                return item.connection
-            item.connection.close()
-
-    def _return_to_pool(self, address, connection, keep_alive_seconds):
-        if connection.sock is None or keep_alive_seconds <= 0:
-            connection.close()
-            return
-        now = time.monotonic()
-        item = _IdleConnection(
-            connection=connection, idle_since=now, expires_at=now + keep_alive_seconds
-        )
-        with self._lock:
-            idle = self._idle_by_address.setdefault(address, [])
-            if len(idle) < MAXIMUM_IDLE_CONNECTIONS_PER_TARGET:
-                idle.append(item)
-                return
-        with contextlib.suppress(OSError):
-            connection.close()
-
-    def close_expired(self) -> None:
-        """Close the idle connections that no request can use any more.
-
-        The caller runs this about once a second. Without it, those to targets that are
-        gone would stay, since nothing asks for their addresses.
-        """
-        now = time.monotonic()
-        for address in list(self._idle_by_address):
-            with self._lock:
-                idle = self._idle_by_address.get(address, [])
-                expired = [
-                    item
-                    for item in idle
-                    if now >= item.expires_at or not item.connection.is_connected
-                ]
-                kept = [item for item in idle if item not in expired]
-                if kept:
-                    self._idle_by_address[address] = kept
-                else:
-                    self._idle_by_address.pop(address, None)
-            for item in expired:
-                with contextlib.suppress(OSError):
-                    item.connection.close()
-
-    def list_idle_addresses(self) -> frozenset[str]:
-        """Return the addresses that have an idle connection."""
-        now = time.monotonic()
-        with self._lock:
-            return frozenset(
-                address
-                for address, idle in self._idle_by_address.items()
-                if idle and now < idle[-1].expires_at
-            )
-
-
-def _read_keep_alive_seconds(response) -> float:
-    """Return the seconds for which the connection may stay in the pool."""
-    if "close" in (response.headers.get("Connection") or "").lower():
-        return 0.0
-    for part in (response.headers.get("Keep-Alive") or "").split(","):
-        name, _, value = part.strip().partition("=")
-        seconds = parse_count(value)
-        if name.lower() == "timeout" and seconds >= 0:
-            return seconds * KEEP_ALIVE_FRACTION
-    return POOL_IDLE_SECONDS
-
 
 def _check_deadline(deadline, next_step):
     """Fail if the deadline has passed, as after a pause of the process.
--- a/citronspan/ops/targets/target_connection_test.py
+++ b/citronspan/ops/targets/target_connection_test.py
@@ -10,12 +10,9 @@
 
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.targets.target_connection import (
-    POOL_IDLE_SECONDS,
-    AttemptFailedError,
-    TargetConnections,
-    TargetRequest,
-)
+from citronspan.ops.targets.idle_connections import POOL_IDLE_SECONDS
+from citronspan.ops.targets.target_answer import AttemptFailedError
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan.ops.targets.target_connector import DirectConnector
 from citronspan.ops.targets.target_paths import TargetPaths
 from citronspan_standins.scripted_targets import ScriptedTargets, TargetScript
@@ -290,8 +287,8 @@
         running.targets.set_scripts(path, TargetScript(parts=(ANSWER,), end="keep"))
         assert running.request("GET", path).status == 200
     connections = running.entry._connections
-    assert connections._idle_by_address
+    assert connections._idle._idle_by_address
     deadline = time.monotonic() + POOL_IDLE_SECONDS + 3.0
-    while connections._idle_by_address:
+    while connections._idle._idle_by_address:
         assert time.monotonic() < deadline
         time.sleep(0.1)
--- a/citronspan/ops/targets/target_paths_test.py
+++ b/citronspan/ops/targets/target_paths_test.py
@@ -10,11 +10,8 @@
 import urllib3.exceptions
 
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.targets.target_connection import (
-    AttemptFailedError,
-    TargetConnections,
-    TargetRequest,
-)
+from citronspan.ops.targets.target_answer import AttemptFailedError
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan.ops.targets.target_connector import DirectConnector
 from citronspan.ops.targets.target_paths import TargetPaths
 from citronspan.ops.targets.target_reachability import TargetReachability
