--- a/citronspan/core/accounts/account_table.py
+++ b/citronspan/core/accounts/account_table.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -13,10 +14,11 @@
 
 from citronspan.core.resources import AccountSpec
 
-UNLIMITED_WEIGHT = 1.0
-"""Weight of an account without a request limit."""
+_SPACES = " \t"
+"""White space of a header. Other bytes belong to the key: those of its UTF-8 form that
+are spaces in Latin-1, too."""
 
-_BEARER = "bearer"
+_SCHEME_PATTERN = re.compile(r"[ \t]*bearer[ \t]+", re.IGNORECASE)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,8 +45,8 @@
 
     @property
     def weight(self) -> float:
-        """Weight among other accounts: what its limit entitles it to."""
-        return self.spec.requests_per_second or UNLIMITED_WEIGHT
+        """Its limit in requests/s, 0 for none: then it weighs by its usual load."""
+        return self.spec.requests_per_second
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,10 +57,12 @@
         account_by_digest: Accounts by the digest of each of their keys.
         needs_keys: Whether the configuration has accounts with keys, so that requests
             need one. It stays set if all keys were taken away from the accounts.
+        public_routes: Names of routes whose requests need none all the same.
     """
 
     account_by_digest: dict[str, Account] = field(default_factory=dict)
     needs_keys: bool = False
+    public_routes: frozenset[str] = frozenset()
 
     def find(self, digest: str) -> Account | None:
         """Return the account that holds the key with a digest, or None."""
@@ -77,8 +81,10 @@
     """
     account_by_digest: dict[str, Account] = {}
     shared = set()
+    public_routes: set[str] = set()
     needs_keys = False
     for name, spec in spec_by_name:
+        public_routes.update(spec.public_routes or ())
         if spec.key_digests is msgspec.UNSET:
             continue
         needs_keys = True
@@ -89,7 +95,11 @@
             account_by_digest[digest] = account
     for digest in shared:
         del account_by_digest[digest]
-    return AccountTable(account_by_digest=account_by_digest, needs_keys=needs_keys)
+    return AccountTable(
+        account_by_digest=account_by_digest,
+        needs_keys=needs_keys,
+        public_routes=frozenset(public_routes),
+    )
 
 
 def compute_key_digest(key: bytes) -> str:
@@ -103,8 +113,8 @@
     Args:
         authorization: Value of the header, decoded as Latin-1, or empty.
     """
-    scheme, *rest = authorization.split(None, 1)[:2] or [""]
-    if scheme.lower() != _BEARER or not rest:
+    scheme = _SCHEME_PATTERN.match(authorization)
+    key = "" if scheme is None else authorization[scheme.end() :].strip(_SPACES)
+    if not key:
         return ""
-    key = rest[0].strip()
     return compute_key_digest(key.encode("latin-1", "replace"))
--- a/citronspan/ops/slots/region_slots.py
+++ b/citronspan/ops/slots/region_slots.py
@@ -244,6 +244,7 @@
                 self._cancel_request(broker, request, is_abandoned=end_code is not None)
                 if end_code is not None:
                     return make_slot_refused(end_code)
+                _log_unreachable(broker, request)
                 self._unresponsive_brokers.add(broker)
                 request = msgspec.structs.replace(request, asked_before=True)
                 continue
@@ -331,13 +332,6 @@
         )
 
     def _cancel_request(self, broker, request, *, is_abandoned):
-        write_event(
-            _logger,
-            log_events.BROKER_UNREACHABLE,
-            id=request.request_id,
-            broker=broker,
-            service=request.service,
-        )
         self._send(broker, _make_cancel(request, is_abandoned=is_abandoned))
 
     def _choose_locally(self, shard: Shard, query: SlotQuery) -> Slot | SlotRefused:
@@ -376,6 +370,8 @@
 
 def _find_end_code(query) -> ResultCode | None:
     """Return why no further slot is asked for, or None if one may be."""
+    if time.monotonic() >= query.deadline:
+        return result_codes.NO_CAPACITY
     if query.is_too_late():
         return result_codes.ENTRY_STOPPING
     if query.is_disconnected():
@@ -383,6 +379,16 @@
     return None
 
 
+def _log_unreachable(broker, request):
+    write_event(
+        _logger,
+        log_events.BROKER_UNREACHABLE,
+        id=request.request_id,
+        broker=broker,
+        service=request.service,
+    )
+
+
 def make_slot_refused(
     code: ResultCode, retry_after_seconds: float = DEFAULT_RETRY_AFTER_SECONDS
 ) -> SlotRefused:
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -19,7 +19,6 @@
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
 from citronspan.ops.targets.attempt_progress import AttemptProgress
 from citronspan.ops.targets.attempt_refusals import (
-    KEY_REFUSED,
     STOP_REFUSED,
     make_refusal,
     make_slot_refusal,
@@ -29,12 +28,8 @@
 from citronspan.ops.targets.dialect import Dialect, TargetAttempt
 from citronspan.ops.targets.hedged_attempt import HedgedAttempts
 from citronspan.ops.targets.retry_budgets import RetryBudgets
-from citronspan.ops.targets.target_connection import (
-    AttemptFailedError,
-    TargetAnswer,
-    TargetConnections,
-    TargetRequest,
-)
+from citronspan.ops.targets.target_answer import AttemptFailedError, TargetAnswer
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan.utils.traces import inject_context, start_span
 
 ATTEMPT_DEADLINE_SHARE = 0.5
@@ -70,7 +65,9 @@
         is_stopping: Callable[[], bool],
         has_other_target: Callable[[str, tuple[str, ...]], bool],
         stop_plan: StopPlan | None = None,
-        has_valid_key: Callable[[RequestContext], bool] = lambda _: True,
+        find_key_obstacle: Callable[[RequestContext], SlotRefused | None] = (
+            lambda _: None
+        ),
     ):
         """Create a runner.
 
@@ -86,11 +83,11 @@
             has_other_target: Returns whether a service has a target that stays, other
                 than the given ones.
             stop_plan: Knows when a stop ends, None for a host that never stops.
-            has_valid_key: Returns whether a request has the account key that its route
-                needs by the configuration in force.
+            find_key_obstacle: Returns why a request may not be sent by the accounts of
+                the configuration in force, or None.
         """
         self._dialect = dialect
-        self._has_valid_key = has_valid_key
+        self._find_key_obstacle = find_key_obstacle
         self._is_stopping = is_stopping
         self._has_other_target = has_other_target
         self._reuse_seconds = reuse_seconds
@@ -212,9 +209,23 @@
         )
 
     def _prepare_next(self, request_context, progress, has_answer) -> bool:
-        """Get a retry all that it needs; see ``AttemptDeadline``."""
+        """Get a retry all that it needs; see ``AttemptDeadline``.
+
+        Raises:
+            AttemptFailedError: If the caller has left, so that nobody awaits the
+                attempt nor a retry.
+        """
         if progress.is_hedge or progress.is_hedged:
             return progress.is_hedged
+        has_slot = self._acquire_next(request_context, progress, has_answer)
+        if request_context.request.connection.is_disconnected():
+            self._attempt_slots.return_next(request_context, progress)
+            raise AttemptFailedError(
+                outcome_class=OutcomeClass.CANCELLED, detail="the caller disconnected"
+            )
+        return has_slot
+
+    def _acquire_next(self, request_context, progress, has_answer) -> bool:
         if not self._may_retry(request_context, progress, OutcomeClass.TIMED_OUT):
             return False
         has_slot = self._attempt_slots.acquire_next(
@@ -230,7 +241,7 @@
         """Return why the request may not be sent any more, or None."""
         if self.is_too_late(request_context):
             return STOP_REFUSED
-        return None if self._has_valid_key(request_context) else KEY_REFUSED
+        return self._find_key_obstacle(request_context)
 
     def is_too_late(self, request_context: RequestContext) -> bool:
         """Return whether the host stops before the request could end."""
@@ -336,9 +347,9 @@
     def _may_send(self, request_context, slot, progress) -> bool:
         """Return whether to send an attempt, whose answer replaces an earlier one.
 
-        If the key was removed, the next look for a slot refuses the request.
+        If its account or key went, the next look for a slot refuses the request.
         """
-        if not self._has_valid_key(request_context):
+        if self._find_key_obstacle(request_context) is not None:
             return False
         if not self._slots.may_use(slot, request_context.request.request_id):
             return False
