Start the credit of hosts that start together when each becomes keeper

Cause: a review replayed hosts that start together and serve seconds apart: the credit of each new keeper counted from the start of its process, though others had lent since, and a handover was not heeded after it. Up to 415 requests in 5 s where the rule allows 350. A young keeper that was paused lent 64 at once. And a request could wait for keepers for 1.94 s, as each further question had a second of its own, and was then sent though its caller had left. Change: credit counts from the moment a host becomes keeper, none of a start after a pause; the patience of a request is one for all its questions; a charged request of a caller that left is refused and its charge given back.

--- a/citronspan/core/accounts/quota_keeper.py
+++ b/citronspan/core/accounts/quota_keeper.py
@@ -243,9 +243,8 @@
             # Nobody else has lent since, so the bucket may have filled.
             since = max(self._seats.find_keeper_since(account, number), self._paused_at)
             seat = self._seat_by_key[account, number] = _Seat(min(since, now))
-            if self._seats.has_started_with_all():
-                # No host has lent since this one started.
-                seat.refilled_at = min(seat.refilled_at, self._seats.started_at)
+            has_paused = self._paused_at > -math.inf
+            if not has_paused and self._seats.has_started_with_all():
                 seat.probation_end = seat.refilled_at + START_PROBATION_SECONDS
                 seat.level = terms.start_credit
         seat.refill(terms, now)
--- a/citronspan/core/accounts/quota_request.py
+++ b/citronspan/core/accounts/quota_request.py
@@ -93,7 +93,7 @@
     """Ask the seats until one is granted or refused, or for a while."""
     end = min(time.monotonic() + PATIENCE_SECONDS, deadline)
     while True:
-        granted, refusals = yield from _ask_seats(holder, name, deadline, asks)
+        granted, refusals = yield from _ask_seats(holder, name, end, asks)
         if granted is not None or refusals or holder.is_alone():
             return granted, refusals
         again_at = time.monotonic() + ASK_AGAIN_SECONDS
--- a/citronspan/core/accounts/quota_seats.py
+++ b/citronspan/core/accounts/quota_seats.py
@@ -29,11 +29,7 @@
 
 
 class QuotaSeats:
-    """Keepers by account and seat in the current view.
-
-    Attributes:
-        started_at: Monotonic time of the start of this host.
-    """
+    """Keepers by account and seat in the current view."""
 
     def __init__(self, *, name: str, region: str, incarnation: int = 0):
         """Create a table for one host, which is alone at first.
@@ -45,7 +41,7 @@
         """
         self._oldest_incarnation = incarnation - START_SECONDS * INCARNATIONS_PER_SECOND
         self._has_incarnation = incarnation > 0
-        self.started_at = time.monotonic()
+        self._started_at = time.monotonic()
         self._name = name
         self._region = region
         self._node_by_name: dict[str, NodeInfo] = {}
@@ -110,7 +106,7 @@
 
         Keepers of an earlier time have then all ended.
         """
-        is_young = time.monotonic() - self.started_at < START_SECONDS
+        is_young = time.monotonic() - self._started_at < START_SECONDS
         if not (is_young and self._has_incarnation and len(self._node_by_name) > 1):
             return False
         return all(
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -250,6 +250,10 @@
         open_request.charged_account = self._accounts.charge(
             configuration, request, account, received_at + deadline_seconds
         )
+        if open_request.charged_account and request.connection.is_disconnected():
+            raise Refusal(
+                code=result_codes.CALLER_GONE, detail="after the charge of its account"
+            )
         request = self._accounts.screen(configuration, request)
         goal_seconds = route.spec.goal_seconds
         open_request.passage = admit_to_link(
