Forget the length of answers and the way to a region that nobody measures again

A kind whose answers were long once was refused for good at a host with a stated link, since refused requests don't correct the mean; and a region whose way was long once was never asked again by requests with little time. Change: both are forgotten after 10 s without a measurement. The two new tests failed before.

--- a/citronspan/core/brokering/overflow.py
+++ b/citronspan/core/brokering/overflow.py
@@ -13,6 +13,7 @@
 is room. Retries have pauses of their own, since other budgets bound them.
 """
 
+import math
 import threading
 import time
 from dataclasses import dataclass
@@ -31,6 +32,10 @@
 CROSSINGS = 2
 """Ways there and back that a slot in another region takes: question and request."""
 
+WAY_SECONDS = 10.0
+"""Time after which a way that was not measured again is forgotten: requests that it
+keeps at home don't measure it."""
+
 WAY_EWMA_WEIGHT = 1 / 8
 """Weight of a new measurement in the moving average of the way to a region."""
 
@@ -70,6 +75,7 @@
         self._lock = threading.Lock()
         self._path_by_key: dict[tuple[str, str, bool], _Path] = {}
         self._way_seconds_by_region: dict[str, float] = {}
+        self._way_measured_at_by_region: dict[str, float] = {}
 
     def plan(
         self,
@@ -161,10 +167,14 @@
         return True
 
     def _is_near(self, region, remaining_seconds):
+        measured_at = self._way_measured_at_by_region.get(region, -math.inf)
+        if time.monotonic() - measured_at > WAY_SECONDS:
+            self._way_seconds_by_region.pop(region, None)
         way_seconds = self._way_seconds_by_region.get(region, 0.0)
         return CROSSINGS * way_seconds < remaining_seconds
 
     def _observe_way(self, region, seconds):
+        self._way_measured_at_by_region[region] = time.monotonic()
         mean = self._way_seconds_by_region.get(region, seconds)
         mean += (seconds - mean) * WAY_EWMA_WEIGHT
         self._way_seconds_by_region[region] = mean
--- a/citronspan/core/brokering/overflow_test.py
+++ b/citronspan/core/brokering/overflow_test.py
@@ -141,3 +141,25 @@
             steps = plan(overflow)
             assert steps[0] == "west"
             assert "east" in steps
+
+
+def test_way_that_was_long_once_keeps_requests_at_home_for_good():
+    with freeze_time("2026-01-01") as clock:
+        overflow = Overflow(region="a")
+        overflow.observe(
+            "b", service="s", is_retry=False, is_granted=True, seconds=0.45
+        )
+
+        def list_regions():
+            steps = overflow.plan(
+                ["a", "b"],
+                service="s",
+                is_retry=False,
+                body_bytes=0,
+                remaining_seconds=0.8,
+            )
+            return {step.region for step in steps}
+
+        assert list_regions() == {"a"}
+        clock.tick(10.5)
+        assert list_regions() == {"a", "b"}
--- a/citronspan/core/requests/link_room.py
+++ b/citronspan/core/requests/link_room.py
@@ -9,7 +9,9 @@
 answers are always admitted: they add little, and refusing them frees no room.
 """
 
+import math
 import threading
+import time
 
 LARGE_BYTES = 16 * 1024
 """Least number of expected bytes for which a request may be refused."""
@@ -17,6 +19,9 @@
 USABLE_SHARE = 0.9
 """Share of the link for requests; the rest is for messages between hosts."""
 
+MEAN_SECONDS = 10.0
+"""Time after which the length of answers is forgotten if none came."""
+
 ANSWER_BYTES_EWMA_WEIGHT = 1 / 16
 """Weight of a new answer's length in the moving average of its request kind."""
 
@@ -38,6 +43,7 @@
         self._lock = threading.Lock()
         self._bytes_under_way = 0.0
         self._mean_bytes_by_kind: dict[str, float] = {}
+        self._measured_at_by_kind: dict[str, float] = {}
 
     def admit(
         self, request_kind: str, body_bytes: int, remaining_seconds: float
@@ -54,7 +60,7 @@
             carry them in time.
         """
         with self._lock:
-            expected = body_bytes + self._mean_bytes_by_kind.get(request_kind, 0.0)
+            expected = body_bytes + self._find_mean_bytes(request_kind)
             if expected >= LARGE_BYTES and self._is_late(expected, remaining_seconds):
                 return None
             self._bytes_under_way += expected
@@ -82,6 +88,17 @@
             mean = self._mean_bytes_by_kind.get(kind, float(answer_bytes))
             mean += (answer_bytes - mean) * ANSWER_BYTES_EWMA_WEIGHT
             self._mean_bytes_by_kind[kind] = mean
+            self._measured_at_by_kind[kind] = time.monotonic()
+
+    def _find_mean_bytes(self, kind):
+        """Return the mean length of a kind's answers, 0 if none came for some time.
+
+        Requests that are refused for it don't correct it.
+        """
+        measured_at = self._measured_at_by_kind.get(kind, -math.inf)
+        if time.monotonic() - measured_at > MEAN_SECONDS:
+            self._mean_bytes_by_kind.pop(kind, None)
+        return self._mean_bytes_by_kind.get(kind, 0.0)
 
     def _is_late(self, expected, remaining_seconds):
         if not self._usable_bytes_per_second:
--- a/citronspan/core/requests/link_room_test.py
+++ b/citronspan/core/requests/link_room_test.py
@@ -2,6 +2,7 @@
 
 import heapq
 
+from freezegun import freeze_time
 from hypothesis import given, strategies as st
 
 from citronspan.core.requests.link_room import LARGE_BYTES, LinkRoom
@@ -85,3 +86,12 @@
         passage.end(None)
         passage.end(None)
     assert room.find_drain_seconds() == 0.0
+
+
+def test_kind_whose_answers_were_long_once_is_refused_for_good():
+    with freeze_time("2026-01-01") as clock:
+        room = LinkRoom(bytes_per_second=5e6 / 8)
+        room.admit("k", 0, 30.0).end(4_000_000)
+        assert room.admit("k", 0, 3.0) is None
+        clock.tick(10.5)
+        assert room.admit("k", 0, 3.0) is not None
