Say that a hedge which broke off for a fault of ours may have run

Change: such a hedge counts as one that may have run. By reading; the tests of hedged attempts passed.

--- a/citronspan/ops/targets/hedged_attempt.py
+++ b/citronspan/ops/targets/hedged_attempt.py
@@ -213,6 +213,8 @@
         except AttemptFailedError as error:
             self._note_run(error.outcome_class)
         except Exception:
+            # It may have been sent before.
+            self._progress.may_have_run = True
             _logger.exception("hedge raised an exception")
             write_event(_logger, log_events.BACKGROUND_TASK_FAILED, task="hedge")
         finally:
