--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -10,9 +10,12 @@
 
 from citronspan.core.settings import (
     AgentSettings,
+    Amount,
     EntrySettings,
+    HostLimits,
     NodeIdentity,
     Port,
+    QuotaRules,
     Seconds,
     Section,
     Share,
@@ -71,9 +74,13 @@
         keep_seconds: Time for which callers may cache a directory answer.
         stop_seconds: Time from SIGTERM to SIGKILL.
         service_rules: Rules that hold for every service.
+        quota_rules: Bounds for the limits of accounts.
         worker_threads: Maximum number of concurrent requests.
         metrics_port: Port of ``/metrics``, the same on every host.
         log_level: Name of a logbook level.
+        limits: What the host may use.
+        region_link_mbit: Megabits per second that the requests of all services and
+            hosts together may use of the links between regions, 0 for no such budget.
     """
 
     place: NodeIdentity
@@ -89,9 +96,12 @@
     keep_seconds: Seconds = 5.0
     stop_seconds: Seconds = 6.0
     service_rules: ServiceRules = ServiceRules()
+    quota_rules: QuotaRules = QuotaRules()
     worker_threads: ThreadCount = 64
     metrics_port: Port = 9464
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
+    region_link_mbit: Amount = 0.0
 
     def __post_init__(self):
         """Check what concerns several values.
@@ -138,10 +148,13 @@
             readiness_address=self.readiness_address,
             relay_address=self.relay_address,
             worker_threads=self.worker_threads,
+            quota_rules=self.quota_rules,
             drain_seconds=stop_seconds,
             reuse_seconds=REUSE_SECONDS,
             leave_seconds=self.stop_seconds * LEAVE_TIME_SHARE,
             log_level=self.log_level,
+            limits=self.limits,
+            region_link_mbit=self.region_link_mbit,
         )
 
     def make_agent_settings(self) -> AgentSettings:
@@ -161,6 +174,7 @@
             seeds=self.seeds,
             keep_seconds=self.keep_seconds,
             log_level=self.log_level,
+            limits=self.limits,
         )
 
     def _make_agent_address(self, host):
--- a/citronspan/core/result_codes.py
+++ b/citronspan/core/result_codes.py
@@ -135,7 +135,11 @@
     3002, "no-capacity", 503, _NOT, "No target had a free slot in time."
 )
 OVERLOADED = _define(
-    3003, "overloaded", 503, _NOT, "Requests of higher worth use the capacity."
+    3003,
+    "overloaded",
+    503,
+    _NOT,
+    "Requests of higher worth, or of accounts with less, use the capacity.",
 )
 DEADLINE_TOO_SHORT = _define(
     3004, "deadline-too-short", 503, _NOT, "The deadline cannot be met."
@@ -201,6 +205,13 @@
     _NOT,
     "The route needs the key of a client account, and the request has none in force.",
 )
+ENTRY_LINK_FULL = _define(
+    3017,
+    "entry-link-full",
+    503,
+    _NOT,
+    "The entry's link cannot carry the answer in time; another entry may have room.",
+)
 LINK_BUDGET_SPENT = _define(
     3060,
     "link-budget-spent",
--- a/citronspan/core/settings.py
+++ b/citronspan/core/settings.py
@@ -12,6 +12,7 @@
 
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
+from citronspan.core.node_messages import HostRoom
 from citronspan.core.resources import parse_address
 from citronspan.utils.validation import (
     DECODING_ERRORS,
@@ -23,11 +24,13 @@
 """Longest time in settings; the runtime's waits fail beyond some hundred days."""
 
 MAXIMUM_THREADS = 4096
+MAXIMUM_QUOTA_MARGIN = 1e9
 
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_SECONDS)]
 ThreadCount = Annotated[int, msgspec.Meta(ge=1, le=MAXIMUM_THREADS)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
@@ -68,6 +71,33 @@
     secret: str = ""
 
 
+class HostLimits(Section, kw_only=True):
+    """What a host may use; a value that is missing or 0 is not stated.
+
+    Attributes:
+        cores: Cores of the host.
+        processor_share: Share of each core that its processes may use.
+        link_mbit: Megabits per second of its link, in each direction.
+    """
+
+    cores: Amount = 0.0
+    processor_share: Amount = 1.0
+    link_mbit: Amount = 0.0
+
+    @property
+    def link_bytes_per_second(self) -> float:
+        """Bytes per second of the link in each direction, 0 if not stated."""
+        return self.link_mbit * 1e6 / 8
+
+    def make_room(self) -> HostRoom | None:
+        """Return what other hosts are told, None if nothing is stated."""
+        room = HostRoom(
+            processor_millicores=round(self.cores * self.processor_share * 1000),
+            link_kbit=round(self.link_mbit * 1000),
+        )
+        return None if room == HostRoom() else room
+
+
 class Tracing(Section, kw_only=True):
     """Export of spans.
 
@@ -84,6 +114,20 @@
     sampled_share: Share = 1.0
 
 
+class QuotaRules(Section, kw_only=True):
+    """Bounds within which the limits of accounts are kept over the fleet.
+
+    Attributes:
+        window_seconds: Length of each window in which requests are counted.
+        excess: Part of rate and burst by which a window may exceed them.
+        slack: Requests by which a window may exceed them besides.
+    """
+
+    window_seconds: Annotated[float, msgspec.Meta(gt=0, le=MAXIMUM_SECONDS)] = 5.0
+    excess: Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_QUOTA_MARGIN)] = 0.0
+    slack: Annotated[float, msgspec.Meta(ge=0, le=MAXIMUM_QUOTA_MARGIN)] = 0.0
+
+
 class EntrySettings(Section, kw_only=True):
     """Settings of ``citronspan-entry``.
 
@@ -103,8 +147,12 @@
             a non-idempotent request; 0 for a new connection for each.
         broker_wait_seconds: Timeout of one request to a broker, excluding time in its
             queue.
+        quota_rules: Bounds for the limits of accounts.
         tracing: Export of spans.
         log_level: Name of a logbook level.
+        limits: What the host may use.
+        region_link_mbit: Megabits per second that the requests of all services and
+            hosts together may use of the links between regions, 0 for no such budget.
     """
 
     place: NodeIdentity
@@ -119,8 +167,16 @@
     leave_seconds: Seconds = 5.0
     reuse_seconds: Seconds = 0.0
     broker_wait_seconds: Seconds = 0.05
+    quota_rules: QuotaRules = QuotaRules()
     tracing: Tracing = Tracing()
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
+    region_link_mbit: Amount = 0.0
+
+    @property
+    def region_link_bytes_per_second(self) -> float:
+        """Bytes per second of the budget of the links between regions, or 0."""
+        return self.region_link_mbit * 1e6 / 8
 
 
 class AgentSettings(Section, kw_only=True):
@@ -144,6 +200,7 @@
         snapshot_seconds: Interval between snapshots in the log; the log must retain
             records for at least three times as long.
         log_level: Name of a logbook level.
+        limits: What the host may use.
     """
 
     place: NodeIdentity
@@ -160,6 +217,7 @@
     keep_seconds: Seconds = 5.0
     snapshot_seconds: Seconds = 21600.0
     log_level: str = "INFO"
+    limits: HostLimits = HostLimits()
 
 
 ProcessSettings = EntrySettings | AgentSettings
--- a/citronspan/ops/callers/account_access_test.py
+++ b/citronspan/ops/callers/account_access_test.py
@@ -19,7 +19,7 @@
     TargetSpec,
     encode_resource,
 )
-from citronspan.ops.callers.account_admission import UnlimitedAdmission
+from citronspan.ops.callers.quota_service import QuotaService
 from citronspan.ops.conftest import run_entry
 from citronspan.ops.peers import peer_link
 from citronspan_standins.scripted_targets import EMPTY_ANSWER, TargetScript
@@ -253,8 +253,8 @@
     def give_back(self, name):
         charges["given_back"].append(name)
 
-    monkeypatch.setattr(UnlimitedAdmission, "admit", admit)
-    monkeypatch.setattr(UnlimitedAdmission, "give_back", give_back)
+    monkeypatch.setattr(QuotaService, "admit", admit)
+    monkeypatch.setattr(QuotaService, "give_back", give_back)
     return charges
 
 
