Name the part of a broker that grants hedges for what it does

Cause: read as a newcomer would, a desk says nothing of what it does. Change: HedgeGranter in hedge_granter.py, a rename of the module and the class alone. Result: the tests of hedges, of the broker and of names passed; formatter and linter clean. No message or record changes.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -26,7 +26,7 @@
 from citronspan.core.brokering.broker_pool import TargetPool
 from citronspan.core.brokering.broker_slot_hold_times import SlotHoldTimeEstimator
 from citronspan.core.brokering.broker_status import BrokerStatus, SlotDecision
-from citronspan.core.brokering.hedge_desk import HedgeDesk
+from citronspan.core.brokering.hedge_granter import HedgeGranter
 from citronspan.core.brokering.hedge_policy import NO_HEDGES, HedgeLimits, HedgePolicy
 from citronspan.core.brokering.link_budget import LinkBudget
 from citronspan.core.brokering.rate_pacer import FULL_RATE_SHARE, RateShare
@@ -152,7 +152,7 @@
             "answers": self._answers,
             "may_retry": self._may_retry,
         }
-        self._hedge_desk = HedgeDesk(
+        self._hedge_granter = HedgeGranter(
             policy=self._hedge_policy, grant_table=self._grant_table, **shared_parts
         )
         self._waiting = WaitingRequests(estimates=self._estimates, **shared_parts)
@@ -326,7 +326,7 @@
             self._answers.refuse(waiting, result_codes.REQUEST_INVALID, now)
             return
         if request.is_hedge:
-            self._hedge_desk.handle(waiting, now)
+            self._hedge_granter.handle(waiting, now)
             return
         self._count_request(request)
         if not self._may_retry(request):
--- a/citronspan/core/brokering/hedge_desk.py
+++ b/citronspan/core/brokering/hedge_granter.py
@@ -26,7 +26,7 @@
 it suspected there."""
 
 
-class HedgeDesk:
+class HedgeGranter:
     """Grants or refuses the hedges of one shard."""
 
     def __init__(
