Pass on late in a stop only what its deadline ends in time

With 10 s from SIGTERM to SIGKILL a host took long uploads 3.1 to 3.7 s after SIGTERM and answered two or three of them 504 at 9.8 s, while their targets worked and another host had time.

Cause: what earlier requests of a kind took was used as a bound on the next one; a single request may be long by itself, or its target slow. Shown by two log fields (event 225: whole, sent; event 227: the forecast): 2 ms from whole to sent, so neither a wait for a slot nor a late count of the stop.

Change: a request that is whole later than 2.8 s after SIGTERM, or is not whole, is passed on only if its deadline lies before the end of the stop; one that is not whole by then and has a later deadline is refused then (503, not run, Retry-After). A large upload that its caller had begun to send goes on. A host stops to accept once no request of any route could be passed on.

Why it works: the deadline is the only certain bound on a target's work.

--- a/citronspan/core/log_events.py
+++ b/citronspan/core/log_events.py
@@ -178,6 +178,12 @@
     "NOTICE",
     "The entry learnt that a target leaves, from the configuration or an answer.",
 )
+STOP_PLANNED = _define(
+    227,
+    "stop-planned",
+    "NOTICE",
+    "A stopping entry states until when it passes requests of a kind on.",
+)
 REQUEST_ENDED_IN_STOP = _define(
     225,
     "request-ended-in-stop",
--- a/citronspan/core/requests/route_table.py
+++ b/citronspan/core/requests/route_table.py
@@ -1,5 +1,6 @@
 """Look-up of the route of a request by its host and longest path prefix."""
 
+import math
 from dataclasses import dataclass
 
 from citronspan.core.resources import RouteSpec
@@ -32,6 +33,17 @@
 
     route_by_prefix_by_host: dict[str, dict[str, Route]]
 
+    def find_shortest_deadline_seconds(self) -> float:
+        """Return the least time that a route gives requests, infinity without one."""
+        return min(
+            (
+                route.spec.deadline_seconds
+                for routes in self.route_by_prefix_by_host.values()
+                for route in routes.values()
+            ),
+            default=math.inf,
+        )
+
 
 def build_route_table(routes: list[Route]) -> RouteTable:
     """Build the route table.
--- a/citronspan/ops/callers/caller_connection.py
+++ b/citronspan/ops/callers/caller_connection.py
@@ -35,6 +35,11 @@
             deadline: Time of ``time.monotonic()``.
         """
         self._request.conn.limits.deadline = deadline
+        self._request.conn.limits.refusable_deadline = deadline
+
+    def begin_forwarding(self) -> None:
+        """Note that from now on a target may get parts of the request as they come."""
+        self._request.conn.limits.refusable_deadline = None
 
     def abort(self) -> None:
         """Reset the connection, so that a truncated answer cannot look complete."""
--- a/citronspan/ops/callers/caller_request.py
+++ b/citronspan/ops/callers/caller_request.py
@@ -7,6 +7,7 @@
 from citronspan.core import result_codes
 from citronspan.core.accounts.account_table import read_key_digest
 from citronspan.core.errors import CitronspanError
+from citronspan.ops.callers.caller_stream import StopTimeoutError
 from citronspan.ops.targets.dialect import Dialect
 
 MAXIMUM_BUFFERED_BODY_BYTES = 512 * 1024
@@ -233,16 +234,21 @@
         try:
             return self._request.body.read(size)
         except TimeoutError as error:
-            code = result_codes.CALLER_TOO_SLOW
-            if self._is_streaming:
-                # A target has received a part of the body and may have run the request.
-                code = result_codes.UPLOAD_LATE
             raise CitronspanError(
-                code=code, detail="the body did not arrive before the deadline"
+                code=self._find_timeout_code(error),
+                detail="the body did not arrive before the deadline",
             ) from error
         except (OSError, ValueError, EOFError) as error:
             raise self._make_cut_short_error() from error
 
+    def _find_timeout_code(self, error):
+        if self._is_streaming:
+            # A target has received a part of the body and may have run the request.
+            return result_codes.UPLOAD_LATE
+        if isinstance(error, StopTimeoutError):
+            return result_codes.ENTRY_STOPPING
+        return result_codes.CALLER_TOO_SLOW
+
     def _make_cut_short_error(self):
         return CitronspanError(
             code=result_codes.UPLOAD_CUT_SHORT,
--- a/citronspan/ops/callers/caller_stream.py
+++ b/citronspan/ops/callers/caller_stream.py
@@ -24,6 +24,11 @@
 """Time in which a caller that would have kept the connection sends its next request, or
 closes as well; some round trips to another region."""
 
+FindReadEnd = Callable[[float | None], float]
+"""Returns when a request that is not whole is given up, by ``time.monotonic()``.
+
+It gets the deadline of one of which nothing has been passed on, else None."""
+
 
 def is_readable(sock: socket.socket, wait_seconds: float = 0.0) -> bool:
     """Return whether a read from the socket returns at once, with data or end of file.
@@ -59,6 +64,10 @@
     return not sock.recv(1, socket.MSG_PEEK)
 
 
+class StopTimeoutError(TimeoutError):
+    """Signals that the process stops before a request is whole."""
+
+
 class StreamLimits:
     """Holds the time limits of one connection and how it is closed.
 
@@ -66,31 +75,36 @@
         idle_seconds: Maximum time of one read or write.
         deadline: Time of ``time.monotonic()`` by which the request must have been
             read, or None.
+        refusable_deadline: Deadline of a request that is read before any of it is
+            passed on, or None.
         is_aborted: Whether the connection is closed with a reset.
     """
 
-    def __init__(self, *, idle_seconds: float, find_read_end: Callable[[], float]):
+    def __init__(self, *, idle_seconds: float, find_read_end: FindReadEnd):
         self.idle_seconds = idle_seconds
         self._find_read_end = find_read_end
         self.deadline: float | None = None
+        self.refusable_deadline: float | None = None
         self.is_aborted = False
 
     def await_bytes(self, sock: socket.socket) -> None:
         """Wait until a read from a socket returns at once.
 
         Raises:
-            TimeoutError: If the deadline passes, if no byte comes in the idle time, or
-                if the process gives up what is not whole.
+            TimeoutError: If the deadline passes or if no byte comes in the idle time.
+            StopTimeoutError: If the process gives up what is not whole.
         """
         limit = time.monotonic() + self.idle_seconds
         if self.deadline is not None:
             limit = min(limit, self.deadline)
         while True:
             # Asked again, since the process may be told to stop meanwhile.
-            wait_seconds = min(limit, self._find_read_end()) - time.monotonic()
+            read_end = self._find_read_end(self.refusable_deadline)
+            wait_seconds = min(limit, read_end) - time.monotonic()
             if wait_seconds <= 0:
+                error_type = StopTimeoutError if read_end < limit else TimeoutError
                 # The server recognises a timeout by this text.
-                raise TimeoutError("timed out")
+                raise error_type("timed out")
             if is_readable(sock, min(wait_seconds, READ_POLL_SECONDS)):
                 return
 
--- a/citronspan/ops/callers/http_server.py
+++ b/citronspan/ops/callers/http_server.py
@@ -14,7 +14,7 @@
 from citronspan.core import result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.ops.callers.caller_connection import CallerConnection
-from citronspan.ops.callers.caller_stream import CallerStream, is_ended
+from citronspan.ops.callers.caller_stream import CallerStream, FindReadEnd, is_ended
 from citronspan.ops.callers.request_head import CheckedRequest
 from citronspan.ops.callers.worker_pool import WorkerPool
 from citronspan.utils.addresses import split_address
@@ -53,14 +53,13 @@
     """A server that hands a connection to a thread only once it has data to read.
 
     Attributes:
-        find_read_end: Returns the time of ``time.monotonic()`` at which requests that
-            are not whole are given up.
+        find_read_end: Returns when requests that are not whole are given up.
     """
 
     def __init__(self, *arguments, **options):
         """Create a server, see the base class."""
         super().__init__(*arguments, **options)
-        self.find_read_end: Callable[[], float] = lambda: math.inf
+        self.find_read_end: FindReadEnd = lambda refusable_deadline: math.inf
         self._has_closed_idle = False
         self._idle_lock = threading.Lock()
 
@@ -161,7 +160,7 @@
     *,
     threads: int,
     idle_seconds: float = 30.0,
-    find_read_end: Callable[[], float] = lambda: math.inf,
+    find_read_end: FindReadEnd = lambda refusable_deadline: math.inf,
 ) -> wsgi.Server:
     """Make a server that listens at once and serves after ``serve`` is called.
 
@@ -170,8 +169,7 @@
         app: The WSGI application.
         threads: Maximum number of threads, each of which serves one request.
         idle_seconds: Maximum time to wait for the next bytes of a request.
-        find_read_end: Returns the time of ``time.monotonic()`` at which requests that
-            are not whole are given up.
+        find_read_end: Returns when requests that are not whole are given up.
 
     Returns:
         The server.
--- a/citronspan/ops/callers/open_requests.py
+++ b/citronspan/ops/callers/open_requests.py
@@ -43,6 +43,9 @@
         request_id: Identity of the request in logs, or empty.
         received_at: Time of ``time.monotonic()`` at which its head had been read.
         stage: How far it has come.
+        whole_at: Time of ``time.monotonic()`` at which it had been read, None before
+            that.
+        sent_at: Time of ``time.monotonic()`` of its last attempt, None without one.
         charged_account: Account whose charge is returned if it does not run, or empty.
         passage: Its bytes on the host's link, None before it is admitted to it.
         answer_bytes: Bytes of the target's whole answer, None without one.
@@ -52,6 +55,8 @@
         self.request_id = request_id
         self.received_at = received_at
         self.stage = Stage.READING
+        self.whole_at: float | None = None
+        self.sent_at: float | None = None
         self.charged_account = ""
         self.passage: Passage | None = None
         self.answer_bytes: int | None = None
@@ -65,14 +70,22 @@
 class OpenRequests:
     """Holds the requests that have not ended; safe for threads."""
 
-    def __init__(self, *, metrics: EntryMetrics, is_stopping: Callable[[], bool]):
+    def __init__(
+        self,
+        *,
+        metrics: EntryMetrics,
+        is_stopping: Callable[[], bool],
+        find_stop_begin: Callable[[], float],
+    ):
         """Create the register without requests.
 
         Args:
             metrics: Metrics of the entry.
             is_stopping: Returns whether the host was told to stop.
+            find_stop_begin: Returns the time of ``time.monotonic()`` of that.
         """
         self._metrics = metrics
+        self._find_stop_begin = find_stop_begin
         self._is_stopping = is_stopping
         self._lock = threading.Lock()
         self._requests: set[OpenRequest] = set()
@@ -111,8 +124,14 @@
             result=result,
             stage=request.stage,
             seconds=round(time.monotonic() - request.received_at, 4),
+            whole=self._compute_stop_seconds(request.whole_at),
+            sent=self._compute_stop_seconds(request.sent_at),
         )
 
+    def _compute_stop_seconds(self, at):
+        """Return the seconds from the begin of the stop to a time, None without it."""
+        return None if at is None else round(at - self._find_stop_begin(), 3)
+
     def give_up_rest(self) -> None:
         """Log and count the requests that the end of the process cuts."""
         with self._lock:
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -43,7 +43,11 @@
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.slots.slot_source import SlotSource
 from citronspan.ops.targets.attempt_context import AttemptResponse, RequestContext
-from citronspan.ops.targets.attempt_refusals import STOP_REFUSED, make_slot_refusal
+from citronspan.ops.targets.attempt_refusals import (
+    REFUSED_RETRY_AFTER_SECONDS,
+    STOP_REFUSED,
+    make_slot_refusal,
+)
 from citronspan.ops.targets.attempts import AttemptRunner
 from citronspan.ops.targets.dialect import Dialect
 from citronspan.ops.targets.target_connection import TargetConnections
@@ -114,6 +118,7 @@
             stop_plan=stop_plan,
             find_key_obstacle=self._accounts.find_obstacle,
         )
+        self._stop_plan = stop_plan
         self._slots = slots
         self._metrics = metrics
         self._tracer = tracer
@@ -246,6 +251,7 @@
                 detail=f"route {route.name!r} names a service that does not exist",
             )
         deadline_seconds = min(route.spec.deadline_seconds, request.timeout_seconds)
+        self._check_stop(received_at + deadline_seconds)
         self._configuration_wait.check_deadline(received_at + deadline_seconds)
         open_request.charged_account = self._accounts.charge(
             configuration, request, account, received_at + deadline_seconds
@@ -261,6 +267,9 @@
         )
         request.connection.set_read_deadline(received_at + deadline_seconds)
         body = _receive_body(request)
+        request.connection.begin_forwarding()
+        if body.buffer is not None:
+            open_request.whole_at = time.monotonic()
         return RequestContext(
             request=request,
             body=body,
@@ -278,6 +287,19 @@
             is_screened=configuration.accounts.needs_keys,
         )
 
+    def _check_stop(self, deadline):
+        """Refuse a request that comes too late in a stop before it waits for anything.
+
+        Raises:
+            Refusal: With code 3015.
+        """
+        if time.monotonic() >= self._stop_plan.find_read_end(deadline):
+            raise Refusal(
+                code=result_codes.ENTRY_STOPPING,
+                detail="the request may end after this host",
+                retry_after_seconds=REFUSED_RETRY_AFTER_SECONDS,
+            )
+
     def _has_other_target(self, service, names):
         targets = self._find_configuration().targets_by_service.get(service, ())
         for target in targets:
@@ -377,7 +399,13 @@
     try:
         return CallerBody(request=request)
     except CitronspanError as error:
-        raise Refusal(code=error.code, detail=error.detail, ran=Ran.NOT_RUN) from error
+        is_stopping = error.code is result_codes.ENTRY_STOPPING
+        raise Refusal(
+            code=error.code,
+            detail=error.detail,
+            ran=Ran.NOT_RUN,
+            retry_after_seconds=REFUSED_RETRY_AFTER_SECONDS if is_stopping else None,
+        ) from error
 
 
 def _compute_fingerprint(request, body) -> int:
--- a/citronspan/ops/callers/request_head.py
+++ b/citronspan/ops/callers/request_head.py
@@ -105,6 +105,7 @@
         self.conn.has_unread_data = True
         self.conn.may_send_more = False
         self.conn.limits.deadline = time.monotonic() + HEAD_TIMEOUT_SECONDS
+        self.conn.limits.refusable_deadline = None
         super().parse_request()
         self.conn.limits.deadline = None
 
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import asdict
 
 import logbook
 
@@ -150,7 +151,9 @@
         )
         self._stop = threading.Event()
         self._open_requests = OpenRequests(
-            metrics=self.metrics, is_stopping=self._stop.is_set
+            metrics=self.metrics,
+            is_stopping=self._stop.is_set,
+            find_stop_begin=self._stop_plan.find_begin,
         )
         self._configuration_wait = ConfigurationWait(
             find_configuration=lambda: self.configuration,
@@ -166,7 +169,7 @@
             settings.callers_address,
             self._make_handler(),
             threads=settings.worker_threads + REFUSAL_THREADS,
-            find_read_end=self._stop_plan.find_planned_end,
+            find_read_end=self._stop_plan.find_read_end,
         )
         self.metrics.registry.register(
             ShardCollector(describe=self.slots.health_gossip.describe)
@@ -391,6 +394,8 @@
     def _drain(self):
         """Leave the directory, finish the requests in flight, then stop."""
         write_event(_logger, log_events.PROCESS_STOPPING)
+        for forecast in self._stop_plan.forecast():
+            write_event(_logger, log_events.STOP_PLANNED, **asdict(forecast))
         drain_deadline = self._stop_plan.find_bound()
         # A tunnel is ended when it is idle, which may be only now.
         relay_stop = threading.Thread(target=self._stop_relay, args=[drain_deadline])
@@ -402,7 +407,10 @@
             self.quotas.hand_over_all()
             # Keep accepting while callers may still use this address.
             leave_deadline = time.monotonic() + self.settings.leave_seconds
-            wait_until(lambda: False, min(leave_deadline, drain_deadline))
+            last_arrival = self._stop_plan.find_last_arrival(
+                self.configuration.routes.find_shortest_deadline_seconds()
+            )
+            wait_until(lambda: False, min(leave_deadline, last_arrival, drain_deadline))
         # A request accepted from now on might not finish before the drain deadline.
         self._server.stop_accepting()
         # Read before the threads of requests that are not whole give them up.
--- a/citronspan/ops/targets/attempts.py
+++ b/citronspan/ops/targets/attempts.py
@@ -246,7 +246,10 @@
     def is_too_late(self, request_context: RequestContext) -> bool:
         """Return whether the host stops before the request could end."""
         return self._stop_plan.is_too_late(
-            request_context.work_kind, request_context.deadline
+            request_context.work_kind,
+            request_context.deadline,
+            received_at=request_context.open_request.received_at,
+            whole_at=request_context.open_request.whole_at,
         )
 
     def _is_last_attempt(self, request_context, progress) -> bool:
@@ -270,6 +273,7 @@
     ) -> AttemptResponse:
         started_at = time.monotonic()
         request_context.open_request.stage = Stage.AT_TARGET
+        request_context.open_request.sent_at = started_at
         try:
             with start_span(self._tracer, "dispatch") as span:
                 span.set_attribute("citronspan.target", slot.target)
