Give up requests no earlier than the last sixth of a short stop

Callers would see: with 1 s from SIGTERM to SIGKILL, what was at a target was given up after 0.80 s, before the last sixth of the time, in which alone a target may be broken off at work (LOST).

Cause: the margins before SIGKILL were fixed, 0.4 and 0.2 s.

Change: they are at most a quarter and an eighth of the time, which changes nothing from 1.6 s on.

Tests: planned_stop_test (1 s, 2 s), host_settings_test for any time from 0.5 to 60 s.

--- a/citronspan/core/host_settings.py
+++ b/citronspan/core/host_settings.py
@@ -23,7 +23,10 @@
 )
 
 STOP_MARGIN_SECONDS = 0.4
-"""Time before SIGKILL at which a stopping host has ended by itself."""
+"""Longest time before SIGKILL at which a stopping host has ended by itself."""
+
+STOP_MARGIN_SHARE = 0.25
+"""Share of a short stop time that takes the place of ``STOP_MARGIN_SECONDS``."""
 
 LEAVE_TIME_SHARE = 0.4
 """Share of the stop time in which new requests are still accepted, since callers cache
@@ -143,7 +146,7 @@
 
     def make_entry_settings(self) -> EntrySettings:
         """Derive the settings of the entry."""
-        stop_seconds = max(self.stop_seconds - STOP_MARGIN_SECONDS, 0.1)
+        margin_seconds = min(STOP_MARGIN_SECONDS, self.stop_seconds * STOP_MARGIN_SHARE)
         return EntrySettings(
             place=self.place,
             callers_address=self.callers_address,
@@ -154,7 +157,7 @@
             relay_address=self.relay_address,
             worker_threads=self.worker_threads,
             quota_rules=self.quota_rules,
-            drain_seconds=stop_seconds,
+            drain_seconds=self.stop_seconds - margin_seconds,
             reuse_seconds=REUSE_SECONDS,
             leave_seconds=self.stop_seconds * LEAVE_TIME_SHARE,
             log_level=self.log_level,
--- a/citronspan/core/host_settings_test.py
+++ b/citronspan/core/host_settings_test.py
@@ -3,6 +3,7 @@
 import re
 from pathlib import Path
 
+import freezegun
 import msgspec
 import pytest
 from hypothesis import given, strategies as st
@@ -11,9 +12,11 @@
 from citronspan.core.errors import CitronspanError
 from citronspan.core.host_settings import HostSettings
 from citronspan.core.node_messages import HostRoom
+from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.settings import QuotaRules, decode_settings
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.template"
+ROUNDING_SECONDS = 1e-5
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
 DEPLOYMENT = {
@@ -159,3 +162,18 @@
     settings = decode_settings(fill_template(deployment), HostSettings, path="settings")
     assert settings.make_agent_settings().limits.make_room() is None
     assert not settings.make_entry_settings().limits.link_bytes_per_second
+
+
+@given(stop_seconds=st.floats(0.5, 60.0))
+def test_short_stop_gives_up_requests_that_their_targets_work_on_too_early(
+    stop_seconds,
+):
+    """Its margins may not take more than the last sixth of the time until SIGKILL."""
+    settings = decode_deployment(stopSeconds=stop_seconds).make_entry_settings()
+    with freezegun.freeze_time("2026-01-01"):
+        plan = StopPlan()
+        plan.begin(settings.drain_seconds)
+        begun_at = plan.find_begin()
+    assert plan.find_end() - begun_at >= stop_seconds * 5 / 6 - ROUNDING_SECONDS
+    assert plan.find_last_answer_end() - begun_at <= stop_seconds + ROUNDING_SECONDS
+    assert plan.find_planned_end() > begun_at
--- a/citronspan/core/requests/stop_plan.py
+++ b/citronspan/core/requests/stop_plan.py
@@ -23,8 +23,12 @@
 by then is refused."""
 
 GIVE_UP_SECONDS = 0.2
-"""Time after the bound at which what is at a target is given up. A host is killed twice
-as long after the bound, so that the answers that say so are still written."""
+"""Longest time after the bound at which what is at a target is given up. A host is
+killed twice as long after the bound, so that the answers that say so are still
+written."""
+
+GIVE_UP_SHARE = 1 / 6
+"""Share of a short stop that takes the place of ``GIVE_UP_SECONDS``."""
 
 RECENT_ATTEMPTS = 128
 MINIMUM_ATTEMPTS = 8
@@ -94,6 +98,7 @@
         self._begun_at = math.inf
         self._planned_end = math.inf
         self._bound = math.inf
+        self._give_up_seconds = GIVE_UP_SECONDS
 
     def begin(self, stop_seconds: float) -> None:
         """Note that the host was told to stop; a second call changes nothing.
@@ -107,6 +112,7 @@
             return
         self._begun_at = time.monotonic()
         margin_seconds = min(PLAN_MARGIN_SECONDS, stop_seconds / 2)
+        self._give_up_seconds = min(GIVE_UP_SECONDS, stop_seconds * GIVE_UP_SHARE)
         self._bound = self._begun_at + stop_seconds
         self._planned_end = self._bound - margin_seconds
 
@@ -140,7 +146,11 @@
 
     def find_end(self) -> float:
         """Return when open requests are given up, infinity while there is no stop."""
-        return self._bound + GIVE_UP_SECONDS
+        return self._bound + self._give_up_seconds
+
+    def find_last_answer_end(self) -> float:
+        """Return by when the answers to what was given up are to be written."""
+        return self._bound + 2 * self._give_up_seconds
 
     def has_ended(self) -> bool:
         """Return whether open requests are to be given up now."""
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -20,7 +20,7 @@
     EntryConfiguration,
     apply_push,
 )
-from citronspan.core.requests.stop_plan import GIVE_UP_SECONDS, StopPlan
+from citronspan.core.requests.stop_plan import StopPlan
 from citronspan.core.resources import Kind
 from citronspan.core.settings import EntrySettings
 from citronspan.ops.callers.configuration_wait import ConfigurationWait
@@ -419,7 +419,7 @@
         remaining = self.metrics.read_in_flight()
         if remaining:
             write_event(_logger, log_events.DRAIN_BOUND_REACHED, in_flight=remaining)
-            wait_until(self._is_idle, self._stop_plan.find_end() + GIVE_UP_SECONDS)
+            wait_until(self._is_idle, self._stop_plan.find_last_answer_end())
             self._open_requests.give_up_rest()
         # The owners of keys need the results of the last requests.
         reports_deadline = time.monotonic() + KEY_REPORT_TIMEOUT_SECONDS
--- a/citronspan_standins/planned_stop_test.py
+++ b/citronspan_standins/planned_stop_test.py
@@ -274,6 +274,30 @@
         assert set(target.started_at_by_id) == {f"id-{number}" for number in range(4)}
 
 
+@pytest.mark.parametrize("stop_seconds", [1.0, 2.0])
+def test_short_stop_gives_up_what_its_targets_work_on_too_early(
+    tmp_path, monkeypatch, stop_seconds
+):
+    monkeypatch.setattr(host_processes, "STOP_SECONDS", stop_seconds)
+    running = run_host_processes(tmp_path, slots=16, work_seconds=5.0)
+    with running as ([host], target), ThreadPoolExecutor(1) as executor:
+        host.stopped_at = time.monotonic() + 0.5
+
+        def send():
+            _, response = host.send("early", head_at=-0.5, last_byte_at=-0.4)
+            return response, time.monotonic()
+
+        sent = executor.submit(send)
+        time.sleep(0.5)
+        host.stop()
+        host.kill_after_grace()
+        response, ended_at = sent.result()
+        waited_seconds = ended_at - host.stopped_at
+    assert (response.status, response.ran) == (504, "may-have-run")
+    assert response.find_complete_body()
+    assert stop_seconds * 5 / 6 <= waited_seconds <= stop_seconds
+
+
 def test_request_that_is_never_whole_gets_no_answer_at_the_end_of_a_stop(tmp_path):
     running = run_host_processes(tmp_path, slots=16, work_seconds=0.05)
     with running as ([host], target), ThreadPoolExecutor(1) as executor:
