Leave the end of idle tunnels to the host that opened them

Callers would see: when a relaying host is stopped, callers of the host that it relays for get an answer reset in which the target pauses for 0.3 s, and 502 for a request that begins on an open tunnel late in the stop.

Cause: the relay decided when a tunnel is idle, and it sees bytes and no requests; the cut-off host went on to use its kept tunnels. Both shown by tests without a fleet.

Change: the host that opened a tunnel ends it once idle, and begins no request on it, as soon as its view shows that the relay does not serve. It says so in a header of CONNECT; a relay waits for such tunnels up to the end of its stop. An earlier peer without the header is served as before, an earlier relay passes the header over.

Tests: relay_server_test. The old test that a stop does not wait for idle tunnels plays a peer of an earlier version now, for whom alone the relay still ends them; the new ones ask the same of both sides.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -398,7 +398,9 @@
             write_event(_logger, log_events.STOP_PLANNED, **asdict(forecast))
         drain_deadline = self._stop_plan.find_bound()
         # A tunnel is ended when it is idle, which may be only now.
-        relay_stop = threading.Thread(target=self._stop_relay, args=[drain_deadline])
+        relay_stop = threading.Thread(
+            target=self._stop_relay, args=[self._stop_plan.find_end()]
+        )
         relay_stop.start()
         if self.state == "serving":
             self._change_state("stop")
--- a/citronspan/ops/targets/idle_connections.py
+++ b/citronspan/ops/targets/idle_connections.py
@@ -26,13 +26,20 @@
 class IdleConnections:
     """Idle connections by address; safe for threads."""
 
-    def __init__(self, *, is_usable: Callable[[HTTPConnection], bool]):
+    def __init__(
+        self,
+        *,
+        is_usable: Callable[[HTTPConnection], bool],
+        is_ending: Callable[[HTTPConnection], bool],
+    ):
         """Create a pool without connections.
 
         Args:
             is_usable: Returns whether requests may now use a connection.
+            is_ending: Returns whether none may use it any more.
         """
         self._is_usable = is_usable
+        self._is_ending = is_ending
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, list[_IdleConnection]] = {}
 
@@ -55,7 +62,11 @@
         self, address: str, connection: HTTPConnection, keep_alive_seconds: float
     ) -> None:
         """Keep a connection for some time, or close it if there is no room for it."""
-        if connection.sock is None or keep_alive_seconds <= 0:
+        if (
+            connection.sock is None
+            or keep_alive_seconds <= 0
+            or self._is_ending(connection)
+        ):
             connection.close()
             return
         now = time.monotonic()
@@ -91,7 +102,9 @@
                 expired = [
                     item
                     for item in idle
-                    if now >= item.expires_at or not item.connection.is_connected
+                    if now >= item.expires_at
+                    or not item.connection.is_connected
+                    or self._is_ending(item.connection)
                 ]
                 kept = [item for item in idle if item not in expired]
                 if kept:
--- a/citronspan/ops/targets/relay_connector.py
+++ b/citronspan/ops/targets/relay_connector.py
@@ -1,4 +1,9 @@
-"""Connects to targets through peers, for a host that reaches no target itself."""
+"""Connects to targets through peers, for a host that reaches no target itself.
+
+Only this host knows which of its tunnels are idle. It ends those at a peer that stops,
+as soon as the view of the fleet says so, and begins no request on them.
+``ENDS_IDLE_HEADER`` tells the peer, which then cuts no tunnel because it is quiet.
+"""
 
 import http
 import http.client
@@ -12,6 +17,9 @@
 from citronspan.utils.addresses import split_address
 from citronspan.utils.rendezvous import compute_score
 
+ENDS_IDLE_HEADER = "Citronspan-Ends-Idle"
+"""Header of CONNECT by which a host says that it ends its idle tunnels by itself."""
+
 PEER_SKIP_SECONDS = 2.0
 """Time for which a peer that relayed nothing is not asked."""
 
@@ -21,7 +29,13 @@
 
 
 class RelayedConnection(HTTPConnection):
-    """A connection to a target through a peer."""
+    """A connection to a target through a peer.
+
+    Attributes:
+        relay_address: Relay address of the peer.
+    """
+
+    relay_address = ""
 
 
 class RelayConnector:
@@ -57,6 +71,14 @@
             for node in self._list_nodes()
         )
 
+    def is_ending(self, connection: RelayedConnection) -> bool:
+        """Return whether the peer behind a connection stops or is gone."""
+        return not any(
+            node.entry_relay_address == connection.relay_address
+            and node.entry_state == "serving"
+            for node in self._list_nodes()
+        )
+
     def connect(self, address: str, timeout_seconds: float) -> HTTPConnection:
         """Open a connection to a target through one of the peers.
 
@@ -112,11 +134,15 @@
     """
     host, port = split_address(peer)
     connection = RelayedConnection(host, port, timeout=timeout_seconds)
+    connection.relay_address = peer
+    head = (
+        f"CONNECT {address} HTTP/1.1\r\n"
+        f"Host: {address}\r\n"
+        f"{ENDS_IDLE_HEADER}: 1\r\n\r\n"
+    )
     try:
         connection.connect()
-        connection.sock.sendall(
-            f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
-        )
+        connection.sock.sendall(head.encode())
         response = http.client.HTTPResponse(connection.sock, method="CONNECT")
         response.begin()
         status = response.status
--- a/citronspan/ops/targets/relay_server.py
+++ b/citronspan/ops/targets/relay_server.py
@@ -27,6 +27,7 @@
 import urllib3.exceptions
 
 from citronspan.core import log_events
+from citronspan.ops.targets.relay_connector import ENDS_IDLE_HEADER
 from citronspan.ops.targets.target_connector import (
     CONNECT_TIMEOUT_SECONDS,
     TargetConnector,
@@ -56,7 +57,14 @@
 class _Tunnel:
     """Copies bytes between a peer and a target until either side ends."""
 
-    def __init__(self, *, peer_socket: socket.socket, target_socket: socket.socket):
+    def __init__(
+        self,
+        *,
+        peer_socket: socket.socket,
+        target_socket: socket.socket,
+        peer_ends_idle: bool,
+    ):
+        self._peer_ends_idle = peer_ends_idle
         self._peer_socket = peer_socket
         self._target_socket = target_socket
         self._awaits_answer = False
@@ -75,9 +83,14 @@
         answers.join()
 
     def is_idle(self) -> bool:
-        """Return whether no request seems to be under way."""
+        """Return whether no request seems to be under way.
+
+        A tunnel that is quiet may be in the middle of an answer. If its peer ends the
+        idle ones, it is.
+        """
         return (
-            not self._awaits_answer
+            not self._peer_ends_idle
+            and not self._awaits_answer
             and time.monotonic() - self._copied_at > QUIET_SECONDS
             and not has_unsent_bytes(self._peer_socket)
         )
@@ -167,7 +180,11 @@
         if connection is None:
             return
         try:
-            self.relay.run_tunnel(self.connection, connection.sock)
+            self.relay.run_tunnel(
+                self.connection,
+                connection.sock,
+                peer_ends_idle=self.headers.get(ENDS_IDLE_HEADER) is not None,
+            )
         finally:
             connection.close()
 
@@ -257,10 +274,25 @@
         return http.HTTPStatus.OK, connection
 
     def run_tunnel(
-        self, peer_socket: socket.socket, target_socket: socket.socket
+        self,
+        peer_socket: socket.socket,
+        target_socket: socket.socket,
+        *,
+        peer_ends_idle: bool,
     ) -> None:
-        """Copy bytes between a peer and a target until either side ends."""
-        tunnel = _Tunnel(peer_socket=peer_socket, target_socket=target_socket)
+        """Copy bytes between a peer and a target until either side ends.
+
+        Args:
+            peer_socket: Connection of the peer.
+            target_socket: Connection to the target.
+            peer_ends_idle: Whether the peer ends the tunnel once it is idle and this
+                host stops.
+        """
+        tunnel = _Tunnel(
+            peer_socket=peer_socket,
+            target_socket=target_socket,
+            peer_ends_idle=peer_ends_idle,
+        )
         with self._lock:
             self._tunnels.add(tunnel)
         try:
@@ -272,6 +304,8 @@
     def stop(self, deadline: float) -> None:
         """Accept no more tunnels, and end the open ones once they are idle.
 
+        Peers end their idle ones; those of an earlier version leave it to this host.
+
         Args:
             deadline: Time of ``time.monotonic()`` at which all are ended.
         """
--- a/citronspan/ops/targets/relay_server_test.py
+++ b/citronspan/ops/targets/relay_server_test.py
@@ -2,20 +2,26 @@
 
 import contextlib
 import http.client
+import math
 import socket
 import struct
 import subprocess
 import sys
 import threading
 import time
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
 from citronspan.core.node_messages import NodeInfo
+from citronspan.core.outcomes import OutcomeClass
+from citronspan.core.requests.attempt_deadline import AttemptDeadline
 from citronspan.ops.targets import relay_server
 from citronspan.ops.targets.relay_connector import RelayConnector, RelayError
 from citronspan.ops.targets.relay_server import RelayServer
+from citronspan.ops.targets.target_answer import AttemptFailedError
+from citronspan.ops.targets.target_connection import TargetConnections, TargetRequest
 from citronspan.ops.targets.target_connector import DirectConnector
 from citronspan.ops.targets.target_paths import TargetPaths
 from citronspan.ops.targets.target_reachability import TargetReachability
@@ -76,8 +82,9 @@
             name="h-1",
             region="r",
             data_centre="d",
-            list_nodes=lambda: [make_node("h-2", self.address)],
+            list_nodes=lambda: [make_node("h-2", self.address, self.entry_state)],
         )
+        self.entry_state = "serving"
 
     def open(self):
         """Return a connection of the peer and that of the target."""
@@ -87,6 +94,16 @@
         accepted.settimeout(TIMEOUT_SECONDS)
         return connection, accepted
 
+    def open_as_earlier_version(self):
+        """Do the same as a peer that does not end its idle tunnels."""
+        peer = socket.create_connection(split_address(self.address), TIMEOUT_SECONDS)
+        head = f"CONNECT {self.target} HTTP/1.1\r\nHost: {self.target}\r\n\r\n"
+        peer.sendall(head.encode())
+        assert peer.recv(65536).startswith(b"HTTP/1.1 200")
+        accepted, _ = self.listener.accept()
+        accepted.settimeout(TIMEOUT_SECONDS)
+        return peer, accepted
+
     def stop(self):
         started_at = time.monotonic()
         self.server.stop(started_at + STOP_SECONDS)
@@ -96,7 +113,7 @@
         self.listener.close()
 
 
-def make_node(name, relay_address):
+def make_node(name, relay_address, entry_state="serving"):
     return NodeInfo(
         name=name,
         incarnation=1,
@@ -106,7 +123,7 @@
         entry_peer_address="a:2",
         entry_callers_address="a:3",
         api_address="a:4",
-        entry_state="serving",
+        entry_state=entry_state,
         entry_relay_address=relay_address,
     )
 
@@ -307,15 +324,96 @@
     assert not stopping.is_alive()
 
 
-def test_stop_does_not_wait_for_idle_tunnels(relay):
-    connection, accepted = relay.open()
-    connection.sock.sendall(b"request")
+def test_stop_does_not_wait_for_idle_tunnels_of_an_earlier_version(relay):
+    peer, accepted = relay.open_as_earlier_version()
+    peer.sendall(b"request")
     receive(accepted, 7)
     accepted.sendall(b"answer")
-    receive(connection.sock, 6)
+    receive(peer, 6)
     assert relay.stop() < STOP_SECONDS
     with pytest.raises(ConnectionResetError):
-        connection.sock.recv(1)
+        peer.recv(1)
+
+
+def make_cut_off_connections(relay):
+    """Return the connections of a peer that reaches targets through the relay only."""
+    return TargetConnections(
+        paths=TargetPaths(
+            direct=FailingConnector(),
+            reachability=TargetReachability(count_targets=lambda: 1),
+            relay=relay.connector,
+        )
+    )
+
+
+def make_request():
+    return TargetRequest(
+        method="GET",
+        uri="/",
+        headers={"host": "h"},
+        body=SimpleNamespace(buffer=b"", length=0),
+        reuse_seconds=math.inf,
+        deadline=AttemptDeadline(request_deadline=time.monotonic() + TIMEOUT_SECONDS),
+    )
+
+
+def exchange(relay, connections):
+    """Send a request by a peer's pool and answer it; return the target's connection."""
+    accepted = []
+
+    def serve():
+        accepted.append(relay.listener.accept()[0])
+        accepted[0].recv(65536)
+        accepted[0].sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    serving = threading.Thread(target=serve)
+    serving.start()
+    answer = connections.send(relay.target, make_request(), None)
+    assert answer.read(2) == b"ok"
+    answer.finish()
+    serving.join(TIMEOUT_SECONDS)
+    return accepted[0]
+
+
+def test_peer_keeps_idle_tunnels_of_a_host_that_stops(relay):
+    """A request that began on one late in the stop would be cut at its end."""
+    connections = make_cut_off_connections(relay)
+    accepted = exchange(relay, connections)
+    connections.close_expired()
+    assert connections.list_idle_addresses() == {relay.target}
+    assert relay.server.count_tunnels() == 1
+    relay.entry_state = "draining"
+    connections.close_expired()
+    assert connections.list_idle_addresses() == set()
+    assert accepted.recv(1) == b""
+    assert relay.stop() < STOP_SECONDS
+
+
+def test_peer_begins_a_request_on_a_tunnel_of_a_host_that_stops(relay):
+    """Its view may show the stop between two looks at its idle connections."""
+    connections = make_cut_off_connections(relay)
+    accepted = exchange(relay, connections)
+    relay.entry_state = "draining"
+    with pytest.raises(AttemptFailedError) as raised:
+        connections.send(relay.target, make_request(), None)
+    assert raised.value.outcome_class is OutcomeClass.NOT_USED
+    assert accepted.recv(1) == b""
+
+
+def test_stop_cuts_an_answer_that_pauses(relay):
+    """Only its peer can tell a pause from the end of an answer."""
+    connection, accepted = relay.open()
+    connection.sock.sendall(b"request")
+    receive(accepted, 7)
+    accepted.sendall(b"ans")
+    stopping = threading.Thread(target=relay.stop)
+    stopping.start()
+    time.sleep(3 * relay_server.QUIET_SECONDS)
+    accepted.sendall(b"wer")
+    assert receive(connection.sock, 6) == b"answer"
+    connection.close()
+    stopping.join(TIMEOUT_SECONDS)
+    assert not stopping.is_alive()
 
 
 def test_stop_does_not_use_up_the_time_that_a_process_has_to_end(relay):
--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -70,7 +70,9 @@
     def __init__(self, *, id_header: str = "", paths: TargetPaths | None = None):
         self._id_header = id_header
         self._paths = paths or TargetPaths(direct=DirectConnector())
-        self._idle = IdleConnections(is_usable=self._paths.is_usable)
+        self._idle = IdleConnections(
+            is_usable=self._paths.is_usable, is_ending=self._paths.is_ending
+        )
 
     def send(
         self, address: str, request: TargetRequest, caller: CallerConnection | None
--- a/citronspan/ops/targets/target_paths.py
+++ b/citronspan/ops/targets/target_paths.py
@@ -78,10 +78,18 @@
 
     def is_usable(self, connection: HTTPConnection) -> bool:
         """Return whether an idle connection seems to lead to its target."""
+        if self.is_ending(connection):
+            return False
         if isinstance(connection, RelayedConnection) or not self._needs_relay():
             return True
         return self._reachability.has_answers
 
+    def is_ending(self, connection: HTTPConnection) -> bool:
+        """Return whether a connection leads through a peer that stops or is gone."""
+        if self._relay is None or not isinstance(connection, RelayedConnection):
+            return False
+        return self._relay.is_ending(connection)
+
     def record_answer(self, connection: HTTPConnection) -> None:
         """Record that an answer arrived over a connection."""
         if not isinstance(connection, RelayedConnection):
