Let a keeper of quotas notice a pause before it lists its seats

Cause: a keeper that notices a pause forgets its seats, and _hand_over noticed it after it had got the list of them: KeyError.

Change: the pause is noticed before the seats are listed.

Test: quota_start_test, by a view and by a stop.

--- a/citronspan/core/accounts/quota_keeper.py
+++ b/citronspan/core/accounts/quota_keeper.py
@@ -185,12 +185,14 @@
 
     def move_seats(self) -> list[Outgoing]:
         """Hand over the seats that have another keeper in the view; call at changes."""
+        self._note_call()
         return self._hand_over(
             [key for key in self._seat_by_key if not self._seats.is_keeper(*key)]
         )
 
     def stop(self) -> list[Outgoing]:
         """Lend nothing more and hand over all seats."""
+        self._note_call()
         outgoing = self._hand_over(list(self._seat_by_key))
         self._is_stopped = True
         return outgoing
@@ -207,7 +209,7 @@
                 del self._seat_by_key[key]
 
     def _hand_over(self, keys: Iterable[tuple[str, int]]) -> list[Outgoing]:
-        now = self._note_call()
+        now = time.monotonic()
         levels_by_address: dict[str, list[SeatLevel]] = {}
         for account, number in keys:
             seat = self._seat_by_key.pop((account, number))
--- a/citronspan/core/accounts/quota_start_test.py
+++ b/citronspan/core/accounts/quota_start_test.py
@@ -144,3 +144,18 @@
                 continue
             clock.tick(max(wait.until - time.monotonic(), 0.0) + 0.0005)
         assert time.monotonic() - started_at <= PATIENCE_SECONDS + 0.05
+
+
+@pytest.mark.parametrize("call", ["move_seats", "stop"])
+def test_view_that_comes_first_after_a_pause_is_an_error(call):
+    """The seats of a paused keeper are void, those that it would hand over, too."""
+    spec = AccountSpec(requests_per_second=50, burst_requests=50)
+    with freezegun.freeze_time("2026-01-01") as clock:
+        host = Host("h-0", spec)
+        host.seats.set_nodes(make_nodes({"h-0": host.incarnation}))
+        for seat in (0, 1):
+            host.keeper.ask(QuotaAsk(ask_id=1, account="shop", seat=seat, needed=1))
+        assert host.keeper.count_seats() == 2
+        clock.tick(2.1)
+        host.seats.set_nodes(make_nodes({"h-1": host.incarnation}))
+        assert getattr(host.keeper, call)() == []
