Give hosts that have met no peer no part of what the fleet divides

Cause: a host's part is that of the hosts known lately, and a started host knows only itself; a heartbeat with a few records was taken for the fleet.

The field has a default, so that an earlier agent's view reads as before.

--- a/citronspan/core/membership/membership.py
+++ b/citronspan/core/membership/membership.py
@@ -81,6 +81,8 @@
             draw=self._random,
         )
         self._next_join_at = -math.inf
+        self._asked_addresses: set[str] = set()
+        self._has_compared = False
         self._is_leaving = False
         self._own_version = 0
         self._announce_own_record()
@@ -140,6 +142,14 @@
         """Number that grows with each change of the view; offsets are not counted."""
         return self._own_version + self._members.version
 
+    @property
+    def awaits_peers(self) -> bool:
+        """Whether there are peers to meet and none has told its whole view yet.
+
+        Heartbeats of a peer that knows this node from before tell only some records.
+        """
+        return bool(self._seeds) and not self._has_compared
+
     def live_nodes(self) -> tuple[NodeInfo, ...]:
         """Return this node and the live members that it can reach, sorted by name."""
         nodes = [m.make_node() for m in self._members.list_live() if not m.unreachable]
@@ -189,8 +199,10 @@
             self._next_probe_at = now + HEARTBEAT_INTERVAL_SECONDS
             outgoing += self._begin_probe(now)
         outgoing += self._retry_departed(now)
-        outgoing += self._comparison.ask_if_due(self._own.region, now)
-        return outgoing
+        questions = self._comparison.ask_if_due(self._own.region, now)
+        if not self._has_compared:
+            self._asked_addresses.update(question.to for question in questions)
+        return outgoing + questions
 
     def _announce_own_record(self):
         self._revision += 1
@@ -241,8 +253,21 @@
 
     def _handle_sync(self, sender, sync, now):
         self._merge_synced_records(sender, sync, now)
+        if not sync.wants_answer and sender in self._asked_addresses:
+            self._note_comparison()
         return self._comparison.answer(sender, sync)
 
+    def _note_comparison(self):
+        self._has_compared = True
+        self._asked_addresses.clear()
+        self._own_version += 1
+
+    def _ask(self, address):
+        """Return a question for all records of a peer."""
+        if not self._has_compared:
+            self._asked_addresses.add(address)
+        return self._comparison.make_question(address)
+
     def _make_farewell(self, to):
         message = MemberSync(records=(self._make_own_record(),))
         return Outgoing(to=to, message=message)
@@ -303,7 +328,7 @@
         self._next_join_at = now + JOIN_RETRY_INTERVAL_SECONDS
         if not self._seeds:
             return []
-        return [self._comparison.make_question(self._random.choice(self._seeds))]
+        return [self._ask(self._random.choice(self._seeds))]
 
     def _make_ping(self, to, sequence, name):
         records = self._take_gossip_records()
@@ -393,8 +418,7 @@
         candidates = sorted(addresses - live)
         if not candidates:
             return []
-        to = self._random.choice(candidates)
-        return [self._comparison.make_question(to)]
+        return [self._ask(self._random.choice(candidates))]
 
     def _next_sequence(self):
         self._sequence += 1
--- a/citronspan/core/membership/membership_test.py
+++ b/citronspan/core/membership/membership_test.py
@@ -269,3 +269,30 @@
         )
         # Each member has to hear of each other one once.
         assert sent_bytes < 4 * members * members * record_bytes
+
+
+def test_started_member_takes_the_first_records_for_the_whole_view():
+    """Heartbeats and announcements tell a few records; an answer tells all."""
+    with freeze_time("2026-01-01") as clock:
+        network = Network(clock, 5)
+        network.run(SETTLE_SECONDS)
+        own = make_node("n4", incarnation=2)
+        started = Membership(own=own, seeds=("n0", "n1"), seed=9)
+        assert started.awaits_peers
+        questions = started.tick()
+        announcement = network.member_by_name["n2"].announce_to_region()[0]
+        started.handle("n2", announcement.message)
+        assert len(started.live_nodes()) == 2
+        assert started.awaits_peers
+        version = started.version
+        for item in questions:
+            answers = network.member_by_name[item.to].handle("n4", item.message)
+            for answer in answers:
+                started.handle(item.to, answer.message)
+        assert not started.awaits_peers
+        assert started.version > version
+        assert len(started.live_nodes()) == 5
+
+
+def test_member_without_seeds_waits_for_peers():
+    assert not Membership(own=make_node("n0"), seeds=("n0",)).awaits_peers
--- a/citronspan/core/node_messages.py
+++ b/citronspan/core/node_messages.py
@@ -86,11 +86,14 @@
         sequence: Sequence number, which grows with each view of this agent.
         nodes: Live nodes, on which the choice of a target may depend.
         leaving_targets: Addresses of targets that the host list shows as leaving.
+        awaits_peers: Whether the agent has peers to meet, none of which has told it
+            its whole view yet, so that the fleet may have any number of other nodes.
     """
 
     sequence: int
     nodes: tuple[NodeInfo, ...]
     leaving_targets: tuple[str, ...] = ()
+    awaits_peers: bool = False
 
 
 class TargetReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/citronspan/ops/agent.py
+++ b/citronspan/ops/agent.py
@@ -296,7 +296,12 @@
             nodes = self.view.live_nodes()
             self.active_config.tick(nodes)
             self.lag.retain_peers({node.agent_peer_address for node in nodes})
-            self.feed.push_view(self.view.version, nodes, self.source.leaving_targets)
+            self.feed.push_view(
+                self.view.version,
+                nodes,
+                self.source.leaving_targets,
+                awaits_peers=self.view.awaits_peers,
+            )
             if not self.active_config.ready:
                 self.source.check_startup_gate(nodes)
 
--- a/citronspan/ops/agent_entry.py
+++ b/citronspan/ops/agent_entry.py
@@ -114,6 +114,8 @@
         version: int,
         nodes: tuple[NodeInfo, ...],
         leaving_targets: tuple[str, ...],
+        *,
+        awaits_peers: bool,
     ) -> None:
         """Send the view if it changed, and otherwise at a fixed interval.
 
@@ -121,6 +123,7 @@
             version: Version of the view.
             nodes: The live nodes.
             leaving_targets: Addresses that the host list shows as leaving.
+            awaits_peers: See ``ViewPush``.
         """
         now = time.monotonic()
         view = SentView(version=version, leaving_targets=leaving_targets)
@@ -128,7 +131,10 @@
             return
         self._view_sequence += 1
         message = ViewPush(
-            sequence=self._view_sequence, nodes=nodes, leaving_targets=leaving_targets
+            sequence=self._view_sequence,
+            nodes=nodes,
+            leaving_targets=leaving_targets,
+            awaits_peers=awaits_peers,
         )
         if not self._link.send(self._address, message):
             return
--- a/citronspan/ops/callers/quota_service.py
+++ b/citronspan/ops/callers/quota_service.py
@@ -130,10 +130,12 @@
             answer = self._keeper.ask(message)
         self._link.send(sender, answer)
 
-    def set_nodes(self, nodes: Iterable[NodeInfo]) -> None:
-        """Replace the view of the fleet."""
+    def set_nodes(
+        self, nodes: Iterable[NodeInfo], *, awaits_peers: bool = False
+    ) -> None:
+        """Replace the view of the fleet; see ``ViewPush``."""
         with self._lock:
-            has_changed = self._seats.set_nodes(nodes)
+            has_changed = self._seats.set_nodes(nodes, awaits_peers=awaits_peers)
             outgoing = self._keeper.move_seats() if has_changed else []
         self._link.send_all(outgoing)
 
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -325,7 +325,7 @@
         has_leaving_changed = view.leaving_targets != self.view.leaving_targets
         self.view = view
         self.slots.set_nodes(view.nodes)
-        self.quotas.set_nodes(view.nodes)
+        self.quotas.set_nodes(view.nodes, awaits_peers=view.awaits_peers)
         self._connect_to_brokers()
         if has_leaving_changed:
             self._update_services()
--- a/citronspan/ops/peers/agent_view.py
+++ b/citronspan/ops/peers/agent_view.py
@@ -33,6 +33,11 @@
         """Number that grows with each change of the view other than of an offset."""
         return self._membership.version
 
+    @property
+    def awaits_peers(self) -> bool:
+        """Whether there are peers to meet and none has told its whole view yet."""
+        return self._membership.awaits_peers
+
     def update_own(self, **changes) -> None:
         """Change fields of the information about this node."""
         with self._lock:
