Divide what brokers of a parted fleet share by the hosts known lately

Change: BrokerTable knows the hosts that served lately. A broker has the part of its region's known hosts that it sees, and what is divided is divided by the known ones; limits of accounts that entries keep by themselves, too. A host that has met no peer has no part.

Tests: retry_window_fleet_test, rate_limit_fleet_test, link_budget_fleet_test, shards_test.

--- a/citronspan/core/brokering/broker_set.py
+++ b/citronspan/core/brokering/broker_set.py
@@ -26,6 +26,7 @@
     NEW_BROKER_SECONDS,
     RateShare,
     divide_fallback_share,
+    limit_to_part,
 )
 from citronspan.core.brokering.retry_window import RetryWindow
 from citronspan.core.brokering.shards import BrokerTable, Shard, ShardKey, form_shards
@@ -167,17 +168,20 @@
         self._spec_by_service.pop(service, None)
         return self._update_broker_targets(service)
 
-    def set_nodes(self, nodes: Iterable[NodeInfo]) -> list[Outgoing]:
+    def set_nodes(
+        self, nodes: Iterable[NodeInfo], *, awaits_peers: bool = False
+    ) -> list[Outgoing]:
         """Apply a new view of the fleet.
 
         Args:
             nodes: All live nodes, this one included.
+            awaits_peers: Whether this node has peers to meet and has met none yet.
 
         Returns:
             Handovers of shards that now have another broker, and redirects for their
             queued requests.
         """
-        self.table.set_nodes(nodes)
+        self.table.set_nodes(nodes, awaits_peers=awaits_peers)
         outgoing = []
         for key, broker in self._broker_by_key.items():
             address = self.table.find_address(key)
@@ -279,10 +283,12 @@
     def _find_rate_share(self, key) -> RateShare:
         assigned_at = self._assigned_at_by_key.get(key)
         if assigned_at is None:
-            return divide_fallback_share(self.table.count_nodes(key.region))
-        if time.monotonic() - assigned_at < NEW_BROKER_SECONDS:
-            return NEW_BROKER_RATE_SHARE
-        return FULL_RATE_SHARE
+            return divide_fallback_share(self.table.count_known(key.region))
+        is_new = time.monotonic() - assigned_at < NEW_BROKER_SECONDS
+        return limit_to_part(
+            NEW_BROKER_RATE_SHARE if is_new else FULL_RATE_SHARE,
+            self.table.compute_share(key.region),
+        )
 
     def _find_hedge_limits(self, service) -> HedgeLimits:
         spec = self._spec_by_service.get(service)
@@ -322,7 +328,8 @@
             ratio=spec.retry_ratio,
             slack=spec.retry_slack / max(shard_count, 1),
             window_seconds=spec.retry_window_seconds,
-            count_possible_brokers=lambda: self.table.count_nodes(key.region),
+            count_possible_brokers=lambda: self.table.count_known(key.region),
+            find_fleet_share=lambda: self.table.compute_share(key.region),
         )
 
     def _remove_shards(self, service):
--- a/citronspan/core/brokering/link_budget_fleet_test.py
+++ b/citronspan/core/brokering/link_budget_fleet_test.py
@@ -3,6 +3,7 @@
 import time
 
 import freezegun
+import pytest
 from hypothesis import Phase, given, settings, strategies as st
 
 from citronspan.core.brokering.broker_messages import SlotGrant
@@ -32,6 +33,12 @@
 LARGEST_SHARE = 1.0 + NEW_BROKER_RATE_SHARE.share + FALLBACK_SHARE
 
 
+def make_broker_set(host):
+    brokers = BrokerSet(address=f"{host}:2", make_health=lambda key, spec: FakeHealth())
+    brokers.set_service("shop", SPEC, [make_target("a", slots=50)])
+    return brokers
+
+
 class BrokerFleet:
     """Broker sets of the entries that are the broker at some time."""
 
@@ -46,10 +53,7 @@
         self.set_live_hosts(HOSTS)
 
     def restart(self, host):
-        brokers = BrokerSet(
-            address=f"{host}:2", make_health=lambda key, spec: FakeHealth()
-        )
-        brokers.set_service("shop", SPEC, [make_target("a", slots=50)])
+        brokers = make_broker_set(host)
         brokers.set_nodes([make_node(name) for name in self._live_hosts])
         self._brokers_by_host[host] = brokers
 
@@ -59,13 +63,21 @@
         for brokers in self._brokers_by_host.values():
             brokers.set_nodes(nodes)
 
-    def run(self, seconds, *, force_at=None):
+    def part(self, *, has_started):
+        """Let all hosts see nobody but themselves, at will after a start."""
+        for host in FIRST_BROKERS:
+            if has_started:
+                self._brokers_by_host[host] = make_broker_set(host)
+            brokers = self._brokers_by_host[host]
+            brokers.set_nodes([make_node(host)], awaits_peers=has_started)
+
+    def run(self, seconds, *, force_at=None, is_forced=True):
         """Ask for more than the budget holds, and give the slots back."""
         end = time.monotonic() + seconds
         broker = force_at or self.find_broker()
         while time.monotonic() < end:
             for _ in range(REQUESTS_AT_ONCE):
-                self._request_slot(broker, force=bool(force_at))
+                self._request_slot(broker, force=bool(force_at) and is_forced)
             self._clock.tick(REQUEST_INTERVAL_SECONDS)
 
     def find_broker(self):
@@ -146,3 +158,16 @@
                 fleet.set_live_hosts(HOSTS)
             fleet.run(seconds, force_at=fallback if kind == "fallback" else None)
         fleet.check_budget()
+
+
+@pytest.mark.parametrize("has_started", [False, True])
+def test_hosts_that_see_only_themselves_exceed_the_budget(has_started):
+    """Each is its own broker, any number of them at the same time."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = BrokerFleet(clock)
+        fleet.run(1.0)
+        fleet.part(has_started=has_started)
+        for _ in range(40):
+            for host in FIRST_BROKERS:
+                fleet.run(REQUEST_INTERVAL_SECONDS, force_at=host, is_forced=False)
+        fleet.check_budget()
--- a/citronspan/core/brokering/rate_pacer.py
+++ b/citronspan/core/brokering/rate_pacer.py
@@ -3,7 +3,7 @@
 The limit of a target is one for the whole fleet, and whoever chooses targets keeps its
 share of it without asking the others: the broker of the shard, a fallback broker, and
 an entry that chooses without a broker. The shares are such that the sum stays bounded
-also while brokers change and several holders choose at once.
+also while brokers change and several holders choose at once, however many they are.
 """
 
 from dataclasses import dataclass
@@ -50,6 +50,23 @@
 """Share of all fallback brokers, and of all entries that choose without a broker."""
 
 
+MAJORITY_SHARE = 0.5
+"""Part of the hosts beyond which no other part can be."""
+
+
+def limit_to_part(rate_share: RateShare, part: float) -> RateShare:
+    """Return a broker's share in a part of a parted fleet.
+
+    Args:
+        rate_share: Its share if it sees all hosts.
+        part: Part of the hosts that it sees, 0 to 1.
+    """
+    return RateShare(
+        share=rate_share.share * part,
+        is_divided=rate_share.is_divided or part <= MAJORITY_SHARE,
+    )
+
+
 def divide_fallback_share(holder_count: int) -> RateShare:
     """Return the share of one of the holders that may choose besides the broker."""
     return RateShare(share=FALLBACK_SHARE / max(holder_count, 1), is_divided=True)
--- a/citronspan/core/brokering/retry_window.py
+++ b/citronspan/core/brokering/retry_window.py
@@ -5,7 +5,8 @@
 broker has its share of the slack. A new broker does not know what its predecessor
 granted, so until it has been the broker for a whole window its slack is divided by the
 number of possible brokers. The same applies to requests that it serves as a fallback
-broker, because several may serve a shard at once.
+broker, because several may serve a shard at once. The parts of a parted fleet divide
+the slack by the hosts that each of them sees.
 
 A retry whose slot is given back unused is taken out of the bucket that counted it. All
 retries that reach a target in a window were counted together at the grant of the last
@@ -43,6 +44,7 @@
         slack: float,
         window_seconds: float,
         count_possible_brokers: Callable[[], int],
+        find_fleet_share: Callable[[], float] = lambda: 1.0,
     ):
         """Start with empty counts.
 
@@ -52,10 +54,12 @@
             window_seconds: Length of the window in seconds.
             count_possible_brokers: Returns the number of entries that may now become
                 the shard's broker.
+            find_fleet_share: Returns the part of them that this broker sees.
         """
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
         self._count_possible_brokers = count_possible_brokers
+        self._find_fleet_share = find_fleet_share
         self._window_seconds = window_seconds
         self._full_slack_from = time.monotonic() + window_seconds
         self._buckets: deque[list[float]] = deque()
@@ -76,9 +80,11 @@
         self._get_current_bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
         retries = sum(bucket[2] for bucket in self._buckets)
-        slack = self._slack
-        if is_fallback or time.monotonic() < self._full_slack_from:
-            slack /= max(self._count_possible_brokers(), 1)
+        share = self._find_fleet_share()
+        now = time.monotonic()
+        if is_fallback or now < self._full_slack_from:
+            share = min(share, 1 / max(self._count_possible_brokers(), 1))
+        slack = self._slack * share
         return retries + 1 <= self._ratio * requests + slack
 
     def count_retry(self) -> int:
--- a/citronspan/core/brokering/retry_window_fleet_test.py
+++ b/citronspan/core/brokering/retry_window_fleet_test.py
@@ -62,24 +62,49 @@
         for brokers in self._brokers_by_host.values():
             brokers.set_nodes([make_node(host) for host in hosts])
 
+    def part(self, hosts=HOSTS):
+        """Let some hosts see nobody but themselves."""
+        for host in hosts:
+            self._brokers_by_host[host].set_nodes([make_node(host)])
+
+    def start_apart(self):
+        """Start all hosts, none of which has met another one yet."""
+        for host in HOSTS:
+            self._brokers_by_host[host] = make_broker_set(host)
+            self._brokers_by_host[host].set_nodes([make_node(host)], awaits_peers=True)
+
     def restart(self, host):
         self._brokers_by_host[host] = make_broker_set(host)
         self.set_live_hosts(self._live_hosts)
 
+    def run_apart(self, seconds, hosts=HOSTS):
+        """Send requests and retries at each host, which is its own broker."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for host in hosts:
+                self._serve(host, force=False)
+            self._advance()
+
     def run(self, seconds, *, force_at=None):
         """Send requests and retries to the broker, or to a fallback broker."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             host = force_at or rank_members(self._live_hosts, KEY.format())[0]
-            self.requested_at.append(time.monotonic())
-            self._request_slot(host, force=bool(force_at), is_retry=False)
-            for _ in range(self.unused_count):
-                self._give_back_slot(host, force=bool(force_at))
-            if self._retry(host, force=bool(force_at)):
-                self.retried_at.append(time.monotonic())
-            self._clock.tick(REQUEST_INTERVAL_SECONDS)
-            for brokers in self._brokers_by_host.values():
-                brokers.advance()
+            self._serve(host, force=bool(force_at))
+            self._advance()
+
+    def _serve(self, host, *, force):
+        self.requested_at.append(time.monotonic())
+        self._request_slot(host, force=force, is_retry=False)
+        for _ in range(self.unused_count):
+            self._give_back_slot(host, force=force)
+        if self._retry(host, force=force):
+            self.retried_at.append(time.monotonic())
+
+    def _advance(self):
+        self._clock.tick(REQUEST_INTERVAL_SECONDS)
+        for brokers in self._brokers_by_host.values():
+            brokers.advance()
 
     def _retry(self, host, *, force):
         if not self.is_impatient:
@@ -238,3 +263,24 @@
         before = len(fleet.retried_at)
         fleet.run(1.0)
         assert len(fleet.retried_at) - before > RETRY_RATIO * 10
+
+
+@pytest.mark.parametrize("parted", [2, 3, 6])
+def test_hosts_that_see_only_themselves_exceed_the_retries(parted):
+    """Each is its own broker, any number of them at the same time."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = BrokerFleet(clock)
+        fleet.run(WINDOW_SECONDS + 1.0)
+        hosts = HOSTS[:parted]
+        fleet.part(hosts)
+        fleet.run_apart(2.5 * WINDOW_SECONDS, hosts)
+        fleet.check_budget()
+
+
+def test_hosts_that_start_apart_exceed_the_retries():
+    with freezegun.freeze_time("2026-01-01") as clock:
+        fleet = BrokerFleet(clock)
+        fleet.run(WINDOW_SECONDS + 1.0)
+        fleet.start_apart()
+        fleet.run_apart(2.5 * WINDOW_SECONDS)
+        fleet.check_budget()
--- a/citronspan/core/brokering/shards.py
+++ b/citronspan/core/brokering/shards.py
@@ -12,6 +12,7 @@
 from functools import lru_cache
 
 from citronspan.core.detection.health import TargetInfo
+from citronspan.core.known_hosts import ALL_REGIONS, KnownHosts
 from citronspan.core.node_messages import NodeInfo
 from citronspan.utils.rendezvous import choose_member, compute_score, rank_members
 
@@ -180,17 +181,23 @@
         self._broker_by_key: dict[ShardKey, str] = {}
         self._successors_by_key: dict[ShardKey, tuple[str, ...]] = {}
         self._addresses: frozenset[str] = frozenset()
+        self._known = KnownHosts()
 
     def has_address(self, address: str) -> bool:
         """Return whether a serving entry has this peer address."""
         return address in self._addresses
 
-    def set_nodes(self, nodes: Iterable[NodeInfo]) -> None:
+    def set_nodes(
+        self, nodes: Iterable[NodeInfo], *, awaits_peers: bool = False
+    ) -> None:
         """Replace the view of the fleet.
 
         Args:
             nodes: All live nodes. Nodes whose entry is not serving are skipped.
+            awaits_peers: Whether this node has peers to meet and has met none yet.
         """
+        nodes = list(nodes)
+        self._known.set_nodes(nodes, awaits_peers=awaits_peers)
         serving = {node.name: node for node in nodes if node.entry_state == "serving"}
         previous = self._node_by_name
         self._node_by_name = serving
@@ -224,6 +231,18 @@
         """Return the number of nodes of a region whose entry is serving."""
         return len(self._names_by_region.get(region, ()))
 
+    def count_known(self, region: str | None = ALL_REGIONS) -> int:
+        """Return the number of nodes of a region that served lately, 1 at least."""
+        return self._known.count(region)
+
+    def compute_share(self, region: str) -> float:
+        """Return the part of a region's nodes known lately that the view shows.
+
+        It is what a broker may use of anything that the brokers of all parts of a
+        parted fleet share. It is 0 while this node does not know its fleet.
+        """
+        return self._known.compute_share(region)
+
     def find_broker(self, key: ShardKey) -> NodeInfo | None:
         """Return the node whose entry is the broker of a shard, or None."""
         name = self._broker_by_key.get(key)
--- a/citronspan/core/brokering/shards_test.py
+++ b/citronspan/core/brokering/shards_test.py
@@ -92,3 +92,13 @@
     free_by_key = {shards[0].key: 0}
     chosen = [choose_shard(shards, free_by_key, draw).key.number for _ in range(200)]
     assert chosen.count(1) > chosen.count(0) > 0
+
+
+def test_table_forgets_the_hosts_that_just_left_its_view():
+    """What is divided among hosts would be whole at each that sees only itself."""
+    table = BrokerTable()
+    names = [f"n-{number}" for number in range(4)]
+    table.set_nodes([make_node(name, region="r") for name in names])
+    table.set_nodes([make_node("n-0", region="r")])
+    assert (table.count_known(), table.count_known("r")) == (4, 4)
+    assert table.compute_share("r") == 1 / 4
--- a/citronspan/core/requests/account_limits.py
+++ b/citronspan/core/requests/account_limits.py
@@ -2,7 +2,8 @@
 
 An entry admits requests up to its share of an account's rate without coordination
 with other entries. The shares are overcommitted because callers spread unevenly over
-entries, so the whole fleet can admit up to ``OVERCOMMIT_FACTOR`` times the rate.
+entries, so the whole fleet can admit up to ``OVERCOMMIT_FACTOR`` times the rate. It is
+divided among the entries that served lately, also those that an entry sees no more.
 """
 
 from citronspan.core.resources import AccountSpec
@@ -25,7 +26,7 @@
         Args:
             name: Name of the account.
             spec: Specification of the account.
-            entries: Number of live entries.
+            entries: Number of entries that served lately.
 
         Returns:
             0 if the request is admitted, else the seconds until it can be.
--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -233,7 +233,7 @@
         return RequestHandler(
             name=self.settings.place.name,
             find_configuration=lambda: self.configuration,
-            count_entries=lambda: max(len(self.view.nodes), 1),
+            count_entries=self.slots.count_known_entries,
             slots=self.slots,
             keys=self.keys,
             connections=self._connections,
@@ -324,7 +324,7 @@
         # agent counts from the start again. One ordered connection carries all views.
         has_leaving_changed = view.leaving_targets != self.view.leaving_targets
         self.view = view
-        self.slots.set_nodes(view.nodes)
+        self.slots.set_nodes(view.nodes, awaits_peers=view.awaits_peers)
         self.quotas.set_nodes(view.nodes, awaits_peers=view.awaits_peers)
         self._connect_to_brokers()
         if has_leaving_changed:
--- a/citronspan/ops/slots/rate_limit_fleet_test.py
+++ b/citronspan/ops/slots/rate_limit_fleet_test.py
@@ -165,6 +165,13 @@
         self._down.add(node.entry_peer_address)
         self._spread_view(seconds=4.0)
 
+    def part(self):
+        """Cut all hosts off from each other, and let them find that out."""
+        self.cut(share=1.0)
+        for node in self.nodes:
+            at = time.monotonic() + self.draw.uniform(0.0, 4.0)
+            self._views.append((at, node.entry_peer_address, (node,)))
+
     def restart(self, node):
         """Start a host again; the others learn of it one after another."""
         self._down.discard(node.entry_peer_address)
@@ -380,6 +387,15 @@
     fleet.check_limits()
 
 
+@pytest.mark.parametrize("limit", [1.0, 2.3, 8.0])
+def test_hosts_that_see_only_themselves_exceed_a_limit(clock, limit):
+    """Each is its own broker, any number of them at the same time."""
+    fleet = start_limited(clock, limit)
+    fleet.part()
+    fleet.run(16.0)
+    fleet.check_limits()
+
+
 def test_retries_do_not_exceed_a_limit(clock):
     fleet = start_limited(clock, 1.0)
     for name in list(fleet.targets)[2:6]:
--- a/citronspan/ops/slots/region_slots.py
+++ b/citronspan/ops/slots/region_slots.py
@@ -339,7 +339,7 @@
             spec = self._find_spec(query.service)
             if query.is_retry and spec.retry_window_seconds:
                 return make_slot_refused(result_codes.RETRIES_SPENT)
-            entry_count = self._brokers.table.count_nodes(shard.key.region)
+            entry_count = self._brokers.table.count_known(shard.key.region)
             target = self._local_chooser.choose(
                 shard,
                 spec.floor,
--- a/citronspan/ops/slots/slot_service.py
+++ b/citronspan/ops/slots/slot_service.py
@@ -288,10 +288,17 @@
         self._send_all(outgoing)
         log_decisions(decisions)
 
-    def set_nodes(self, nodes: tuple[NodeInfo, ...]) -> None:
-        """Apply a new view and hand over each shard that has another broker now."""
+    def set_nodes(
+        self, nodes: tuple[NodeInfo, ...], *, awaits_peers: bool = False
+    ) -> None:
+        """Apply a new view and hand over each shard that has another broker now.
+
+        Args:
+            nodes: All live nodes.
+            awaits_peers: See ``ViewPush``.
+        """
         with self._lock:
-            outgoing = self.brokers.set_nodes(nodes)
+            outgoing = self.brokers.set_nodes(nodes, awaits_peers=awaits_peers)
             outgoing += self.health_gossip.set_nodes(nodes)
         self._send_all(outgoing)
 
@@ -341,6 +348,11 @@
         with self._lock:
             return bool(self.brokers.table.list_nodes())
 
+    def count_known_entries(self) -> int:
+        """Return the number of entries that served lately, 1 at least."""
+        with self._lock:
+            return self.brokers.table.count_known()
+
     def list_broker_addresses(self) -> frozenset[str]:
         """Return the peer addresses of the brokers of all shards, in all regions."""
         with self._lock:
