Bound the answers of the store, the log, the host list and the API

Cause here: readers of targets were bounded, readers of the store, the log service, the host list and an agent's API had a time for each wait and no size. The standard library bounds neither interim answers nor trailers nor bodies and reserves a declared length at once.

Change: utils/bounded_http.py bounds the head, the body with its framing and the time of an answer as a whole; what exceeds a bound is an error like a broken connection. The newest records of the store end after 200 pages or 48 MB, or with a page that repeats the one before.

Tests: endless_store_test (seven readers, eight kinds of answers, memory measured), bounded_http_test.

--- a/citronspan/ops/operators/api_client.py
+++ b/citronspan/ops/operators/api_client.py
@@ -1,6 +1,8 @@
 """Client of the resource API for operators' tools."""
 
+import contextlib
 import getpass
+import math
 import secrets
 from collections.abc import Iterator
 from urllib.parse import quote
@@ -21,12 +23,19 @@
     ResourceAnswer,
     WatchLine,
 )
+from citronspan.utils.bounded_http import AnswerBounds, BoundedHttpClient
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 # Longer than an agent takes to determine the outcome of an append without an answer.
 ANSWER_TIMEOUT_SECONDS = 20.0
 # Longer than the interval at which an agent writes a line to an idle watch.
 WATCH_IDLE_TIMEOUT_SECONDS = 30.0
+ANSWER_BOUNDS = AnswerBounds(body_bytes=64 << 20, seconds=60.0)
+WATCH_BOUNDS = AnswerBounds(body_bytes=128 << 20, seconds=math.inf)
+"""A watch goes on until one side ends it: some months of changes."""
+
+MAXIMUM_WATCH_LINE_BYTES = 4 << 20
+WATCH_READ_BYTES = 4096
 
 
 class ApiClient:
@@ -34,7 +43,7 @@
 
     def __init__(self, *, address: str):
         self._address = address
-        self._pool = urllib3.PoolManager(retries=False)
+        self._client = BoundedHttpClient(bounds=ANSWER_BOUNDS, connections=1)
         self._timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_SECONDS, read=ANSWER_TIMEOUT_SECONDS
         )
@@ -84,16 +93,30 @@
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_SECONDS, read=WATCH_IDLE_TIMEOUT_SECONDS
         )
-        answer = self._send(
-            "GET", f"/watch?from={version}", preload_content=False, timeout=timeout
-        )
-        if answer.status != 200:
-            _raise_answered_error(answer.read())
-        pending = b""
-        for chunk in answer.stream(4096):
-            *lines, pending = (pending + chunk).split(b"\n")
-            for line in lines:
+        client = BoundedHttpClient(bounds=WATCH_BOUNDS, connections=1)
+        with self._name_errors():
+            answer = client.open(
+                "GET", self._make_url(f"/watch?from={version}"), timeout=timeout
+            )
+        try:
+            if answer.status != 200:
+                _raise_answered_error(answer.read1(MAXIMUM_WATCH_LINE_BYTES))
+            for line in self._read_lines(answer):
                 yield msgspec.json.decode(line, type=WatchLine)
+        finally:
+            answer.close()
+
+    def _read_lines(self, answer) -> Iterator[bytes]:
+        pending = b""
+        while True:
+            with self._name_errors():
+                part = answer.read1(WATCH_READ_BYTES, decode_content=False)
+            if not part:
+                return
+            *lines, pending = (pending + part).split(b"\n")
+            if len(pending) > MAXIMUM_WATCH_LINE_BYTES:
+                raise self._make_error("a line of the watch is too long")
+            yield from lines
 
     def _change(self, method, path, version, body=b""):
         headers = {
@@ -112,14 +135,23 @@
         return answer.data
 
     def _send(self, method, path, **arguments):
+        with self._name_errors():
+            return self._client.request(method, self._make_url(path), **arguments)
+
+    def _make_url(self, path) -> str:
+        return f"http://{self._address}{path}"
+
+    @contextlib.contextmanager
+    def _name_errors(self):
         try:
-            return self._pool.request(
-                method, f"http://{self._address}{path}", **arguments
-            )
+            yield
         except urllib3.exceptions.HTTPError as error:
-            raise CitronspanError(
-                code=result_codes.API_UNREACHABLE, detail=f"{self._address}: {error}"
-            ) from error
+            raise self._make_error(str(error)) from error
+
+    def _make_error(self, detail) -> CitronspanError:
+        return CitronspanError(
+            code=result_codes.API_UNREACHABLE, detail=f"{self._address}: {detail}"
+        )
 
 
 def find_version(client: ApiClient, kind: str, name: str) -> int:
--- a/citronspan/ops/spoiled_input_test.py
+++ b/citronspan/ops/spoiled_input_test.py
@@ -236,7 +236,7 @@
         data = spoil(NEWEST if is_newest else PAGE, changes)
         answer = SimpleNamespace(status=200, data=data, headers={})
         client = StoreClient(address="127.0.0.1:1")
-        client._pool = SimpleNamespace(request=lambda *args, **options: answer)
+        client._client = SimpleNamespace(request=lambda *args, **options: answer)
         try:
             if is_newest:
                 client.read_newest("keyed.t")
@@ -286,7 +286,7 @@
         data = NEWEST if is_newest else PAGE
         answer = SimpleNamespace(status=200, data=data, headers={"Store-Era": era})
         client = StoreClient(address="127.0.0.1:1")
-        client._pool = SimpleNamespace(request=lambda *args, **options: answer)
+        client._client = SimpleNamespace(request=lambda *args, **options: answer)
         try:
             if is_newest:
                 page = client.read_newest("keyed.t")
@@ -308,7 +308,7 @@
     data = b'{"items": [%s], "hasMore": false, "endOffset": %s}' % (items, end.encode())
     answer = SimpleNamespace(status=200, data=data, headers={})
     client = StoreClient(address="127.0.0.1:1")
-    client._pool = SimpleNamespace(request=lambda *args, **options: answer)
+    client._client = SimpleNamespace(request=lambda *args, **options: answer)
     try:
         page = client.read_newest("keyed.t")
     except StoreUnavailableError:
@@ -326,7 +326,7 @@
         data = spoil(LOG_PAGE, changes)
         answer = SimpleNamespace(status=status, data=data)
         log = HttpLogStore(url="http://127.0.0.1:1")
-        log._pool = SimpleNamespace(request=lambda *args, **options: answer)
+        log._client = SimpleNamespace(request=lambda *args, **options: answer)
         for call in (lambda: log.read(0), lambda: log.append(b"a")):
             with contextlib.suppress(LogUnavailableError, LogTruncatedError):
                 call()
@@ -344,7 +344,7 @@
     data = spoil(HOSTS, changes)
     answer = SimpleNamespace(status=status, data=data)
     reader = HostListReader(url="http://127.0.0.1:1")
-    reader._http = SimpleNamespace(request=lambda *args, **options: answer)
+    reader._client = SimpleNamespace(request=lambda *args, **options: answer)
     reader.poll()
     assert reader.failures or status == 200
 
--- a/citronspan/ops/store/host_list.py
+++ b/citronspan/ops/store/host_list.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from citronspan.core import log_events
+from citronspan.utils.bounded_http import AnswerBounds, BoundedHttpClient
 from citronspan.utils.logs import write_event
 from citronspan.utils.validation import DECODING_ERRORS
 
@@ -20,6 +21,7 @@
 # limit the load on the list service.
 NODES_AT_FULL_RATE = 40
 REQUEST_TIMEOUT_SECONDS = 1.0
+ANSWER_BOUNDS = AnswerBounds(body_bytes=4 << 20, seconds=2.0)
 
 _logger = logbook.Logger("hosts")
 
@@ -63,7 +65,7 @@
 
     def __init__(self, *, url: str):
         self._url = url
-        self._http = urllib3.PoolManager(maxsize=1)
+        self._client = BoundedHttpClient(bounds=ANSWER_BOUNDS, connections=1)
         self._stopped = threading.Event()
         self.leaving_targets: tuple[str, ...] = ()
         self.failures = 0
@@ -86,8 +88,8 @@
     def poll(self) -> None:
         """Read the list once and keep the last answer if that fails."""
         try:
-            answer = self._http.request(
-                "GET", self._url, timeout=REQUEST_TIMEOUT_SECONDS, retries=False
+            answer = self._client.request(
+                "GET", self._url, timeout=REQUEST_TIMEOUT_SECONDS
             )
             listed = msgspec.json.decode(answer.data, type=HostListAnswer)
         except (urllib3.exceptions.HTTPError, OSError, *DECODING_ERRORS) as error:
--- a/citronspan/ops/store/log_client.py
+++ b/citronspan/ops/store/log_client.py
@@ -13,11 +13,14 @@
 import urllib3
 
 from citronspan.core.configuration.config_record import LogRecord
+from citronspan.utils.bounded_http import AnswerBounds, BoundedHttpClient
 from citronspan.utils.validation import DECODING_ERRORS
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 ANSWER_TIMEOUT_SECONDS = 3.0
 READ_LIMIT_RECORDS = 500
+ANSWER_BOUNDS = AnswerBounds(body_bytes=72 << 20, seconds=20.0)
+"""A page of nothing but parts of snapshots has 64 MB in base64."""
 
 
 class LogUnavailableError(Exception):
@@ -114,7 +117,7 @@
 
     def __init__(self, *, url: str):
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self._client = BoundedHttpClient(bounds=ANSWER_BOUNDS, connections=8)
 
     def append(self, data: bytes) -> int:
         """Append a record; see ``LogStore``."""
@@ -153,7 +156,7 @@
         )
         started_at = time.monotonic()
         try:
-            return self._pool.request(method, url, timeout=timeout, **arguments)
+            return self._client.request(method, url, timeout=timeout, **arguments)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/citronspan/platform/store.py
+++ b/citronspan/platform/store.py
@@ -21,6 +21,7 @@
     StoreRestoredError,
     StoreUnavailableError,
 )
+from citronspan.utils.bounded_http import AnswerBounds, BoundedHttpClient
 from citronspan.utils.logs import write_event
 from citronspan.utils.validation import DECODING_ERRORS
 
@@ -30,6 +31,15 @@
 
 PARTITION = 0
 MAXIMUM_READ_KB = 1024
+ANSWER_BOUNDS = AnswerBounds(body_bytes=4 << 20, seconds=5.0)
+"""A page has 1 MB of records at most, in base64 where they are the newest."""
+
+MAXIMUM_NEWEST_PAGES = 200
+"""Most pages of the newest records of a topic that are read."""
+
+MAXIMUM_NEWEST_BYTES = 48 << 20
+"""Most bytes of the answers with the newest records of a topic that are read."""
+
 ERA_OFFSETS = 1 << 40
 """Offsets for each restore of the store, more than a topic ever has."""
 
@@ -99,7 +109,7 @@
 
     def __init__(self, *, address: str):
         self._url = f"http://{address}"
-        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+        self._client = BoundedHttpClient(bounds=ANSWER_BOUNDS, connections=4)
         self.request_count = 0
 
     def read(self, topic: str, from_offset: int, wait_seconds: float) -> KeyedPage:
@@ -143,16 +153,20 @@
         read again from there.
 
         Raises:
-            StoreUnavailableError: If there is no usable answer.
+            StoreUnavailableError: If there is no usable answer, or no end of them.
         """
         records = []
         next_offset = None
         first_offset = None
+        read_bytes = 0
         fields = {"topic": topic, "part": PARTITION}
-        while True:
+        for _ in range(MAXIMUM_NEWEST_PAGES):
             answer = self._request("/log-newest", fields, 0.0)
             if answer.status != 200:
                 raise StoreUnavailableError(f"status {answer.status}")
+            read_bytes += len(answer.data)
+            if read_bytes > MAXIMUM_NEWEST_BYTES:
+                raise StoreUnavailableError("the newest records are too large")
             page = _decode_newest(answer.data)
             if first_offset is None:
                 first_offset = _read_era(answer) * ERA_OFFSETS
@@ -165,7 +179,12 @@
                 break
             if not page_records:
                 raise StoreUnavailableError("no item of the answer can be decoded")
-            fields["after"] = page_records[-1].key
+            last_key = page_records[-1].key
+            if fields.get("after") == last_key:
+                raise StoreUnavailableError("the store repeats a page")
+            fields["after"] = last_key
+        else:
+            raise StoreUnavailableError("the newest records have too many pages")
         records.sort(key=lambda record: record.offset)
         return KeyedPage(next_offset=next_offset, records=tuple(records))
 
@@ -177,7 +196,7 @@
         began_at = time.monotonic()
         self.request_count += 1
         try:
-            return self._pool.request(
+            return self._client.request(
                 "GET", f"{self._url}{path}?{query}", timeout=timeout
             )
         except urllib3.exceptions.HTTPError as error:
