Bound heads on both sides of a tunnel and the connections of a relay

What would be seen: a peer that sends headers or interim answers without end, or a line now and then, holds a request beyond its deadline, or a thread and 6 MB of the relaying host; connections that ask for nothing hold a thread each without a limit.

Cause: the time of each wait was bounded, not the bytes, the time as a whole or the number.

Change: 8 KB and one time for either head, 320 connections of peers; beyond them the next peer is asked, 431, or 503 at once.

Test: endless_relay_test, memory measured.

--- a/citronspan/ops/targets/relay_connector.py
+++ b/citronspan/ops/targets/relay_connector.py
@@ -15,11 +15,15 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.ops.peers.recent_names import RecentNames
 from citronspan.utils.addresses import split_address
+from citronspan.utils.bounded_http import AnswerBounds, BoundedResponse
 from citronspan.utils.rendezvous import compute_score
 
 ENDS_IDLE_HEADER = "Citronspan-Ends-Idle"
 """Header of CONNECT by which a host says that it ends its idle tunnels by itself."""
 
+ANSWER_BOUNDS = AnswerBounds(head_bytes=8 * 1024, body_bytes=64 * 1024, seconds=0.0)
+"""Bounds of a peer's answer to CONNECT, which gets no time beyond the wait for it."""
+
 PEER_SKIP_SECONDS = 2.0
 """Time for which a peer that relayed nothing is not asked."""
 
@@ -143,7 +147,9 @@
     try:
         connection.connect()
         connection.sock.sendall(head.encode())
-        response = http.client.HTTPResponse(connection.sock, method="CONNECT")
+        response = BoundedResponse(
+            connection.sock, method="CONNECT", bounds=ANSWER_BOUNDS
+        )
         response.begin()
         status = response.status
         response.close()
--- a/citronspan/ops/targets/relay_server.py
+++ b/citronspan/ops/targets/relay_server.py
@@ -16,6 +16,7 @@
 import contextlib
 import http
 import http.server
+import io
 import select
 import socket
 import struct
@@ -34,11 +35,18 @@
 )
 from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.addresses import split_address
+from citronspan.utils.bounded_http import AnswerTooLongError, BoundedReader
 from citronspan.utils.logs import write_event
 from citronspan.utils.sockets import has_unsent_bytes
 
 MAXIMUM_TUNNELS = 256
+MAXIMUM_CONNECTIONS = 320
+"""Most connections of peers: the tunnels, and those that do not ask for one yet."""
+
+MAXIMUM_HEAD_BYTES = 8 * 1024
 HEAD_TIMEOUT_SECONDS = 5.0
+"""Longest time for a head, and for the wait for any byte of it."""
+
 IDLE_TIMEOUT_SECONDS = 60.0
 QUIET_SECONDS = 0.3
 """Time after the last byte of an answer after which a tunnel counts as idle."""
@@ -50,6 +58,7 @@
 COPY_BYTES = 64 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 END_ON_CLOSE = struct.pack("ii", 0, 0)
+HEAD_TOO_LARGE = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
 _logger = logbook.Logger("relay")
 
@@ -171,6 +180,23 @@
     timeout = HEAD_TIMEOUT_SECONDS
     relay: "RelayServer"
 
+    def setup(self):
+        """Bound what is read of the head."""
+        super().setup()
+        reader = BoundedReader(
+            raw=self.rfile.detach(), deadline=time.monotonic() + HEAD_TIMEOUT_SECONDS
+        )
+        reader.allow(MAXIMUM_HEAD_BYTES)
+        self.rfile = io.BufferedReader(reader)
+
+    def handle(self):
+        """Answer the request, also one whose first line has no end."""
+        try:
+            super().handle()
+        except AnswerTooLongError:
+            # Ignored: the peer is told, and writes what became of its request.
+            self.wfile.write(_make_refusal(HEAD_TOO_LARGE))
+
     def do_CONNECT(self):  # noqa: N802
         """Open a tunnel to the target that the request names."""
         self.close_connection = True
@@ -196,6 +222,31 @@
     daemon_threads = True
     request_queue_size = 64
 
+    def __init__(self, *arguments):
+        self._free_connections = threading.BoundedSemaphore(MAXIMUM_CONNECTIONS)
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address):
+        """Serve a connection in a thread of its own if there is room for it."""
+        if self._free_connections.acquire(blocking=False):
+            try:
+                super().process_request(request, client_address)
+            except RuntimeError:
+                # There is no thread for it.
+                self._free_connections.release()
+                raise
+            return
+        with contextlib.suppress(OSError):
+            request.send(_make_refusal(http.HTTPStatus.SERVICE_UNAVAILABLE))
+        self.shutdown_request(request)
+
+    def process_request_thread(self, request, client_address):
+        """Serve a connection to its end."""
+        try:
+            super().process_request_thread(request, client_address)
+        finally:
+            self._free_connections.release()
+
     def shutdown_request(self, request):
         """Close a connection without a shutdown, which would hide a reset."""
         self.close_request(request)
@@ -342,6 +393,10 @@
         )
 
 
+def _make_refusal(status: http.HTTPStatus) -> bytes:
+    return f"HTTP/1.1 {status.value} {status.phrase}\r\n\r\n".encode()
+
+
 def _is_readable(sock) -> bool:
     poll = select.poll()
     poll.register(sock, select.POLLIN)
