Refuse an answer at its head if its declared length is over the bound

Callers saw: a target declares over 64 MB; they got 64 MB and a closed connection, although another target could have been asked.

Cause: the bound was applied to the bytes read, not to the declared length.

Change: CheckedResponse refuses such a head, so that the request is retried if it may run again, else answered 502.

Tests: endless_answers_test, two cases.

--- a/citronspan/ops/targets/answer_stream.py
+++ b/citronspan/ops/targets/answer_stream.py
@@ -164,10 +164,16 @@
             self._check_headers()
             self._reader.set_byte_limit(MAXIMUM_BODY_BYTES)
             if not self._is_stale_response():
+                self._check_length()
                 return
             self._skip_stale_response()
         raise AnswerInvalidError("the answers carry the ids of other requests")
 
+    def _check_length(self):
+        """Refuse a body that is too long before the caller gets a part of it."""
+        if self.length is not None and self.length > MAXIMUM_BODY_BYTES:
+            raise AnswerInvalidError("the answer is longer than allowed")
+
     def _is_stale_response(self):
         """Return whether this is a late answer to an earlier request.
 
--- a/citronspan/ops/targets/endless_answers_test.py
+++ b/citronspan/ops/targets/endless_answers_test.py
@@ -21,6 +21,7 @@
 READ_BYTES = 64 * 1024
 DEADLINE_SECONDS = 30.0
 HEAD = b"HTTP/1.1 200 OK\r\n"
+MAXIMUM_LENGTH = MAXIMUM_BODY_BYTES + 1
 CHUNK = b"%x\r\n%s\r\n" % (PART_BYTES, NOISE)
 
 ENDLESS_HEADS = {
@@ -28,6 +29,7 @@
     "one header line": (HEAD + b"X-A: ", NOISE),
     "header lines": (HEAD, b"X-A: %s\r\n" % NOISE),
     "interim answers": (b"", b"HTTP/1.1 103 Early\r\nX-A: %s\r\n\r\n" % NOISE),
+    "declared length": (HEAD + b"Content-Length: %d\r\n\r\n" % MAXIMUM_LENGTH, NOISE),
     "chunk size line": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;", NOISE),
 }
 ENDLESS_BODIES = {
@@ -121,6 +123,16 @@
     assert peak_memory() < MAXIMUM_MEMORY_BYTES
 
 
+def test_declared_length_over_the_bound_is_answered_502(running):
+    """It was passed on and cut after 64 MB, which no caller can use."""
+    path = running.make_path("write")
+    start, endless_part = ENDLESS_HEADS["declared length"]
+    running.targets.set_scripts(
+        path, TargetScript(parts=(start,), endless_part=endless_part)
+    )
+    assert running.request("POST", path).status == http.client.BAD_GATEWAY
+
+
 @pytest.mark.parametrize("framing", [b"Content-Length: 99999999999999\r\n", b""])
 def test_endless_answer_to_another_request_is_cut_at_the_bound(
     running, peak_memory, framing
