Stop a host by the stop time that its settings have now

A host told by SIGHUP that it has 6 s in place of 10 accepted orders until 4 s after SIGTERM and was killed with them.

Cause: Host.reload passed the settings to the agent and the store, not to the entry, whose times of a stop were derived at its start. Second member: the file may change without a signal and is looked at once a second.

Change: Entry.reload takes the times of a stop unless one has begun; on SIGTERM the file is looked at once more before the stop begins.

Tests: planned_stop_test, by SIGHUP, by the look each second, right before SIGTERM.

--- a/citronspan/ops/entry.py
+++ b/citronspan/ops/entry.py
@@ -6,6 +6,7 @@
 from dataclasses import asdict
 
 import logbook
+import msgspec
 
 from citronspan.core import log_events
 from citronspan.core.accounts.quota_messages import QuotaMessage
@@ -222,6 +223,20 @@
         """Return whether the entry serves and knows at least one possible broker."""
         return self.state == "serving" and self.slots.has_entries()
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Apply the times of a stop, unless one has begun; the rest needs a restart.
+
+        Args:
+            settings: The new settings.
+        """
+        if self._stop.is_set():
+            return
+        self.settings = msgspec.structs.replace(
+            self.settings,
+            drain_seconds=settings.drain_seconds,
+            leave_seconds=settings.leave_seconds,
+        )
+
     def request_stop(self) -> None:
         """Request a graceful stop; safe in any thread."""
         self._stop_plan.begin(self.settings.drain_seconds)
--- a/citronspan/ops/host.py
+++ b/citronspan/ops/host.py
@@ -58,8 +58,8 @@
     def reload(self, settings: HostSettings) -> None:
         """Apply the settings that can change while the host runs.
 
-        Seeds, times and the rules of services take effect. New addresses need a
-        restart.
+        Seeds, times and the rules of services take effect; those of a stop also if
+        the host is stopped at once. New addresses need a restart.
 
         Args:
             settings: The new settings.
@@ -67,6 +67,7 @@
         if settings == self._settings:
             return
         self._settings = settings
+        self.entry.reload(settings.make_entry_settings())
         self.agent.reload(settings.make_agent_settings())
         self._store.set_rules(settings.service_rules)
         self.agent.source.request_reload()
--- a/citronspan/scripts/process.py
+++ b/citronspan/scripts/process.py
@@ -19,6 +19,9 @@
 SETTINGS_POLL_SECONDS = 1.0
 """Interval between checks of the settings file, which may change without SIGHUP."""
 
+WATCHER_WAIT_SECONDS = 0.1
+"""Longest wait of a stop for a reload that is under way."""
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 _logger = logbook.Logger("process")
@@ -109,6 +112,8 @@
             path=path, settings_type=settings_type, process=process, content=content
         )
         signals.handle(signal.SIGHUP, watcher.check_now)
+        for number in STOP_SIGNALS:
+            signals.handle(number, lambda: _stop_by_settings(watcher, process))
         watcher.start()
     try:
         process.run()
@@ -117,6 +122,12 @@
     return 0
 
 
+def _stop_by_settings(watcher, process):
+    """Stop a process by the settings that hold now."""
+    watcher.check_file(WATCHER_WAIT_SECONDS)
+    process.request_stop()
+
+
 class SettingsWatcher:
     """Reloads changed settings, every ``SETTINGS_POLL_SECONDS`` and on SIGHUP."""
 
@@ -141,6 +152,7 @@
         self._settings_type = settings_type
         self._process = process
         self._check_requested = threading.Event()
+        self._lock = threading.Lock()
         self._last_content = _read_bytes(path) if content is None else content
 
     def start(self) -> None:
@@ -155,11 +167,25 @@
         while True:
             self._check_requested.wait(SETTINGS_POLL_SECONDS)
             self._check_requested.clear()
+            self.check_file()
+
+    def check_file(self, wait_seconds: float = -1) -> None:
+        """Reload the settings if the file has changed.
+
+        Args:
+            wait_seconds: Longest time to wait for another check that is under way;
+                negative for any.
+        """
+        if not self._lock.acquire(timeout=wait_seconds):
+            return
+        try:
             data = _read_bytes(self._path)
             if data is None or data == self._last_content:
-                continue
+                return
             self._last_content = data
             self._reload_settings()
+        finally:
+            self._lock.release()
 
     def _reload_settings(self):
         try:
--- a/citronspan_standins/host_processes.py
+++ b/citronspan_standins/host_processes.py
@@ -124,12 +124,13 @@
             "storeAddress": store_address,
             "stopSeconds": STOP_SECONDS,
         }
-        path = folder / f"{name}.json"
-        path.write_text(json.dumps(settings))
+        self._settings = settings
+        self._settings_path = folder / f"{name}.json"
+        self.change_settings()
         self.log_path = folder / f"{name}.log"
         log = self.log_path.open("a")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", program, str(path)],
+            [sys.executable, "-m", program, str(self._settings_path)],
             cwd=ROOT,
             stdout=log,
             stderr=log,
@@ -145,6 +146,12 @@
         except OSError:
             return False
 
+    def change_settings(self, **changes):
+        """Replace the settings file; the process notices by itself."""
+        new_path = self._settings_path.with_suffix(".new")
+        new_path.write_text(json.dumps({**self._settings, **changes}))
+        new_path.rename(self._settings_path)
+
     def stop(self):
         """Send SIGTERM and note its time."""
         self.process.send_signal(signal.SIGTERM)
--- a/citronspan_standins/planned_stop_test.py
+++ b/citronspan_standins/planned_stop_test.py
@@ -353,6 +353,31 @@
     return True
 
 
+@pytest.mark.parametrize(
+    ("by_signal", "wait_seconds"), [(True, 0.5), (False, 2.5), (False, 0.0)]
+)
+def test_host_stops_by_a_time_that_was_changed_before(
+    tmp_path, monkeypatch, by_signal, wait_seconds
+):
+    """By the earlier time it would still hold a request when SIGKILL comes."""
+    monkeypatch.setattr(host_processes, "STOP_SECONDS", 10.0)
+    running = run_host_processes(tmp_path, slots=16, work_seconds=9.0)
+    with running as ([host], _), ThreadPoolExecutor(1) as executor:
+        host.stopped_at = time.monotonic()
+        sent = executor.submit(host.send, "early", head_at=0.0, last_byte_at=0.0)
+        time.sleep(0.3)
+        monkeypatch.setattr(host_processes, "STOP_SECONDS", 4.0)
+        host.change_settings(stopSeconds=4.0)
+        if by_signal:
+            host.process.send_signal(signal.SIGHUP)
+        time.sleep(wait_seconds)
+        host.stop()
+        host.kill_after_grace()
+        _, response = sent.result()
+    assert (response.status, response.ran) == (504, "may-have-run")
+    assert response.find_complete_body()
+
+
 def test_idle_host_ends_within_a_stop_time_of_two_seconds(tmp_path, monkeypatch):
     """A host that SIGKILL ends cannot say to its peers that it leaves."""
     monkeypatch.setattr(host_processes, "STOP_SECONDS", 2.0)
