Take no registration that lacks a field

Another writer's entry without `sequence` and `born`, or without `version`, brought a removed target back; all hosts sent orders there over 2.5 s after the removal.

Cause: four fields had defaults or were not read, and a record without a version counts as newer than a removal.

Change: every field of a registration is required; an entry without one is unreadable and names no target.

Tests: records_test, each of the ten fields.

--- a/citronspan/platform/records.py
+++ b/citronspan/platform/records.py
@@ -112,15 +112,19 @@
     DRAINING = "draining"
 
 
+# A registration that lacks any of these fields comes from another writer.
 class _RegistrationInfo(_WireStruct):
     service: str
+    # Version of the target's software.
+    version: str
     data_centre: str
     slots: int
 
 
 class _RegistrationStatus(_WireStruct):
     state: _TargetState
-    warm_up_seconds: float = 0.0
+    sequence: _Number
+    warm_up_seconds: float
 
 
 class _Registration(_WireStruct):
@@ -128,7 +132,7 @@
     info: _RegistrationInfo
     status: _RegistrationStatus
     # Unix time of the target's start in milliseconds.
-    born: _StartTime = 0
+    born: _StartTime
 
 
 class _ConfigurationVersion(_WireStruct):
@@ -136,12 +140,12 @@
 
 
 class _StatusVersion(_WireStruct):
-    sequence: _Number = 0
+    sequence: _Number
 
 
 class _RegistrationVersion(_WireStruct):
     status: _StatusVersion
-    born: _StartTime = 0
+    born: _StartTime
 
 
 def read_configuration(data: bytes, rules: ServiceRules) -> list[Resource]:
--- a/citronspan/platform/records_test.py
+++ b/citronspan/platform/records_test.py
@@ -131,6 +131,33 @@
         read_target_version(data)
 
 
+def remove_field(registration, path):
+    registration = copy.deepcopy(registration)
+    holder = registration
+    for name in path[:-1]:
+        holder = holder[name]
+    del holder[path[-1]]
+    return registration
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        *((name,) for name in TARGET),
+        *(("info", name) for name in TARGET["info"]),
+        *(("status", name) for name in TARGET["status"]),
+    ],
+)
+def test_registration_without_a_field_is_used(path):
+    """It comes from another writer, and would bring a target back that was removed."""
+    data = json.dumps(remove_field(TARGET, path)).encode()
+    feeds = make_feeds(json.dumps(TARGET).encode(), data)
+    present, passed_over = feeds.read_newest(TARGETS_FEED).records
+    assert present.data is not None
+    assert passed_over.data is None
+    assert feeds.unreadable_records == 1
+
+
 def test_target_that_registered_very_often_never_returns_after_its_removal():
     """Its registrations would all have the version that was removed."""
     registration = {"born": 7, "status": {"sequence": SEQUENCES_PER_START}}
