Give running brokers the changed limits of their service

Retries were switched off and every host took the settings; some 20 requests in each 10 s still reached a second target until another host became the broker.

Cause: the retry window, the floor and the rate of the link budget of a broker were made once, from the specification of its start. Not the reload: the test fails with BrokerSet.set_service alone. Second member: the parts divided by the number of a service's shards, which changes with its targets.

Change: Broker.set_limits replaces the three whenever a service changes. Counts stay; a larger slack holds after one window, and a window of another length begins without slack.

Tests: broker_set_test, retry_window_test.

--- a/citronspan/core/brokering/broker.py
+++ b/citronspan/core/brokering/broker.py
@@ -14,6 +14,7 @@
 from citronspan.core.brokering.broker_answers import BrokerAnswers
 from citronspan.core.brokering.broker_attempt_cache import AttemptCache
 from citronspan.core.brokering.broker_grants import MAXIMUM_DEADLINE_SECONDS, GrantTable
+from citronspan.core.brokering.broker_limits import BrokerLimits
 from citronspan.core.brokering.broker_messages import (
     BrokerHandover,
     SlotCancel,
@@ -201,6 +202,13 @@
             spread_returns=self._estimates.return_line.spread_count,
         )
 
+    def set_limits(self, limits: BrokerLimits) -> None:
+        """Replace the limits; what was granted before counts against the new ones."""
+        self._link_budget.set_rate(limits.link_bytes_per_second)
+        self._pool.set_floor(limits.floor)
+        if self._retry_window is not None:
+            self._retry_window.set_limits(limits.retries)
+
     def set_targets(self, targets: tuple[TargetInfo, ...]) -> list[Outgoing]:
         """Replace the shard's targets.
 
--- a/citronspan/core/brokering/broker_pool.py
+++ b/citronspan/core/brokering/broker_pool.py
@@ -80,6 +80,10 @@
         self._limit_by_target: dict[str, TargetLimit] = {}
         self.set_targets(targets, now)
 
+    def set_floor(self, floor: float) -> None:
+        """Replace the share of the targets that must get requests at all times."""
+        self._floor = floor
+
     def set_targets(self, targets: tuple[TargetInfo, ...], now: float) -> None:
         """Replace the targets; targets that stay keep their usage.
 
--- a/citronspan/core/brokering/broker_set.py
+++ b/citronspan/core/brokering/broker_set.py
@@ -10,6 +10,7 @@
 from typing import Protocol, runtime_checkable
 
 from citronspan.core.brokering.broker import Broker
+from citronspan.core.brokering.broker_limits import BrokerLimits, RetryLimits
 from citronspan.core.brokering.broker_messages import (
     BrokerHandover,
     BrokerMessage,
@@ -149,7 +150,7 @@
                 self._shard_by_key[shard.key] = shard
                 self._preceding_targets_by_key[shard.key] = preceding_targets
                 preceding_targets += sum(not target.leaving for target in shard.targets)
-        return self._update_broker_targets(service)
+        return self._update_brokers(service)
 
     def count_preceding_targets(self, key: ShardKey) -> int:
         """Return the number of a service's targets in the shards before one of them.
@@ -166,7 +167,7 @@
         """
         self._remove_shards(service)
         self._spec_by_service.pop(service, None)
-        return self._update_broker_targets(service)
+        return self._update_brokers(service)
 
     def set_nodes(
         self, nodes: Iterable[NodeInfo], *, awaits_peers: bool = False
@@ -260,18 +261,17 @@
     def _create_broker(self, key):
         shard = self._shard_by_key[key]
         spec = self._spec_by_service[key.service]
-        group = self.shards_by_group[key.service, key.region]
+        limits = self._make_limits(key, spec)
         if self.table.find_address(key) == self.address:
             self._assigned_at_by_key.setdefault(key, time.monotonic())
-        ejects = spec.detection is not Detection.FAILURE_EPISODES
         broker = Broker(
             key=key,
             health=self._make_health(key, spec),
             targets=shard.targets,
-            link_bytes_per_second=spec.link_bytes_per_second / len(group),
+            link_bytes_per_second=limits.link_bytes_per_second,
             find_link_share=lambda: self._find_link_share(key),
-            retry_window=self._make_retry_window(key, spec),
-            floor=0.0 if ejects else spec.floor,
+            retry_window=self._make_retry_window(key, limits.retries),
+            floor=limits.floor,
             count_preceding_targets=lambda: self.count_preceding_targets(key),
             holder=self.address,
             find_rate_share=lambda: self._find_rate_share(key),
@@ -316,18 +316,29 @@
         rate = self._region_link_bytes_per_second * shard.slots / slots
         return min(rate / own_rate, 1.0)
 
-    def _make_retry_window(self, key, spec):
-        if not spec.retry_window_seconds:
-            return None
+    def _make_limits(self, key, spec) -> BrokerLimits:
+        group = self.shards_by_group[key.service, key.region]
         shard_count = sum(
             len(shards)
             for (name, _), shards in self.shards_by_group.items()
             if name == key.service
         )
+        ejects = spec.detection is not Detection.FAILURE_EPISODES
+        return BrokerLimits(
+            link_bytes_per_second=spec.link_bytes_per_second / len(group),
+            floor=0.0 if ejects else spec.floor,
+            retries=RetryLimits(
+                ratio=spec.retry_ratio,
+                slack=spec.retry_slack / max(shard_count, 1),
+                window_seconds=spec.retry_window_seconds,
+            ),
+        )
+
+    def _make_retry_window(self, key, limits):
         return RetryWindow(
-            ratio=spec.retry_ratio,
-            slack=spec.retry_slack / max(shard_count, 1),
-            window_seconds=spec.retry_window_seconds,
+            ratio=limits.ratio,
+            slack=limits.slack,
+            window_seconds=limits.window_seconds,
             count_possible_brokers=lambda: self.table.count_known(key.region),
             find_fleet_share=lambda: self.table.compute_share(key.region),
         )
@@ -338,12 +349,16 @@
                 del self._shard_by_key[shard.key]
                 del self._preceding_targets_by_key[shard.key]
 
-    def _update_broker_targets(self, service):
+    def _update_brokers(self, service):
+        """Give the brokers of a service its present limits and targets."""
+        spec = self._spec_by_service.get(service)
         outgoing = []
         for key, broker in self._broker_by_key.items():
             if key.service != service:
                 continue
             shard = self._shard_by_key.get(key)
+            if shard is not None:
+                broker.set_limits(self._make_limits(key, spec))
             outgoing += broker.set_targets(shard.targets if shard else ())
         return outgoing
 
--- a/citronspan/core/brokering/broker_set_test.py
+++ b/citronspan/core/brokering/broker_set_test.py
@@ -22,7 +22,8 @@
 from citronspan.core.detection.verdicts import Verdict
 from citronspan.core.message_base import Outgoing
 from citronspan.core.messages import Envelope, decode_envelope, encode_envelope
-from citronspan.core.resources import ServiceSpec
+from citronspan.core.resources import Detection, ServiceSpec
+from citronspan.core.result_codes import LINK_BUDGET_SPENT, RETRIES_SPENT
 from citronspan.utils.rendezvous import rank_members
 
 VERDICT = Verdict(
@@ -173,3 +174,53 @@
 def test_messages_round_trip_through_codec(message):
     envelope = Envelope(fleet="f", sender="s", incarnation=1, body=message)
     assert decode_envelope(encode_envelope(envelope)) == envelope
+
+
+@pytest.mark.parametrize("earlier_window_seconds", [0.0, 10.0, 20.0])
+def test_running_broker_grants_no_retry_once_they_are_switched_off(
+    clock, earlier_window_seconds
+):
+    """A broker that kept its first limits granted retries until it was replaced."""
+    brokers = make_broker_set(FIRST, nodes=(FIRST,), slots=20)
+    targets = [make_target("a", slots=20)]
+    window_seconds = earlier_window_seconds
+    brokers.set_service("shop", make_spec(window_seconds=window_seconds), targets)
+    clock.tick(30.0)
+    granted = brokers.handle("entry", make_request(1, is_retry=True))
+    assert isinstance(get_messages(granted)[0], SlotGrant)
+    no_retries = make_spec(window_seconds=10.0, ratio=0.0, slack=0.0)
+    brokers.set_service("shop", no_retries, targets)
+    for attempt_id in range(2, 10):
+        brokers.handle("entry", make_request(attempt_id))
+        refused = brokers.handle("entry", make_request(-attempt_id, is_retry=True))
+        assert get_messages(refused)[0].code == RETRIES_SPENT.number
+
+
+def test_running_broker_sends_no_bytes_of_a_link_budget_that_was_taken_away(clock):
+    brokers = make_broker_set(FIRST, nodes=(FIRST,), slots=20)
+    targets = [make_target("a", slots=20)]
+    brokers.set_service("shop", ServiceSpec(link_bytes_per_second=1000.0), targets)
+    brokers.handle("entry", make_request(1))
+    clock.tick(30.0)
+    fields = {"from_region": "gota", "body_bytes": 100, "worth": 1.0}
+    granted = brokers.handle("entry", make_request(2, **fields))
+    assert isinstance(get_messages(granted)[0], SlotGrant)
+    brokers.set_service("shop", ServiceSpec(link_bytes_per_second=0.0), targets)
+    refused = brokers.handle("entry", make_request(3, **fields))
+    assert get_messages(refused)[0].code == LINK_BUDGET_SPENT.number
+
+
+def test_running_broker_keeps_the_floor_of_the_present_specification(clock):
+    brokers = make_broker_set(FIRST, nodes=(FIRST,))
+    brokers.handle("entry", make_request(1))
+    (broker,) = brokers._broker_by_key.values()
+    for floor in (0.25, 0.75):
+        spec = ServiceSpec(floor=floor, detection=Detection.FAILURE_EPISODES)
+        brokers.set_service("shop", spec, [make_target("a")])
+        assert broker._pool._floor == floor
+
+
+def make_spec(*, window_seconds, ratio=0.2, slack=58.0):
+    return ServiceSpec(
+        retry_window_seconds=window_seconds, retry_ratio=ratio, retry_slack=slack
+    )
--- a/citronspan/core/brokering/link_budget.py
+++ b/citronspan/core/brokering/link_budget.py
@@ -52,6 +52,11 @@
         self._maximum_worth = 0.0
         self._answer_bytes_by_kind: dict[str, float] = {}
 
+    def set_rate(self, bytes_per_second: float) -> None:
+        """Replace the rate; the bucket keeps what the new one has room for."""
+        self._refill()
+        self._bytes_per_second = bytes_per_second
+
     def spend(self, request_kind: str, worth: float, body_bytes: int) -> bool:
         """Spend the bytes of a request and of its expected answer.
 
--- a/citronspan/core/brokering/retry_window.py
+++ b/citronspan/core/brokering/retry_window.py
@@ -11,6 +11,9 @@
 A retry whose slot is given back unused is taken out of the bucket that counted it. All
 retries that reach a target in a window were counted together at the grant of the last
 one, so the limit holds for those that arrive, too.
+
+An operator may change the limits of a running broker. What it granted before counts
+against the new ones.
 """
 
 import math
@@ -18,6 +21,8 @@
 from collections import deque
 from collections.abc import Callable
 
+from citronspan.core.brokering.broker_limits import RetryLimits
+
 SLACK_SHARE = 0.4
 """Usable share of the slack, because entries whose views differ may consider two
 entries the broker."""
@@ -51,7 +56,7 @@
         Args:
             ratio: Retries allowed per request.
             slack: This broker's share of the additional retries per window.
-            window_seconds: Length of the window in seconds.
+            window_seconds: Length of the window in seconds, 0 for no limit here.
             count_possible_brokers: Returns the number of entries that may now become
                 the shard's broker.
             find_fleet_share: Returns the part of them that this broker sees.
@@ -62,12 +67,44 @@
         self._find_fleet_share = find_fleet_share
         self._window_seconds = window_seconds
         self._full_slack_from = time.monotonic() + window_seconds
+        self._earlier_slack = math.inf
+        self._earlier_slack_until = -math.inf
         self._buckets: deque[list[float]] = deque()
         self.total_requests = 0
         self.total_retries = 0
 
+    def set_limits(self, limits: RetryLimits) -> None:
+        """Replace the limits.
+
+        A larger slack holds after one window, because brokers that the change removed
+        may have granted their share of it. A window of another length begins without
+        counts, and therefore without slack until it has passed once.
+
+        Args:
+            limits: The new limits.
+        """
+        now = time.monotonic()
+        slack = limits.slack * SLACK_SHARE
+        has_other_window = limits.window_seconds != self._window_seconds
+        if has_other_window or slack > self._slack:
+            self._earlier_slack = 0.0 if has_other_window else self._limit_slack(now)
+            self._earlier_slack_until = now + limits.window_seconds
+        if has_other_window:
+            self._buckets.clear()
+        self._ratio = limits.ratio * RATIO_SHARE
+        self._slack = slack
+        self._window_seconds = limits.window_seconds
+
+    def _limit_slack(self, now):
+        """Return the slack, or the one before a change if that is less."""
+        if now >= self._earlier_slack_until:
+            return self._slack
+        return min(self._slack, self._earlier_slack)
+
     def count_request(self) -> None:
         """Count the first attempt of a request."""
+        if not self._window_seconds:
+            return
         self._get_current_bucket()[1] += 1
         self.total_requests += 1
 
@@ -77,6 +114,8 @@
         Args:
             is_fallback: Whether the broker serves the request as a fallback broker.
         """
+        if not self._window_seconds:
+            return True
         self._get_current_bucket()
         requests = sum(bucket[1] for bucket in self._buckets)
         retries = sum(bucket[2] for bucket in self._buckets)
@@ -84,15 +123,17 @@
         now = time.monotonic()
         if is_fallback or now < self._full_slack_from:
             share = min(share, 1 / max(self._count_possible_brokers(), 1))
-        slack = self._slack * share
+        slack = self._limit_slack(now) * share
         return retries + 1 <= self._ratio * requests + slack
 
     def count_retry(self) -> int:
         """Count a granted retry.
 
         Returns:
-            Number of the bucket that counts it.
+            Number of the bucket that counts it, 0 for none.
         """
+        if not self._window_seconds:
+            return 0
         bucket = self._get_current_bucket()
         bucket[2] += 1
         self.total_retries += 1
@@ -105,7 +146,7 @@
             bucket_number: What ``count_retry`` returned for it.
         """
         for bucket in self._buckets:
-            if bucket[0] == bucket_number:
+            if bucket[0] == bucket_number and bucket[2]:
                 bucket[2] -= 1
 
     def _get_current_bucket(self):
--- a/citronspan/core/brokering/retry_window_test.py
+++ b/citronspan/core/brokering/retry_window_test.py
@@ -3,6 +3,7 @@
 import freezegun
 from hypothesis import given, strategies as st
 
+from citronspan.core.brokering.broker_limits import RetryLimits
 from citronspan.core.brokering.retry_window import RetryWindow
 
 STEPS = st.lists(
@@ -61,3 +62,27 @@
         assert count_allowed_retries(window) == 8
         clock.tick(10.6)
         assert count_allowed_retries(window) == 8
+
+
+def test_larger_slack_holds_after_one_window():
+    """Brokers that the change removed may have granted their share of it."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        window = make_window()
+        clock.tick(10.6)
+        assert count_allowed_retries(window) == 8
+        window.set_limits(RetryLimits(ratio=0.2, slack=40, window_seconds=10.0))
+        assert count_allowed_retries(window) == 0
+        clock.tick(10.6)
+        assert count_allowed_retries(window) == 16
+
+
+def test_window_of_another_length_begins_without_slack():
+    """What it granted in the window before counts in no bucket of the new one."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        window = make_window()
+        clock.tick(10.6)
+        assert count_allowed_retries(window) == 8
+        window.set_limits(RetryLimits(ratio=0.2, slack=20, window_seconds=5.0))
+        assert count_allowed_retries(window) == 0
+        clock.tick(5.3)
+        assert count_allowed_retries(window) == 8
