Give tests ports that the system gives to no connection

find_free_addresses let the system choose, so that a connection of another program could get the port before the test listened. It draws from a range below the system's own (32768 here) and checks that the port is free.

--- a/citronspan_standins/scripted_targets.py
+++ b/citronspan_standins/scripted_targets.py
@@ -1,6 +1,7 @@
 """Targets that answer each path by the scripts that a test set for it."""
 
 import contextlib
+import random
 import socket
 import struct
 import threading
@@ -9,6 +10,9 @@
 
 TARGETS = ("t-1", "t-2", "t-3")
 CONNECTION_TIMEOUT_SECONDS = 10.0
+TEST_PORTS = range(10_240, 28_000)
+"""Ports that neither the system nor other tests give out."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -210,9 +214,17 @@
 
 
 def find_free_addresses(count):
-    """Return addresses whose ports were free when this function checked them."""
+    """Return addresses whose ports were free when this function checked them.
+
+    They are below the ports that the system gives to connections of other programs,
+    one of which could be taken before the caller listens.
+    """
+    draw = random.SystemRandom()
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
+        sockets = []
+        while len(sockets) < count:
+            item = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                item.bind(("127.0.0.1", draw.choice(TEST_PORTS)))
+                sockets.append(item)
         return [format_address(item) for item in sockets]
