--- a/citronspan/ops/callers/keyed_request.py
+++ b/citronspan/ops/callers/keyed_request.py
@@ -6,14 +6,18 @@
 
 import hashlib
 
+import xxhash
+
 from citronspan.core import result_codes
 from citronspan.core.keys.key_protocol_results import (
     Permission,
     Refusal as KeyRefusal,
     Replay,
 )
-from citronspan.core.keys.key_token import compute_fingerprint
+from citronspan.core.keys.key_token import compute_fingerprint, is_fleet_key
+from citronspan.core.resources import RouteSpec
 from citronspan.core.result_codes import Ran, ResultCode
+from citronspan.ops.callers.caller_request import CallerBody, CallerRequest
 from citronspan.ops.callers.key_service import ANSWER_DIGEST_BYTES, KeyService
 from citronspan.ops.callers.refusals import Refusal
 from citronspan.ops.targets.attempt_context import RequestContext
@@ -138,3 +142,26 @@
         detail=detail,
         retry_after_seconds=result.retry_after_seconds or None,
     )
+
+
+def compute_request_fingerprint(request: CallerRequest, body: CallerBody) -> int:
+    """Return the fingerprint by which a key's later requests are known as the same."""
+    digest = xxhash.xxh3_64()
+    digest.update(f"{request.method}\0{request.host}\0{request.uri}\0".encode())
+    digest.update(body.buffer or str(body.length).encode())
+    return digest.intdigest() >> 1
+
+
+def needs_claim(spec: RouteSpec, key: str) -> bool:
+    """Return whether a request's idempotency key has to be claimed before it runs.
+
+    A key that the caller made up cannot be claimed. It is forwarded to the target, and
+    the request is sent in at most one attempt.
+
+    Args:
+        spec: Specification of the route.
+        key: Idempotency key of the request, or empty.
+    """
+    if spec.idempotent or not key:
+        return False
+    return spec.require_key or is_fleet_key(key)
--- a/citronspan/ops/callers/request_handler.py
+++ b/citronspan/ops/callers/request_handler.py
@@ -5,23 +5,20 @@
 from collections.abc import Callable, Iterable
 
 import logbook
-import xxhash
 from opentelemetry import trace
 
 from citronspan.core import log_events, result_codes
 from citronspan.core.errors import CitronspanError
 from citronspan.core.keys.key_protocol_results import Replay
-from citronspan.core.keys.key_token import is_fleet_key
 from citronspan.core.requests.entry_configuration import EntryConfiguration
 from citronspan.core.requests.link_room import LinkRoom
 from citronspan.core.requests.route_table import choose_service, find_route
 from citronspan.core.requests.stop_plan import StopPlan
-from citronspan.core.resources import Kind, RouteSpec
+from citronspan.core.resources import Kind
 from citronspan.core.result_codes import Ran
 from citronspan.ops.callers.account_access import AccountAccess
 from citronspan.ops.callers.account_admission import AccountAdmission
 from citronspan.ops.callers.caller_request import (
-    CallerBody,
     CallerRequest,
     find_environ_key,
     read_caller_request,
@@ -29,7 +26,12 @@
 from citronspan.ops.callers.configuration_wait import ConfigurationWait
 from citronspan.ops.callers.forwarded_answer import log_answer, make_headers
 from citronspan.ops.callers.key_service import KeyService
-from citronspan.ops.callers.keyed_request import KeyedRequest, claim_key
+from citronspan.ops.callers.keyed_request import (
+    KeyedRequest,
+    claim_key,
+    compute_request_fingerprint,
+    needs_claim,
+)
 from citronspan.ops.callers.link_admission import admit_to_link
 from citronspan.ops.callers.open_requests import OpenRequest, OpenRequests, StopResult
 from citronspan.ops.callers.refusals import (
@@ -39,6 +41,7 @@
     answer_refusal,
     format_status,
 )
+from citronspan.ops.callers.request_body import receive_body
 from citronspan.ops.callers.streamed_answer import StreamedAnswer
 from citronspan.ops.entry_metrics import EntryMetrics
 from citronspan.ops.slots.slot_source import SlotSource
@@ -266,7 +269,7 @@
             self._link_room, route.spec, request, deadline_seconds
         )
         request.connection.set_read_deadline(received_at + deadline_seconds)
-        body = _receive_body(request)
+        body = receive_body(request)
         request.connection.begin_forwarding()
         if body.buffer is not None:
             open_request.whole_at = time.monotonic()
@@ -278,7 +281,7 @@
             service=service,
             deadline=received_at + deadline_seconds,
             goal_time=received_at + goal_seconds if goal_seconds else 0.0,
-            fingerprint=_compute_fingerprint(request, body),
+            fingerprint=compute_request_fingerprint(request, body),
             open_request=open_request,
             account="" if account is None else account.name,
             account_weight=0.0 if account is None else account.weight,
@@ -392,39 +395,3 @@
 def _judge_refusal(refusal) -> StopResult:
     ran = refusal.ran or refusal.code.ran
     return StopResult.REFUSED if ran is Ran.NOT_RUN else StopResult.GIVEN_UP
-
-
-def _receive_body(request: CallerRequest) -> CallerBody:
-    """Buffer a small body; a failure means "not run", since nothing was sent yet."""
-    try:
-        return CallerBody(request=request)
-    except CitronspanError as error:
-        is_stopping = error.code is result_codes.ENTRY_STOPPING
-        raise Refusal(
-            code=error.code,
-            detail=error.detail,
-            ran=Ran.NOT_RUN,
-            retry_after_seconds=REFUSED_RETRY_AFTER_SECONDS if is_stopping else None,
-        ) from error
-
-
-def _compute_fingerprint(request, body) -> int:
-    digest = xxhash.xxh3_64()
-    digest.update(f"{request.method}\0{request.host}\0{request.uri}\0".encode())
-    digest.update(body.buffer or str(body.length).encode())
-    return digest.intdigest() >> 1
-
-
-def needs_claim(spec: RouteSpec, key: str) -> bool:
-    """Return whether a request's idempotency key has to be claimed before it runs.
-
-    A key that the caller made up cannot be claimed. It is forwarded to the target, and
-    the request is sent in at most one attempt.
-
-    Args:
-        spec: Specification of the route.
-        key: Idempotency key of the request, or empty.
-    """
-    if spec.idempotent or not key:
-        return False
-    return spec.require_key or is_fleet_key(key)
--- a/citronspan/ops/targets/relay_server.py
+++ b/citronspan/ops/targets/relay_server.py
@@ -2,24 +2,14 @@
 
 A peer asks with CONNECT (RFC 9110, section 9.3.6) for a target that the configuration
 names; from then on bytes are copied both ways. The peer speaks to the target as over a
-connection of its own: an end of the target is passed on as an end, a reset as a reset.
-
-Whatever else ends a tunnel, such as a stop or a kill of this process, is a reset for
-the peer, since an end completes an answer that has no length. The system sends it: the
-reset on close is switched on for as long as the target has not ended.
-
-A target that ends before its system has taken what the peer sent is a reset, too: the
-peer's bytes have been taken by this host, so that the peer could not tell that the
-target did not take them (see ``answer_end``).
+connection of its own (see ``relay_tunnel``).
 """
 
 import contextlib
 import http
 import http.server
 import io
-import select
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable
@@ -29,6 +19,7 @@
 
 from citronspan.core import log_events
 from citronspan.ops.targets.relay_connector import ENDS_IDLE_HEADER
+from citronspan.ops.targets.relay_tunnel import Tunnel
 from citronspan.ops.targets.target_connector import (
     CONNECT_TIMEOUT_SECONDS,
     TargetConnector,
@@ -37,7 +28,6 @@
 from citronspan.utils.addresses import split_address
 from citronspan.utils.bounded_http import AnswerTooLongError, BoundedReader
 from citronspan.utils.logs import write_event
-from citronspan.utils.sockets import has_unsent_bytes
 
 MAXIMUM_TUNNELS = 256
 MAXIMUM_CONNECTIONS = 320
@@ -47,132 +37,12 @@
 HEAD_TIMEOUT_SECONDS = 5.0
 """Longest time for a head, and for the wait for any byte of it."""
 
-IDLE_TIMEOUT_SECONDS = 60.0
-QUIET_SECONDS = 0.3
-"""Time after the last byte of an answer after which a tunnel counts as idle."""
-
 STOP_POLL_SECONDS = 0.05
-DELIVERY_SECONDS = 1.0
-"""Longest time for the end of an answer to arrive before a reset: some round trips."""
-
-COPY_BYTES = 64 * 1024
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-END_ON_CLOSE = struct.pack("ii", 0, 0)
 HEAD_TOO_LARGE = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
 _logger = logbook.Logger("relay")
 
 
-class _Tunnel:
-    """Copies bytes between a peer and a target until either side ends."""
-
-    def __init__(
-        self,
-        *,
-        peer_socket: socket.socket,
-        target_socket: socket.socket,
-        peer_ends_idle: bool,
-    ):
-        self._peer_ends_idle = peer_ends_idle
-        self._peer_socket = peer_socket
-        self._target_socket = target_socket
-        self._awaits_answer = False
-        self._copied_at = time.monotonic()
-        self._lock = threading.Lock()
-        self._is_cut = False
-
-    def run(self) -> None:
-        """Copy until the peer closes or the target's bytes have ended."""
-        for sock in (self._peer_socket, self._target_socket):
-            sock.settimeout(IDLE_TIMEOUT_SECONDS)
-        self._set_close(RESET_ON_CLOSE)
-        answers = threading.Thread(target=self._copy_answers, daemon=True)
-        answers.start()
-        self._copy_requests()
-        answers.join()
-
-    def is_idle(self) -> bool:
-        """Return whether no request seems to be under way.
-
-        A tunnel that is quiet may be in the middle of an answer. If its peer ends the
-        idle ones, it is.
-        """
-        return (
-            not self._peer_ends_idle
-            and not self._awaits_answer
-            and time.monotonic() - self._copied_at > QUIET_SECONDS
-            and not has_unsent_bytes(self._peer_socket)
-        )
-
-    def close(self) -> None:
-        """End both directions, with a reset for the peer."""
-        self._cut_target()
-        _shut_down(self._peer_socket, socket.SHUT_RD)
-
-    def _copy_requests(self):
-        with contextlib.suppress(OSError):
-            while data := self._peer_socket.recv(COPY_BYTES):
-                self._awaits_answer = True
-                self._copied_at = time.monotonic()
-                self._send_to_target(data)
-        # A peer that closes its connection cancels its request.
-        self._cut_target()
-
-    def _cut_target(self):
-        self._is_cut = True
-        _shut_down(self._target_socket, socket.SHUT_RDWR)
-
-    def _send_to_target(self, data):
-        # The system reports a reset to one of the two threads only. The other one must
-        # not take it for an end before the reset is noted.
-        with self._lock:
-            try:
-                self._target_socket.sendall(data)
-            except OSError:
-                self._is_cut = True
-                self._reset_peer()
-                raise
-
-    def _copy_answers(self):
-        try:
-            while data := self._target_socket.recv(COPY_BYTES):
-                self._awaits_answer = False
-                self._copied_at = time.monotonic()
-                self._peer_socket.sendall(data)
-        except OSError:
-            # Ignored: the peer learns of it by the reset of its own connection.
-            self._reset_peer()
-            return
-        if self._has_untaken_bytes():
-            # An answer that shows its end by itself has to arrive before the reset.
-            self._wait_for_delivery()
-            self._reset_peer()
-            return
-        with self._lock:
-            if self._is_cut:
-                self._reset_peer()
-                return
-            self._set_close(END_ON_CLOSE)
-            _shut_down(self._peer_socket, socket.SHUT_WR)
-
-    def _has_untaken_bytes(self):
-        """Return whether the target has not taken all that the peer has sent."""
-        return has_unsent_bytes(self._target_socket) or _is_readable(self._peer_socket)
-
-    def _wait_for_delivery(self):
-        deadline = time.monotonic() + DELIVERY_SECONDS
-        while has_unsent_bytes(self._peer_socket) and time.monotonic() < deadline:
-            time.sleep(STOP_POLL_SECONDS)
-
-    def _reset_peer(self):
-        # It is sent when the connection is closed, once both directions have ended.
-        _shut_down(self._peer_socket, socket.SHUT_RD)
-
-    def _set_close(self, linger):
-        with contextlib.suppress(OSError):
-            self._peer_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 class _TunnelHandler(http.server.BaseHTTPRequestHandler):
     """Answers one CONNECT request."""
 
@@ -281,7 +151,7 @@
         self._is_target = is_target
         self._may_use = may_use
         self._lock = threading.Lock()
-        self._tunnels: set[_Tunnel] = set()
+        self._tunnels: set[Tunnel] = set()
         self._is_stopping = False
         handler = type("Handler", (_TunnelHandler,), {"relay": self})
         self._server = _Server(split_address(address), handler)
@@ -339,7 +209,7 @@
             peer_ends_idle: Whether the peer ends the tunnel once it is idle and this
                 host stops.
         """
-        tunnel = _Tunnel(
+        tunnel = Tunnel(
             peer_socket=peer_socket,
             target_socket=target_socket,
             peer_ends_idle=peer_ends_idle,
@@ -395,14 +265,3 @@
 
 def _make_refusal(status: http.HTTPStatus) -> bytes:
     return f"HTTP/1.1 {status.value} {status.phrase}\r\n\r\n".encode()
-
-
-def _is_readable(sock) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def _shut_down(sock, how):
-    with contextlib.suppress(OSError):
-        sock.shutdown(how)
--- a/citronspan/ops/targets/relay_server_test.py
+++ b/citronspan/ops/targets/relay_server_test.py
@@ -17,7 +17,7 @@
 from citronspan.core.node_messages import NodeInfo
 from citronspan.core.outcomes import OutcomeClass
 from citronspan.core.requests.attempt_deadline import AttemptDeadline
-from citronspan.ops.targets import relay_server
+from citronspan.ops.targets import relay_tunnel
 from citronspan.ops.targets.relay_connector import RelayConnector, RelayError
 from citronspan.ops.targets.relay_server import RelayServer
 from citronspan.ops.targets.target_answer import AttemptFailedError
@@ -233,7 +233,7 @@
 
 
 def test_long_answer_without_a_length_looks_complete_midway(relay, monkeypatch):
-    monkeypatch.setattr(relay_server, "IDLE_TIMEOUT_SECONDS", 0.3)
+    monkeypatch.setattr(relay_tunnel, "IDLE_TIMEOUT_SECONDS", 0.3)
     connection, accepted = relay.open()
     received = b""
     with pytest.raises(ConnectionResetError):
@@ -408,7 +408,7 @@
     accepted.sendall(b"ans")
     stopping = threading.Thread(target=relay.stop)
     stopping.start()
-    time.sleep(3 * relay_server.QUIET_SECONDS)
+    time.sleep(3 * relay_tunnel.QUIET_SECONDS)
     accepted.sendall(b"wer")
     assert receive(connection.sock, 6) == b"answer"
     connection.close()
