Measure the memory of trailers without end and of callers that read nothing

Callers' own heads (64 KB), chunk lines (8 KB) and trailers (100 lines) were read, they have bounds. What 1,024 messages of up to 4 MB in the inbox of a peer link would take was not measured.

--- a/citronspan/ops/targets/endless_answers_test.py
+++ b/citronspan/ops/targets/endless_answers_test.py
@@ -1,5 +1,6 @@
 """Tests that an answer without end is cut at a bound and costs no memory."""
 
+import contextlib
 import http.client
 import time
 import tracemalloc
@@ -18,6 +19,10 @@
 """Bytes that may be in the buffers of both sockets when the entry closes."""
 
 MAXIMUM_MEMORY_BYTES = 8 << 20
+SLOW_CALLERS = 24
+"""Callers that read nothing, fewer than the entry has threads for requests."""
+
+SETTLE_SECONDS = 1.0
 READ_BYTES = 64 * 1024
 DEADLINE_SECONDS = 30.0
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -36,6 +41,14 @@
     "chunks": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", CHUNK),
     "one chunk": (HEAD + b"Transfer-Encoding: chunked\r\n\r\nfffffffffffff\r\n", NOISE),
     "declared length": (HEAD + b"Content-Length: 99999999999999\r\n\r\n", NOISE),
+    "trailer": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: %s\r\n" % NOISE,
+    ),
+    "trailer after a part": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n%s0\r\n" % CHUNK,
+        b"X-A: %s\r\n" % NOISE,
+    ),
 }
 
 
@@ -124,6 +137,28 @@
     assert peak_memory() < MAXIMUM_MEMORY_BYTES
 
 
+@pytest.mark.parametrize("case", ENDLESS_BODIES)
+def test_endless_bodies_for_callers_that_read_nothing_fill_the_memory(
+    running, peak_memory, case
+):
+    """Others are served meanwhile, and the answers end with their callers."""
+    start, endless_part = ENDLESS_BODIES[case]
+    script = TargetScript(parts=(start,), endless_part=endless_part)
+    with contextlib.ExitStack() as stack:
+        for _ in range(SLOW_CALLERS):
+            path = running.make_path("long")
+            running.targets.set_scripts(path, script)
+            caller = stack.enter_context(running.open())
+            caller.sendall(f"POST {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        time.sleep(SETTLE_SECONDS)
+        path = running.make_path("write")
+        running.targets.set_scripts(path, TargetScript(parts=(EMPTY_ANSWER,)))
+        assert running.request("POST", path).status == http.client.OK
+        assert peak_memory() < MAXIMUM_MEMORY_BYTES
+    wait_for_end(running.targets)
+    assert peak_memory() < MAXIMUM_MEMORY_BYTES
+
+
 def test_declared_length_over_the_bound_is_answered_502(running):
     """It was passed on and cut after 64 MB, which no caller can use."""
     path = running.make_path("write")
