Measure the memory of tests in one way

Four test files had three ways to measure the peak of the memory, two of them added since; one built a node that another file builds, too.

--- a/citronspan/ops/store/endless_store_test.py
+++ b/citronspan/ops/store/endless_store_test.py
@@ -6,7 +6,6 @@
 import base64
 import json
 import time
-import tracemalloc
 
 import pytest
 
@@ -89,19 +88,15 @@
 
 @pytest.mark.parametrize("case", ENDLESS)
 @pytest.mark.parametrize("reader", MEMORY_BYTES_BY_READER)
-def test_endless_answer_ends_the_process_that_reads_it(reader, case):
+def test_endless_answer_ends_the_process_that_reads_it(peak_memory, reader, case):
     start, part = ENDLESS[case]
     server = EndlessServer(start=start, part=part, most_bytes=MOST_BYTES)
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
     began_at = time.monotonic()
     try:
         reader(server.address)
-        _, peak = tracemalloc.get_traced_memory()
     finally:
-        tracemalloc.stop()
         server.close()
-    assert peak - before < MEMORY_BYTES_BY_READER[reader]
+    assert peak_memory() < MEMORY_BYTES_BY_READER[reader]
     assert server.sent_bytes < MOST_BYTES
     assert time.monotonic() - began_at < MOST_SECONDS
 
--- a/citronspan/ops/targets/endless_answers_test.py
+++ b/citronspan/ops/targets/endless_answers_test.py
@@ -3,7 +3,6 @@
 import contextlib
 import http.client
 import time
-import tracemalloc
 
 import pytest
 
@@ -59,15 +58,6 @@
     length = 0
 
 
-@pytest.fixture
-def peak_memory():
-    """Return a function that gives the peak of the memory allocated since the start."""
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
-    yield lambda: tracemalloc.get_traced_memory()[1] - before
-    tracemalloc.stop()
-
-
 def count_lost_answers(running):
     return running.entry.metrics.registry.get_sample_value(
         "citronspan_attempts_total", {"service": "s", "outcome": "answer-lost"}
--- a/citronspan/ops/targets/endless_relay_test.py
+++ b/citronspan/ops/targets/endless_relay_test.py
@@ -4,13 +4,12 @@
 import socket
 import threading
 import time
-import tracemalloc
 
 import pytest
 
-from citronspan.core.node_messages import NodeInfo
 from citronspan.ops.targets.relay_connector import RelayConnector, RelayError
 from citronspan.ops.targets.relay_server import RelayServer
+from citronspan.ops.targets.relay_server_test import make_node
 from citronspan.ops.targets.target_connector import DirectConnector
 from citronspan.ops.targets.target_reachability import TargetReachability
 from citronspan.utils.addresses import split_address
@@ -31,49 +30,25 @@
 
 
 def make_connector(address):
-    node = NodeInfo(
-        name="h-2",
-        incarnation=1,
-        region="r",
-        data_centre="d",
-        agent_peer_address="a:1",
-        entry_peer_address="a:2",
-        entry_callers_address="a:3",
-        api_address="a:4",
-        entry_state="serving",
-        entry_relay_address=address,
-    )
+    node = make_node("h-2", address)
     return RelayConnector(
         name="h-1", region="r", data_centre="d", list_nodes=lambda: [node]
     )
 
 
-@contextlib.contextmanager
-def measure_memory():
-    """Measure the memory that is used at most, into a list."""
-    peaks = []
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
-    try:
-        yield peaks
-        peaks.append(tracemalloc.get_traced_memory()[1] - before)
-    finally:
-        tracemalloc.stop()
-
-
 @pytest.mark.parametrize("case", HEADS)
-def test_peer_that_answers_without_end_holds_a_request(case):
+def test_peer_that_answers_without_end_holds_a_request(peak_memory, case):
     start, part, pause_seconds = HEADS[case]
     server = EndlessServer(
         start=start, part=part, most_bytes=MOST_BYTES, pause_seconds=pause_seconds
     )
     began_at = time.monotonic()
     try:
-        with measure_memory() as peaks, pytest.raises(RelayError):
+        with pytest.raises(RelayError):
             make_connector(server.address).connect("127.0.0.1:1", TIMEOUT_SECONDS)
     finally:
         server.close()
-    assert peaks[0] < MEMORY_BYTES
+    assert peak_memory() < MEMORY_BYTES
     assert time.monotonic() - began_at < 3 * TIMEOUT_SECONDS
     assert server.sent_bytes < MOST_BYTES
 
@@ -120,11 +95,12 @@
         (b"CONNECT 127.0.0.1:1 HTTP/1.1\r\n", b"X-A: a\r\n", 1.0),
     ],
 )
-def test_peer_that_asks_without_end_holds_a_relay(relay, start, part, pause_seconds):
-    with measure_memory() as peaks:
-        answer = send_until_end(relay, start, part, pause_seconds)
+def test_peer_that_asks_without_end_holds_a_relay(
+    relay, peak_memory, start, part, pause_seconds
+):
+    answer = send_until_end(relay, start, part, pause_seconds)
     assert answer.startswith((b"HTTP/1.1 431", b"HTTP/1.1 408"))
-    assert peaks[0] < MEMORY_BYTES
+    assert peak_memory() < MEMORY_BYTES
 
 
 def test_peers_that_ask_nothing_take_threads_without_end(relay):
--- a/citronspan/utils/bounded_http_test.py
+++ b/citronspan/utils/bounded_http_test.py
@@ -1,7 +1,6 @@
 """Tests that an answer without end costs a reader a bound, in memory and in time."""
 
 import time
-import tracemalloc
 
 import pytest
 import urllib3
@@ -37,15 +36,6 @@
 }
 
 
-@pytest.fixture
-def peak_memory():
-    """Return a function that gives the peak of the memory allocated since the start."""
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
-    yield lambda: tracemalloc.get_traced_memory()[1] - before
-    tracemalloc.stop()
-
-
 def run(server, bounds=BOUNDS):
     client = BoundedHttpClient(bounds=bounds, connections=1)
     try:
