--- a/citronspan_standins/upgrade_test.py
+++ b/citronspan_standins/upgrade_test.py
@@ -30,7 +30,7 @@
 from citronspan_standins.store_service import StoreService, wait_until
 
 ROOT = Path(__file__).parents[1]
-EARLIER_COMMITS = ("170e430", "6e7957e")
+EARLIER_COMMITS = ("170e430", "6e7957e", "d6f77d1")
 NETWORK = f"127.{64 + os.getpid() % 128}.41"
 TARGET_PORT = 28_000 + os.getpid() % 20 * 100
 HOSTS = 3
