--- a/citronspan/ops/targets/target_connection_test.py
+++ b/citronspan/ops/targets/target_connection_test.py
@@ -50,11 +50,11 @@
     )
 
 
-def check_nothing_is_sent(connections, targets, request):
+def check_nothing_is_sent(connections, targets, request, caller=None):
     (address, *_) = targets.address_by_name.values()
     targets.set_scripts(request.uri, TargetScript(parts=(ANSWER,)))
     with pytest.raises(AttemptFailedError) as caught:
-        connections.send(address, request, None)
+        connections.send(address, request, caller)
     assert caught.value.outcome_class is OutcomeClass.NOT_USED
     time.sleep(RUN_SECONDS)
     assert targets.find_received(request.uri) == []
@@ -84,6 +84,14 @@
     check_nothing_is_sent(kept, targets, request)
 
 
+def test_request_is_sent_whose_caller_left_while_connecting(targets):
+    """Its target would work for nobody."""
+    connections = TargetConnections(paths=TargetPaths(direct=PausedConnector()))
+    left_at = time.monotonic() + RUN_SECONDS / 2
+    caller = SimpleNamespace(is_disconnected=lambda: time.monotonic() > left_at)
+    check_nothing_is_sent(connections, targets, make_request("/left", 5.0), caller)
+
+
 REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n%bContent-Length: 0\r\n\r\n"
 RESULT = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nContent-Length: 2\r\n\r\nok"
 
