--- a/citronspan/ops/targets/target_connection.py
+++ b/citronspan/ops/targets/target_connection.py
@@ -98,7 +98,6 @@
             connection = self._connect(address, request.deadline.find())
         try:
             _check_permission(request)
-            _check_caller(caller)
             response, is_fully_sent = self._exchange(
                 connection, request, caller, is_reused=is_reused
             )
@@ -303,14 +302,6 @@
         )
 
 
-def _check_caller(caller):
-    """Fail if the caller has left, as while the connection was opened."""
-    if caller is not None and caller.is_disconnected():
-        raise AttemptFailedError(
-            outcome_class=OutcomeClass.NOT_USED, detail="the caller disconnected"
-        )
-
-
 def _send_buffer(sock, buffer, deadline) -> bool:
     """Send a buffer until all of it is sent or the target has answered.
 
